--- /dev/null
+++ b/core/proto/ids.go
@@ -0,0 +1,117 @@
+package proto
+
+import (
+	"strconv"
+	"strings"
+)
+
+// Identifiers are strings that are unique in the fleet; routers and agents
+// derive them from their incarnation and a counter.
+type (
+	// AccountID names a client account.
+	AccountID string
+	// EndpointID names an endpoint.
+	EndpointID string
+	// RouterID names one incarnation of a router.
+	RouterID string
+	// RequestID names a caller's request and is visible to the caller.
+	RequestID string
+	// AttemptID names one dispatch of a request to one endpoint.
+	AttemptID string
+	// RecordID names one record of the log.
+	RecordID string
+	// KeyHash is the hex form of the SHA-256 hash of a caller's key.
+	KeyHash string
+	// Fingerprint identifies the content of a request of one client account.
+	Fingerprint string
+	// Incarnation names one life of an engine or of a process.
+	Incarnation string
+	// Domain names a failure domain.
+	Domain string
+)
+
+// Offset is a position in a log stream, from 0. Offsets in the config stream
+// serve as fencing numbers.
+type Offset int64
+
+// Revision counts the accepted release notes; 0 means none.
+type Revision int64
+
+// BlockHash is the salted chain hash of a prompt prefix that ends on a piece boundary.
+type BlockHash uint64
+
+// Role says what kind of party an address names.
+type Role string
+
+// Roles.
+const (
+	RoleCaller Role = "caller"
+	RoleRouter Role = "router"
+	RoleAgent  Role = "agent"
+	RoleEngine Role = "engine"
+	RoleLog    Role = "log"
+	RoleHosts  Role = "hosts"
+	RoleKV     Role = "kv"
+)
+
+// Addr names a party. Agents and engines are named by their endpoint.
+type Addr struct {
+	Role Role   `json:"role"`
+	ID   string `json:"id,omitempty"`
+}
+
+// String returns "role/id", or "role" for a party without an id.
+func (a Addr) String() string {
+	if a.ID == "" {
+		return string(a.Role)
+	}
+	return string(a.Role) + "/" + a.ID
+}
+
+// ParseAddr is the inverse of Addr.String. It fails on an empty role.
+func ParseAddr(s string) (Addr, error) {
+	role, id, _ := strings.Cut(s, "/")
+	if role == "" {
+		return Addr{}, Error.New("address %q has no role", s)
+	}
+	return Addr{Role: Role(role), ID: id}, nil
+}
+
+// MarshalText implements encoding.TextMarshaler.
+func (a Addr) MarshalText() ([]byte, error) { return []byte(a.String()), nil }
+
+// UnmarshalText implements encoding.TextUnmarshaler.
+func (a *Addr) UnmarshalText(text []byte) error {
+	parsed, err := ParseAddr(string(text))
+	if err != nil {
+		return err
+	}
+	*a = parsed
+	return nil
+}
+
+// Log is the address of the log service.
+var Log = Addr{Role: RoleLog}
+
+// AgentAddr returns the address of the agent beside an endpoint.
+func AgentAddr(id EndpointID) Addr { return Addr{Role: RoleAgent, ID: string(id)} }
+
+// EngineAddr returns the address of the engine or plain service of an endpoint.
+func EngineAddr(id EndpointID) Addr { return Addr{Role: RoleEngine, ID: string(id)} }
+
+// RouterAddr returns the address of a router.
+func RouterAddr(id RouterID) Addr { return Addr{Role: RoleRouter, ID: string(id)} }
+
+// CallerAddr returns the address of the caller of a request.
+func CallerAddr(id RequestID) Addr { return Addr{Role: RoleCaller, ID: string(id)} }
+
+// NewAttemptID names the n-th attempt of a request.
+func NewAttemptID(request RequestID, n int) AttemptID {
+	return AttemptID(string(request) + "#" + strconv.Itoa(n))
+}
+
+// Request returns the request that an attempt belongs to.
+func (a AttemptID) Request() RequestID {
+	request, _, _ := strings.Cut(string(a), "#")
+	return RequestID(request)
+}
--- /dev/null
+++ b/core/proto/internal.go
@@ -0,0 +1,78 @@
+package proto
+
+import "time"
+
+// The messages of this file pass between an exchange and the control machine
+// of the same router. They never cross the network.
+
+// IntentWanted asks the control machine to log the intent of a call that may
+// not be repeated.
+type IntentWanted struct {
+	Request RequestID `json:"request"`
+	Account AccountID `json:"account"`
+	// Key is the hash of the account's idempotency key.
+	Key         string      `json:"key"`
+	Fingerprint Fingerprint `json:"fingerprint"`
+}
+
+// IntentDecided answers IntentWanted. The call may be dispatched only if
+// Intent is set.
+type IntentDecided struct {
+	Request RequestID `json:"request"`
+	Intent  *Intent   `json:"intent,omitempty"`
+	// Outcome is the recorded answer of an earlier run of the same key.
+	Outcome    *CallerFinish `json:"outcome,omitempty"`
+	Cause      Cause         `json:"cause,omitempty"`
+	Verdict    Verdict       `json:"verdict"`
+	RetryAfter time.Duration `json:"retry_after_ns,omitempty"`
+}
+
+// OutcomeKnown asks the control machine to log how an intent ended.
+type OutcomeKnown struct {
+	Request RequestID     `json:"request"`
+	Account AccountID     `json:"account"`
+	Intent  Intent        `json:"intent"`
+	Verdict Verdict       `json:"verdict"`
+	Finish  *CallerFinish `json:"finish,omitempty"`
+}
+
+// CrashSeen tells the control machine that an endpoint died while an attempt
+// with this fingerprint was in flight.
+type CrashSeen struct {
+	Request     RequestID   `json:"request"`
+	Account     AccountID   `json:"account"`
+	Fingerprint Fingerprint `json:"fingerprint"`
+	Endpoint    EndpointID  `json:"endpoint"`
+	Incarnation Incarnation `json:"incarnation"`
+	// Alone is set when the attempt ran with no other beside it.
+	Alone bool `json:"alone"`
+}
+
+// AttemptSummary is one attempt in an audit record.
+type AttemptSummary struct {
+	Attempt  AttemptID  `json:"attempt"`
+	Endpoint EndpointID `json:"endpoint"`
+	Reason   string     `json:"reason"`
+	Cause    Cause      `json:"cause,omitempty"`
+	Verdict  Verdict    `json:"verdict"`
+}
+
+// RequestEnded carries the audit record of one request.
+type RequestEnded struct {
+	Request  RequestID        `json:"request"`
+	Account  AccountID        `json:"account,omitempty"`
+	Class    Class            `json:"class"`
+	Path     string           `json:"path"`
+	Model    string           `json:"model,omitempty"`
+	Version  string           `json:"version,omitempty"`
+	Revision Revision         `json:"revision"`
+	Arrived  time.Time        `json:"arrived"`
+	Rate     string           `json:"rate,omitempty"`
+	Attempts []AttemptSummary `json:"attempts,omitempty"`
+	Verdict  Verdict          `json:"verdict"`
+	Cause    Cause            `json:"cause,omitempty"`
+	Usage    Usage            `json:"usage"`
+	// FirstToken and Total are times since arrival.
+	FirstToken time.Duration `json:"first_token_ns,omitempty"`
+	Total      time.Duration `json:"total_ns"`
+}
--- /dev/null
+++ b/standin/doc.go
@@ -0,0 +1,2 @@
+// Package standin holds small stand-ins of the outside systems, for tests and for development.
+package standin
--- /dev/null
+++ b/tools/doc.go
@@ -0,0 +1,2 @@
+// Package tools pins the linter of the workspace.
+package tools
