Add the request machine, the audit trail and the virtual-time driver

Cause: every decision has to be stepped by a driver in virtual time. Change: core/exchange carries one request from admission to its end, core/audit chains records by hash, proof/drive delivers messages between nodes with seeded delays and faults. Not yet covered by tests of their own: core/exchange and proof/drive.

--- /dev/null
+++ b/core/audit/audit_test.go
@@ -0,0 +1,116 @@
+package audit
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/kumquatsill/kumquatsill/core/proto"
+)
+
+func batches(t *testing.T, n, size int) []Batch {
+	t.Helper()
+	trail := NewTrail("r1-1", "r1")
+	var out []Batch
+	for i := range n {
+		if err := trail.Add(proto.RequestEnded{Request: proto.RequestID(fmt.Sprint(i)), Account: "acme"}); err != nil {
+			t.Fatal(err)
+		}
+		if (i+1)%size == 0 {
+			out = append(out, next(t, trail))
+		}
+	}
+	return out
+}
+
+func next(t *testing.T, trail *Trail) Batch {
+	t.Helper()
+	b, ok := trail.Next()
+	if !ok {
+		t.Fatal("no batch")
+	}
+	trail.Confirm()
+	return b
+}
+
+// Guards against a verification that passes a chain that was tampered with.
+func TestVerifyFindsTampering(t *testing.T) {
+	cases := []struct {
+		name   string
+		tamper func([]Batch) []Batch
+		want   FaultKind
+	}{
+		{"intact", func(b []Batch) []Batch { return b }, ""},
+		{"doubled batch", func(b []Batch) []Batch { return append(b, b[1]) }, ""},
+		{"missing batch", func(b []Batch) []Batch { return append(b[:1:1], b[2:]...) }, FaultMissing},
+		{"missing first batch", func(b []Batch) []Batch { return b[1:] }, FaultMissing},
+		{"swapped batches", func(b []Batch) []Batch { b[1], b[2] = b[2], b[1]; return b }, FaultReordered},
+		{"altered account", func(b []Batch) []Batch {
+			r := *b[1].Entries[0].Request
+			r.Account = "other"
+			b[1].Entries[0].Request = &r
+			return b
+		}, FaultAltered},
+		{"altered and hashed again", func(b []Batch) []Batch {
+			e := b[1].Entries[0]
+			r := *e.Request
+			r.Account = "other"
+			e.Request = &r
+			e.Hash, _ = e.sum(b[1].Chain)
+			b[1].Entries[0] = e
+			return b
+		}, FaultAltered},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			report := Verify(c.tamper(batches(t, 12, 3)), false)
+			if c.want == "" {
+				if !report.OK() || report.Entries != 12 {
+					t.Errorf("report = %+v", report)
+				}
+				return
+			}
+			if report.OK() || report.Faults[0].Kind != c.want {
+				t.Errorf("faults = %+v, want %s first", report.Faults, c.want)
+			}
+		})
+	}
+}
+
+// Guards against requests that vanish without a count when the log is down.
+func TestTrailCountsWhatItDrops(t *testing.T) {
+	trail := NewTrail("r1-1", "r1")
+	for range maxHeld + 7 {
+		if err := trail.Add(proto.RequestEnded{}); err != nil {
+			t.Fatal(err)
+		}
+	}
+	var all []Batch
+	all = append(all, next(t, trail))
+	if err := trail.Add(proto.RequestEnded{Request: "late"}); err != nil {
+		t.Fatal(err)
+	}
+	for !trail.Empty() {
+		all = append(all, next(t, trail))
+	}
+	report := Verify(all, false)
+	if !report.OK() || report.Dropped != 7 || report.Entries != maxHeld+2 {
+		t.Errorf("report = %+v", report)
+	}
+}
+
+// Guards against a batch that is lost when its append fails.
+func TestTrailRetriesABatch(t *testing.T) {
+	trail := NewTrail("r1-1", "r1")
+	if err := trail.Add(proto.RequestEnded{Request: "a"}); err != nil {
+		t.Fatal(err)
+	}
+	first, _ := trail.Next()
+	if _, ok := trail.Next(); ok {
+		t.Error("a second batch is offered while one is under way")
+	}
+	trail.Retry()
+	second, ok := trail.Next()
+	if !ok || second.Entries[0].Hash != first.Entries[0].Hash {
+		t.Errorf("after Retry: %+v, want the same entries", second)
+	}
+}
--- /dev/null
+++ b/core/audit/verify.go
@@ -0,0 +1,131 @@
+package audit
+
+import (
+	"cmp"
+	"fmt"
+	"slices"
+
+	"github.com/kumquatsill/kumquatsill/core/proto"
+)
+
+// FaultKind says what is wrong with a chain.
+type FaultKind string
+
+// Kinds of faults.
+const (
+	FaultAltered   FaultKind = "altered"
+	FaultMissing   FaultKind = "missing"
+	FaultReordered FaultKind = "reordered"
+	FaultForked    FaultKind = "forked"
+)
+
+// Fault is one thing wrong with a chain.
+type Fault struct {
+	Chain  proto.Incarnation `json:"chain"`
+	Index  int64             `json:"index"`
+	Kind   FaultKind         `json:"kind"`
+	Detail string            `json:"detail"`
+}
+
+// Report is the outcome of a verification.
+type Report struct {
+	Chains  int `json:"chains"`
+	Entries int `json:"entries"`
+	// Closed counts the chains that end with a graceful shutdown; the end of
+	// others cannot be checked.
+	Closed int `json:"closed"`
+	// Dropped counts requests that routers report as not recorded.
+	Dropped int64 `json:"dropped"`
+	// Expired counts chains whose beginning is older than the log's retention.
+	Expired int     `json:"expired"`
+	Faults  []Fault `json:"faults"`
+}
+
+// OK reports whether no fault was found.
+func (r Report) OK() bool { return len(r.Faults) == 0 }
+
+// Verify checks batches in log order. truncated is set when the log no longer
+// holds its beginning, so that chains may start in the middle.
+func Verify(batches []Batch, truncated bool) Report {
+	v := verifier{chains: map[proto.Incarnation]*chainState{}, truncated: truncated}
+	for _, b := range batches {
+		v.batch(b)
+	}
+	slices.SortStableFunc(v.report.Faults, func(a, b Fault) int {
+		return cmp.Or(cmp.Compare(a.Chain, b.Chain), cmp.Compare(a.Index, b.Index))
+	})
+	v.report.Chains = len(v.chains)
+	return v.report
+}
+
+type chainState struct {
+	index  int64
+	hash   string
+	hashes map[int64]string
+}
+
+type verifier struct {
+	chains    map[proto.Incarnation]*chainState
+	truncated bool
+	report    Report
+}
+
+func (v *verifier) batch(b Batch) {
+	for _, e := range b.Entries {
+		v.entry(b.Chain, e)
+	}
+	if b.Closed {
+		v.report.Closed++
+	}
+}
+
+func (v *verifier) entry(chain proto.Incarnation, e Entry) {
+	if sum, err := e.sum(chain); err != nil || sum != e.Hash {
+		v.fault(chain, e.Index, FaultAltered, "the hash does not match the content")
+	}
+	c := v.chains[chain]
+	if c == nil {
+		c = v.begin(chain, e)
+	}
+	if known, ok := c.hashes[e.Index]; ok {
+		if known != e.Hash {
+			v.fault(chain, e.Index, FaultForked, "two different entries have this index")
+		}
+		return
+	}
+	v.follow(c, chain, e)
+	v.report.Entries++
+	v.report.Dropped += e.Dropped
+}
+
+func (v *verifier) begin(chain proto.Incarnation, e Entry) *chainState {
+	c := &chainState{hashes: map[int64]string{}}
+	v.chains[chain] = c
+	if e.Index == 1 {
+		return c
+	}
+	if v.truncated {
+		v.report.Expired++
+		c.index, c.hash = e.Index-1, e.Prev
+	}
+	return c
+}
+
+func (v *verifier) follow(c *chainState, chain proto.Incarnation, e Entry) {
+	switch {
+	case e.Index <= c.index:
+		v.fault(chain, e.Index, FaultReordered, fmt.Sprintf("it comes after entry %d", c.index))
+	case e.Index > c.index+1:
+		v.fault(chain, e.Index, FaultMissing, fmt.Sprintf("entries %d to %d are missing", c.index+1, e.Index-1))
+	case e.Prev != c.hash:
+		v.fault(chain, e.Index, FaultAltered, "it does not continue the entry before")
+	}
+	c.hashes[e.Index] = e.Hash
+	if e.Index > c.index {
+		c.index, c.hash = e.Index, e.Hash
+	}
+}
+
+func (v *verifier) fault(chain proto.Incarnation, index int64, kind FaultKind, detail string) {
+	v.report.Faults = append(v.report.Faults, Fault{Chain: chain, Index: index, Kind: kind, Detail: detail})
+}
--- /dev/null
+++ b/core/exchange/hash.go
@@ -0,0 +1,43 @@
+package exchange
+
+import (
+	"crypto/sha256"
+	"encoding/binary"
+	"encoding/hex"
+	"io"
+
+	"github.com/kumquatsill/kumquatsill/core/proto"
+)
+
+// fingerprint identifies the content of a request of one account, so that a
+// request that is sent again is recognised.
+func fingerprint(account proto.AccountID, req *proto.CallerRequest) proto.Fingerprint {
+	h := sha256.New()
+	writeField(h, string(account))
+	writeField(h, req.Method)
+	writeField(h, req.Path)
+	writeField(h, req.Query)
+	writeField(h, req.Model)
+	writeField(h, req.Adapter)
+	writeField(h, string(req.Body))
+	for _, piece := range req.Pieces {
+		_ = binary.Write(h, binary.LittleEndian, piece)
+	}
+	return proto.Fingerprint(hex.EncodeToString(h.Sum(nil)[:16]))
+}
+
+// intentKey hashes an idempotency key together with its account, so that
+// accounts cannot see or hit each other's keys.
+func intentKey(account proto.AccountID, key string) string {
+	h := sha256.New()
+	writeField(h, string(account))
+	writeField(h, key)
+	return hex.EncodeToString(h.Sum(nil)[:16])
+}
+
+// writeField writes a length before the content, so that no two lists of
+// fields give the same bytes. Writes to a hash never fail.
+func writeField(w io.Writer, field string) {
+	_ = binary.Write(w, binary.LittleEndian, uint64(len(field)))
+	_, _ = io.WriteString(w, field)
+}
--- /dev/null
+++ b/core/exchange/snapshot.go
@@ -0,0 +1,44 @@
+package exchange
+
+import (
+	"sync/atomic"
+
+	"github.com/kumquatsill/kumquatsill/core/note"
+	"github.com/kumquatsill/kumquatsill/core/proto"
+)
+
+// Snapshot is the immutable state that requests are decided on. The router's
+// control machine publishes a new one on each change.
+type Snapshot struct {
+	Config *note.Config
+	Stamp  proto.Stamp
+	// Ready is set once the router has folded the log up to its head.
+	Ready bool
+	// Draining is set while the router shuts down.
+	Draining bool
+	// FreshUntil is when keyed traffic stops unless freshness is proved again.
+	FreshUntil proto.Instant
+	// Quarantined lists refused fingerprints by client account.
+	Quarantined map[QuarantineKey]bool
+	// Suspects lists fingerprints that were in flight when an endpoint crashed.
+	Suspects map[QuarantineKey]bool
+}
+
+// QuarantineKey names a fingerprint of a client account.
+type QuarantineKey struct {
+	Account     proto.AccountID
+	Fingerprint proto.Fingerprint
+}
+
+// Stats counts what exchanges saw. All fields are safe for concurrent use.
+type Stats struct {
+	// Late counts messages after the end of a request, Misdelivered those of
+	// other attempts or other senders.
+	Late, Misdelivered atomic.Int64
+	// Repeated and Gaps count chunks out of order.
+	Repeated, Gaps atomic.Int64
+	// Retries and Reattached count further attempts.
+	Retries, Reattached atomic.Int64
+	// Silent counts attempts given up after silence.
+	Silent atomic.Int64
+}
--- /dev/null
+++ b/core/exchange/steps.go
@@ -0,0 +1,64 @@
+package exchange
+
+import "time"
+
+// Step is a stage in the life of a request.
+type Step uint8
+
+// Steps of a request, in order. A retry goes back to StepBackoff.
+const (
+	// StepAdmit checks the route, the key and the request itself.
+	StepAdmit Step = iota
+	// StepTokens waits for tokens of the account's bucket.
+	StepTokens
+	// StepIntent waits for the log to decide an intent.
+	StepIntent
+	// StepProbe waits for agents to say what they hold.
+	StepProbe
+	// StepBackoff waits before another attempt.
+	StepBackoff
+	// StepDispatch waits for the agent to accept an attempt.
+	StepDispatch
+	// StepQueue waits for the first chunk.
+	StepQueue
+	// StepStream delivers chunks.
+	StepStream
+	// StepDone is the end.
+	StepDone
+)
+
+var stepNames = [...]string{"admit", "tokens", "intent", "probe", "backoff", "dispatch", "queue", "stream", "done"}
+
+// Steps lists every step of a request.
+func Steps() []Step {
+	steps := make([]Step, len(stepNames))
+	for i := range steps {
+		steps[i] = Step(i)
+	}
+	return steps
+}
+
+// String returns the step's name.
+func (s Step) String() string { return stepNames[s] }
+
+const (
+	defaultTimeout = 2 * time.Minute
+	maxTimeout     = 10 * time.Minute
+	// silenceTimeout is how long an attempt may go without a message;
+	// agents send a heartbeat every second.
+	silenceTimeout = 3 * time.Second
+	// recheckInterval bounds how long a withdrawn key goes unnoticed on an open stream.
+	recheckInterval = 500 * time.Millisecond
+	probeTimeout    = 15 * time.Millisecond
+	intentTimeout   = 4 * time.Second
+	backoffBase     = 20 * time.Millisecond
+	backoffMax      = time.Second
+	maxAttempts     = 5
+	// overloadRetryAfter and staleRetryAfter are what refused callers are told to wait.
+	overloadRetryAfter = time.Second
+	staleRetryAfter    = 2 * time.Second
+	// callTokens is the least that a plain call costs, in tokens.
+	callTokens = 1
+	// bytesPerToken turns body sizes into tokens.
+	bytesPerToken = 4
+)
--- a/core/proto/kinds.go
+++ b/core/proto/kinds.go
@@ -55,6 +55,8 @@
 	OutcomeKnown{},
 	CrashSeen{},
 	RequestEnded{},
+	NoteSubmit{},
+	NoteOutcome{},
 )
 
 // Kind implements Message.
@@ -215,3 +217,9 @@
 
 // Kind implements Message.
 func (RequestEnded) Kind() Kind { return "RequestEnded" }
+
+// Kind implements Message.
+func (NoteSubmit) Kind() Kind { return "NoteSubmit" }
+
+// Kind implements Message.
+func (NoteOutcome) Kind() Kind { return "NoteOutcome" }
--- a/core/proto/peer.go
+++ b/core/proto/peer.go
@@ -7,6 +7,9 @@
 	Stamp  Stamp    `json:"stamp"`
 	Router RouterID `json:"router"`
 	Domain Domain   `json:"domain"`
+	// Call numbers the sender's beats; a reply repeats the number of the beat
+	// that it answers.
+	Call uint64 `json:"call"`
 	// LogReadAge is the time since the sender last read the head of the
 	// config stream, itself or through a peer.
 	LogReadAge time.Duration `json:"log_read_age_ns"`
--- /dev/null
+++ b/proof/drive/world.go
@@ -0,0 +1,286 @@
+// Package drive steps any number of nodes in one process in virtual time. It
+// delivers the messages between them with delays and faults that come from a
+// seeded source, so that a run is repeated exactly by its seed.
+package drive
+
+import (
+	"container/heap"
+	"maps"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"github.com/kumquatsill/kumquatsill/core/proto"
+)
+
+// Fate is what happens to one message on its way.
+type Fate struct {
+	// Drop loses the message without a trace, as a silent connection does.
+	Drop bool
+	// Copies is the number of further deliveries of the same message.
+	Copies int
+	// Delay is added to the link's latency.
+	Delay time.Duration
+}
+
+// Config holds the settings of a World.
+type Config struct {
+	Seed uint64
+	// Latency is the one-way delay between two parties; nil means 1 ms.
+	Latency func(from, to proto.Addr) time.Duration
+	// Fate, if set, decides on each message that is sent.
+	Fate func(now proto.Instant, e proto.Envelope) Fate
+	// Observe, if set, sees each message at its delivery.
+	Observe func(now proto.Instant, e proto.Envelope)
+}
+
+// World is a set of nodes on one virtual time line.
+type World struct {
+	cfg    Config
+	rng    *rand.Rand
+	now    proto.Instant
+	nodes  map[proto.Addr]*node
+	roles  map[proto.Role]proto.Machine
+	events eventQueue
+	serial uint64
+	// open maps an attempt in flight to the node that dispatched it and the
+	// one that runs it.
+	open map[proto.AttemptID]connection
+	// Delivered counts messages.
+	Delivered int64
+}
+
+type node struct {
+	machine proto.Machine
+	// offset is added to the world's time to get the node's own clock.
+	offset time.Duration
+	life   uint64
+	// frozenUntil delays every delivery and tick, as a paused process does.
+	frozenUntil proto.Instant
+	wakeAt      proto.Instant
+}
+
+type connection struct{ from, to proto.Addr }
+
+// New returns an empty world at time 0.
+func New(cfg Config) *World {
+	if cfg.Latency == nil {
+		cfg.Latency = func(proto.Addr, proto.Addr) time.Duration { return time.Millisecond }
+	}
+	return &World{
+		cfg:   cfg,
+		rng:   rand.New(rand.NewPCG(cfg.Seed, 0)),
+		nodes: map[proto.Addr]*node{},
+		roles: map[proto.Role]proto.Machine{},
+		open:  map[proto.AttemptID]connection{},
+	}
+}
+
+// Now returns the world's time.
+func (w *World) Now() proto.Instant { return w.now }
+
+// Rand returns the world's seeded source.
+func (w *World) Rand() *rand.Rand { return w.rng }
+
+// Add starts a node whose own clock is offset ahead of the world's. It
+// replaces a node of the same address.
+func (w *World) Add(addr proto.Addr, m proto.Machine, offset time.Duration) {
+	w.serial++
+	w.nodes[addr] = &node{machine: m, offset: offset, life: w.serial, wakeAt: proto.Never}
+	w.collect(addr)
+}
+
+// AddRole lets one machine take all messages to a role, such as the callers.
+func (w *World) AddRole(role proto.Role, m proto.Machine) { w.roles[role] = m }
+
+// Alive reports whether a node runs.
+func (w *World) Alive(addr proto.Addr) bool { return w.nodes[addr] != nil }
+
+// Crash ends a node at once. Its peers see their connections break.
+func (w *World) Crash(addr proto.Addr) {
+	delete(w.nodes, addr)
+	for _, id := range slices.Sorted(maps.Keys(w.open)) {
+		c := w.open[id]
+		switch addr {
+		case c.to:
+			w.breakConnection(id, c.from)
+		case c.from:
+			w.breakConnection(id, c.to)
+		}
+	}
+}
+
+func (w *World) breakConnection(id proto.AttemptID, peer proto.Addr) {
+	delete(w.open, id)
+	w.post(proto.Envelope{From: peer, To: peer, Msg: proto.ConnLost{Attempt: id}}, w.cfg.Latency(peer, peer))
+}
+
+// Freeze pauses a node; what reaches it meanwhile is delivered afterwards.
+func (w *World) Freeze(addr proto.Addr, d time.Duration) {
+	if n := w.nodes[addr]; n != nil {
+		n.frozenUntil = w.now.Add(d)
+	}
+}
+
+// Inject sends a message as if its sender had produced it now.
+func (w *World) Inject(e proto.Envelope) { w.send(e) }
+
+// After runs f at a later time.
+func (w *World) After(d time.Duration, f func()) {
+	w.push(event{at: w.now.Add(d), call: f})
+}
+
+// Run delivers everything that is due within d.
+func (w *World) Run(d time.Duration) {
+	until := w.now.Add(d)
+	for len(w.events) > 0 && w.events[0].at <= until {
+		w.next()
+	}
+	w.now = until
+}
+
+// RunUntil delivers events until done holds, and reports whether it did
+// within d.
+func (w *World) RunUntil(d time.Duration, done func() bool) bool {
+	until := w.now.Add(d)
+	for !done() {
+		if len(w.events) == 0 || w.events[0].at > until {
+			w.now = until
+			return false
+		}
+		w.next()
+	}
+	return true
+}
+
+func (w *World) next() {
+	e := heap.Pop(&w.events).(event)
+	w.now = max(w.now, e.at)
+	switch {
+	case e.call != nil:
+		e.call()
+	case e.tick:
+		w.tick(e)
+	default:
+		w.deliver(e)
+	}
+}
+
+func (w *World) tick(e event) {
+	n := w.nodes[e.envelope.To]
+	if n == nil || n.life != e.life || n.wakeAt != e.at {
+		return
+	}
+	if w.now < n.frozenUntil {
+		n.wakeAt = n.frozenUntil
+		e.at = n.frozenUntil
+		w.push(e)
+		return
+	}
+	n.wakeAt = proto.Never
+	n.machine.Tick(w.now.Add(n.offset))
+	w.collect(e.envelope.To)
+}
+
+func (w *World) deliver(e event) {
+	to := e.envelope.To
+	if n := w.nodes[to]; n != nil {
+		if w.now < n.frozenUntil {
+			e.at = n.frozenUntil
+			w.push(e)
+			return
+		}
+		w.observe(e.envelope)
+		n.machine.Step(w.now.Add(n.offset), e.envelope)
+		w.collect(to)
+		return
+	}
+	if m := w.roles[to.Role]; m != nil {
+		w.observe(e.envelope)
+		m.Step(w.now, e.envelope)
+		w.drain(m)
+		return
+	}
+	w.refuse(e.envelope)
+}
+
+func (w *World) observe(e proto.Envelope) {
+	w.Delivered++
+	if w.cfg.Observe != nil {
+		w.cfg.Observe(w.now, e)
+	}
+}
+
+// refuse answers a dispatch to a node that does not run as the kernel of its
+// host would: the connection is refused before a byte is sent.
+func (w *World) refuse(e proto.Envelope) {
+	d, ok := e.Msg.(proto.Dispatch)
+	if !ok {
+		return
+	}
+	delete(w.open, d.Attempt)
+	lost := proto.ConnLost{Attempt: d.Attempt, Unsent: true}
+	w.post(proto.Envelope{From: e.To, To: e.From, Msg: lost}, w.cfg.Latency(e.To, e.From))
+}
+
+// collect sends what a node produced and schedules its next tick.
+func (w *World) collect(addr proto.Addr) {
+	n := w.nodes[addr]
+	w.drain(n.machine)
+	wake := n.machine.Wake()
+	if wake == proto.Never {
+		n.wakeAt = proto.Never
+		return
+	}
+	at := max(wake.Add(-n.offset), w.now)
+	if at == n.wakeAt {
+		return
+	}
+	n.wakeAt = at
+	w.push(event{at: at, tick: true, life: n.life, envelope: proto.Envelope{To: addr}})
+}
+
+func (w *World) drain(m proto.Machine) {
+	for _, e := range m.Take() {
+		w.send(e)
+	}
+}
+
+func (w *World) send(e proto.Envelope) {
+	w.track(e)
+	var fate Fate
+	if w.cfg.Fate != nil {
+		fate = w.cfg.Fate(w.now, e)
+	}
+	if fate.Drop {
+		return
+	}
+	latency := w.cfg.Latency(e.From, e.To) + fate.Delay
+	for range 1 + fate.Copies {
+		w.post(e, latency)
+	}
+}
+
+// track follows which attempts have an open connection.
+func (w *World) track(e proto.Envelope) {
+	switch m := e.Msg.(type) {
+	case proto.Dispatch:
+		w.open[m.Attempt] = connection{from: e.From, to: e.To}
+	case proto.Finish:
+		delete(w.open, m.Attempt)
+	case proto.AttemptRefused:
+		delete(w.open, m.Attempt)
+	case proto.Cancel:
+		delete(w.open, m.Attempt)
+	}
+}
+
+func (w *World) post(e proto.Envelope, delay time.Duration) {
+	w.push(event{at: w.now.Add(delay), envelope: e})
+}
+
+func (w *World) push(e event) {
+	w.serial++
+	e.serial = w.serial
+	heap.Push(&w.events, e)
+}
