--- a/core/proto/log.go
+++ b/core/proto/log.go
@@ -66,5 +66,8 @@
 	Call     uint64 `json:"call"`
 	Stream   string `json:"stream"`
 	Rejected bool   `json:"rejected,omitempty"`
-	Detail   string `json:"detail,omitempty"`
+	// Permanent is set on a rejection that a repetition cannot cure, such as
+	// a record that is too large.
+	Permanent bool   `json:"permanent,omitempty"`
+	Detail    string `json:"detail,omitempty"`
 }
