--- /dev/null
+++ b/core/member/member.go
@@ -0,0 +1,123 @@
+// Package member judges whether an endpoint or a router can take work, from
+// the evidence that one node has gathered about it.
+package member
+
+import (
+	"time"
+
+	"github.com/kumquatsill/kumquatsill/core/proto"
+)
+
+const (
+	// evidenceLife is how long a failure counts, so that a party that nobody
+	// asks any more is tried again.
+	evidenceLife = 10 * time.Second
+	// minPaths is the number of independent paths that must fail: one broken
+	// connection says nothing about the party behind it.
+	minPaths = 2
+)
+
+// Path is a way in which a node learns that a party does not answer.
+type Path uint8
+
+// Paths of evidence.
+const (
+	// PathTraffic is an attempt or beat that got no answer.
+	PathTraffic Path = iota
+	// PathFresh is a newly opened connection, or a probe on one, that failed.
+	PathFresh
+	// PathPeer is another router's report.
+	PathPeer
+	// PathHostList is the host list, a hint that never suffices alone.
+	PathHostList
+	numPaths
+)
+
+// Standing is the judgement on a party.
+type Standing uint8
+
+// Standings, from best to worst.
+const (
+	// Good parties have no evidence against them.
+	Good Standing = iota
+	// Doubtful parties failed on one path and are used when nothing better is there.
+	Doubtful
+	// Suspect parties failed on several paths and get no work.
+	Suspect
+	// Leaving parties drain and get no new work.
+	Leaving
+)
+
+// Evidence is what one node knows of one party. The zero value knows nothing
+// and judges the party Good. It is not safe for concurrent use.
+type Evidence struct {
+	incarnation proto.Incarnation
+	previous    proto.Incarnation
+	heard       proto.Instant
+	failed      [numPaths]proto.Instant
+	hasFailed   [numPaths]bool
+	leaving     bool
+}
+
+// Heard takes in a sign of life. It returns false, without effect, for a late
+// message of the life before the current one.
+func (e *Evidence) Heard(now proto.Instant, life proto.Incarnation, leaving bool) bool {
+	if life != e.incarnation && life == e.previous && life != "" {
+		return false
+	}
+	if life != e.incarnation {
+		e.previous, e.incarnation = e.incarnation, life
+	}
+	e.heard = now
+	e.leaving = leaving
+	hint := e.hasFailed[PathHostList]
+	e.hasFailed = [numPaths]bool{PathHostList: hint}
+	return true
+}
+
+// Incarnation returns the current life, or "" before the first sign of life.
+func (e *Evidence) Incarnation() proto.Incarnation { return e.incarnation }
+
+// Failed takes in that the party did not answer on a path.
+func (e *Evidence) Failed(now proto.Instant, path Path) {
+	e.failed[path] = now
+	e.hasFailed[path] = true
+}
+
+// Listed takes in the host list's statement. A host that is absent or leaving
+// is only doubted; the note or the party's own report decides.
+func (e *Evidence) Listed(now proto.Instant, live bool) {
+	e.failed[PathHostList] = now
+	e.hasFailed[PathHostList] = !live
+}
+
+// Standing judges the party.
+func (e *Evidence) Standing(now proto.Instant) Standing {
+	if e.leaving {
+		return Leaving
+	}
+	paths := 0
+	for p, failed := range e.hasFailed {
+		if failed && now.Sub(e.failed[p]) < evidenceLife {
+			paths++
+		}
+	}
+	switch {
+	case paths >= minPaths:
+		return Suspect
+	case paths > 0:
+		return Doubtful
+	}
+	return Good
+}
+
+// Expiry returns the instant at which the evidence gathered so far stops counting.
+func (e *Evidence) Expiry() proto.Instant {
+	last := e.heard
+	for p, failed := range e.hasFailed {
+		if failed {
+			last = max(last, e.failed[p])
+		}
+	}
+	return last.Add(evidenceLife)
+}
--- /dev/null
+++ b/core/member/member_test.go
@@ -0,0 +1,49 @@
+package member
+
+import (
+	"testing"
+	"time"
+
+	"github.com/kumquatsill/kumquatsill/core/proto"
+)
+
+const second = proto.Instant(time.Second)
+
+// Guards against one broken connection, or the host list alone, taking an
+// endpoint out of service, and against suspicion that never ends.
+func TestSuspicionNeedsTwoPaths(t *testing.T) {
+	var e Evidence
+	want := func(now proto.Instant, s Standing) {
+		t.Helper()
+		if got := e.Standing(now); got != s {
+			t.Errorf("at %d: standing %d, want %d", now, got, s)
+		}
+	}
+	want(0, Good)
+	e.Failed(1*second, PathTraffic)
+	e.Failed(2*second, PathTraffic)
+	want(2*second, Doubtful)
+	e.Failed(3*second, PathFresh)
+	want(3*second, Suspect)
+	want(14*second, Good)
+	e.Listed(20*second, false)
+	want(20*second, Doubtful)
+	e.Failed(21*second, PathTraffic)
+	want(21*second, Suspect)
+	e.Heard(22*second, "b", false)
+	want(22*second, Doubtful)
+	e.Heard(23*second, "b", true)
+	want(23*second, Leaving)
+}
+
+// Guards against a late message of a dead incarnation clearing the evidence
+// against its successor.
+func TestLateIncarnation(t *testing.T) {
+	var e Evidence
+	e.Heard(1, "a", false)
+	e.Heard(2, "b", false)
+	e.Failed(3, PathTraffic)
+	if e.Heard(4, "a", false) || e.Incarnation() != "b" || e.Standing(4) != Doubtful {
+		t.Errorf("a late message of the old incarnation counted")
+	}
+}
