standin: add stand-ins of the outside systems

Cause: the shells, the state machines' tests and the comparators need the log service, host list, weight store, engine, order service and KV store that the design names, in virtual time and over HTTP.

--- /dev/null
+++ b/standin/hostlist/hostlist.go
@@ -0,0 +1,103 @@
+// Package hostlist is a stand-in of the platform's lagging host list.
+package hostlist
+
+import (
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/kumquatsill/kumquatsill/core/proto"
+	"github.com/kumquatsill/kumquatsill/standin/outlet"
+)
+
+// Config sets who is told and how late.
+type Config struct {
+	Seed   uint64
+	Faults outlet.Faults
+	// Lag is the time from a change until it is listed.
+	Lag time.Duration
+	// Every is the time between two publications; 0 means 1 s.
+	Every       time.Duration
+	Subscribers []proto.Addr
+}
+
+type change struct {
+	at     proto.Instant
+	host   proto.HostState
+	remove bool
+}
+
+// List is the host list. It implements proto.Machine.
+type List struct {
+	cfg     Config
+	out     *outlet.Outlet
+	now     proto.Instant
+	next    proto.Instant
+	hosts   map[string]proto.HostState
+	changes []change
+}
+
+// New returns an empty list.
+func New(cfg Config) *List {
+	if cfg.Every == 0 {
+		cfg.Every = time.Second
+	}
+	self := proto.Addr{Role: proto.RoleHosts}
+	return &List{cfg: cfg, out: outlet.New(self, cfg.Seed, cfg.Faults), hosts: map[string]proto.HostState{}}
+}
+
+// Outlet gives access to the faults of publications.
+func (l *List) Outlet() *outlet.Outlet { return l.out }
+
+// Set adds or changes a host; the list shows it after the lag.
+func (l *List) Set(now proto.Instant, h proto.HostState) {
+	l.changes = append(l.changes, change{at: now.Add(l.cfg.Lag), host: h})
+}
+
+// Remove takes a host off the list after the lag.
+func (l *List) Remove(now proto.Instant, host string) {
+	l.changes = append(l.changes, change{at: now.Add(l.cfg.Lag), host: proto.HostState{Host: host}, remove: true})
+}
+
+// Subscribe adds a party to tell.
+func (l *List) Subscribe(a proto.Addr) { l.cfg.Subscribers = append(l.cfg.Subscribers, a) }
+
+// Step implements proto.Machine. The list takes no messages.
+func (l *List) Step(now proto.Instant, _ proto.Envelope) { l.Tick(now) }
+
+// Tick implements proto.Machine.
+func (l *List) Tick(now proto.Instant) {
+	l.now = max(l.now, now)
+	l.changes = slices.DeleteFunc(l.changes, func(c change) bool {
+		if l.now.Before(c.at) {
+			return false
+		}
+		delete(l.hosts, c.host.Host)
+		if !c.remove {
+			l.hosts[c.host.Host] = c.host
+		}
+		return true
+	})
+	if l.now.Before(l.next) {
+		return
+	}
+	l.next = l.now.Add(l.cfg.Every)
+	for _, to := range l.cfg.Subscribers {
+		l.out.Send(l.now, to, l.listed())
+	}
+}
+
+func (l *List) listed() proto.HostList {
+	list := proto.HostList{Hosts: []proto.HostState{}}
+	for _, h := range l.hosts {
+		list.Hosts = append(list.Hosts, h)
+	}
+	slices.SortFunc(list.Hosts, func(a, b proto.HostState) int { return strings.Compare(a.Host, b.Host) })
+	return list
+}
+
+// Wake implements proto.Machine.
+func (l *List) Wake() proto.Instant { return min(l.next, l.out.Wake()) }
+
+// Take implements proto.Machine.
+func (l *List) Take() []proto.Envelope { return l.out.Due(l.now) }
--- /dev/null
+++ b/standin/kv/kv.go
@@ -0,0 +1,151 @@
+// Package kv is a stand-in of the KV cache store.
+package kv
+
+import (
+	"container/list"
+
+	"github.com/kumquatsill/kumquatsill/core/proto"
+	"github.com/kumquatsill/kumquatsill/standin/outlet"
+)
+
+// Addr is the address of the KV cache store.
+var Addr = proto.Addr{Role: proto.RoleKV}
+
+// Put stores blocks.
+type Put struct {
+	Blocks []proto.BlockHash `json:"blocks"`
+}
+
+// Get asks how many leading blocks are held.
+type Get struct {
+	Call   uint64            `json:"call"`
+	Blocks []proto.BlockHash `json:"blocks"`
+}
+
+// Held answers a Get.
+type Held struct {
+	Call   uint64 `json:"call"`
+	Blocks int    `json:"blocks"`
+}
+
+// Kind implements proto.Message.
+func (Put) Kind() proto.Kind { return "Put" }
+
+// Kind implements proto.Message.
+func (Get) Kind() proto.Kind { return "Get" }
+
+// Kind implements proto.Message.
+func (Held) Kind() proto.Kind { return "Held" }
+
+// LRU is a bounded set of blocks that evicts the least recently used.
+type LRU struct {
+	capacity int
+	order    *list.List
+	items    map[proto.BlockHash]*list.Element
+}
+
+// NewLRU returns an empty set for up to capacity blocks.
+func NewLRU(capacity int) *LRU {
+	return &LRU{capacity: capacity, order: list.New(), items: map[proto.BlockHash]*list.Element{}}
+}
+
+// Leading returns how many leading blocks are in the set, and marks them used.
+func (l *LRU) Leading(blocks []proto.BlockHash) int {
+	for i, b := range blocks {
+		el, ok := l.items[b]
+		if !ok {
+			return i
+		}
+		l.order.MoveToFront(el)
+	}
+	return len(blocks)
+}
+
+// Add puts blocks into the set, the first of them as the most recently used,
+// so that prefixes outlive what follows them. It returns what was new and
+// what was evicted.
+func (l *LRU) Add(blocks []proto.BlockHash) (added, evicted []proto.BlockHash) {
+	if len(blocks) > l.capacity {
+		blocks = blocks[:l.capacity]
+	}
+	for i := len(blocks) - 1; i >= 0; i-- {
+		b := blocks[i]
+		if el, ok := l.items[b]; ok {
+			l.order.MoveToFront(el)
+			continue
+		}
+		l.items[b] = l.order.PushFront(b)
+		added = append(added, b)
+	}
+	for l.order.Len() > l.capacity {
+		b := l.order.Remove(l.order.Back()).(proto.BlockHash)
+		delete(l.items, b)
+		evicted = append(evicted, b)
+	}
+	return added, evicted
+}
+
+// All returns the blocks, the most recently used first.
+func (l *LRU) All() []proto.BlockHash {
+	all := make([]proto.BlockHash, 0, l.order.Len())
+	for el := l.order.Front(); el != nil; el = el.Next() {
+		all = append(all, el.Value.(proto.BlockHash))
+	}
+	return all
+}
+
+// Config sets the size of the store.
+type Config struct {
+	Seed   uint64
+	Faults outlet.Faults
+	// Blocks is the capacity; 0 means 65,536.
+	Blocks int
+}
+
+// Store is the KV cache store. It implements proto.Machine.
+type Store struct {
+	out *outlet.Outlet
+	now proto.Instant
+	lru *LRU
+}
+
+// New returns an empty store.
+func New(cfg Config) *Store {
+	if cfg.Blocks == 0 {
+		cfg.Blocks = 65536
+	}
+	return &Store{out: outlet.New(Addr, cfg.Seed, cfg.Faults), lru: NewLRU(cfg.Blocks)}
+}
+
+// Outlet gives access to the faults of answers.
+func (s *Store) Outlet() *outlet.Outlet { return s.out }
+
+// Export stores blocks; engines in the same driver call it directly.
+func (s *Store) Export(blocks []proto.BlockHash) { s.lru.Add(blocks) }
+
+// Import returns how many leading blocks the store holds.
+func (s *Store) Import(blocks []proto.BlockHash) int { return s.lru.Leading(blocks) }
+
+// Step implements proto.Machine.
+func (s *Store) Step(now proto.Instant, in proto.Envelope) {
+	s.Tick(now)
+	switch m := in.Msg.(type) {
+	case Put:
+		if !s.out.Refuse() {
+			s.Export(m.Blocks)
+		}
+	case Get:
+		if !s.out.Unanswered() {
+			s.out.Send(s.now, in.From, Held{Call: m.Call, Blocks: s.Import(m.Blocks)})
+		}
+	}
+}
+
+// Tick implements proto.Machine.
+func (s *Store) Tick(now proto.Instant) { s.now = max(s.now, now) }
+
+// Wake implements proto.Machine.
+func (s *Store) Wake() proto.Instant { return s.out.Wake() }
+
+// Take implements proto.Machine.
+func (s *Store) Take() []proto.Envelope { return s.out.Due(s.now) }
--- /dev/null
+++ b/standin/logsvc/logsvc.go
@@ -0,0 +1,232 @@
+// Package logsvc is a stand-in of the append-only log service.
+package logsvc
+
+import (
+	"slices"
+	"time"
+
+	"github.com/kumquatsill/kumquatsill/core/proto"
+	"github.com/kumquatsill/kumquatsill/standin/outlet"
+)
+
+// Outage says how the service fails.
+type Outage int
+
+// Kinds of outages.
+const (
+	Working Outage = iota
+	// Refusing answers every call with a rejection.
+	Refusing
+	// Silent answers nothing and does nothing.
+	Silent
+)
+
+// Config sets the limits of the service.
+type Config struct {
+	Seed   uint64
+	Faults outlet.Faults
+	// AppendsPerSecond bounds LogAppend calls, with a burst of one second; 0 means 500.
+	AppendsPerSecond int
+	// Retention is the age at which records expire; 0 keeps them for ever.
+	Retention time.Duration
+	// MaxRecords bounds the records that a stream retains; 0 means no bound.
+	MaxRecords int
+}
+
+type stream struct {
+	first   proto.Offset
+	records []proto.Record
+	times   []proto.Instant
+}
+
+func (s *stream) head() proto.Offset { return s.first + proto.Offset(len(s.records)) }
+
+type waiting struct {
+	from  proto.Addr
+	read  proto.LogRead
+	until proto.Instant
+}
+
+// Service is the log service. It implements proto.Machine.
+type Service struct {
+	cfg     Config
+	out     *outlet.Outlet
+	now     proto.Instant
+	outage  Outage
+	streams map[string]*stream
+	waiting []waiting
+	credit  float64
+	// Appends counts accepted LogAppend calls by stream.
+	Appends map[string]int
+}
+
+// New returns an empty log.
+func New(cfg Config) *Service {
+	if cfg.AppendsPerSecond == 0 {
+		cfg.AppendsPerSecond = 500
+	}
+	return &Service{
+		cfg:     cfg,
+		out:     outlet.New(proto.Log, cfg.Seed, cfg.Faults),
+		streams: map[string]*stream{},
+		credit:  float64(cfg.AppendsPerSecond),
+		Appends: map[string]int{},
+	}
+}
+
+// Outlet gives access to the faults of answers.
+func (s *Service) Outlet() *outlet.Outlet { return s.out }
+
+// SetOutage starts or ends an outage.
+func (s *Service) SetOutage(o Outage) { s.outage = o }
+
+// Records returns the retained records of a stream.
+func (s *Service) Records(name string) []proto.Record {
+	return slices.Clone(s.stream(name).records)
+}
+
+// Seed appends a record without limits or faults, for setting up tests.
+func (s *Service) Seed(name string, r proto.Record) proto.Offset {
+	return s.append(name, []proto.Record{r})
+}
+
+func (s *Service) stream(name string) *stream {
+	st := s.streams[name]
+	if st == nil {
+		st = &stream{}
+		s.streams[name] = st
+	}
+	return st
+}
+
+// Step implements proto.Machine.
+func (s *Service) Step(now proto.Instant, in proto.Envelope) {
+	s.Tick(now)
+	if s.outage == Silent {
+		return
+	}
+	switch m := in.Msg.(type) {
+	case proto.LogAppend:
+		s.stepAppend(in.From, m)
+	case proto.LogRead:
+		s.stepRead(in.From, m)
+	}
+}
+
+func (s *Service) stepAppend(from proto.Addr, m proto.LogAppend) {
+	reject := func(detail string) {
+		s.out.Send(s.now, from, proto.LogFailed{Call: m.Call, Stream: m.Stream, Rejected: true, Detail: detail})
+	}
+	switch {
+	case s.outage == Refusing:
+		reject("the log service is unavailable")
+		return
+	case s.out.Refuse():
+		reject("the append was refused")
+		return
+	case m.Stream == "" || len(m.Records) == 0:
+		reject("the append names no stream or has no records")
+		return
+	case s.credit < 1:
+		reject("too many appends per second")
+		return
+	}
+	s.credit--
+	s.Appends[m.Stream]++
+	first := s.append(m.Stream, m.Records)
+	if !s.out.Unanswered() {
+		s.out.Send(s.now, from, proto.LogAppended{Call: m.Call, Stream: m.Stream, First: first})
+	}
+}
+
+func (s *Service) append(name string, records []proto.Record) proto.Offset {
+	st := s.stream(name)
+	first := st.head()
+	for _, r := range records {
+		r.Offset = st.head()
+		st.records = append(st.records, r)
+		st.times = append(st.times, s.now)
+	}
+	s.expire(st)
+	s.answerWaiting(name)
+	return first
+}
+
+func (s *Service) stepRead(from proto.Addr, m proto.LogRead) {
+	if s.outage == Refusing || s.out.Refuse() {
+		s.out.Send(s.now, from, proto.LogFailed{Call: m.Call, Stream: m.Stream, Rejected: true, Detail: "the log service is unavailable"})
+		return
+	}
+	if m.Wait > 0 && m.From >= s.stream(m.Stream).head() {
+		s.waiting = append(s.waiting, waiting{from: from, read: m, until: s.now.Add(m.Wait)})
+		return
+	}
+	s.answerRead(from, m)
+}
+
+func (s *Service) answerRead(to proto.Addr, m proto.LogRead) {
+	st := s.stream(m.Stream)
+	from := min(max(m.From, st.first), st.head())
+	records := st.records[from-st.first:]
+	if m.Max > 0 && len(records) > m.Max {
+		records = records[:m.Max]
+	}
+	s.out.Send(s.now, to, proto.LogRecords{
+		Call: m.Call, Stream: m.Stream, First: st.first, Head: st.head(), Records: slices.Clone(records),
+	})
+}
+
+func (s *Service) answerWaiting(name string) {
+	s.waiting = slices.DeleteFunc(s.waiting, func(w waiting) bool {
+		if w.read.Stream != name || w.read.From >= s.stream(name).head() {
+			return false
+		}
+		s.answerRead(w.from, w.read)
+		return true
+	})
+}
+
+func (s *Service) expire(st *stream) {
+	n := 0
+	if s.cfg.MaxRecords > 0 {
+		n = max(0, len(st.records)-s.cfg.MaxRecords)
+	}
+	for s.cfg.Retention > 0 && n < len(st.records) && s.now.Sub(st.times[n]) > s.cfg.Retention {
+		n++
+	}
+	st.first += proto.Offset(n)
+	st.records = st.records[n:]
+	st.times = st.times[n:]
+}
+
+// Tick implements proto.Machine.
+func (s *Service) Tick(now proto.Instant) {
+	elapsed := max(0, now.Sub(s.now))
+	s.now = max(s.now, now)
+	bound := float64(s.cfg.AppendsPerSecond)
+	s.credit = min(bound, s.credit+bound*elapsed.Seconds())
+	for _, st := range s.streams {
+		s.expire(st)
+	}
+	s.waiting = slices.DeleteFunc(s.waiting, func(w waiting) bool {
+		if s.now.Before(w.until) {
+			return false
+		}
+		if s.outage == Working {
+			s.answerRead(w.from, w.read)
+		}
+		return true
+	})
+}
+
+// Wake implements proto.Machine.
+func (s *Service) Wake() proto.Instant {
+	wake := s.out.Wake()
+	for _, w := range s.waiting {
+		wake = min(wake, w.until)
+	}
+	return wake
+}
+
+// Take implements proto.Machine.
+func (s *Service) Take() []proto.Envelope { return s.out.Due(s.now) }
