app/shell: run state machines over HTTP

Cause: the machines of routers and agents have no I/O of their own.

Change: Driver runs a machine in one goroutine with a timer for Wake.

--- /dev/null
+++ b/app/shell/logclient.go
@@ -0,0 +1,142 @@
+package shell
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"time"
+
+	"github.com/kumquatsill/kumquatsill/core/proto"
+	"gopkg.in/tomb.v2"
+)
+
+const (
+	// MessagePath takes messages to the log service and to an engine.
+	MessagePath = "/v1/message"
+	// EventsPath carries what an engine says.
+	EventsPath = "/v1/events"
+	// logTimeout bounds a call to the log service, beside the wait it asks for.
+	logTimeout = 3 * time.Second
+	// maxLogCalls bounds the calls in flight.
+	maxLogCalls = 64
+)
+
+// LogClient carries a machine's calls to the log service.
+type LogClient struct {
+	t       tomb.Tomb
+	client  *Client
+	addr    string
+	step    func(proto.Envelope) bool
+	slots   chan struct{}
+	metrics *Metrics
+}
+
+// NewLogClient returns a client of the log service at addr.
+func NewLogClient(client *Client, addr string, metrics *Metrics, step func(proto.Envelope) bool) *LogClient {
+	l := &LogClient{client: client, addr: addr, step: step, slots: make(chan struct{}, maxLogCalls), metrics: metrics}
+	l.t.Go(func() error {
+		<-l.t.Dying()
+		return nil
+	})
+	return l
+}
+
+// Stop cancels all calls and waits for them.
+func (l *LogClient) Stop() error {
+	l.t.Kill(nil)
+	return l.t.Wait()
+}
+
+// Send starts a call. The answer, or a LogFailed, goes to the machine.
+func (l *LogClient) Send(env proto.Envelope) {
+	if !l.t.Alive() {
+		return
+	}
+	select {
+	case l.slots <- struct{}{}:
+		l.t.Go(func() error {
+			answer := l.call(env)
+			<-l.slots
+			l.step(proto.Envelope{From: proto.Log, To: env.From, Msg: answer})
+			return nil
+		})
+	default:
+		// The answer must not be handed over in the machine's goroutine.
+		l.t.Go(func() error {
+			failed := logFailed(env.Msg, true, "too many log calls in flight")
+			l.step(proto.Envelope{From: proto.Log, To: env.From, Msg: failed})
+			return nil
+		})
+	}
+}
+
+func (l *LogClient) call(env proto.Envelope) proto.Message {
+	data, err := proto.Encode(env)
+	if err != nil {
+		return logFailed(env.Msg, true, err.Error())
+	}
+	timeout := logTimeout
+	if read, ok := env.Msg.(proto.LogRead); ok {
+		timeout += read.Wait
+	}
+	ctx, cancel := context.WithTimeout(l.t.Context(context.Background()), timeout)
+	defer cancel()
+	var answer proto.Message
+	err = l.client.do(ctx, http.MethodPost, l.addr, MessagePath, data, timeout, func(line []byte) error {
+		in, err := proto.Decode(line)
+		if err != nil {
+			return err
+		}
+		if !answersLogCall(env.Msg, in.Msg) {
+			return Error.New("the log service answered another call with %s", in.Msg.Kind())
+		}
+		answer = in.Msg
+		return nil
+	})
+	if err == nil && answer != nil {
+		return answer
+	}
+	l.metrics.LogFailed.Inc()
+	return logFailed(env.Msg, rejectedBefore(err), errorText(err))
+}
+
+// rejectedBefore reports whether an error shows that a call had no effect.
+func rejectedBefore(err error) bool {
+	var lost *LostError
+	if errors.As(err, &lost) {
+		return lost.Unsent
+	}
+	var status *StatusError
+	return errors.As(err, &status) && status.Status/100 == 4
+}
+
+func errorText(err error) string {
+	if err == nil {
+		return "the log service sent an empty answer"
+	}
+	return err.Error()
+}
+
+func logFailed(m proto.Message, rejected bool, detail string) proto.LogFailed {
+	failed := proto.LogFailed{Rejected: rejected, Detail: detail}
+	switch m := m.(type) {
+	case proto.LogAppend:
+		failed.Call, failed.Stream = m.Call, m.Stream
+	case proto.LogRead:
+		failed.Call, failed.Stream = m.Call, m.Stream
+	}
+	return failed
+}
+
+func answersLogCall(call, answer proto.Message) bool {
+	want := logFailed(call, false, "")
+	switch m := answer.(type) {
+	case proto.LogAppended:
+		return m.Call == want.Call && m.Stream == want.Stream
+	case proto.LogRecords:
+		return m.Call == want.Call && m.Stream == want.Stream
+	case proto.LogFailed:
+		return m.Call == want.Call && m.Stream == want.Stream
+	}
+	return false
+}
--- /dev/null
+++ b/app/shell/mailbox.go
@@ -0,0 +1,131 @@
+package shell
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/kumquatsill/kumquatsill/core/proto"
+)
+
+// Mailbox is a bounded queue from a machine, which must never block, to a
+// goroutine that writes to a socket.
+type Mailbox struct {
+	mu       sync.Mutex
+	notify   chan struct{}
+	queue    []proto.Envelope
+	size     int
+	limit    int
+	overflow bool
+	closed   bool
+}
+
+// NewMailbox returns a mailbox for up to limit bytes of content.
+func NewMailbox(limit int) *Mailbox {
+	return &Mailbox{notify: make(chan struct{}, 1), limit: limit}
+}
+
+// Put appends a message. Once the limit is exceeded by chunks, the mailbox
+// takes nothing more and the reader learns it from Next. A single message may
+// exceed the limit, so that one large answer still passes.
+func (m *Mailbox) Put(env proto.Envelope) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.overflow || m.closed {
+		return
+	}
+	size := contentSize(env.Msg)
+	if len(m.queue) > 0 && m.size+size > m.limit {
+		m.overflow = true
+		m.queue = nil
+	} else {
+		m.queue = append(m.queue, env)
+		m.size += size
+	}
+	m.wake()
+}
+
+// Close ends the mailbox after what it holds.
+func (m *Mailbox) Close() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.closed = true
+	m.wake()
+}
+
+func (m *Mailbox) wake() {
+	select {
+	case m.notify <- struct{}{}:
+	default:
+	}
+}
+
+// Result says how a Next ended.
+type Result int
+
+// Results of Next.
+const (
+	// Got means that a message was returned.
+	Got Result = iota
+	// Idle means that nothing came for the time given.
+	Idle
+	// Overflow means that the reader was too slow and messages were dropped.
+	Overflow
+	// Closed means that nothing more will come.
+	Closed
+	// Canceled means that the context ended.
+	Canceled
+)
+
+// Next returns the next message, waiting up to idle for it.
+func (m *Mailbox) Next(ctx context.Context, idle time.Duration) (proto.Envelope, Result) {
+	if env, result, ok := m.take(); ok {
+		return env, result
+	}
+	timer := time.NewTimer(idle)
+	defer timer.Stop()
+	for {
+		select {
+		case <-m.notify:
+			if env, result, ok := m.take(); ok {
+				return env, result
+			}
+		case <-timer.C:
+			return proto.Envelope{}, Idle
+		case <-ctx.Done():
+			return proto.Envelope{}, Canceled
+		}
+	}
+}
+
+func (m *Mailbox) take() (proto.Envelope, Result, bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.overflow {
+		return proto.Envelope{}, Overflow, true
+	}
+	if len(m.queue) > 0 {
+		env := m.queue[0]
+		m.queue = m.queue[1:]
+		m.size -= contentSize(env.Msg)
+		return env, Got, true
+	}
+	return proto.Envelope{}, Closed, m.closed
+}
+
+// envelopeOverhead is the size in bytes that a message without content counts for.
+const envelopeOverhead = 128
+
+func contentSize(m proto.Message) int {
+	switch m := m.(type) {
+	case proto.CallerChunk:
+		return envelopeOverhead + len(m.Text)
+	case proto.Chunk:
+		return envelopeOverhead + len(m.Text)
+	case proto.CallerFinish:
+		return envelopeOverhead + len(m.Body)
+	case proto.Finish:
+		return envelopeOverhead + len(m.Body)
+	}
+	return envelopeOverhead
+}
--- /dev/null
+++ b/app/shell/router.go
@@ -0,0 +1,262 @@
+package shell
+
+import (
+	"context"
+	"errors"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/kumquatsill/kumquatsill/core/note"
+	"github.com/kumquatsill/kumquatsill/core/proto"
+	"gopkg.in/tomb.v2"
+)
+
+const (
+	// peerTimeout bounds a message between routers.
+	peerTimeout = 3 * time.Second
+	// maxPeerMessages bounds the messages to other routers that are in flight.
+	maxPeerMessages = 1024
+	// cancelGrace is how long the response of a canceled attempt stays open.
+	cancelGrace = 3 * time.Second
+)
+
+// View is what the shell and the caller API read of a router's state. It is immutable.
+type View struct {
+	Config *note.Config
+	// Routers holds the "ip:port" of each known router.
+	Routers map[proto.RouterID]string
+	Ready   bool
+}
+
+// RouterMachine is a router's state machine. View is safe for concurrent use.
+type RouterMachine interface {
+	proto.Machine
+	View() View
+}
+
+// Router runs a router's machine over the network.
+type Router struct {
+	t       tomb.Tomb
+	self    proto.Addr
+	machine RouterMachine
+	driver  *Driver
+	client  *Client
+	log     *LogClient
+	inbound *Inbound
+	metrics *Metrics
+	peers   chan struct{}
+
+	mu       sync.Mutex
+	callers  map[proto.RequestID]*Mailbox
+	attempts map[proto.AttemptID]context.CancelFunc
+}
+
+// NewRouter returns a router shell that is not yet running.
+func NewRouter(id proto.RouterID, m RouterMachine, client, logClient *Client, logAddr string, metrics *Metrics) *Router {
+	r := &Router{
+		self:     proto.RouterAddr(id),
+		machine:  m,
+		client:   client,
+		metrics:  metrics,
+		peers:    make(chan struct{}, maxPeerMessages),
+		callers:  map[proto.RequestID]*Mailbox{},
+		attempts: map[proto.AttemptID]context.CancelFunc{},
+	}
+	r.driver = NewDriver(m, r.deliver)
+	r.inbound = NewInbound(r.self, metrics, r.driver.Step)
+	r.log = NewLogClient(logClient, logAddr, metrics, r.driver.Step)
+	return r
+}
+
+// Start starts the machine.
+func (r *Router) Start() {
+	r.t.Go(func() error {
+		<-r.t.Dying()
+		return nil
+	})
+	r.driver.Start()
+}
+
+// Stop ends the machine and all connections. Requests in flight are cut;
+// callers drain first.
+func (r *Router) Stop() error {
+	err := r.driver.Stop()
+	r.t.Kill(nil)
+	err = errors.Join(err, r.t.Wait(), r.log.Stop())
+	r.client.Close()
+	return err
+}
+
+// Inbound returns the handler for envelopes of other routers.
+func (r *Router) Inbound() *Inbound { return r.inbound }
+
+// View returns the state in force.
+func (r *Router) View() View { return r.machine.View() }
+
+// Do runs f in the machine's goroutine.
+func (r *Router) Do(f func(now proto.Instant)) bool { return r.driver.Do(f) }
+
+// Submit hands a request to the machine. What is for the caller goes to the
+// mailbox; the caller must call Leave at the end.
+func (r *Router) Submit(req proto.CallerRequest, limit int) (*Mailbox, bool) {
+	box := NewMailbox(limit)
+	r.mu.Lock()
+	r.callers[req.ID] = box
+	r.mu.Unlock()
+	ok := r.driver.Step(proto.Envelope{From: proto.CallerAddr(req.ID), To: r.self, Msg: req})
+	return box, ok
+}
+
+// Leave ends a request's mailbox. gone tells the machine that the caller hung up.
+func (r *Router) Leave(id proto.RequestID, gone bool) {
+	r.mu.Lock()
+	delete(r.callers, id)
+	r.mu.Unlock()
+	if gone {
+		r.driver.Step(proto.Envelope{From: proto.CallerAddr(id), To: r.self, Msg: proto.CallerGone{Request: id}})
+	}
+}
+
+// InFlight returns the number of requests that have not ended.
+func (r *Router) InFlight() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return len(r.callers)
+}
+
+func (r *Router) deliver(env proto.Envelope) {
+	switch env.To.Role {
+	case proto.RoleCaller:
+		r.toCaller(env)
+	case proto.RoleAgent:
+		r.toAgent(env)
+	case proto.RoleRouter:
+		r.toRouter(env)
+	case proto.RoleLog:
+		r.log.Send(env)
+	default:
+		r.metrics.Undeliverable.Inc()
+	}
+}
+
+func (r *Router) toCaller(env proto.Envelope) {
+	r.mu.Lock()
+	box := r.callers[proto.RequestID(env.To.ID)]
+	r.mu.Unlock()
+	if box == nil {
+		r.metrics.Undeliverable.Inc()
+		return
+	}
+	box.Put(env)
+}
+
+func (r *Router) toAgent(env proto.Envelope) {
+	if !r.t.Alive() {
+		return
+	}
+	endpoint, ok := r.machine.View().Config.Endpoints[proto.EndpointID(env.To.ID)]
+	if !ok {
+		r.metrics.Undeliverable.Inc()
+		r.t.Go(func() error {
+			r.lost(env, &LostError{Unsent: true, Err: Error.New("endpoint %s has no address", env.To.ID)})
+			return nil
+		})
+		return
+	}
+	if cancel, ok := env.Msg.(proto.Cancel); ok {
+		r.closeLater(cancel.Attempt)
+	}
+	ctx, done := r.attemptContext(env.Msg)
+	r.t.Go(func() error {
+		defer done()
+		if err := r.post(ctx, endpoint.Addr, env); err != nil {
+			r.lost(env, err)
+		}
+		return nil
+	})
+}
+
+// post sends an envelope to an agent and hands its answers to the machine.
+func (r *Router) post(ctx context.Context, addr string, env proto.Envelope) error {
+	key, _ := topicOf(env.To, env.Msg)
+	ended := key.kind == ""
+	err := r.client.PostEnvelope(ctx, addr, env, func(in proto.Envelope) {
+		got, last := topicOf(in.From, in.Msg)
+		if got != key || in.To != r.self || !slices.Contains(agentAnswerKinds, in.Msg.Kind()) {
+			r.metrics.Misdelivered.Inc()
+			return
+		}
+		ended = ended || last
+		r.driver.Step(in)
+	})
+	if err == nil && !ended {
+		return &LostError{Err: Error.New("the response ended before the attempt")}
+	}
+	return err
+}
+
+func (r *Router) attemptContext(m proto.Message) (context.Context, func()) {
+	ctx, cancel := context.WithCancel(r.t.Context(context.Background()))
+	dispatch, ok := m.(proto.Dispatch)
+	if !ok {
+		return ctx, cancel
+	}
+	r.mu.Lock()
+	r.attempts[dispatch.Attempt] = cancel
+	r.mu.Unlock()
+	return ctx, func() {
+		r.mu.Lock()
+		delete(r.attempts, dispatch.Attempt)
+		r.mu.Unlock()
+		cancel()
+	}
+}
+
+// closeLater closes the response of a canceled attempt even if the agent never ends it.
+func (r *Router) closeLater(a proto.AttemptID) {
+	r.mu.Lock()
+	cancel := r.attempts[a]
+	r.mu.Unlock()
+	if cancel != nil {
+		time.AfterFunc(cancelGrace, cancel)
+	}
+}
+
+func (r *Router) lost(env proto.Envelope, err error) {
+	var lost *LostError
+	silent := errors.As(err, &lost) && lost.Silent
+	if silent {
+		r.metrics.ConnSilent.Inc()
+	}
+	r.metrics.ConnLost.Inc()
+	dispatch, ok := env.Msg.(proto.Dispatch)
+	if !ok {
+		return
+	}
+	unsent := rejectedBefore(err)
+	r.driver.Step(proto.Envelope{From: env.To, To: r.self, Msg: proto.ConnLost{Attempt: dispatch.Attempt, Unsent: unsent}})
+}
+
+func (r *Router) toRouter(env proto.Envelope) {
+	addr := r.machine.View().Routers[proto.RouterID(env.To.ID)]
+	if addr == "" || !r.t.Alive() {
+		r.metrics.Undeliverable.Inc()
+		return
+	}
+	select {
+	case r.peers <- struct{}{}:
+	default:
+		r.metrics.PeerDropped.Inc()
+		return
+	}
+	r.t.Go(func() error {
+		defer func() { <-r.peers }()
+		ctx, cancel := context.WithTimeout(r.t.Context(context.Background()), peerTimeout)
+		defer cancel()
+		if err := r.client.PostEnvelope(ctx, addr, env, func(proto.Envelope) {}); err != nil {
+			r.lost(env, err)
+		}
+		return nil
+	})
+}
