core/route: add the salted chain hash and the endpoint view

Cause: a router needs to place requests by shared prefix without tracking the fleet's cache, and a restarted router must place like its peers.

Change: Chain salts prompt pieces by account, model, version and adapter. View ranks rendezvous homes per hash slot when the configuration changes, so that a decision costs the same for any number of endpoints. It corrects the computed placement by a bounded table of reports and dispatches, reckons the time to first token from lagged load, own work, misses and imports, spreads hot prefixes with hysteresis, and refuses with cause overload only if no member with a known load meets the deadline. View extends Placer by FailedOn and Listed. Suspicion follows core/member.

The constants are not yet tuned.

--- a/core/member/member.go
+++ b/core/member/member.go
@@ -15,6 +15,9 @@
 	// minPaths is the number of independent paths that must fail: one broken
 	// connection says nothing about the party behind it.
 	minPaths = 2
+	// leavingHold is how long a report of leaving outlives later reports of
+	// the same incarnation without it, which may be late messages.
+	leavingHold = 5 * time.Second
 )
 
 // Path is a way in which a node learns that a party does not answer.
@@ -57,6 +60,7 @@
 	failed      [numPaths]proto.Instant
 	hasFailed   [numPaths]bool
 	leaving     bool
+	leavingAt   proto.Instant
 }
 
 // Heard takes in a sign of life. It returns false, without effect, for a late
@@ -67,14 +71,25 @@
 	}
 	if life != e.incarnation {
 		e.previous, e.incarnation = e.incarnation, life
+		e.leaving = false
 	}
 	e.heard = now
-	e.leaving = leaving
+	e.noteLeaving(now, leaving)
 	hint := e.hasFailed[PathHostList]
 	e.hasFailed = [numPaths]bool{PathHostList: hint}
 	return true
 }
 
+func (e *Evidence) noteLeaving(now proto.Instant, leaving bool) {
+	if leaving {
+		e.leaving, e.leavingAt = true, now
+		return
+	}
+	if now.Sub(e.leavingAt) >= leavingHold {
+		e.leaving = false
+	}
+}
+
 // Incarnation returns the current life, or "" before the first sign of life.
 func (e *Evidence) Incarnation() proto.Incarnation { return e.incarnation }
 
--- a/core/member/member_test.go
+++ b/core/member/member_test.go
@@ -10,7 +10,8 @@
 const second = proto.Instant(time.Second)
 
 // Guards against one broken connection, or the host list alone, taking an
-// endpoint out of service, and against suspicion that never ends.
+// endpoint out of service, against suspicion that never ends, and
+// against a late message that ends a drain.
 func TestSuspicionNeedsTwoPaths(t *testing.T) {
 	var e Evidence
 	want := func(now proto.Instant, s Standing) {
@@ -34,6 +35,10 @@
 	want(22*second, Doubtful)
 	e.Heard(23*second, "b", true)
 	want(23*second, Leaving)
+	e.Heard(24*second, "b", false)
+	want(24*second, Leaving)
+	e.Heard(30*second, "b", false)
+	want(30*second, Good)
 }
 
 // Guards against a late message of a dead incarnation clearing the evidence
--- /dev/null
+++ b/core/route/cost.go
@@ -0,0 +1,113 @@
+package route
+
+import (
+	"time"
+
+	"github.com/kumquatsill/kumquatsill/core/proto"
+)
+
+// Costs are the times that the cost model reckons with. Zero fields take the
+// value of DefaultCosts.
+type Costs struct {
+	// Prefill is the time to compute one prompt token.
+	Prefill time.Duration
+	// Running is the delay that each run or waiting run adds to a first token.
+	Running time.Duration
+	// Call is the time that a plain service takes for one call.
+	Call time.Duration
+	// ImportSetup is the fixed time of an import, PeerToken and StoreToken
+	// the time for one token from a peer and from the KV store.
+	ImportSetup time.Duration
+	PeerToken   time.Duration
+	StoreToken  time.Duration
+	// Hop is the additional round trip to another failure domain.
+	Hop time.Duration
+}
+
+// DefaultCosts returns the values that zero fields of Costs take.
+func DefaultCosts() Costs {
+	return Costs{
+		Prefill:     100 * time.Microsecond,
+		Running:     time.Millisecond,
+		Call:        20 * time.Millisecond,
+		ImportSetup: 20 * time.Millisecond,
+		PeerToken:   10 * time.Microsecond,
+		StoreToken:  20 * time.Microsecond,
+		Hop:         2 * time.Millisecond,
+	}
+}
+
+func (c Costs) withDefaults() Costs {
+	d := DefaultCosts()
+	for _, f := range []struct{ value, fallback *time.Duration }{
+		{&c.Prefill, &d.Prefill},
+		{&c.Running, &d.Running},
+		{&c.Call, &d.Call},
+		{&c.ImportSetup, &d.ImportSetup},
+		{&c.PeerToken, &d.PeerToken},
+		{&c.StoreToken, &d.StoreToken},
+		{&c.Hop, &d.Hop},
+	} {
+		if *f.value <= 0 {
+			*f.value = *f.fallback
+		}
+	}
+	return c
+}
+
+const (
+	// doubtCost keeps work from a doubtful endpoint or failure domain while
+	// any other can take it within that time.
+	doubtCost = 2 * time.Second
+	// homePrior is the chance that a first home holds a block at depth 1 that
+	// this router knows nothing of; depthDecay is its factor per further block,
+	// as deeper blocks are shared by fewer requests.
+	homePrior  = 0.9
+	depthDecay = 0.7
+	// standbyPrior is the factor for a home beyond the current spread.
+	standbyPrior = 0.3
+	// halfLife is the time after which a block that was seen at an endpoint
+	// has an even chance of being evicted.
+	halfLife = 8 * time.Second
+)
+
+// confidence returns the chance that a block is still held that was seen age ago.
+func confidence(age time.Duration) float64 {
+	return float64(halfLife) / float64(halfLife+max(0, age))
+}
+
+// priors holds the chance that a first home holds an unknown block, by depth.
+var priors = func() (table [16]float64) {
+	chance := homePrior
+	for i := range table {
+		table[i] = chance
+		chance *= depthDecay
+	}
+	return table
+}()
+
+func prior(depth int) float64 { return priors[min(depth-1, len(priors)-1)] }
+
+// candidate is an endpoint under consideration for one request.
+type candidate struct {
+	*endpoint
+	// expected is the mean number of leading blocks held.
+	expected float64
+	// seen is the number of leading blocks that reports or dispatches vouch for.
+	seen int
+	// home is the depth for which the endpoint counts as a home; 0 means none.
+	home int
+	// absentFrom is the least depth that the endpoint reported to lack; 0 means none.
+	absentFrom int
+	// wait is the time until the prompt's own work starts, first the time to
+	// the first token, score what the choice minimises.
+	wait, first time.Duration
+	score       float64
+	source      proto.KVSource
+	imports     bool
+	usable      bool
+	doubted     bool
+	overBound   bool
+}
+
+func (c *candidate) expect(blocks float64) { c.expected = max(c.expected, blocks) }
--- /dev/null
+++ b/core/route/hash.go
@@ -0,0 +1,61 @@
+package route
+
+import (
+	"encoding/binary"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/kumquatsill/kumquatsill/core/proto"
+)
+
+// PieceTokens is the length in tokens of the prompt pieces that are hashed.
+const PieceTokens = 2000
+
+// Salt separates the blocks of different client accounts and weights.
+type Salt struct {
+	Account proto.AccountID
+	Model   string
+	Version string
+	Adapter string
+}
+
+// seed hashes the fields with their lengths, so that no two salts concatenate
+// to the same bytes.
+func (s Salt) seed() uint64 {
+	var d xxhash.Digest
+	d.Reset()
+	for _, field := range [...]string{string(s.Account), s.Model, s.Version, s.Adapter} {
+		var length [8]byte
+		binary.LittleEndian.PutUint64(length[:], uint64(len(field)))
+		d.Write(length[:])
+		d.WriteString(field)
+	}
+	return d.Sum64()
+}
+
+// Chain returns the salted chain hash of each prefix of pieces: entry i
+// covers pieces 0 to i. pieces are those of proto.CallerRequest.
+func Chain(salt Salt, pieces []uint64) []proto.BlockHash {
+	if len(pieces) == 0 {
+		return nil
+	}
+	blocks := make([]proto.BlockHash, len(pieces))
+	hash := salt.seed()
+	var link [16]byte
+	for i, piece := range pieces {
+		binary.LittleEndian.PutUint64(link[:8], hash)
+		binary.LittleEndian.PutUint64(link[8:], piece)
+		hash = xxhash.Sum64(link[:])
+		blocks[i] = proto.BlockHash(hash)
+	}
+	return blocks
+}
+
+// mix is the finaliser of SplitMix64. It spreads every input bit over the
+// output and is much cheaper than a byte hash in the inner loop of a table build.
+func mix(x uint64) uint64 {
+	x ^= x >> 30
+	x *= 0xbf58476d1ce4e5b9
+	x ^= x >> 27
+	x *= 0x94d049bb133111eb
+	return x ^ x>>31
+}
--- /dev/null
+++ b/core/route/view_test.go
@@ -0,0 +1,401 @@
+package route
+
+import (
+	"fmt"
+	"runtime"
+	"sync"
+	"testing"
+	"time"
+	"unsafe"
+
+	"github.com/kumquatsill/kumquatsill/core/member"
+	"github.com/kumquatsill/kumquatsill/core/note"
+	"github.com/kumquatsill/kumquatsill/core/proto"
+)
+
+const second = proto.Instant(time.Second)
+
+func fleet(engines int) *note.Config {
+	cfg := note.Empty()
+	cfg.Models["m"] = note.Model{Name: "m", Version: "1"}
+	for i := range engines {
+		id := proto.EndpointID(fmt.Sprintf("e%d", i))
+		cfg.Endpoints[id] = note.Endpoint{ID: id, Kind: note.KindEngine, Domain: proto.Domain(fmt.Sprint(i % 3)), Models: []string{"m"}}
+	}
+	for i := range 3 {
+		id := proto.EndpointID(fmt.Sprintf("s%d", i))
+		cfg.Endpoints[id] = note.Endpoint{ID: id, Kind: note.KindService, Domain: proto.Domain(fmt.Sprint(i)), Service: "orders"}
+	}
+	return cfg
+}
+
+func newTestView(seed uint64, engines int) *View {
+	v := NewView(ViewConfig{Domain: "0", Seed: seed})
+	v.Configure(0, fleet(engines))
+	return v
+}
+
+// generation returns a query whose first shared pieces depend on family only.
+func generation(family, request uint64, shared, total int) Query {
+	pieces := make([]uint64, total)
+	for i := range pieces {
+		pieces[i] = mix(family<<32 + uint64(i))
+		if i >= shared {
+			pieces[i] = mix(family<<32 + request<<8 + uint64(i) + 1<<62)
+		}
+	}
+	blocks := Chain(Salt{Account: "a", Model: "m", Version: "1"}, pieces)
+	return Query{Account: "a", Class: proto.ClassGenerate, Model: "m", Version: "1", Blocks: blocks, PromptTokens: int64(total) * PieceTokens}
+}
+
+func mustChoose(t *testing.T, v *View, now proto.Instant, q Query) Choice {
+	t.Helper()
+	c, cause := v.Choose(now, q)
+	if cause != "" {
+		t.Fatalf("refused: %s", cause)
+	}
+	return c
+}
+
+// reportAll gives every engine the same queue and no match.
+func reportAll(v *View, now proto.Instant, engines int, queued int64) {
+	for i := range engines {
+		v.Observe(now, proto.Report{Endpoint: proto.EndpointID(fmt.Sprintf("e%d", i)), Incarnation: "1", QueuedTokens: queued}, nil)
+	}
+}
+
+// Guards against one account, version or field split matching another's blocks.
+func TestChainSalt(t *testing.T) {
+	pieces := []uint64{1, 2, 3}
+	base := Chain(Salt{"a", "m", "1", "x"}, pieces)
+	for _, salt := range []Salt{{"b", "m", "1", "x"}, {"a", "n", "1", "x"}, {"a", "m", "2", "x"}, {"a", "m", "1", ""}, {"am", "", "1", "x"}} {
+		for i, block := range Chain(salt, pieces) {
+			if block == base[i] {
+				t.Errorf("salt %v matches at depth %d", salt, i+1)
+			}
+		}
+	}
+	other := Chain(Salt{"a", "m", "1", "x"}, []uint64{1, 9, 3})
+	if other[0] != base[0] || other[1] == base[1] || other[2] == base[2] {
+		t.Error("a chain must agree up to the first differing piece and nowhere after")
+	}
+}
+
+// Guards against a restarted router that places otherwise than its peers, and
+// against a herd of them on one endpoint.
+func TestNewViewsPlaceLikePeers(t *testing.T) {
+	q := generation(7, 1, 5, 8)
+	peer := newTestView(1, 18)
+	reportAll(peer, 0, 18, 0)
+	home := mustChoose(t, peer, 0, q).Endpoint
+	counts := map[proto.EndpointID]int{}
+	for seed := range uint64(100) {
+		v := newTestView(seed+10, 18)
+		c := mustChoose(t, v, 0, q)
+		counts[c.Endpoint]++
+		if len(c.Probe) < 2 {
+			t.Fatalf("a new view must ask first, probes %v", c.Probe)
+		}
+		for _, id := range c.Probe {
+			v.Observe(0, proto.Report{Endpoint: id, Incarnation: "1"}, nil)
+		}
+		if got := mustChoose(t, v, 0, q).Endpoint; got != home {
+			t.Errorf("seed %d: after probes %s, peer chooses %s", seed, got, home)
+		}
+	}
+	if len(counts) > 2 || counts[home] == 0 || counts[home] > 70 {
+		t.Errorf("first choices %v, want two homes and no herd on %s", counts, home)
+	}
+}
+
+// Guards against requests of one family being scattered, against families
+// piling up on few endpoints, and against a match the engine lost.
+func TestFamiliesStayTogether(t *testing.T) {
+	used := map[proto.EndpointID]bool{}
+	for family := range uint64(60) {
+		v := newTestView(1, 18)
+		reportAll(v, 0, 18, 0)
+		first := mustChoose(t, v, 0, generation(family, 1, 5, 8))
+		v.Dispatched(0, first.Endpoint, generation(family, 1, 5, 8))
+		v.Ended(0, first.Endpoint, generation(family, 1, 5, 8))
+		reportAll(v, second/2, 18, 0)
+		next := mustChoose(t, v, second/2, generation(family, 2, 5, 8))
+		if next.Endpoint != first.Endpoint || next.Matched < 4 {
+			t.Errorf("family %d: %s then %s, matched %d", family, first.Endpoint, next.Endpoint, next.Matched)
+		}
+		used[first.Endpoint] = true
+		v.Observe(second, proto.Report{Endpoint: first.Endpoint, Incarnation: "2"}, nil)
+		if c := mustChoose(t, v, second, generation(family, 3, 5, 8)); c.Matched != 0 {
+			t.Errorf("family %d: matched %d blocks of a dead incarnation", family, c.Matched)
+		}
+	}
+	if len(used) < 14 {
+		t.Errorf("60 families use %d of 18 endpoints", len(used))
+	}
+}
+
+// Guards against a hot prefix that saturates its home, and against a spread
+// that never contracts or contracts at the first calm moment.
+func TestHotPrefixSpread(t *testing.T) {
+	v := newTestView(1, 18)
+	reportAll(v, 0, 18, 0)
+	q := generation(3, 0, 4, 4)
+	spread := func() uint8 {
+		var entry recallEntry
+		v.recall.get(uint64(q.Blocks[2]), &entry)
+		return entry.spread
+	}
+	used := map[proto.EndpointID]bool{}
+	for i := range 40 {
+		now := proto.Instant(i) * proto.Instant(10*time.Millisecond)
+		hot := generation(3, uint64(i), 4, 8)
+		c := mustChoose(t, v, now, hot)
+		used[c.Endpoint] = true
+		v.Dispatched(now, c.Endpoint, hot)
+	}
+	wide := spread()
+	if wide == 0 || len(used) < 3 {
+		t.Fatalf("spread %d over %d endpoints under load", wide, len(used))
+	}
+	at := 20 * second
+	v.Dispatched(at, "e0", q)
+	v.Dispatched(at+second, "e0", q)
+	reportAll(v, at+second, 18, 0)
+	if got := spread(); got < wide-1 {
+		t.Errorf("spread %d a second after the load ended, was %d", got, wide)
+	}
+	for i := range 60 {
+		v.Dispatched(at.Add(time.Duration(i)*time.Second), "e0", q)
+	}
+	if got := spread(); got != 0 {
+		t.Errorf("spread %d after a minute of calm", got)
+	}
+}
+
+// Guards against work for leaving, suspect, excluded or down endpoints or
+// wrong versions, and against one failed connection excluding an endpoint.
+func TestExclusion(t *testing.T) {
+	q := generation(5, 1, 3, 4)
+	for name, apply := range map[string]func(v *View, id proto.EndpointID, q *Query){
+		"leaving": func(v *View, id proto.EndpointID, _ *Query) {
+			v.Observe(0, proto.Report{Endpoint: id, Leaving: true}, nil)
+		},
+		"leaving by note": func(v *View, id proto.EndpointID, _ *Query) {
+			cfg := fleet(6)
+			e := cfg.Endpoints[id]
+			e.Leaving = true
+			cfg.Endpoints[id] = e
+			v.Configure(0, cfg)
+		},
+		"down": func(v *View, id proto.EndpointID, _ *Query) {
+			v.Observe(0, proto.Report{Endpoint: id, Down: true}, nil)
+		},
+		"suspect": func(v *View, id proto.EndpointID, _ *Query) {
+			v.FailedOn(0, id, member.PathTraffic)
+			v.FailedOn(0, id, member.PathFresh)
+		},
+		"version": func(v *View, id proto.EndpointID, _ *Query) {
+			v.Observe(0, proto.Report{Endpoint: id, Versions: map[string]string{"m": "2"}}, nil)
+		},
+		"excluded": func(_ *View, id proto.EndpointID, q *Query) { q.Exclude = append(q.Exclude, id) },
+	} {
+		v := newTestView(1, 6)
+		request := q
+		seen := map[proto.EndpointID]bool{}
+		for range 6 {
+			c := mustChoose(t, v, 0, request)
+			if seen[c.Endpoint] {
+				t.Errorf("%s: %s chosen again", name, c.Endpoint)
+			}
+			seen[c.Endpoint] = true
+			apply(v, c.Endpoint, &request)
+			if name == "leaving by note" {
+				break
+			}
+		}
+		if name == "leaving by note" {
+			if c := mustChoose(t, v, 0, request); seen[c.Endpoint] {
+				t.Errorf("%s: %s chosen again", name, c.Endpoint)
+			}
+			continue
+		}
+		if _, cause := v.Choose(0, request); cause != proto.CauseNoEndpoint {
+			t.Errorf("%s: cause %q with nothing left", name, cause)
+		}
+	}
+	v := newTestView(1, 1)
+	v.Failed(0, "e0")
+	v.Failed(0, "e0")
+	mustChoose(t, v, 0, q)
+}
+
+// Guards against wrongful refusals while some endpoint has room or is not
+// known, and against accepting what cannot start in time.
+func TestAdmission(t *testing.T) {
+	v := newTestView(1, 18)
+	q := generation(5, 1, 3, 4)
+	q.Timeout = 2 * time.Second
+	mustChoose(t, v, 0, q)
+	reportAll(v, 0, 18, 50_000)
+	if c, cause := v.Choose(0, q); cause != proto.CauseOverload || c.Wait < 2*time.Second {
+		t.Errorf("all endpoints 5 s behind: cause %q, wait %v", cause, c.Wait)
+	}
+	v.Observe(0, proto.Report{Endpoint: "e9", Incarnation: "1"}, nil)
+	if c := mustChoose(t, v, 0, q); c.Endpoint != "e9" {
+		t.Errorf("chose %s, only e9 has room", c.Endpoint)
+	}
+	mustChoose(t, v, 10*second, q)
+}
+
+// Guards against recomputing what a peer can hand over, and against imports
+// that cost more than they save.
+func TestImport(t *testing.T) {
+	v := newTestView(1, 18)
+	reportAll(v, 0, 18, 0)
+	q := generation(5, 1, 8, 8)
+	v.Observe(0, proto.Report{Endpoint: "e1", Incarnation: "1", QueuedTokens: 100_000, Matched: 8}, q.Blocks)
+	c := mustChoose(t, v, 0, q)
+	if c.Endpoint == "e1" || c.Import == nil || c.Import.Endpoint != "e1" || c.Import.Blocks != 8 {
+		t.Errorf("choice %+v, want an import of 8 blocks from e1", c)
+	}
+	slow := NewView(ViewConfig{Costs: Costs{ImportSetup: time.Minute}})
+	slow.Configure(0, fleet(18))
+	slow.Observe(0, proto.Report{Endpoint: "e1", QueuedTokens: 100_000, Matched: 8}, q.Blocks)
+	if c := mustChoose(t, slow, 0, q); c.Import != nil {
+		t.Errorf("import %+v although recomputing is cheaper", c.Import)
+	}
+}
+
+// Guards against plain calls that queue behind one endpoint, or that cross
+// failure domains for nothing.
+func TestServiceLeastWait(t *testing.T) {
+	v := newTestView(1, 3)
+	q := Query{Class: proto.ClassCall, Service: "orders"}
+	counts := map[proto.EndpointID]int{}
+	for range 30 {
+		c := mustChoose(t, v, 0, q)
+		counts[c.Endpoint]++
+		v.Dispatched(0, c.Endpoint, q)
+	}
+	if counts["s0"] != 10 || counts["s1"] != 10 {
+		t.Errorf("30 calls spread as %v", counts)
+	}
+	for id, n := range counts {
+		for range n {
+			v.Ended(0, id, q)
+		}
+	}
+	if c := mustChoose(t, v, 0, q); c.Endpoint != "s0" {
+		t.Errorf("idle: chose %s, s0 is in the router's own domain", c.Endpoint)
+	}
+	if _, cause := v.Choose(0, Query{Class: proto.ClassCall, Service: "x"}); cause != proto.CauseUnknownRoute {
+		t.Errorf("unknown service: cause %q", cause)
+	}
+}
+
+// Guards against a second home in the first one's failure domain, and against
+// a domain that is lost but tried endpoint by endpoint.
+func TestFailureDomains(t *testing.T) {
+	v := newTestView(1, 18)
+	s := v.snap.Load()
+	for hash := range uint64(numSlots) {
+		homes := s.models["m"].of(hash)
+		if s.endpoints[homes[0]].domain == s.endpoints[homes[1]].domain {
+			t.Fatalf("slot %d: both first homes in one domain", hash)
+		}
+	}
+	for i := 0; i < 12; i += 3 {
+		v.Failed(0, proto.EndpointID(fmt.Sprintf("e%d", i)))
+	}
+	for family := range uint64(50) {
+		if c := mustChoose(t, v, 0, generation(family, 1, 4, 4)); s.byID[c.Endpoint].domain == "0" {
+			t.Errorf("family %d goes to %s in the lost domain", family, c.Endpoint)
+		}
+	}
+}
+
+func BenchmarkChoose(b *testing.B) {
+	for _, n := range []int{18, 150, 600} {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			v := newTestView(1, n)
+			reportAll(v, 0, n, 1000)
+			queries := make([]Query, 1024)
+			for i := range queries {
+				queries[i] = generation(uint64(i%200), uint64(i), 8, 16)
+				c, _ := v.Choose(0, queries[i])
+				v.Observe(0, proto.Report{Endpoint: c.Endpoint, Incarnation: "1", Matched: 8}, queries[i].Blocks)
+			}
+			b.ReportAllocs()
+			for i := 0; b.Loop(); i++ {
+				q := queries[i%len(queries)]
+				c, _ := v.Choose(1, q)
+				v.Dispatched(1, c.Endpoint, q)
+				v.Ended(1, c.Endpoint, q)
+			}
+		})
+	}
+}
+
+// Guards against a View that outgrows its memory bound at the target size.
+func TestMemoryBound(t *testing.T) {
+	if size := int(unsafe.Sizeof(recallEntry{})); size != entryBytes {
+		t.Fatalf("an entry takes %d bytes, entryBytes is %d", size, entryBytes)
+	}
+	cfg := fleet(600)
+	for i := range 600 {
+		id := proto.EndpointID(fmt.Sprintf("e%d", i))
+		e := cfg.Endpoints[id]
+		e.Models = []string{fmt.Sprintf("m%d", i%22)}
+		cfg.Endpoints[id] = e
+	}
+	var before, after runtime.MemStats
+	runtime.GC()
+	runtime.ReadMemStats(&before)
+	v := NewView(ViewConfig{})
+	v.Configure(0, cfg)
+	for i := range uint64(20_000) {
+		q := generation(i, i, 8, 16)
+		v.Observe(0, proto.Report{Endpoint: proto.EndpointID(fmt.Sprintf("e%d", i%600)), Matched: 16}, q.Blocks)
+	}
+	runtime.GC()
+	runtime.ReadMemStats(&after)
+	size := int64(after.HeapAlloc) - int64(before.HeapAlloc)
+	t.Logf("heap of a View with 600 endpoints and 22 models: %d bytes", size)
+	if size > 8<<20 {
+		t.Errorf("a View takes %d bytes", size)
+	}
+	runtime.KeepAlive(v)
+}
+
+// Guards against data races and lost counts between the request path and a
+// configuration change; the race detector does the checking.
+func TestConcurrentUse(t *testing.T) {
+	v := newTestView(1, 18)
+	var wg sync.WaitGroup
+	for worker := range uint64(4) {
+		wg.Go(func() {
+			for i := range uint64(300) {
+				q := generation(i%5, worker*1000+i, 3, 5)
+				c, _ := v.Choose(1, q)
+				v.Dispatched(1, c.Endpoint, q)
+				v.Observe(1, proto.Report{Endpoint: c.Endpoint, Incarnation: "1", Matched: 3}, q.Blocks)
+				v.Failed(1, c.Endpoint)
+				v.Ended(1, c.Endpoint, q)
+			}
+		})
+	}
+	for i := range 5 {
+		v.Configure(1, fleet(14+i))
+	}
+	wg.Wait()
+	if n := v.snap.Load().models["m"].inFlight.Load(); n != 0 {
+		t.Errorf("%d attempts still counted in flight", n)
+	}
+}
+
+func BenchmarkConfigure(b *testing.B) {
+	cfg := fleet(600)
+	for b.Loop() {
+		NewView(ViewConfig{}).Configure(0, cfg)
+	}
+}
