Serve one request from caller to engine in virtual time

Cause: the parts need one thin path through all of them before they get depth. Change: core/agent (queue, exact index, streams, intents, orders), core/router (log follower, peers, freshness, notes) and proof/fleet, which builds a fleet in the virtual-time driver. One key is checked, one stream arrives in order and one release note is in force.

--- /dev/null
+++ b/core/agent/agent.go
@@ -0,0 +1,230 @@
+// Package agent is the process beside one endpoint: it owns the queue in front
+// of the engine, the exact index of the engine's prefix cache and the open
+// streams, and it is the last check before anything runs.
+package agent
+
+import (
+	"time"
+
+	"github.com/kumquatsill/kumquatsill/core/check"
+	"github.com/kumquatsill/kumquatsill/core/prefix"
+	"github.com/kumquatsill/kumquatsill/core/proto"
+	"github.com/kumquatsill/kumquatsill/core/queue"
+)
+
+const (
+	heartbeatInterval = time.Second
+	// detachedFor is how long a stream without a router is kept for a
+	// router that asks for the rest.
+	detachedFor = 10 * time.Second
+	// finishedFor is how long the chunks of a finished stream are kept.
+	finishedFor = 10 * time.Second
+	// maxClosed bounds the memory of ended attempts.
+	maxClosed = 1 << 14
+	// maxIntents bounds the memory of calls that may not be repeated.
+	maxIntents = 1 << 17
+	// maxStreamBytes bounds the chunks that are kept for one stream.
+	maxStreamBytes = 4 << 20
+	// defaultBatch is the number of runs at once until the engine states its own.
+	defaultBatch = 8
+	// queueTimeoutMargin is the time before the deadline at which waiting work
+	// is refused, so that the refusal still reaches the router in time.
+	queueTimeoutMargin = 50 * time.Millisecond
+	endpointRetryAfter = time.Second
+)
+
+// Config identifies an agent.
+type Config struct {
+	Endpoint proto.EndpointID
+	// Incarnation is this life of the agent; two lives must differ.
+	Incarnation proto.Incarnation
+	Seed        uint64
+	// ChecksFence is set if the engine itself refuses old fencing numbers.
+	ChecksFence bool
+	Checks      *check.Set
+}
+
+// Stats counts what an agent saw.
+type Stats struct {
+	Dispatched, Refused, Duplicates, Crossed int64
+	Finished, Crashed, Reattached            int64
+	StaleEvents, StaleOrders                 int64
+}
+
+// Agent implements proto.Machine.
+type Agent struct {
+	proto.Outbox
+	cfg   Config
+	stamp proto.Stamp
+	stats Stats
+
+	engine engineState
+	index  *prefix.Index
+	queue  *queue.Queue
+	gate   gate
+
+	// jobs holds queued, running and recently finished work by the attempt
+	// that is attached now.
+	jobs map[proto.AttemptID]*job
+	// streams finds the job of a stream for a router that resumes it.
+	streams map[streamKey]*job
+	// runs finds the job of an engine run.
+	runs    map[proto.AttemptID]*job
+	closed  *recent[proto.AttemptID]
+	intents *recent[intentID]
+	started *recent[intentID]
+	running int
+	leaving bool
+	beatAt  proto.Instant
+}
+
+// intentID names an intent by its place in the log.
+type intentID struct {
+	stream string
+	offset proto.Offset
+}
+
+// New returns an agent that waits for its engine.
+func New(cfg Config) *Agent {
+	return &Agent{
+		Outbox:  proto.NewOutbox(proto.AgentAddr(cfg.Endpoint)),
+		cfg:     cfg,
+		index:   prefix.New(""),
+		queue:   queue.New(queue.Config{}),
+		jobs:    map[proto.AttemptID]*job{},
+		streams: map[streamKey]*job{},
+		runs:    map[proto.AttemptID]*job{},
+		closed:  newRecent[proto.AttemptID](maxClosed),
+		intents: newRecent[intentID](maxIntents),
+		started: newRecent[intentID](maxIntents),
+		beatAt:  proto.Never,
+	}
+}
+
+// Stats returns the counters.
+func (a *Agent) Stats() Stats { return a.stats }
+
+// Drain makes the agent refuse new work; what it has accepted goes on.
+func (a *Agent) Drain() { a.leaving = true }
+
+// Drained reports whether no accepted work is left.
+func (a *Agent) Drained() bool {
+	for _, j := range a.jobs {
+		if !j.ended {
+			return false
+		}
+	}
+	return true
+}
+
+// Step implements proto.Machine.
+func (a *Agent) Step(now proto.Instant, in proto.Envelope) {
+	if in.From.Role == proto.RoleEngine {
+		a.stepEngine(now, in.Msg)
+	} else {
+		a.stepRouter(now, in.From, in.Msg)
+	}
+	a.schedule(now)
+}
+
+func (a *Agent) stepRouter(now proto.Instant, from proto.Addr, msg proto.Message) {
+	switch m := msg.(type) {
+	case proto.Dispatch:
+		a.learn(m.Stamp)
+		a.onDispatch(now, from, m)
+	case proto.Cancel:
+		a.learn(m.Stamp)
+		a.onCancel(now, m.Attempt)
+	case proto.Probe:
+		a.learn(m.Stamp)
+		a.Send(from, proto.ProbeReply{Stamp: a.stamp, Request: m.Request, Report: a.report(m.Blocks)})
+	case proto.Order:
+		a.learn(m.Stamp)
+		a.onOrder(from, m)
+	case proto.ConnLost:
+		a.onConnLost(now, m.Attempt)
+	}
+}
+
+func (a *Agent) stepEngine(now proto.Instant, msg proto.Message) {
+	switch m := msg.(type) {
+	case proto.EngineUp:
+		a.onEngineUp(now, m)
+	case proto.EngineDown:
+		a.onEngineDown(now)
+	case proto.EngineToken:
+		a.onToken(now, m)
+	case proto.EngineDone:
+		a.onDone(now, m)
+	case proto.EngineFailed:
+		a.onFailed(now, m)
+	case proto.CacheEvents:
+		a.index.Events(m)
+		a.resyncIndex(now)
+	case proto.CacheList:
+		a.index.List(m)
+		a.resyncIndex(now)
+	case proto.LoadReport:
+		a.onLoad(now, m)
+	case proto.EngineOrdered:
+		a.onOrdered(m)
+	}
+}
+
+// learn keeps the highest stamp, so that routers that are behind find out
+// from any agent.
+func (a *Agent) learn(s proto.Stamp) {
+	if s.ConfigOffset > a.stamp.ConfigOffset {
+		a.stamp = s
+	}
+}
+
+// Tick implements proto.Machine.
+func (a *Agent) Tick(now proto.Instant) {
+	a.expire(now)
+	if now >= a.beatAt {
+		a.beat(now)
+	}
+	a.resyncIndex(now)
+	a.schedule(now)
+}
+
+// Wake implements proto.Machine.
+func (a *Agent) Wake() proto.Instant {
+	wake := min(a.beatAt, a.queue.Wake())
+	for _, j := range a.jobs {
+		wake = min(wake, j.expires)
+	}
+	if a.index.NeedList() && a.engine.up {
+		wake = min(wake, a.engine.listAt)
+	}
+	return wake
+}
+
+// beat sends a heartbeat on every attached attempt that is not over.
+func (a *Agent) beat(now proto.Instant) {
+	a.beatAt = proto.Never
+	for _, j := range a.sortedJobs() {
+		if j.ended || !j.attached() {
+			continue
+		}
+		a.Send(j.router, proto.Heartbeat{Stamp: a.stamp, Attempt: j.attempt, LastSeq: j.last, Report: a.report(j.dispatch.Blocks)})
+		a.beatAt = now.Add(heartbeatInterval)
+	}
+}
+
+// report says how busy the endpoint is and how many of the blocks it holds.
+func (a *Agent) report(blocks []proto.BlockHash) proto.Report {
+	return proto.Report{
+		Endpoint:     a.cfg.Endpoint,
+		Incarnation:  a.engine.incarnation,
+		Life:         a.cfg.Incarnation,
+		QueuedTokens: a.queue.Tokens() + a.prefilling(),
+		Running:      a.running,
+		Queued:       a.queue.Len(),
+		Matched:      a.index.Lookup(a.engine.incarnation, blocks),
+		Leaving:      a.leaving,
+		Down:         !a.engine.up,
+		Versions:     a.engine.versions,
+	}
+}
--- /dev/null
+++ b/core/router/control.go
@@ -0,0 +1,66 @@
+// Package router is the state machine of a whole router: a control machine
+// that follows the log and talks to its peers, and one exchange per request.
+package router
+
+import (
+	"math/rand/v2"
+	"sync/atomic"
+	"time"
+
+	"github.com/kumquatsill/kumquatsill/core/check"
+	"github.com/kumquatsill/kumquatsill/core/exchange"
+	"github.com/kumquatsill/kumquatsill/core/ledger"
+	"github.com/kumquatsill/kumquatsill/core/limit"
+	"github.com/kumquatsill/kumquatsill/core/proto"
+	"github.com/kumquatsill/kumquatsill/core/route"
+)
+
+const (
+	// housekeepingInterval is the time between two looks at freshness,
+	// registrations and unanswered submissions.
+	housekeepingInterval = 250 * time.Millisecond
+	// noteTimeout is how long a submission waits for the log.
+	noteTimeout = 10 * time.Second
+)
+
+// Config identifies a router.
+type Config struct {
+	ID     proto.RouterID
+	Domain proto.Domain
+	// Addr is the router's own "ip:port", as its peers reach it.
+	Addr string
+	// Incarnation is this life of the router; two lives must differ.
+	Incarnation proto.Incarnation
+	Seed        uint64
+	Checks      *check.Set
+	// Limits and Placement replace the default parts, for comparisons.
+	Limits    limit.Limiter
+	Placement route.Placer
+}
+
+// Control is the part of a router that follows the log and the peers. It is
+// the only writer of the router's snapshot.
+type Control struct {
+	proto.Outbox
+	cfg   Config
+	rng   *rand.Rand
+	log   *ledger.Client
+	state *fold
+	fresh *freshness
+	peers *peers
+	notes map[proto.RecordID]submission
+
+	deps     *exchange.Deps
+	snapshot atomic.Pointer[exchange.Snapshot]
+	// ready is set once the folded state reached the head of the log.
+	ready    bool
+	draining bool
+	workAt   proto.Instant
+}
+
+// submission is a release note whose outcome an operator waits for.
+type submission struct {
+	id    proto.RecordID
+	from  proto.Addr
+	until proto.Instant
+}
--- /dev/null
+++ b/core/router/freshness.go
@@ -0,0 +1,111 @@
+package router
+
+import (
+	"time"
+
+	"github.com/kumquatsill/kumquatsill/core/proto"
+)
+
+const (
+	// freshFor is how long a proof of freshness lasts. Together with the time
+	// after which open streams are checked again it stays below the 5 s in
+	// which a withdrawn key must stop working.
+	freshFor = 4 * time.Second
+	// witnessFor is how long a peer's word about the log counts.
+	witnessFor = 3 * time.Second
+	// outageExtension is how far a confirmed general outage extends freshness.
+	outageExtension = 2 * time.Second
+)
+
+// freshness decides until when the folded configuration may be relied on.
+//
+// A proof is an instant at which the folded state held everything that the
+// log held. It comes from an own read of the head, or from a peer that read
+// it and whose records were taken over.
+type freshness struct {
+	proof     proto.Instant
+	proven    bool
+	witnesses map[proto.RouterID]witness
+}
+
+// witness is what a peer last said about the log.
+type witness struct {
+	at        proto.Instant
+	domain    proto.Domain
+	reachable bool
+}
+
+func newFreshness() *freshness {
+	return &freshness{witnesses: map[proto.RouterID]witness{}}
+}
+
+// headRead takes in that the state is complete up to a read sent at that instant.
+func (f *freshness) headRead(at proto.Instant) {
+	if !f.proven || f.proof.Before(at) {
+		f.proof, f.proven = at, true
+	}
+}
+
+// peer takes in the answer to a beat sent at sent. The peer read the head no
+// earlier than its stated age before that.
+func (f *freshness) peer(now, sent proto.Instant, beat proto.PeerBeat, folded proto.Offset) {
+	f.witnesses[beat.Router] = witness{at: now, domain: beat.Domain, reachable: beat.LogReachable}
+	if folded >= beat.Stamp.ConfigOffset && beat.LogReadAge >= 0 {
+		f.headRead(sent.Add(-beat.LogReadAge))
+	}
+}
+
+// until returns when keyed traffic must stop. peers are the routers whose
+// word counts, without this one.
+func (f *freshness) until(now proto.Instant, domain proto.Domain, logReachable bool, peers map[proto.RouterID]proto.Domain) proto.Instant {
+	if !f.proven {
+		return 0
+	}
+	limit := f.proof.Add(freshFor)
+	if !logReachable && f.isGeneralOutage(now, domain, peers) {
+		return max(limit, now.Add(outageExtension))
+	}
+	return limit
+}
+
+// isGeneralOutage reports whether a majority of the routers, this one
+// included, cannot read the log, from two failure domains where there are
+// two. Nothing can be accepted then, so that the state in force cannot be old.
+func (f *freshness) isGeneralOutage(now proto.Instant, own proto.Domain, peers map[proto.RouterID]proto.Domain) bool {
+	cut := 1
+	domains := map[proto.Domain]bool{own: true}
+	known := map[proto.Domain]bool{own: true}
+	for id, domain := range peers {
+		known[domain] = true
+		w, ok := f.witnesses[id]
+		if !ok || now.Sub(w.at) > witnessFor {
+			continue
+		}
+		if w.reachable {
+			return false
+		}
+		cut++
+		domains[w.domain] = true
+	}
+	if len(known) > 1 && len(domains) < 2 {
+		return false
+	}
+	return 2*cut > len(peers)+1
+}
+
+// age returns the time since the last proof, or -1 if there is none.
+func (f *freshness) age(now proto.Instant) time.Duration {
+	if !f.proven {
+		return -1
+	}
+	return now.Sub(f.proof)
+}
+
+// forget drops the word of routers that are gone.
+func (f *freshness) forget(peers map[proto.RouterID]proto.Domain) {
+	for id := range f.witnesses {
+		if _, ok := peers[id]; !ok {
+			delete(f.witnesses, id)
+		}
+	}
+}
--- /dev/null
+++ b/core/router/peers.go
@@ -0,0 +1,97 @@
+package router
+
+import (
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/kumquatsill/kumquatsill/core/proto"
+)
+
+const (
+	// beatInterval is the time between two beats to a peer. Two beats fit
+	// between the moment at which a reader notices an outage and the end of
+	// its proof of freshness.
+	beatInterval = 500 * time.Millisecond
+	// maxBeatPeers bounds the beats of one router; at 4 bytes a byte of state
+	// 16 peers cost below 3 KB/s.
+	maxBeatPeers = 16
+	// reachableAge is the age of the last own read of the head above which a
+	// router says that it cannot read the log. It is half of freshFor, so that
+	// peers learn of it before the proof runs out.
+	reachableAge = 2 * time.Second
+	// maxKnownPeers bounds the memory of beats sent.
+	maxKnownPeers = 64
+)
+
+// peers sends beats to some of the other routers and keeps what they answer.
+type peers struct {
+	self   proto.RouterID
+	rng    *rand.Rand
+	beatAt proto.Instant
+	call   uint64
+	// sent maps the number of a beat to the instant at which it was sent.
+	sent map[uint64]proto.Instant
+	// chosen are the routers that this one talks to.
+	chosen map[proto.RouterID]proto.Domain
+}
+
+func newPeers(self proto.RouterID, rng *rand.Rand) *peers {
+	return &peers{self: self, rng: rng, sent: map[uint64]proto.Instant{}, chosen: map[proto.RouterID]proto.Domain{}}
+}
+
+// choose picks the routers to talk to: all of them, or those that come first
+// in a ranking by hash, which differs from router to router.
+func (p *peers) choose(known map[proto.RouterID]proto.Domain) {
+	ids := make([]proto.RouterID, 0, len(known))
+	for id := range known {
+		if id != p.self {
+			ids = append(ids, id)
+		}
+	}
+	slices.SortFunc(ids, func(a, b proto.RouterID) int {
+		ra, rb := p.rank(a), p.rank(b)
+		switch {
+		case ra < rb:
+			return -1
+		case ra > rb:
+			return 1
+		}
+		return 0
+	})
+	p.chosen = make(map[proto.RouterID]proto.Domain, min(len(ids), maxBeatPeers))
+	for _, id := range ids[:min(len(ids), maxBeatPeers)] {
+		p.chosen[id] = known[id]
+	}
+}
+
+func (p *peers) rank(id proto.RouterID) uint64 {
+	return xxhash.Sum64String(string(p.self) + "/" + string(id))
+}
+
+// next starts a round of beats and returns its number.
+func (p *peers) next(now proto.Instant) uint64 {
+	p.call++
+	p.sent[p.call] = now
+	delete(p.sent, p.call-maxKnownPeers)
+	jitter := time.Duration(p.rng.Int64N(int64(beatInterval / 8)))
+	p.beatAt = now.Add(beatInterval - jitter)
+	return p.call
+}
+
+// sentAt returns when a beat was sent.
+func (p *peers) sentAt(call uint64) (proto.Instant, bool) {
+	at, ok := p.sent[call]
+	return at, ok
+}
+
+// order returns the chosen routers in a fixed order.
+func (p *peers) order() []proto.RouterID {
+	ids := make([]proto.RouterID, 0, len(p.chosen))
+	for id := range p.chosen {
+		ids = append(ids, id)
+	}
+	slices.Sort(ids)
+	return ids
+}
--- /dev/null
+++ b/core/router/router.go
@@ -0,0 +1,166 @@
+package router
+
+import (
+	"slices"
+
+	"github.com/kumquatsill/kumquatsill/core/exchange"
+	"github.com/kumquatsill/kumquatsill/core/proto"
+)
+
+// Router bundles the control machine and all exchanges of one router behind
+// proto.Machine, for a driver with one thread. A shell with many threads uses
+// Control and Open instead, and routes messages by RequestOf.
+type Router struct {
+	control   *Control
+	exchanges map[proto.RequestID]*exchange.Exchange
+	out       []proto.Envelope
+	opened    uint64
+}
+
+// New returns a router without state: it reads the log before it serves.
+func New(cfg Config) *Router {
+	return &Router{control: newControl(cfg), exchanges: map[proto.RequestID]*exchange.Exchange{}}
+}
+
+// Control returns the control machine. It is not safe for concurrent use,
+// but for Open, Deps and Snapshot.
+func (r *Router) Control() *Control { return r.control }
+
+// Snapshot returns the state in force.
+func (r *Router) Snapshot() *exchange.Snapshot { return r.control.Snapshot() }
+
+// Open starts an exchange for a request. It is safe for concurrent use.
+func (c *Control) Open(now proto.Instant, req proto.CallerRequest, seed uint64) *exchange.Exchange {
+	return exchange.New(now, c.deps, req, seed)
+}
+
+// InFlight returns the number of requests that have not ended.
+func (r *Router) InFlight() int { return len(r.exchanges) }
+
+// Drain makes the router refuse new requests; those in flight go on.
+func (r *Router) Drain(now proto.Instant) { r.control.Drain(now) }
+
+// Step implements proto.Machine.
+func (r *Router) Step(now proto.Instant, in proto.Envelope) {
+	switch m := in.Msg.(type) {
+	case proto.CallerRequest:
+		r.open(now, in.From, m)
+	default:
+		r.route(now, in)
+	}
+	r.pump(now)
+}
+
+func (r *Router) open(now proto.Instant, _ proto.Addr, req proto.CallerRequest) {
+	if r.exchanges[req.ID] != nil {
+		return
+	}
+	r.opened++
+	r.exchanges[req.ID] = r.control.Open(now, req, r.control.cfg.Seed+r.opened)
+	r.collect(req.ID)
+}
+
+// route passes a message to the exchange that it belongs to, or to the
+// control machine.
+func (r *Router) route(now proto.Instant, in proto.Envelope) {
+	id, ok := RequestOf(in.Msg)
+	if !ok {
+		r.control.Step(now, in)
+		return
+	}
+	x := r.exchanges[id]
+	if x == nil {
+		r.control.deps.Stats.Late.Add(1)
+		return
+	}
+	x.Step(now, in)
+	r.collect(id)
+}
+
+// RequestOf returns the request whose exchange takes a message, and false
+// for messages to the control machine.
+func RequestOf(msg proto.Message) (proto.RequestID, bool) {
+	switch m := msg.(type) {
+	case proto.CallerGone:
+		return m.Request, true
+	case proto.IntentDecided:
+		return m.Request, true
+	case proto.ProbeReply:
+		return m.Request, true
+	case proto.Accepted:
+		return m.Attempt.Request(), true
+	case proto.Chunk:
+		return m.Attempt.Request(), true
+	case proto.Heartbeat:
+		return m.Attempt.Request(), true
+	case proto.Finish:
+		return m.Attempt.Request(), true
+	case proto.AttemptRefused:
+		return m.Attempt.Request(), true
+	case proto.ConnLost:
+		return m.Attempt.Request(), true
+	}
+	return "", false
+}
+
+// collect takes the outputs of an exchange and forgets it at its end.
+func (r *Router) collect(id proto.RequestID) {
+	x := r.exchanges[id]
+	r.out = append(r.out, x.Take()...)
+	if x.Done() {
+		delete(r.exchanges, id)
+	}
+}
+
+// pump delivers the messages between the parts of this router until only
+// messages to others are left.
+func (r *Router) pump(now proto.Instant) {
+	self := r.control.Self()
+	for {
+		r.out = append(r.out, r.control.Take()...)
+		i := slices.IndexFunc(r.out, func(e proto.Envelope) bool { return e.To == self })
+		if i < 0 {
+			return
+		}
+		e := r.out[i]
+		r.out = slices.Delete(r.out, i, i+1)
+		r.route(now, e)
+	}
+}
+
+// Tick implements proto.Machine.
+func (r *Router) Tick(now proto.Instant) {
+	r.control.Tick(now)
+	for _, id := range r.due(now) {
+		r.exchanges[id].Tick(now)
+		r.collect(id)
+	}
+	r.pump(now)
+}
+
+func (r *Router) due(now proto.Instant) []proto.RequestID {
+	var ids []proto.RequestID
+	for id, x := range r.exchanges {
+		if x.Wake() <= now {
+			ids = append(ids, id)
+		}
+	}
+	slices.Sort(ids)
+	return ids
+}
+
+// Wake implements proto.Machine.
+func (r *Router) Wake() proto.Instant {
+	wake := r.control.Wake()
+	for _, x := range r.exchanges {
+		wake = min(wake, x.Wake())
+	}
+	return wake
+}
+
+// Take implements proto.Machine.
+func (r *Router) Take() []proto.Envelope {
+	out := r.out
+	r.out = nil
+	return out
+}
--- /dev/null
+++ b/proof/fleet/callers.go
@@ -0,0 +1,129 @@
+package fleet
+
+import (
+	"time"
+
+	"github.com/kumquatsill/kumquatsill/core/proto"
+	"github.com/kumquatsill/kumquatsill/proof/drive"
+)
+
+// Answer is what a caller has received for one request.
+type Answer struct {
+	Router  proto.Addr
+	Request proto.CallerRequest
+	Sent    proto.Instant
+	First   proto.Instant
+	Ended   proto.Instant
+	Chunks  []proto.CallerChunk
+	Finish  *proto.CallerFinish
+	Refusal *proto.CallerRefusal
+	// Extra counts messages after the end of the request.
+	Extra int
+}
+
+// Done reports whether the request has ended.
+func (a *Answer) Done() bool { return a.Finish != nil || a.Refusal != nil }
+
+// Text returns the streamed text.
+func (a *Answer) Text() string {
+	var text []byte
+	for _, c := range a.Chunks {
+		text = append(text, c.Text...)
+	}
+	return string(text)
+}
+
+// Callers stands in for all callers and operators of a world.
+type Callers struct {
+	world   *drive.World
+	Answers map[proto.RequestID]*Answer
+	Notes   map[proto.RecordID]proto.NoteOutcome
+	// OnEnd, if set, is called at the end of each request.
+	OnEnd func(a *Answer)
+	order []proto.RequestID
+	out   proto.Outbox
+}
+
+func newCallers(w *drive.World) *Callers {
+	return &Callers{world: w, Answers: map[proto.RequestID]*Answer{}, Notes: map[proto.RecordID]proto.NoteOutcome{}}
+}
+
+// Send sends a request through a router.
+func (c *Callers) Send(via proto.Addr, req proto.CallerRequest) *Answer {
+	a := &Answer{Router: via, Request: req, Sent: c.world.Now()}
+	c.Answers[req.ID] = a
+	c.order = append(c.order, req.ID)
+	c.world.Inject(proto.Envelope{From: proto.CallerAddr(req.ID), To: via, Msg: req})
+	return a
+}
+
+// HangUp closes a caller's connection.
+func (c *Callers) HangUp(id proto.RequestID) {
+	a := c.Answers[id]
+	c.world.Inject(proto.Envelope{From: proto.CallerAddr(id), To: a.Router, Msg: proto.CallerGone{Request: id}})
+}
+
+// All returns the answers in the order in which the requests were sent.
+func (c *Callers) All() []*Answer {
+	all := make([]*Answer, len(c.order))
+	for i, id := range c.order {
+		all[i] = c.Answers[id]
+	}
+	return all
+}
+
+// Step implements proto.Machine.
+func (c *Callers) Step(now proto.Instant, in proto.Envelope) {
+	if o, ok := in.Msg.(proto.NoteOutcome); ok {
+		c.Notes[o.ID] = o
+		return
+	}
+	a := c.Answers[proto.RequestID(in.To.ID)]
+	if a == nil {
+		return
+	}
+	if a.Done() {
+		a.Extra++
+		return
+	}
+	switch m := in.Msg.(type) {
+	case proto.CallerChunk:
+		if len(a.Chunks) == 0 {
+			a.First = now
+		}
+		a.Chunks = append(a.Chunks, m)
+		return
+	case proto.CallerFinish:
+		a.Finish = &m
+	case proto.CallerRefusal:
+		a.Refusal = &m
+	}
+	a.Ended = now
+	if c.OnEnd != nil {
+		c.OnEnd(a)
+	}
+}
+
+// Tick implements proto.Machine.
+func (c *Callers) Tick(proto.Instant) {}
+
+// Wake implements proto.Machine.
+func (c *Callers) Wake() proto.Instant { return proto.Never }
+
+// Take implements proto.Machine.
+func (c *Callers) Take() []proto.Envelope { return c.out.Take() }
+
+// Latency returns the one-way delays of a deployment: between failure
+// domains, and between callers and routers.
+func Latency(domainOf func(proto.Addr) proto.Domain, between, callers time.Duration) func(from, to proto.Addr) time.Duration {
+	const local = 50 * time.Microsecond
+	return func(from, to proto.Addr) time.Duration {
+		if from.Role == proto.RoleCaller || to.Role == proto.RoleCaller {
+			return callers
+		}
+		if domainOf(from) == domainOf(to) {
+			return local
+		}
+		return between
+	}
+}
--- /dev/null
+++ b/proof/fleet/fleet.go
@@ -0,0 +1,194 @@
+// Package fleet builds routers, agents and the stand-ins of the outside
+// systems in a virtual-time world, for tests and measurements.
+package fleet
+
+import (
+	"encoding/json"
+	"fmt"
+	"time"
+
+	"github.com/kumquatsill/kumquatsill/core/agent"
+	"github.com/kumquatsill/kumquatsill/core/check"
+	"github.com/kumquatsill/kumquatsill/core/note"
+	"github.com/kumquatsill/kumquatsill/core/proto"
+	"github.com/kumquatsill/kumquatsill/core/route"
+	"github.com/kumquatsill/kumquatsill/core/router"
+	"github.com/kumquatsill/kumquatsill/proof/drive"
+	"github.com/kumquatsill/kumquatsill/standin/engine"
+	"github.com/kumquatsill/kumquatsill/standin/logsvc"
+	"github.com/kumquatsill/kumquatsill/standin/orders"
+)
+
+// Config describes a fleet. Zero fields take small defaults.
+type Config struct {
+	Drive   drive.Config
+	Routers int
+	Domains []proto.Domain
+	// Note is the first release note; its endpoints get agents and engines.
+	Note note.Note
+	Log  logsvc.Config
+	// Engine is the template of the engines' settings.
+	Engine engine.Config
+	// Placement, if set, makes the placement of each router.
+	Placement func(index int, cfg route.ViewConfig) route.Placer
+	// ClockOffset, if set, gives the offset of a node's own clock.
+	ClockOffset func(addr proto.Addr) time.Duration
+}
+
+// Fleet is a running fleet.
+type Fleet struct {
+	World   *drive.World
+	Log     *logsvc.Service
+	Checks  *check.Set
+	Callers *Callers
+	Book    *orders.Book
+	Engines map[proto.EndpointID]*engine.Engine
+	Agents  map[proto.EndpointID]*agent.Agent
+	Routers []*router.Router
+
+	cfg       Config
+	endpoints map[proto.EndpointID]note.Endpoint
+	lives     int
+}
+
+// Start builds the fleet and submits the first note through router 0. The
+// caller runs the world until Ready holds.
+func Start(cfg Config) *Fleet {
+	f := &Fleet{
+		World:     drive.New(cfg.Drive),
+		Log:       logsvc.New(cfg.Log),
+		Checks:    &check.Set{},
+		Book:      orders.NewBook(),
+		Engines:   map[proto.EndpointID]*engine.Engine{},
+		Agents:    map[proto.EndpointID]*agent.Agent{},
+		cfg:       cfg,
+		endpoints: map[proto.EndpointID]note.Endpoint{},
+	}
+	f.Callers = newCallers(f.World)
+	f.World.Add(proto.Log, f.Log, 0)
+	f.World.AddRole(proto.RoleCaller, f.Callers)
+	f.World.AddRole(proto.RoleOperator, f.Callers)
+	f.Routers = make([]*router.Router, cfg.Routers)
+	for i := range f.Routers {
+		f.StartRouter(i)
+	}
+	for _, e := range cfg.Note.Added.Endpoints {
+		f.endpoints[e.ID] = e
+		f.StartEngine(e.ID)
+		f.StartAgent(e.ID)
+	}
+	f.World.After(time.Second, func() { f.Submit(0, "first", cfg.Note) })
+	return f
+}
+
+// RouterID names router i in its present life.
+func (f *Fleet) RouterID(i int) proto.RouterID { return proto.RouterID(fmt.Sprintf("r%d", i)) }
+
+// RouterDomain returns the failure domain of router i.
+func (f *Fleet) RouterDomain(i int) proto.Domain {
+	if len(f.cfg.Domains) == 0 {
+		return "d0"
+	}
+	return f.cfg.Domains[i%len(f.cfg.Domains)]
+}
+
+// StartRouter starts or restarts router i without state.
+func (f *Fleet) StartRouter(i int) {
+	f.lives++
+	id := f.RouterID(i)
+	cfg := router.Config{
+		ID:          id,
+		Domain:      f.RouterDomain(i),
+		Addr:        fmt.Sprintf("10.0.0.%d:80", i+1),
+		Incarnation: proto.Incarnation(fmt.Sprintf("%s-%d", id, f.lives)),
+		Seed:        f.cfg.Drive.Seed*1000 + uint64(f.lives),
+		Checks:      f.Checks,
+	}
+	view := route.ViewConfig{Domain: cfg.Domain, Seed: cfg.Seed}
+	if f.cfg.Placement != nil {
+		cfg.Placement = f.cfg.Placement(i, view)
+	}
+	f.Routers[i] = router.New(cfg)
+	f.add(proto.RouterAddr(id), f.Routers[i])
+}
+
+// StopRouter crashes router i.
+func (f *Fleet) StopRouter(i int) { f.World.Crash(proto.RouterAddr(f.RouterID(i))) }
+
+// StartAgent starts or restarts the agent of an endpoint.
+func (f *Fleet) StartAgent(id proto.EndpointID) {
+	f.lives++
+	a := agent.New(agent.Config{
+		Endpoint:    id,
+		Incarnation: proto.Incarnation(fmt.Sprintf("%s-%d", id, f.lives)),
+		Seed:        f.cfg.Drive.Seed*1000 + uint64(f.lives),
+		ChecksFence: f.endpoints[id].ChecksFence,
+		Checks:      f.Checks,
+	})
+	f.Agents[id] = a
+	f.add(proto.AgentAddr(id), a)
+	// The stand-in announces itself to an agent that it hears from.
+	f.World.Inject(proto.Envelope{From: proto.AgentAddr(id), To: proto.EngineAddr(id), Msg: proto.CacheListRequest{}})
+}
+
+// StartEngine starts the engine or plain service of an endpoint.
+func (f *Fleet) StartEngine(id proto.EndpointID) {
+	e := f.endpoints[id]
+	if e.Kind == note.KindService {
+		f.lives++
+		f.add(proto.EngineAddr(id), orders.New(orders.Config{
+			Endpoint: id, Incarnation: proto.Incarnation(fmt.Sprintf("s%s-%d", id, f.lives)), Book: f.Book,
+		}))
+		return
+	}
+	cfg := f.cfg.Engine
+	cfg.Endpoint = id
+	cfg.ChecksFence = e.ChecksFence
+	cfg.Seed = f.cfg.Drive.Seed
+	cfg.Versions = map[string]string{}
+	for _, m := range f.cfg.Note.Added.Models {
+		cfg.Versions[m.Name] = m.Version
+	}
+	f.Engines[id] = engine.New(cfg)
+	f.add(proto.EngineAddr(id), f.Engines[id])
+}
+
+func (f *Fleet) add(addr proto.Addr, m proto.Machine) {
+	var offset time.Duration
+	if f.cfg.ClockOffset != nil {
+		offset = f.cfg.ClockOffset(addr)
+	}
+	f.World.Add(addr, m, offset)
+}
+
+// Submit sends a note through router i under an id of the operator's choice.
+func (f *Fleet) Submit(i int, id proto.RecordID, n note.Note) {
+	body, err := json.Marshal(n)
+	if err != nil {
+		panic(err) // a note always encodes
+	}
+	f.World.Inject(proto.Envelope{
+		From: proto.Addr{Role: proto.RoleOperator, ID: string(id)},
+		To:   proto.RouterAddr(f.RouterID(i)),
+		Msg:  proto.NoteSubmit{ID: id, Note: body},
+	})
+}
+
+// Ready reports whether every running router serves at least a revision.
+func (f *Fleet) Ready(revision proto.Revision) bool {
+	for i, r := range f.Routers {
+		if !f.World.Alive(proto.RouterAddr(f.RouterID(i))) {
+			continue
+		}
+		s := r.Snapshot()
+		if !s.Ready || s.Config.Revision < revision {
+			return false
+		}
+	}
+	return true
+}
+
+// WaitReady runs the world until Ready, and reports whether that came within a minute.
+func (f *Fleet) WaitReady(revision proto.Revision) bool {
+	return f.World.RunUntil(time.Minute, func() bool { return f.Ready(revision) })
+}
