--- a/core/ledger/client.go
+++ b/core/ledger/client.go
@@ -33,7 +33,7 @@
 	backoffMax = 2 * time.Second
 
 	// MaxRecordBytes is the largest body of a record.
-	MaxRecordBytes = 256 << 10
+	MaxRecordBytes = 1 << 20
 
 	maxBatchRecords = 128
 	maxBatchBytes   = 512 << 10
--- a/core/note/apply.go
+++ b/core/note/apply.go
@@ -1,77 +1,70 @@
 package note
 
 import (
+	"cmp"
 	"maps"
 	"slices"
 )
 
 // Apply returns the configuration after n, at the next revision. It fails
-// without effect unless Check accepts the note.
+// without effect unless Check accepts the note. Sections that n leaves alone
+// are shared with base.
 func Apply(base *Config, n Note) (*Config, error) {
 	if err := Check(base, n); err != nil {
 		return nil, err
 	}
 	next := &Config{
 		Revision:  base.Revision + 1,
-		Accounts:  maps.Clone(base.Accounts),
-		Keys:      maps.Clone(base.Keys),
-		Endpoints: maps.Clone(base.Endpoints),
-		Models:    maps.Clone(base.Models),
-		Routes:    slices.Clone(base.Routes),
+		Accounts:  merge(base.Accounts, n.Added.Accounts, n.Changed.Accounts, n.Withdrawn.Accounts, accountKey),
+		Keys:      merge(base.Keys, n.Added.Keys, n.Changed.Keys, n.Withdrawn.Keys, keyKey),
+		Endpoints: merge(base.Endpoints, n.Added.Endpoints, n.Changed.Endpoints, n.Withdrawn.Endpoints, endpointKey),
+		Models:    merge(base.Models, n.Added.Models, n.Changed.Models, n.Withdrawn.Models, modelKey),
+		Routes:    mergeRoutes(base.Routes, n),
 		Policy:    base.Policy,
 	}
-	next.withdraw(n.Withdrawn)
-	next.put(n.Added)
-	next.put(n.Changed)
+	if p := n.Changed.Policy; p != nil {
+		next.Policy = p.withDefaults()
+	}
 	return next, nil
 }
 
-func (c *Config) withdraw(w Withdrawn) {
-	for _, id := range w.Accounts {
-		delete(c.Accounts, id)
+func merge[K comparable, V any](base map[K]V, added, changed []V, withdrawn []K, key func(V) K) map[K]V {
+	if base != nil && len(added)+len(changed)+len(withdrawn) == 0 {
+		return base
 	}
-	for _, hash := range w.Keys {
-		delete(c.Keys, hash)
+	next := make(map[K]V, len(base)+len(added))
+	maps.Copy(next, base)
+	for _, k := range withdrawn {
+		delete(next, k)
 	}
-	for _, id := range w.Endpoints {
-		delete(c.Endpoints, id)
+	for _, v := range added {
+		next[key(v)] = v
 	}
-	for _, name := range w.Models {
-		delete(c.Models, name)
+	for _, v := range changed {
+		next[key(v)] = v
 	}
-	c.Routes = slices.DeleteFunc(c.Routes, func(r Route) bool {
-		return slices.Contains(w.Routes, RouteID{Method: r.Method, Path: r.Path})
-	})
+	return next
 }
 
-func (c *Config) put(items Items) {
-	for _, a := range items.Accounts {
-		c.Accounts[a.ID] = a
-	}
-	for _, k := range items.Keys {
-		c.Keys[k.Hash] = k
-	}
-	for _, e := range items.Endpoints {
-		c.Endpoints[e.ID] = e
-	}
-	for _, m := range items.Models {
-		c.Models[m.Name] = m
-	}
-	for _, r := range items.Routes {
-		c.putRoute(r)
-	}
-	if items.Policy != nil {
-		c.Policy = items.Policy.withDefaults()
+// mergeRoutes keeps routes sorted, so that equal configurations have equal routes.
+func mergeRoutes(base []Route, n Note) []Route {
+	if len(n.Added.Routes)+len(n.Changed.Routes)+len(n.Withdrawn.Routes) == 0 {
+		return base
 	}
+	merged := merge(routeMap(base), n.Added.Routes, n.Changed.Routes, n.Withdrawn.Routes, Route.ID)
+	return slices.SortedFunc(maps.Values(merged), compareRoutes)
 }
 
-func (c *Config) putRoute(r Route) {
-	same := func(other Route) bool { return other.Method == r.Method && other.Path == r.Path }
-	if i := slices.IndexFunc(c.Routes, same); i >= 0 {
-		c.Routes[i] = r
-		return
+func routeMap(routes []Route) map[RouteID]Route {
+	m := make(map[RouteID]Route, len(routes))
+	for _, r := range routes {
+		m[r.ID()] = r
 	}
-	c.Routes = append(c.Routes, r)
+	return m
+}
+
+func compareRoutes(a, b Route) int {
+	return cmp.Or(cmp.Compare(a.Path, b.Path), cmp.Compare(a.Method, b.Method))
 }
 
 func (p Policy) withDefaults() Policy {
