Follow the config stream, register routers and watch from outside

Cause: the router folded notes with a placeholder and knew no peers. Change: the router folds through core/configlog, registers itself with a static slot, appends checkpoints and takes silent routers off the register.

--- a/core/agent/agent.go
+++ b/core/agent/agent.go
@@ -74,8 +74,11 @@
 	intents *recent[intentID]
 	started *recent[intentID]
 	running int
-	leaving bool
-	beatAt  proto.Instant
+	// draining is set by a shutdown, leaving by a release note as of leavingAt.
+	draining  bool
+	leaving   bool
+	leavingAt proto.Offset
+	beatAt    proto.Instant
 }
 
 // intentID names an intent by its place in the log.
@@ -105,7 +108,7 @@
 func (a *Agent) Stats() Stats { return a.stats }
 
 // Drain makes the agent refuse new work; what it has accepted goes on.
-func (a *Agent) Drain() { a.leaving = true }
+func (a *Agent) Drain() { a.draining = true }
 
 // Drained reports whether no accepted work is left.
 func (a *Agent) Drained() bool {
@@ -138,6 +141,9 @@
 	case proto.Probe:
 		a.learn(m.Stamp)
 		a.Send(from, proto.ProbeReply{Stamp: a.stamp, Request: m.Request, Report: a.report(m.Blocks)})
+	case proto.EndpointLeaving:
+		a.learn(m.Stamp)
+		a.onLeaving(m)
 	case proto.Order:
 		a.learn(m.Stamp)
 		a.onOrder(from, m)
@@ -179,6 +185,15 @@
 	}
 }
 
+// onLeaving follows the newest release note that a router tells about.
+func (a *Agent) onLeaving(m proto.EndpointLeaving) {
+	if m.Stamp.ConfigOffset < a.leavingAt {
+		return
+	}
+	a.leavingAt = m.Stamp.ConfigOffset
+	a.leaving = m.Leaving
+}
+
 // Tick implements proto.Machine.
 func (a *Agent) Tick(now proto.Instant) {
 	a.expire(now)
@@ -223,7 +238,7 @@
 		Running:      a.running,
 		Queued:       a.queue.Len(),
 		Matched:      a.index.Lookup(a.engine.incarnation, blocks),
-		Leaving:      a.leaving,
+		Leaving:      a.draining || a.leaving,
 		Down:         !a.engine.up,
 		Versions:     a.engine.versions,
 	}
--- a/core/agent/dispatch.go
+++ b/core/agent/dispatch.go
@@ -32,7 +32,7 @@
 // admission decides whether a new dispatch may be queued.
 func (a *Agent) admission(d proto.Dispatch) (proto.Cause, proto.Verdict, bool) {
 	switch {
-	case a.leaving:
+	case a.draining || a.leaving:
 		return proto.CauseLeaving, proto.NotRun, true
 	case !a.engine.up:
 		return proto.CauseEndpointFailed, proto.NotRun, true
--- a/core/proto/attempt.go
+++ b/core/proto/attempt.go
@@ -85,6 +85,14 @@
 	Attempt AttemptID `json:"attempt"`
 }
 
+// EndpointLeaving tells an agent whether the release note in force lets its
+// endpoint leave. The agent then refuses new work, also from routers that
+// have not read the note yet.
+type EndpointLeaving struct {
+	Stamp   Stamp `json:"stamp"`
+	Leaving bool  `json:"leaving"`
+}
+
 // Probe asks an agent how many leading blocks it holds and how busy it is.
 type Probe struct {
 	Stamp   Stamp       `json:"stamp"`
--- a/core/proto/kinds.go
+++ b/core/proto/kinds.go
@@ -9,6 +9,7 @@
 	CallerRefusal{},
 	Dispatch{},
 	Cancel{},
+	EndpointLeaving{},
 	Probe{},
 	ProbeReply{},
 	Accepted{},
@@ -80,6 +81,9 @@
 // Kind implements Message.
 func (Cancel) Kind() Kind { return "Cancel" }
 
+// Kind implements Message.
+func (EndpointLeaving) Kind() Kind { return "EndpointLeaving" }
+
 // Kind implements Message.
 func (Probe) Kind() Kind { return "Probe" }
 
--- a/core/proto/operator.go
+++ b/core/proto/operator.go
@@ -1,6 +1,9 @@
 package proto
 
-import "encoding/json"
+import (
+	"encoding/json"
+	"time"
+)
 
 // RoleOperator is the role of an operator's tool that talks to a router.
 const RoleOperator Role = "operator"
@@ -11,6 +14,8 @@
 	// ID makes a submission that is sent again count once.
 	ID   RecordID        `json:"id"`
 	Note json.RawMessage `json:"note"`
+	// SubmittedWall is for the history only.
+	SubmittedWall time.Time `json:"submitted_wall,omitzero"`
 }
 
 // NoteStatus is the fate of a submitted note.
--- a/core/route/hash.go
+++ b/core/route/hash.go
@@ -8,7 +8,7 @@
 )
 
 // PieceTokens is the length in tokens of the prompt pieces that are hashed.
-const PieceTokens = 2000
+const PieceTokens = 2048
 
 // Salt separates the blocks of different client accounts and weights.
 type Salt struct {
--- a/core/router/control.go
+++ b/core/router/control.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/kumquatsill/kumquatsill/core/check"
+	"github.com/kumquatsill/kumquatsill/core/configlog"
 	"github.com/kumquatsill/kumquatsill/core/exchange"
 	"github.com/kumquatsill/kumquatsill/core/ledger"
 	"github.com/kumquatsill/kumquatsill/core/limit"
@@ -21,6 +22,16 @@
 	housekeepingInterval = 250 * time.Millisecond
 	// noteTimeout is how long a submission waits for the log.
 	noteTimeout = 10 * time.Second
+	// registerRetry is the time between two attempts to register.
+	registerRetry = 2 * time.Second
+	// silentRouterAfter is the silence after which a router is taken off the
+	// register, removeInterval the least time between two such looks.
+	silentRouterAfter = time.Minute
+	removeInterval    = 5 * time.Second
+	// DefaultRetention and DefaultRetainedRecords are the least that the log
+	// is expected to keep.
+	DefaultRetention       = time.Hour
+	DefaultRetainedRecords = 100_000
 )
 
 // Config identifies a router.
@@ -33,6 +44,10 @@
 	Incarnation proto.Incarnation
 	Seed        uint64
 	Checks      *check.Set
+	// Retention and RetainedRecords are the least that the log keeps; zero
+	// fields take the defaults.
+	Retention       time.Duration
+	RetainedRecords proto.Offset
 	// Limits and Placement replace the default parts, for comparisons.
 	Limits    limit.Limiter
 	Placement route.Placer
@@ -45,17 +60,29 @@
 	cfg   Config
 	rng   *rand.Rand
 	log   *ledger.Client
-	state *fold
-	fresh *freshness
-	peers *peers
-	notes map[proto.RecordID]submission
+	state *configlog.State
+	// applied is the folded state that the parts were last given.
+	applied *configlog.Snapshot
+	fresh   *freshness
+	peers   *peers
+	notes   map[proto.RecordID]submission
 
 	deps     *exchange.Deps
 	snapshot atomic.Pointer[exchange.Snapshot]
 	// ready is set once the folded state reached the head of the log.
 	ready    bool
 	draining bool
-	workAt   proto.Instant
+
+	checkpointer *configlog.Checkpointer
+	workAt       proto.Instant
+	registerAt   proto.Instant
+	removeAt     proto.Instant
+	stats        Stats
+}
+
+// Stats counts what the control machine did.
+type Stats struct {
+	Checkpoints, CheckpointErrors, AppendErrors, BadReplies int64
 }
 
 // submission is a release note whose outcome an operator waits for.
--- a/core/router/follow.go
+++ b/core/router/follow.go
@@ -5,6 +5,7 @@
 
 	"github.com/kumquatsill/kumquatsill/core/configlog"
 	"github.com/kumquatsill/kumquatsill/core/ledger"
+	"github.com/kumquatsill/kumquatsill/core/note"
 	"github.com/kumquatsill/kumquatsill/core/proto"
 )
 
@@ -48,7 +49,7 @@
 }
 
 func (c *Control) onNoteSubmit(now proto.Instant, from proto.Addr, m proto.NoteSubmit) {
-	n, err := parseNote(m)
+	n, err := note.Parse(m.Note)
 	if err != nil {
 		c.Send(from, proto.NoteOutcome{ID: m.ID, Status: proto.NoteRefused, Detail: err.Error()})
 		return
--- a/core/router/peers.go
+++ b/core/router/peers.go
@@ -1,11 +1,14 @@
 package router
 
 import (
+	"cmp"
+	"maps"
 	"math/rand/v2"
 	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+	"github.com/kumquatsill/kumquatsill/core/configlog"
 	"github.com/kumquatsill/kumquatsill/core/proto"
 )
 
@@ -14,8 +17,8 @@
 	// between the moment at which a reader notices an outage and the end of
 	// its proof of freshness.
 	beatInterval = 500 * time.Millisecond
-	// maxBeatPeers bounds the beats of one router; at 4 bytes a byte of state
-	// 16 peers cost below 3 KB/s.
+	// maxBeatPeers bounds the beats of one router. A beat and its reply take
+	// about 400 bytes together.
 	maxBeatPeers = 16
 	// reachableAge is the age of the last own read of the head above which a
 	// router says that it cannot read the log. It is half of freshFor, so that
@@ -35,40 +38,60 @@
 	sent map[uint64]proto.Instant
 	// chosen are the routers that this one talks to.
 	chosen map[proto.RouterID]proto.Domain
+	// lastHeard is when a chosen router was last heard, or was chosen.
+	lastHeard map[proto.RouterID]proto.Instant
 }
 
 func newPeers(self proto.RouterID, rng *rand.Rand) *peers {
-	return &peers{self: self, rng: rng, sent: map[uint64]proto.Instant{}, chosen: map[proto.RouterID]proto.Domain{}}
+	return &peers{self: self, rng: rng, sent: map[uint64]proto.Instant{}, chosen: map[proto.RouterID]proto.Domain{}, lastHeard: map[proto.RouterID]proto.Instant{}}
+}
+
+// update takes in the registered routers.
+func (p *peers) update(now proto.Instant, known map[proto.RouterID]configlog.RouterState) {
+	p.choose(known)
+	for id := range p.chosen {
+		if _, ok := p.lastHeard[id]; !ok {
+			p.lastHeard[id] = now
+		}
+	}
+	maps.DeleteFunc(p.lastHeard, func(id proto.RouterID, _ proto.Instant) bool {
+		_, ok := p.chosen[id]
+		return !ok
+	})
+}
+
+// heard takes in a sign of life.
+func (p *peers) heard(now proto.Instant, id proto.RouterID) {
+	if _, ok := p.chosen[id]; ok {
+		p.lastHeard[id] = now
+	}
+}
+
+// silent reports whether a chosen router was not heard for d.
+func (p *peers) silent(now proto.Instant, id proto.RouterID, d time.Duration) bool {
+	at, ok := p.lastHeard[id]
+	return ok && now.Sub(at) > d
 }
 
 // choose picks the routers to talk to: all of them, or those that come first
 // in a ranking by hash, which differs from router to router.
-func (p *peers) choose(known map[proto.RouterID]proto.Domain) {
+func (p *peers) choose(known map[proto.RouterID]configlog.RouterState) {
 	ids := make([]proto.RouterID, 0, len(known))
 	for id := range known {
 		if id != p.self {
 			ids = append(ids, id)
 		}
 	}
-	slices.SortFunc(ids, func(a, b proto.RouterID) int {
-		ra, rb := p.rank(a), p.rank(b)
-		switch {
-		case ra < rb:
-			return -1
-		case ra > rb:
-			return 1
-		}
-		return 0
-	})
+	slices.SortFunc(ids, func(a, b proto.RouterID) int { return cmp.Compare(p.rank(a), p.rank(b)) })
 	p.chosen = make(map[proto.RouterID]proto.Domain, min(len(ids), maxBeatPeers))
 	for _, id := range ids[:min(len(ids), maxBeatPeers)] {
-		p.chosen[id] = known[id]
+		p.chosen[id] = known[id].Domain
 	}
 }
 
-func (p *peers) rank(id proto.RouterID) uint64 {
-	return xxhash.Sum64String(string(p.self) + "/" + string(id))
-}
+func (p *peers) rank(id proto.RouterID) uint64 { return hashID(string(p.self) + "/" + string(id)) }
+
+func hashID(id string) uint64 { return xxhash.Sum64String(id) }
 
 // next starts a round of beats and returns its number.
 func (p *peers) next(now proto.Instant) uint64 {
--- a/core/router/publish.go
+++ b/core/router/publish.go
@@ -1,15 +1,22 @@
 package router
 
 import (
+	"maps"
+	"slices"
+
+	"github.com/kumquatsill/kumquatsill/core/configlog"
 	"github.com/kumquatsill/kumquatsill/core/exchange"
+	"github.com/kumquatsill/kumquatsill/core/note"
 	"github.com/kumquatsill/kumquatsill/core/proto"
 )
 
 // publish makes the present state visible to the request path.
 func (c *Control) publish(now proto.Instant) {
 	old := c.snapshot.Load()
+	state := c.state.Snapshot()
+	c.applyState(now, state)
 	next := &exchange.Snapshot{
-		Config:     c.state.config,
+		Config:     state.Config,
 		Stamp:      c.stamp(),
 		Ready:      c.ready,
 		Draining:   c.draining,
@@ -19,10 +26,34 @@
 		c.deps.Placement.Configure(now, next.Config)
 	}
 	c.snapshot.Store(next)
+	if old != nil && old.Config != next.Config {
+		c.announceLeaving(old.Config, next.Config)
+	}
+}
+
+// announceLeaving tells the agents of endpoints that begin or cease to leave.
+// A router that starts tells all that leave, as an agent may have restarted.
+func (c *Control) announceLeaving(old, next *note.Config) {
+	for _, id := range slices.Sorted(maps.Keys(next.Endpoints)) {
+		if leaving := next.Endpoints[id].Leaving; leaving != old.Endpoints[id].Leaving {
+			c.Send(proto.AgentAddr(id), proto.EndpointLeaving{Stamp: c.stamp(), Leaving: leaving})
+		}
+	}
+}
+
+// applyState passes a new folded state on to the parts that follow it.
+func (c *Control) applyState(now proto.Instant, state *configlog.Snapshot) {
+	if c.applied == state {
+		return
+	}
+	c.applied = state
+	c.peers.update(now, state.Routers)
+	c.fresh.forget(c.peers.chosen)
 }
 
 func (c *Control) stamp() proto.Stamp {
-	return proto.Stamp{Revision: c.state.config.Revision, ConfigOffset: c.state.next}
+	s := c.state.Snapshot()
+	return proto.Stamp{Revision: s.Revision, ConfigOffset: s.ConfigOffset}
 }
 
 // logReachable reports whether this router itself read the head lately.
@@ -52,7 +83,8 @@
 
 func (c *Control) onBeat(now proto.Instant, from proto.Addr, m proto.PeerBeat) {
 	c.Send(from, proto.PeerBeatReply{Beat: c.ownBeat(now, m.Call)})
-	c.catchUp(from, m.Stamp)
+	c.peers.heard(now, m.Router)
+	c.catchUp(now, from, m.Stamp)
 }
 
 func (c *Control) onBeatReply(now proto.Instant, m proto.PeerBeatReply) {
@@ -60,27 +92,37 @@
 	if !ok {
 		return
 	}
-	c.fresh.peer(now, sent, m.Beat, c.state.next)
-	c.catchUp(proto.RouterAddr(m.Beat.Router), m.Beat.Stamp)
+	c.peers.heard(now, m.Beat.Router)
+	c.fresh.peer(now, sent, m.Beat, c.state.Next())
+	c.catchUp(now, proto.RouterAddr(m.Beat.Router), m.Beat.Stamp)
 }
 
 // catchUp asks a peer that knows more for what is missing.
-func (c *Control) catchUp(peer proto.Addr, stamp proto.Stamp) {
-	if stamp.ConfigOffset > c.state.next {
-		c.Send(peer, proto.StateRequest{From: c.state.next})
+func (c *Control) catchUp(now proto.Instant, peer proto.Addr, stamp proto.Stamp) {
+	if stamp.ConfigOffset > c.state.Next() && !c.logReachable(now) {
+		c.Send(peer, proto.StateRequest{From: c.state.Next()})
 	}
 }
 
 func (c *Control) onStateRequest(now proto.Instant, from proto.Addr, m proto.StateRequest) {
+	records, err := c.state.Since(m.From, c.cfg.ID)
+	if err != nil {
+		return // the state is incomplete; the peer asks another router
+	}
 	c.Send(from, proto.StateReply{
-		Stamp: c.stamp(), Records: c.state.after(m.From), Head: c.state.next, LogReadAge: c.fresh.age(now),
+		Stamp: c.stamp(), Records: records, Head: c.state.Next(), LogReadAge: c.fresh.age(now),
 	})
 }
 
 func (c *Control) onStateReply(now proto.Instant, m proto.StateReply) {
+	results, err := c.state.FoldReply(m.Records)
+	if err != nil {
+		c.stats.BadReplies++
+		return
+	}
 	changed := false
-	for _, r := range m.Records {
-		changed = c.foldRecord(now, r) || changed
+	for _, r := range results {
+		changed = c.onFolded(r) || changed
 	}
 	if changed {
 		c.publish(now)
--- a/core/router/step.go
+++ b/core/router/step.go
@@ -3,6 +3,7 @@
 import (
 	"math/rand/v2"
 
+	"github.com/kumquatsill/kumquatsill/core/configlog"
 	"github.com/kumquatsill/kumquatsill/core/exchange"
 	"github.com/kumquatsill/kumquatsill/core/ledger"
 	"github.com/kumquatsill/kumquatsill/core/limit"
@@ -27,11 +28,17 @@
 		cfg:    cfg,
 		rng:    rng,
 		log:    ledger.New(ledger.Config{Self: self, Incarnation: cfg.Incarnation, Seed: cfg.Seed}),
-		state:  newFold(),
+		state:  configlog.NewState(cfg.Checks),
 		fresh:  newFreshness(),
 		peers:  newPeers(cfg.ID, rng),
 		notes:  map[proto.RecordID]submission{},
 	}
+	if cfg.Retention == 0 {
+		cfg.Retention = DefaultRetention
+	}
+	if cfg.RetainedRecords == 0 {
+		cfg.RetainedRecords = DefaultRetainedRecords
+	}
 	if cfg.Placement == nil {
 		cfg.Placement = route.NewView(route.ViewConfig{Domain: cfg.Domain, Seed: cfg.Seed})
 	}
@@ -47,6 +54,7 @@
 		Stats:     &exchange.Stats{},
 		Checks:    cfg.Checks,
 	}
+	c.checkpointer = configlog.NewCheckpointer(cfg.Retention, cfg.RetainedRecords, cfg.Seed)
 	c.log.Follow(proto.StreamConfig, 0)
 	c.publish(0)
 	return c
@@ -92,6 +100,9 @@
 	if now >= c.workAt {
 		c.workAt = now.Add(housekeepingInterval)
 		c.expireNotes(now)
+		c.register(now)
+		c.removeSilent(now)
+		c.checkpoint(now)
 		c.publish(now)
 	}
 	c.settle(now)
@@ -110,8 +121,10 @@
 	}
 	if at, ok := c.log.HeadReadAt(proto.StreamConfig); ok {
 		c.fresh.headRead(at)
-		changed = changed || !c.ready
-		c.ready = true
+		if !c.ready && c.state.Snapshot().Complete {
+			c.ready = true
+			changed = true
+		}
 	}
 	if changed {
 		c.publish(now)
@@ -122,7 +135,11 @@
 func (c *Control) onLogEvent(now proto.Instant, e ledger.Event) bool {
 	switch e.Kind {
 	case ledger.EventRecord:
-		return e.Stream == proto.StreamConfig && c.foldRecord(now, e.Record)
+		return e.Stream == proto.StreamConfig && c.foldRecord(e.Record)
+	case ledger.EventGap:
+		if e.Stream == proto.StreamConfig {
+			c.state.Skip(e.Offset)
+		}
 	case ledger.EventRefused, ledger.EventUnknown, ledger.EventAbsent:
 		c.noteFailed(e)
 	}
--- a/proof/fleet/fleet.go
+++ b/proof/fleet/fleet.go
@@ -49,6 +49,7 @@
 	cfg       Config
 	endpoints map[proto.EndpointID]note.Endpoint
 	lives     int
+	ids       []proto.RouterID
 }
 
 // Start builds the fleet and submits the first note through router 0. The
@@ -69,6 +70,7 @@
 	f.World.AddRole(proto.RoleCaller, f.Callers)
 	f.World.AddRole(proto.RoleOperator, f.Callers)
 	f.Routers = make([]*router.Router, cfg.Routers)
+	f.ids = make([]proto.RouterID, cfg.Routers)
 	for i := range f.Routers {
 		f.StartRouter(i)
 	}
@@ -82,7 +84,10 @@
 }
 
 // RouterID names router i in its present life.
-func (f *Fleet) RouterID(i int) proto.RouterID { return proto.RouterID(fmt.Sprintf("r%d", i)) }
+func (f *Fleet) RouterID(i int) proto.RouterID { return f.ids[i] }
+
+// RouterAddr returns the address of router i in its present life.
+func (f *Fleet) RouterAddr(i int) proto.Addr { return proto.RouterAddr(f.ids[i]) }
 
 // RouterDomain returns the failure domain of router i.
 func (f *Fleet) RouterDomain(i int) proto.Domain {
@@ -95,12 +100,13 @@
 // StartRouter starts or restarts router i without state.
 func (f *Fleet) StartRouter(i int) {
 	f.lives++
-	id := f.RouterID(i)
+	id := proto.RouterID(fmt.Sprintf("r%d-%d", i, f.lives))
+	f.ids[i] = id
 	cfg := router.Config{
 		ID:          id,
 		Domain:      f.RouterDomain(i),
 		Addr:        fmt.Sprintf("10.0.0.%d:80", i+1),
-		Incarnation: proto.Incarnation(fmt.Sprintf("%s-%d", id, f.lives)),
+		Incarnation: proto.Incarnation(id),
 		Seed:        f.cfg.Drive.Seed*1000 + uint64(f.lives),
 		Checks:      f.Checks,
 	}
@@ -113,7 +119,7 @@
 }
 
 // StopRouter crashes router i.
-func (f *Fleet) StopRouter(i int) { f.World.Crash(proto.RouterAddr(f.RouterID(i))) }
+func (f *Fleet) StopRouter(i int) { f.World.Crash(f.RouterAddr(i)) }
 
 // StartAgent starts or restarts the agent of an endpoint.
 func (f *Fleet) StartAgent(id proto.EndpointID) {
@@ -169,7 +175,7 @@
 	}
 	f.World.Inject(proto.Envelope{
 		From: proto.Addr{Role: proto.RoleOperator, ID: string(id)},
-		To:   proto.RouterAddr(f.RouterID(i)),
+		To:   f.RouterAddr(i),
 		Msg:  proto.NoteSubmit{ID: id, Note: body},
 	})
 }
@@ -177,7 +183,7 @@
 // Ready reports whether every running router serves at least a revision.
 func (f *Fleet) Ready(revision proto.Revision) bool {
 	for i, r := range f.Routers {
-		if !f.World.Alive(proto.RouterAddr(f.RouterID(i))) {
+		if !f.World.Alive(f.RouterAddr(i)) {
 			continue
 		}
 		s := r.Snapshot()
--- a/proof/fleet/path_test.go
+++ b/proof/fleet/path_test.go
@@ -48,7 +48,7 @@
 // an engine and its answer back, complete and in order.
 func TestRequestPath(t *testing.T) {
 	f := startSmall(t, 1)
-	a := f.Callers.Send(proto.RouterAddr("r1"), generation("q1"))
+	a := f.Callers.Send(f.RouterAddr(1), generation("q1"))
 	f.World.Run(20 * time.Second)
 	if a.Finish == nil {
 		t.Fatalf("no answer; refusal %+v", a.Refusal)
@@ -70,7 +70,7 @@
 	f := startSmall(t, 1)
 	req := generation("q1")
 	req.Key = "00"
-	a := f.Callers.Send(proto.RouterAddr("r0"), req)
+	a := f.Callers.Send(f.RouterAddr(0), req)
 	f.World.Run(time.Second)
 	if a.Refusal == nil || a.Refusal.Cause != proto.CauseUnknownKey || a.Refusal.Verdict != proto.NotRun {
 		t.Errorf("refusal %+v, want %s with verdict not_run", a.Refusal, proto.CauseUnknownKey)
