Fold the config stream into shared state

Cause: every node has to reach the same notes, leases, routers and quarantines from the log alone, also when retention removed its beginning.

--- /dev/null
+++ b/core/configlog/fold.go
@@ -0,0 +1,184 @@
+package configlog
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+
+	"github.com/kumquatsill/kumquatsill/core/proto"
+)
+
+func (s *State) lease(at proto.Offset, l Lease) (Outcome, string) {
+	if l.Holder == "" || l.Balance < 0 || l.TTL < 0 || l.Name == "" && l.Action != LeaseRenew {
+		return Refused, "the lease record is incomplete"
+	}
+	cur, ok := s.cur.Leases[l.Name]
+	cur = touched(cur, s.cur.renewed)
+	if l.Action == LeaseClaim {
+		return s.claim(at, l, cur, ok)
+	}
+	if l.Action == LeaseRenew && l.Name == "" {
+		s.cur.renewed = own(s.cur.renewed, &s.shared.renewed)
+		s.cur.renewed[l.Holder] = at
+		return Applied, ""
+	}
+	if !ok || cur.Released || cur.Holder != l.Holder || cur.Fence != l.Fence {
+		return Beaten, "the lease is not held under this fencing number"
+	}
+	switch l.Action {
+	case LeaseRenew:
+		cur.TTL = cmp.Or(l.TTL, cur.TTL)
+	case LeaseRelease:
+		cur.Released = true
+		cur.Balance = l.Balance
+	case LeaseHandOver:
+		if l.To == "" {
+			return Refused, "the hand-over names no new holder"
+		}
+		cur = LeaseState{Holder: l.To, Fence: at, TTL: cmp.Or(l.TTL, cur.TTL), Balance: l.Balance}
+	default:
+		return Refused, "unknown lease action " + string(l.Action)
+	}
+	s.putLease(at, l.Name, cur)
+	return Applied, ""
+}
+
+// claim succeeds if nobody touched the lease since the claimant looked. A
+// holder that renewed in the meantime therefore keeps it.
+func (s *State) claim(at proto.Offset, l Lease, cur LeaseState, held bool) (Outcome, string) {
+	if l.TTL <= 0 {
+		return Refused, "the claim has no time to live"
+	}
+	prior := NoOffset
+	if held {
+		prior = cur.Touched
+	}
+	if l.Prior != prior {
+		return Beaten, "the lease was touched at offset " + offsetText(prior)
+	}
+	next := LeaseState{Holder: l.Holder, Fence: at, TTL: l.TTL}
+	if cur.Released {
+		next.Balance = cur.Balance
+	}
+	s.putLease(at, l.Name, next)
+	return Applied, ""
+}
+
+func (s *State) putLease(at proto.Offset, name string, l LeaseState) {
+	l.Touched = at
+	s.cur.Leases = own(s.cur.Leases, &s.shared.leases)
+	s.cur.Leases[name] = l
+}
+
+func (s *State) registration(at proto.Offset, r Registration) (Outcome, string) {
+	if r.Router == "" || !r.Gone && r.Addr == "" {
+		return Refused, "the registration is incomplete"
+	}
+	s.cur.Routers = own(s.cur.Routers, &s.shared.routers)
+	if r.Gone {
+		s.removeRouter(r.Router)
+		return Applied, ""
+	}
+	for id, other := range s.cur.Routers {
+		if other.Addr == r.Addr && id != r.Router {
+			s.removeRouter(id)
+		}
+	}
+	old, known := s.cur.Routers[r.Router]
+	next := RouterState{Router: r.Router, Addr: r.Addr, Domain: r.Domain, Slot: NoSlot, Offset: at, SlotOffset: at}
+	if known && old.Slot == r.Slot {
+		next.SlotOffset = old.SlotOffset
+	}
+	if known && old.Slot != NoSlot {
+		delete(s.slots, old.Slot)
+	}
+	detail := ""
+	switch owner, taken := s.slots[r.Slot]; {
+	case r.Slot == NoSlot:
+	case r.Slot < 0 || r.Slot >= s.cur.Config.Policy.StaticSlots:
+		detail = "there is no such slot"
+	case taken:
+		detail = "the slot belongs to " + string(owner)
+	default:
+		next.Slot = r.Slot
+		s.slots[r.Slot] = r.Router
+	}
+	s.cur.Routers[r.Router] = next
+	return Applied, detail
+}
+
+func (s *State) removeRouter(id proto.RouterID) {
+	if r, ok := s.cur.Routers[id]; ok && r.Slot != NoSlot {
+		delete(s.slots, r.Slot)
+	}
+	delete(s.cur.Routers, id)
+	if _, ok := s.cur.renewed[id]; ok {
+		s.cur.renewed = own(s.cur.renewed, &s.shared.renewed)
+		delete(s.cur.renewed, id)
+	}
+}
+
+func (s *State) suspect(at proto.Offset, r Suspect) (Outcome, string) {
+	if r.Fingerprint == "" {
+		return Refused, "the suspect has no fingerprint"
+	}
+	subject := Subject{Account: r.Account, Fingerprint: r.Fingerprint}
+	s.cur.Suspects = own(s.cur.Suspects, &s.shared.suspects)
+	if r.Cleared {
+		delete(s.cur.Suspects, subject)
+		return Applied, ""
+	}
+	crashes := s.cur.Suspects[subject]
+	same := func(c Crash) bool { return c.Endpoint == r.Endpoint && c.Incarnation == r.Incarnation }
+	if slices.ContainsFunc(crashes, same) {
+		return Beaten, "the crash is recorded already"
+	}
+	if len(crashes) >= maxCrashes {
+		crashes = crashes[1:]
+	}
+	crash := Crash{Endpoint: r.Endpoint, Incarnation: r.Incarnation, Alone: r.Alone, Offset: at}
+	s.cur.Suspects[subject] = append(slices.Clip(crashes), crash)
+	if len(s.cur.Suspects) > maxSuspects {
+		s.forgetSuspects()
+	}
+	return Applied, ""
+}
+
+// forgetSuspects drops the half of the suspects that crashed longest ago.
+func (s *State) forgetSuspects() {
+	last := func(k Subject) proto.Offset {
+		crashes := s.cur.Suspects[k]
+		return crashes[len(crashes)-1].Offset
+	}
+	keys := slices.SortedFunc(maps.Keys(s.cur.Suspects), func(a, b Subject) int { return cmp.Compare(last(a), last(b)) })
+	for _, k := range keys[:len(keys)/2] {
+		delete(s.cur.Suspects, k)
+	}
+}
+
+func (s *State) quarantine(at proto.Offset, r Quarantine) (Outcome, string) {
+	if r.Fingerprint == "" || r.For <= 0 {
+		return Refused, "the quarantine is incomplete"
+	}
+	subject := Subject{Account: r.Account, Fingerprint: r.Fingerprint}
+	s.cur.Quarantines = own(s.cur.Quarantines, &s.shared.quarantines)
+	s.cur.Quarantines[subject] = QuarantineState{For: r.For, Reason: r.Reason, Offset: at}
+	return Applied, ""
+}
+
+func (s *State) quarantineRelease(_ proto.Offset, r QuarantineRelease) (Outcome, string) {
+	subject := Subject{Account: r.Account, Fingerprint: r.Fingerprint}
+	q, ok := s.cur.Quarantines[subject]
+	if !ok {
+		return Beaten, "there is no such quarantine"
+	}
+	if r.Operator == "" && r.Quarantined != q.Offset {
+		return Beaten, "a later quarantine is in force"
+	}
+	s.cur.Quarantines = own(s.cur.Quarantines, &s.shared.quarantines)
+	delete(s.cur.Quarantines, subject)
+	// The request starts afresh, else its next crash would count as a second.
+	s.cur.Suspects = own(s.cur.Suspects, &s.shared.suspects)
+	delete(s.cur.Suspects, subject)
+	return Applied, ""
+}
