app/api: add the callers' HTTP interface

Cause: callers need an OpenAI-style API that bounds what one caller can take and keeps keys away from endpoints.

Change: chat and text completions, models and plain-service calls with streaming, Last-Event-ID, usage, idempotency keys, problem documents with verdict, limits of size and time, and refusal of ambiguous requests. The body is written anew from its parsed form, and a request that repeats its key outside the places for keys is refused.

--- /dev/null
+++ b/app/api/metrics.go
@@ -0,0 +1,58 @@
+package api
+
+import (
+	"fmt"
+	"sync"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/kumquatsill/kumquatsill/core/proto"
+)
+
+// maxAccountLabels bounds the label values; further accounts share "other".
+const maxAccountLabels = 1500
+
+// Metrics holds the measurements of the caller API.
+type Metrics struct {
+	set      *metrics.Set
+	mu       sync.Mutex
+	accounts map[proto.AccountID]bool
+}
+
+// NewMetrics returns measurements that register in set as they occur.
+func NewMetrics(set *metrics.Set) *Metrics {
+	return &Metrics{set: set, accounts: map[proto.AccountID]bool{}}
+}
+
+func (m *Metrics) labels(account proto.AccountID, class proto.Class) string {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if !m.accounts[account] {
+		if len(m.accounts) >= maxAccountLabels {
+			account = "other"
+		} else {
+			m.accounts[account] = true
+		}
+	}
+	return fmt.Sprintf("{account=%q,class=%q}", account, class)
+}
+
+func (m *Metrics) firstToken(account proto.AccountID, class proto.Class, d time.Duration) {
+	m.set.GetOrCreateHistogram("kumquatsill_first_token_seconds" + m.labels(account, class)).Update(d.Seconds())
+}
+
+func (m *Metrics) ended(account proto.AccountID, class proto.Class, d time.Duration, usage proto.Usage) {
+	labels := m.labels(account, class)
+	m.set.GetOrCreateHistogram("kumquatsill_request_seconds" + labels).Update(d.Seconds())
+	m.set.GetOrCreateCounter("kumquatsill_prompt_tokens_total" + labels).AddInt64(usage.PromptTokens)
+	m.set.GetOrCreateCounter("kumquatsill_cached_tokens_total" + labels).AddInt64(usage.CachedTokens)
+	m.set.GetOrCreateCounter("kumquatsill_completion_tokens_total" + labels).AddInt64(usage.CompletionTokens)
+}
+
+func (m *Metrics) refused(p *Problem) {
+	m.set.GetOrCreateCounter(fmt.Sprintf("kumquatsill_refusals_total{cause=%q,verdict=%q}", p.cause, p.Verdict)).Inc()
+}
+
+func (m *Metrics) abandoned(reason string) {
+	m.set.GetOrCreateCounter(fmt.Sprintf("kumquatsill_callers_abandoned_total{reason=%q}", reason)).Inc()
+}
--- /dev/null
+++ b/app/api/server.go
@@ -0,0 +1,283 @@
+package api
+
+import (
+	"bytes"
+	"encoding/json"
+	"errors"
+	"io"
+	"net/http"
+	"os"
+	"slices"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/kumquatsill/kumquatsill/app/shell"
+	"github.com/kumquatsill/kumquatsill/core/proto"
+	"github.com/uptrace/bunrouter"
+)
+
+// answerGrace is how long after the deadline the router's own answer is awaited.
+const answerGrace = 5 * time.Second
+
+// Router is what the API needs of a router.
+type Router interface {
+	// Submit hands over a request; what is for the caller comes to the mailbox.
+	Submit(req proto.CallerRequest, limit int) (*shell.Mailbox, bool)
+	// Leave ends a request's mailbox; gone tells that the caller hung up.
+	Leave(id proto.RequestID, gone bool)
+	View() shell.View
+}
+
+// Server serves callers. It implements http.Handler.
+type Server struct {
+	router   Router
+	limits   Limits
+	metrics  *Metrics
+	mux      *bunrouter.Router
+	inFlight atomic.Int64
+	draining atomic.Bool
+}
+
+// New returns the handler of the callers' interface.
+func New(router Router, limits Limits, m *Metrics) *Server {
+	s := &Server{router: router, limits: limits, metrics: m}
+	s.mux = bunrouter.New(
+		bunrouter.WithNotFoundHandler(s.guard(s.call)),
+		bunrouter.WithMethodNotAllowedHandler(s.guard(s.call)),
+	)
+	s.mux.POST("/v1/chat/completions", s.guard(s.chat))
+	s.mux.POST("/v1/completions", s.guard(s.completion))
+	s.mux.GET("/v1/models", s.guard(s.models))
+	s.mux.GET("/healthz", Health)
+	s.mux.GET("/readyz", s.Ready)
+	return s
+}
+
+// Configure sets the limits that the HTTP server itself enforces.
+func (s *Server) Configure(h *http.Server) {
+	h.MaxHeaderBytes = s.limits.Header
+	h.ReadHeaderTimeout = s.limits.HeaderTime
+	h.IdleTimeout = time.Minute
+}
+
+// Drain makes the server report that it is not ready and close each
+// connection after its next answer. Requests are still served.
+func (s *Server) Drain() { s.draining.Store(true) }
+
+// ServeHTTP implements http.Handler.
+func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	// The deadline of an earlier answer on this connection must not apply.
+	_ = http.NewResponseController(w).SetWriteDeadline(time.Time{})
+	h := w.Header()
+	h.Set("X-Content-Type-Options", "nosniff")
+	h.Set("Cache-Control", "no-store")
+	if s.draining.Load() {
+		h.Set("Connection", "close")
+	}
+	if problem := screen(r); problem != nil {
+		s.refuse(w, problem, "")
+		return
+	}
+	s.mux.ServeHTTP(w, r)
+}
+
+// Health answers while the process runs.
+func Health(w http.ResponseWriter, _ bunrouter.Request) error {
+	_, err := io.WriteString(w, "ok\n")
+	return err
+}
+
+// Ready answers 200 while the router can serve warm and does not drain.
+func (s *Server) Ready(w http.ResponseWriter, _ bunrouter.Request) error {
+	if s.draining.Load() || !s.router.View().Ready {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		_, err := io.WriteString(w, "not ready\n")
+		return err
+	}
+	_, err := io.WriteString(w, "ready\n")
+	return err
+}
+
+// request is one caller's request on its way through the API.
+type request struct {
+	proto.CallerRequest
+	arrived time.Time
+	account proto.AccountID
+	chat    bool
+}
+
+type handler func(w http.ResponseWriter, r *http.Request, req *request) *Problem
+
+// guard turns a handler's problem into an answer and bounds the requests in flight.
+func (s *Server) guard(next handler) bunrouter.HandlerFunc {
+	return func(w http.ResponseWriter, r bunrouter.Request) error {
+		req := &request{arrived: time.Now()}
+		req.ID = newRequestID(r.Header.Get("X-Request-Id"))
+		w.Header().Set("X-Request-Id", callerID(r.Header.Get("X-Request-Id"), req.ID))
+		w.Header().Set("Kumquatsill-Request-Id", string(req.ID))
+		defer s.inFlight.Add(-1)
+		if s.inFlight.Add(1) > s.limits.InFlight {
+			detail := "This router has too many requests in flight."
+			s.refuse(w, newProblem(proto.CauseOverload, proto.NotRun, detail).withRetry(time.Second), req.ID)
+			return nil
+		}
+		if problem := next(w, r.Request, req); problem != nil {
+			s.refuse(w, problem, req.ID)
+		}
+		return nil
+	}
+}
+
+// newRequestID returns an id that is unique in the fleet even if callers
+// repeat theirs.
+func newRequestID(given string) proto.RequestID {
+	unique := uuid.NewString()
+	if given == "" {
+		return proto.RequestID(unique)
+	}
+	return proto.RequestID(given + "~" + unique)
+}
+
+func callerID(given string, id proto.RequestID) string {
+	if given != "" {
+		return given
+	}
+	return string(id)
+}
+
+func (s *Server) refuse(w http.ResponseWriter, p *Problem, id proto.RequestID) {
+	p.Request = id
+	s.metrics.refused(p)
+	s.limitWrite(w)
+	p.write(w)
+}
+
+// limitWrite bounds the time of what is written next.
+func (s *Server) limitWrite(w http.ResponseWriter) {
+	_ = http.NewResponseController(w).SetWriteDeadline(time.Now().Add(s.limits.WriteTime))
+}
+
+func (s *Server) chat(w http.ResponseWriter, r *http.Request, req *request) *Problem {
+	req.chat = true
+	return s.generate(w, r, req)
+}
+
+func (s *Server) completion(w http.ResponseWriter, r *http.Request, req *request) *Problem {
+	return s.generate(w, r, req)
+}
+
+func (s *Server) generate(w http.ResponseWriter, r *http.Request, req *request) *Problem {
+	return s.serve(w, r, req, func(body []byte) *Problem {
+		if problem := ParseGenerate(body, req.chat, &req.CallerRequest); problem != nil {
+			return problem
+		}
+		if req.Resume != nil && !req.Stream {
+			return badRequest("Last-Event-ID continues only streams; set \"stream\" to true.")
+		}
+		return nil
+	})
+}
+
+func (s *Server) call(w http.ResponseWriter, r *http.Request, req *request) *Problem {
+	if strings.HasPrefix(r.URL.Path, "/internal/") {
+		return newProblem(proto.CauseUnknownRoute, proto.NotRun, "")
+	}
+	return s.serve(w, r, req, func(body []byte) *Problem { return parseCall(r, body, &req.CallerRequest) })
+}
+
+func (s *Server) serve(w http.ResponseWriter, r *http.Request, req *request, parse func([]byte) *Problem) *Problem {
+	key, query, problem := takeKey(r)
+	if problem != nil {
+		return problem
+	}
+	if problem := parseHeaders(r.Header, s.limits, &req.CallerRequest); problem != nil {
+		return problem
+	}
+	body, problem := s.readBody(w, r)
+	if problem != nil {
+		return problem
+	}
+	req.Method, req.Path, req.Query = r.Method, r.URL.Path, query
+	req.ArrivedWall = req.arrived
+	if problem := parse(body); problem != nil {
+		return problem
+	}
+	if problem := screenCaller(&req.CallerRequest, key); problem != nil {
+		return problem
+	}
+	if key != "" {
+		req.Key = HashKey(key)
+	}
+	req.account = s.router.View().Config.Keys[req.Key].Account
+	return s.run(w, r, req)
+}
+
+// readBody reads the whole body within the limits of size and time.
+func (s *Server) readBody(w http.ResponseWriter, r *http.Request) ([]byte, *Problem) {
+	tooLarge := newProblem(proto.CauseTooLarge, proto.NotRun, "The body exceeds the limit of this router.")
+	if r.ContentLength > s.limits.Body {
+		w.Header().Set("Connection", "close")
+		return nil, tooLarge
+	}
+	control := http.NewResponseController(w)
+	_ = control.SetReadDeadline(time.Now().Add(s.limits.BodyTime))
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, s.limits.Body))
+	var size *http.MaxBytesError
+	switch {
+	case errors.As(err, &size):
+		return nil, tooLarge
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		w.Header().Set("Connection", "close")
+		return nil, badRequest("The body did not arrive in time.").withStatus(http.StatusRequestTimeout)
+	case err != nil:
+		w.Header().Set("Connection", "close")
+		return nil, badRequest("The body ended early.")
+	}
+	_ = control.SetReadDeadline(time.Time{})
+	return body, nil
+}
+
+type modelEntry struct {
+	ID      string `json:"id"`
+	Object  string `json:"object"`
+	Version string `json:"version"`
+	OwnedBy string `json:"owned_by"`
+}
+
+// models lists the models in force. The list needs a valid key.
+func (s *Server) models(w http.ResponseWriter, r *http.Request, _ *request) *Problem {
+	key, _, problem := takeKey(r)
+	if problem != nil {
+		return problem
+	}
+	config := s.router.View().Config
+	if key == "" {
+		return newProblem(proto.CauseMissingKey, proto.NotRun, "Send the key as Authorization: Bearer.")
+	}
+	if _, known := config.Keys[HashKey(key)]; !known {
+		return newProblem(proto.CauseUnknownKey, proto.NotRun, "")
+	}
+	list := struct {
+		Object string       `json:"object"`
+		Data   []modelEntry `json:"data"`
+	}{Object: "list", Data: []modelEntry{}}
+	for _, m := range config.Models {
+		list.Data = append(list.Data, modelEntry{ID: m.Name, Object: "model", Version: m.Version, OwnedBy: "operator"})
+	}
+	s.limitWrite(w)
+	slices.SortFunc(list.Data, func(a, b modelEntry) int { return strings.Compare(a.ID, b.ID) })
+	writeJSON(w, list)
+	return nil
+}
+
+func writeJSON(w http.ResponseWriter, value any) {
+	var out bytes.Buffer
+	if err := json.NewEncoder(&out).Encode(value); err != nil {
+		w.WriteHeader(http.StatusInternalServerError)
+		return
+	}
+	w.Header().Set("Content-Type", "application/json")
+	_, _ = w.Write(out.Bytes())
+}
