cmd: add kumquatsill router, dev and kumquatsill-agent

Cause: the state machines and shells need programs around them.

Change: both binaries with go-flags and environment variables; all bad settings are listed at once. dev runs routers, agents and stand-ins in one process and prints a key and a curl line.

--- a/app/api/credentials.go
+++ b/app/api/credentials.go
@@ -2,8 +2,6 @@
 
 import (
 	"bytes"
-	"crypto/sha256"
-	"encoding/hex"
 	"encoding/json"
 	"net/http"
 	"net/url"
@@ -24,12 +22,6 @@
 	keyNames   = []string{"api_key", "api-key", "apikey", "access_token", "key"}
 )
 
-// HashKey returns the form in which a key is compared and recorded.
-func HashKey(key string) proto.KeyHash {
-	sum := sha256.Sum256([]byte(key))
-	return proto.KeyHash(hex.EncodeToString(sum[:]))
-}
-
 // takeKey returns the caller's key, or "" if there is none, and the query
 // without keys.
 func takeKey(r *http.Request) (key, query string, problem *Problem) {
--- a/app/api/server.go
+++ b/app/api/server.go
@@ -14,6 +14,7 @@
 
 	"github.com/google/uuid"
 	"github.com/kumquatsill/kumquatsill/app/shell"
+	"github.com/kumquatsill/kumquatsill/core/note"
 	"github.com/kumquatsill/kumquatsill/core/proto"
 	"github.com/uptrace/bunrouter"
 )
@@ -208,7 +209,7 @@
 		return problem
 	}
 	if key != "" {
-		req.Key = HashKey(key)
+		req.Key = note.HashKey(key)
 	}
 	req.account = s.router.View().Config.Keys[req.Key].Account
 	return s.run(w, r, req)
@@ -256,7 +257,7 @@
 	if key == "" {
 		return newProblem(proto.CauseMissingKey, proto.NotRun, "Send the key as Authorization: Bearer.")
 	}
-	if _, known := config.Keys[HashKey(key)]; !known {
+	if _, known := config.Keys[note.HashKey(key)]; !known {
 		return newProblem(proto.CauseUnknownKey, proto.NotRun, "")
 	}
 	list := struct {
--- a/app/api/server_test.go
+++ b/app/api/server_test.go
@@ -160,7 +160,7 @@
 		}
 		req := f.requests()[0]
 		seen := fmt.Sprintf("%+v %s", req, req.Body)
-		if strings.Contains(seen, key) || req.Key != api.HashKey(key) {
+		if strings.Contains(seen, key) || req.Key != note.HashKey(key) {
 			t.Errorf("%s: %s", name, seen)
 		}
 	}
--- /dev/null
+++ b/app/dev/dev.go
@@ -0,0 +1,309 @@
+// Package dev runs a whole fleet with stand-ins in one process.
+package dev
+
+import (
+	"context"
+	"encoding/hex"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"log/slog"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/kumquatsill/kumquatsill/app/api"
+	"github.com/kumquatsill/kumquatsill/app/node"
+	"github.com/kumquatsill/kumquatsill/app/shell"
+	"github.com/kumquatsill/kumquatsill/core/note"
+	"github.com/kumquatsill/kumquatsill/core/proto"
+	"github.com/kumquatsill/kumquatsill/standin/engine"
+	"github.com/kumquatsill/kumquatsill/standin/kv"
+	"github.com/kumquatsill/kumquatsill/standin/logsvc"
+	"github.com/kumquatsill/kumquatsill/standin/orders"
+	"github.com/kumquatsill/kumquatsill/standin/serve"
+	"github.com/zeebo/errs"
+	"gopkg.in/tomb.v2"
+)
+
+// Error is the class of all errors of this package.
+var Error = errs.Class("dev")
+
+const (
+	loopback = "127.0.0.1:0"
+	// model and version are what the example note serves.
+	model   = "assistant"
+	version = "v1"
+	// submitRetry is the pause before the note is submitted again.
+	submitRetry  = 200 * time.Millisecond
+	drainTimeout = time.Minute
+)
+
+// Config sets up a fleet for development.
+type Config struct {
+	// Listen is the "ip:port" of the first router for callers.
+	Listen  string
+	Routers int
+	Engines int
+	Seed    uint64
+	Log     *slog.Logger
+}
+
+// Dev is a fleet in one process. All of it listens on loopback only.
+type Dev struct {
+	t       tomb.Tomb
+	cfg     Config
+	key     string
+	note    note.Note
+	logAddr string
+	store   *kv.Store
+	book    *orders.Book
+	servers []*http.Server
+	hosts   []*serve.Host
+	agents  []*node.Agent
+	routers []*node.Router
+	targets []target
+	// OnReady, if set, is called once every router has the note.
+	OnReady func()
+}
+
+// target is where an operator reaches a router.
+type target struct {
+	id       proto.RouterID
+	internal string
+	callers  string
+}
+
+// New opens all listeners; Start starts the fleet.
+func New(cfg Config) (*Dev, error) {
+	d := &Dev{cfg: cfg, key: exampleKey(cfg.Seed), store: kv.New(kv.Config{Seed: cfg.Seed}), book: orders.NewBook()}
+	d.note = baseNote(d.key)
+	var err error
+	if d.logAddr, err = d.serve(logsvc.New(logsvc.Config{Seed: cfg.Seed})); err != nil {
+		return nil, err
+	}
+	for i := range cfg.Engines {
+		if err := d.addEngine(i); err != nil {
+			return nil, err
+		}
+	}
+	if err := d.addOrders(); err != nil {
+		return nil, err
+	}
+	for i := range cfg.Routers {
+		if err := d.addRouter(i); err != nil {
+			return nil, err
+		}
+	}
+	return d, nil
+}
+
+// exampleKey is the same for a seed. It admits to a fleet on loopback only.
+func exampleKey(seed uint64) string {
+	rng := rand.New(rand.NewPCG(seed, 0x6b6579))
+	raw := make([]byte, 0, 16)
+	for range 2 {
+		raw = fmt.Appendf(raw, "%08x", rng.Uint32())
+	}
+	return "ks-dev-" + hex.EncodeToString(raw)
+}
+
+func baseNote(key string) note.Note {
+	return note.Note{
+		Author: "dev", Reason: "example note",
+		Added: note.Items{
+			Accounts: []note.Account{{ID: "example", Rate: 100_000, Burst: 1_000_000}},
+			Keys:     []note.Key{{Hash: note.HashKey(key), Account: "example"}},
+			Models:   []note.Model{{Name: model, Version: version}},
+			Routes: []note.Route{
+				{Method: http.MethodPost, Path: "/orders", Service: "orders"},
+				{Method: http.MethodGet, Path: "/orders/", Service: "orders", Idempotent: true},
+			},
+		},
+	}
+}
+
+// serve puts a stand-in on a loopback listener and returns its address.
+func (d *Dev) serve(m proto.Machine) (string, error) {
+	listener, err := net.Listen("tcp", loopback)
+	if err != nil {
+		return "", Error.Wrap(err)
+	}
+	host := serve.New(m)
+	server := &http.Server{Handler: host, ReadHeaderTimeout: time.Minute}
+	d.hosts = append(d.hosts, host)
+	d.servers = append(d.servers, server)
+	d.t.Go(func() error {
+		if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+			return Error.Wrap(err)
+		}
+		return nil
+	})
+	return listener.Addr().String(), nil
+}
+
+func domain(i int) proto.Domain { return proto.Domain(fmt.Sprintf("zone-%c", 'a'+i%3)) }
+
+func (d *Dev) addEngine(i int) error {
+	id := proto.EndpointID(fmt.Sprintf("engine-%d", i+1))
+	e := engine.New(engine.Config{
+		Endpoint: id, Seed: d.cfg.Seed + uint64(i), Versions: map[string]string{model: version},
+	})
+	return d.addAgent(e, note.Endpoint{ID: id, Kind: note.KindEngine, Domain: domain(i), Models: []string{model}})
+}
+
+func (d *Dev) addOrders() error {
+	id := proto.EndpointID("orders-1")
+	s := orders.New(orders.Config{Endpoint: id, Seed: d.cfg.Seed, Book: d.book})
+	return d.addAgent(s, note.Endpoint{ID: id, Kind: note.KindService, Domain: domain(0), Service: "orders"})
+}
+
+func (d *Dev) addAgent(m proto.Machine, e note.Endpoint) error {
+	addr, err := d.serve(m)
+	if err != nil {
+		return err
+	}
+	cfg := node.AgentConfig{Endpoint: e.ID, EngineAddr: addr, DrainTimeout: drainTimeout, Log: d.cfg.Log}
+	if cfg.Internal, err = node.Listen(loopback, shell.TLSFiles{}); err != nil {
+		return err
+	}
+	cfg.UseAgent(e.ChecksFence)
+	a, err := node.NewAgent(cfg)
+	if err != nil {
+		return err
+	}
+	e.Addr = cfg.Internal.Addr().String()
+	d.note.Added.Endpoints = append(d.note.Added.Endpoints, e)
+	d.agents = append(d.agents, a)
+	return nil
+}
+
+func (d *Dev) addRouter(i int) error {
+	listen := loopback
+	if i == 0 {
+		listen = d.cfg.Listen
+	}
+	cfg := node.RouterConfig{LogAddr: d.logAddr, Limits: api.DefaultLimits(), DrainTimeout: drainTimeout, Log: d.cfg.Log}
+	var err error
+	if cfg.Callers, err = node.Listen(listen, shell.TLSFiles{}); err != nil {
+		return err
+	}
+	if cfg.Internal, err = node.Listen(loopback, shell.TLSFiles{}); err != nil {
+		return err
+	}
+	cfg.UseRouter(fmt.Sprintf("router-%d", i+1), domain(i))
+	r, err := node.NewRouter(cfg)
+	if err != nil {
+		return err
+	}
+	d.routers = append(d.routers, r)
+	d.targets = append(d.targets, target{id: cfg.ID, internal: cfg.Internal.Addr().String(), callers: cfg.Callers.Addr().String()})
+	return nil
+}
+
+// Start starts the fleet and submits the example note.
+func (d *Dev) Start() {
+	for _, a := range d.agents {
+		a.Start()
+	}
+	for _, r := range d.routers {
+		r.Start()
+	}
+	d.t.Go(d.setUp)
+}
+
+// setUp submits the note until a router has accepted it, then waits for all.
+func (d *Dev) setUp() error {
+	client := shell.NewClient(nil)
+	defer client.Close()
+	for {
+		outcome, err := Submit(d.t.Context(context.Background()), client, d.targets[0].id, d.targets[0].internal, "dev-note", d.note)
+		switch {
+		case err == nil && outcome.Status == proto.NoteAccepted:
+			return d.waitReady()
+		case err == nil && outcome.Status != proto.NoteUnknown:
+			return Error.New("the example note was %s: %s %v", outcome.Status, outcome.Detail, outcome.Problems)
+		}
+		select {
+		case <-time.After(submitRetry):
+		case <-d.t.Dying():
+			return nil
+		}
+	}
+}
+
+func (d *Dev) waitReady() error {
+	for _, r := range d.routers {
+		for r.Revision() == 0 {
+			select {
+			case <-time.After(submitRetry):
+			case <-d.t.Dying():
+				return nil
+			}
+		}
+	}
+	if d.OnReady != nil {
+		d.OnReady()
+	}
+	return nil
+}
+
+// Submit sends a release note to a router and returns its fate.
+func Submit(ctx context.Context, client *shell.Client, router proto.RouterID, addr string, id proto.RecordID, n note.Note) (proto.NoteOutcome, error) {
+	body, err := json.Marshal(n)
+	if err != nil {
+		return proto.NoteOutcome{}, Error.Wrap(err)
+	}
+	env := proto.Envelope{
+		From: proto.Addr{Role: proto.RoleOperator, ID: string(id)},
+		To:   proto.RouterAddr(router),
+		Msg:  proto.NoteSubmit{ID: id, Note: body},
+	}
+	var outcome proto.NoteOutcome
+	answered := false
+	err = client.PostEnvelope(ctx, addr, env, func(in proto.Envelope) {
+		if m, ok := in.Msg.(proto.NoteOutcome); ok {
+			outcome, answered = m, true
+		}
+	})
+	if err == nil && !answered {
+		err = Error.New("router %s gave no answer", router)
+	}
+	return outcome, err
+}
+
+// Intro tells how to use the fleet.
+func (d *Dev) Intro() string {
+	text := "\nkey: " + d.key + "\n"
+	for _, t := range d.targets {
+		text += fmt.Sprintf("router %s: callers http://%s, operators http://%s\n", t.id, t.callers, t.internal)
+	}
+	return text + fmt.Sprintf("\nStream an answer:\n\n  curl -N http://%s/v1/chat/completions -H 'Authorization: Bearer %s' -H 'Content-Type: application/json' -d '{\"model\":%q,\"stream\":true,\"temperature\":0,\"max_tokens\":24,\"messages\":[{\"role\":\"user\",\"content\":\"Hello\"}]}'\n\n", d.targets[0].callers, d.key, model)
+}
+
+// Key returns the key of the example account.
+func (d *Dev) Key() string { return d.key }
+
+// Failed is closed when a part has ended by itself.
+func (d *Dev) Failed() <-chan struct{} { return d.t.Dying() }
+
+// Err returns why.
+func (d *Dev) Err() error { return d.t.Err() }
+
+// Drain ends the fleet after the requests in flight.
+func (d *Dev) Drain() error {
+	var err error
+	for _, r := range d.routers {
+		err = errors.Join(err, r.Drain())
+	}
+	for _, a := range d.agents {
+		err = errors.Join(err, a.Drain())
+	}
+	d.t.Kill(nil)
+	for i, server := range d.servers {
+		err = errors.Join(err, server.Close())
+		d.hosts[i].Close()
+	}
+	return errors.Join(err, d.t.Wait())
+}
--- /dev/null
+++ b/app/node/agent.go
@@ -0,0 +1,125 @@
+package node
+
+import (
+	"context"
+	"errors"
+	"log/slog"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/kumquatsill/kumquatsill/app/shell"
+	"github.com/kumquatsill/kumquatsill/core/check"
+	"github.com/kumquatsill/kumquatsill/core/proto"
+	"github.com/uptrace/bunrouter"
+	"gopkg.in/tomb.v2"
+)
+
+// AgentConfig sets up an agent process.
+type AgentConfig struct {
+	Endpoint proto.EndpointID
+	Machine  proto.Machine
+	Checks   *check.Set
+	// Internal is the open listener.
+	Internal net.Listener
+	// EngineAddr is the "ip:port" of the engine or plain service.
+	EngineAddr string
+	// EngineClient verifies the engine. It may be zero.
+	EngineClient shell.TLSFiles
+	// DrainTimeout bounds the wait for attempts in flight.
+	DrainTimeout time.Duration
+	// Leave tells the machine to take no new work. It may be nil.
+	Leave func(now proto.Instant)
+	// Drained reports that no accepted work is left. It may be nil.
+	Drained func() bool
+	// State is shown on /debug/state. It may be nil.
+	State func() any
+	Log   *slog.Logger
+}
+
+// Agent is an agent process.
+type Agent struct {
+	t        tomb.Tomb
+	cfg      AgentConfig
+	shell    *shell.Agent
+	internal *http.Server
+	draining atomic.Bool
+}
+
+// NewAgent returns an agent that is not yet running.
+func NewAgent(cfg AgentConfig) (*Agent, error) {
+	client, err := shell.ClientTLS(cfg.EngineClient)
+	if err != nil {
+		return nil, err
+	}
+	set := metrics.NewSet()
+	a := &Agent{cfg: cfg}
+	a.shell = shell.NewAgent(cfg.Endpoint, cfg.Machine, shell.NewClient(client), cfg.EngineAddr, shell.NewMetrics(set))
+	mux := bunrouter.New()
+	mux.POST(shell.EnvelopePath, bunrouter.HTTPHandler(a.shell.Inbound()))
+	o := &ops{set: set, checks: cfg.Checks, ready: a.Ready, state: a.state}
+	o.register(mux)
+	a.internal = &http.Server{Handler: mux, ReadHeaderTimeout: internalHeaderTime}
+	return a, nil
+}
+
+// Ready reports whether the agent takes work.
+func (a *Agent) Ready() bool { return !a.draining.Load() }
+
+func (a *Agent) state() any {
+	var state any
+	if a.cfg.State != nil {
+		a.shell.Do(func(proto.Instant) { state = a.cfg.State() })
+	}
+	return state
+}
+
+// Start starts the machine and the server.
+func (a *Agent) Start() {
+	a.shell.Start()
+	a.t.Go(func() error { return serveErr(a.internal.Serve(a.cfg.Internal)) })
+	a.cfg.Log.Info("agent started", "endpoint", a.cfg.Endpoint, "internal", a.cfg.Internal.Addr().String())
+}
+
+// Failed is closed when a part has ended by itself.
+func (a *Agent) Failed() <-chan struct{} { return a.t.Dying() }
+
+// Err returns why the server ended by itself.
+func (a *Agent) Err() error { return a.t.Err() }
+
+// Kill ends the agent at once, like a crash.
+func (a *Agent) Kill() error {
+	return errors.Join(a.internal.Close(), a.shell.Stop(), a.t.Wait())
+}
+
+// Drain ends the agent after the attempts in flight.
+func (a *Agent) Drain() error {
+	a.cfg.Log.Info("agent drains", "endpoint", a.cfg.Endpoint)
+	a.draining.Store(true)
+	if a.cfg.Leave != nil {
+		a.shell.Do(a.cfg.Leave)
+	}
+	a.waitDrained()
+	ctx, cancel := context.WithTimeout(context.Background(), a.cfg.DrainTimeout)
+	defer cancel()
+	err := errors.Join(shutdown(ctx, a.internal), a.shell.Stop(), a.t.Wait())
+	a.cfg.Log.Info("agent stopped", "endpoint", a.cfg.Endpoint)
+	return err
+}
+
+// waitDrained waits until no accepted work is left. It does not look only at
+// open responses, since a stream whose router is gone may still be resumed.
+func (a *Agent) waitDrained() {
+	if a.cfg.Drained == nil {
+		return
+	}
+	for end := time.Now().Add(a.cfg.DrainTimeout); time.Now().Before(end); time.Sleep(flushPoll) {
+		drained := false
+		if !a.shell.Do(func(proto.Instant) { drained = a.cfg.Drained() }) || drained {
+			return
+		}
+	}
+	a.cfg.Log.Warn("agent stops with work in flight", "endpoint", a.cfg.Endpoint)
+}
--- /dev/null
+++ b/app/node/machines.go
@@ -0,0 +1,95 @@
+package node
+
+import (
+	"encoding/hex"
+	"math/rand/v2"
+
+	"github.com/google/uuid"
+	"github.com/kumquatsill/kumquatsill/app/shell"
+	"github.com/kumquatsill/kumquatsill/core/agent"
+	"github.com/kumquatsill/kumquatsill/core/check"
+	"github.com/kumquatsill/kumquatsill/core/proto"
+	"github.com/kumquatsill/kumquatsill/core/router"
+)
+
+// routerMachine adapts a router's state machine to the shell.
+type routerMachine struct{ *router.Router }
+
+// View implements shell.RouterMachine.
+func (m routerMachine) View() shell.View {
+	s := m.Snapshot()
+	return shell.View{Config: s.Config, Ready: s.Ready}
+}
+
+// newIncarnation names one life of a process.
+func newIncarnation(name string) proto.Incarnation {
+	id := uuid.New()
+	return proto.Incarnation(name + "-" + hex.EncodeToString(id[:6]))
+}
+
+// routerState is what /debug/state shows of a router.
+type routerState struct {
+	ID           proto.RouterID `json:"id"`
+	Revision     proto.Revision `json:"revision"`
+	ConfigOffset proto.Offset   `json:"config_offset"`
+	Ready        bool           `json:"ready"`
+	Draining     bool           `json:"draining"`
+	InFlight     int            `json:"in_flight"`
+	Accounts     int            `json:"accounts"`
+	Endpoints    int            `json:"endpoints"`
+	Quarantined  int            `json:"quarantined"`
+	Exchanges    exchangeState  `json:"exchanges"`
+}
+
+type exchangeState struct {
+	Late         int64 `json:"late"`
+	Misdelivered int64 `json:"misdelivered"`
+	Repeated     int64 `json:"repeated"`
+	Gaps         int64 `json:"gaps"`
+	Retries      int64 `json:"retries"`
+	Reattached   int64 `json:"reattached"`
+	Silent       int64 `json:"silent"`
+}
+
+// UseRouter fills a configuration with a new router machine. name stays the
+// same over restarts; the router's id does not.
+func (cfg *RouterConfig) UseRouter(name string, domain proto.Domain) {
+	life := newIncarnation(name)
+	cfg.ID = proto.RouterID(life)
+	cfg.Checks = &check.Set{}
+	m := router.New(router.Config{
+		ID: cfg.ID, Domain: domain, Addr: cfg.Internal.Addr().String(),
+		Incarnation: life, Seed: rand.Uint64(), Checks: cfg.Checks,
+	})
+	cfg.Machine = routerMachine{m}
+	cfg.Leave = m.Drain
+	cfg.State = func() any { return stateOf(cfg.ID, m) }
+}
+
+func stateOf(id proto.RouterID, m *router.Router) routerState {
+	s := m.Snapshot()
+	stats := m.Control().Deps().Stats
+	return routerState{
+		ID: id, Revision: s.Stamp.Revision, ConfigOffset: s.Stamp.ConfigOffset,
+		Ready: s.Ready, Draining: s.Draining, InFlight: m.InFlight(),
+		Accounts: len(s.Config.Accounts), Endpoints: len(s.Config.Endpoints), Quarantined: len(s.Quarantined),
+		Exchanges: exchangeState{
+			Late: stats.Late.Load(), Misdelivered: stats.Misdelivered.Load(), Repeated: stats.Repeated.Load(),
+			Gaps: stats.Gaps.Load(), Retries: stats.Retries.Load(), Reattached: stats.Reattached.Load(),
+			Silent: stats.Silent.Load(),
+		},
+	}
+}
+
+// UseAgent fills a configuration with a new agent machine.
+func (cfg *AgentConfig) UseAgent(checksFence bool) {
+	cfg.Checks = &check.Set{}
+	m := agent.New(agent.Config{
+		Endpoint: cfg.Endpoint, Incarnation: newIncarnation(string(cfg.Endpoint)),
+		Seed: rand.Uint64(), ChecksFence: checksFence, Checks: cfg.Checks,
+	})
+	cfg.Machine = m
+	cfg.Leave = func(proto.Instant) { m.Drain() }
+	cfg.Drained = m.Drained
+	cfg.State = func() any { return m.Stats() }
+}
--- /dev/null
+++ b/app/node/router.go
@@ -0,0 +1,155 @@
+package node
+
+import (
+	"context"
+	"errors"
+	"log/slog"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/kumquatsill/kumquatsill/app/api"
+	"github.com/kumquatsill/kumquatsill/app/shell"
+	"github.com/kumquatsill/kumquatsill/core/check"
+	"github.com/kumquatsill/kumquatsill/core/proto"
+	"github.com/uptrace/bunrouter"
+	"gopkg.in/tomb.v2"
+)
+
+// RouterConfig sets up a router process.
+type RouterConfig struct {
+	ID      proto.RouterID
+	Machine shell.RouterMachine
+	Checks  *check.Set
+	// Callers and Internal are the open listeners.
+	Callers  net.Listener
+	Internal net.Listener
+	// LogAddr is the "ip:port" of the log service.
+	LogAddr string
+	// Client verifies agents and routers, LogClient the log service. Both may be zero.
+	Client    shell.TLSFiles
+	LogClient shell.TLSFiles
+	Limits    api.Limits
+	// DrainGrace is how long new requests are still served after a shutdown
+	// began, so that the load balancer notices.
+	DrainGrace time.Duration
+	// DrainTimeout bounds the wait for requests in flight.
+	DrainTimeout time.Duration
+	// Leave tells the machine to hand over what it holds. It may be nil.
+	Leave func(now proto.Instant)
+	// Flushed reports that the machine has nothing left to write. It may be nil.
+	Flushed func() bool
+	// State is shown on /debug/state. It may be nil.
+	State func() any
+	Log   *slog.Logger
+}
+
+// flushTimeout bounds the wait for the last records of a stopping router.
+const flushTimeout = 5 * time.Second
+
+// flushPoll is the time between two looks at whether a machine has flushed.
+const flushPoll = 20 * time.Millisecond
+
+// Router is a router process.
+type Router struct {
+	t        tomb.Tomb
+	cfg      RouterConfig
+	shell    *shell.Router
+	api      *api.Server
+	callers  *http.Server
+	internal *http.Server
+}
+
+// NewRouter returns a router that is not yet running.
+func NewRouter(cfg RouterConfig) (*Router, error) {
+	client, err := shell.ClientTLS(cfg.Client)
+	if err != nil {
+		return nil, err
+	}
+	logClient, err := shell.ClientTLS(cfg.LogClient)
+	if err != nil {
+		return nil, err
+	}
+	set := metrics.NewSet()
+	r := &Router{cfg: cfg}
+	r.shell = shell.NewRouter(cfg.ID, cfg.Machine, shell.NewClient(client), shell.NewClient(logClient), cfg.LogAddr, shell.NewMetrics(set))
+	r.api = api.New(r.shell, cfg.Limits, api.NewMetrics(set))
+	r.callers = &http.Server{Handler: r.api}
+	r.api.Configure(r.callers)
+	mux := bunrouter.New()
+	mux.POST(shell.EnvelopePath, bunrouter.HTTPHandler(r.shell.Inbound()))
+	o := &ops{set: set, checks: cfg.Checks, ready: func() bool { return r.shell.View().Ready }, state: r.state}
+	o.register(mux)
+	r.internal = &http.Server{Handler: mux, ReadHeaderTimeout: internalHeaderTime}
+	set.NewGauge("kumquatsill_requests_in_flight", func() float64 { return float64(r.shell.InFlight()) })
+	return r, nil
+}
+
+func (r *Router) state() any {
+	var state any
+	if r.cfg.State != nil {
+		r.shell.Do(func(proto.Instant) { state = r.cfg.State() })
+	}
+	return state
+}
+
+// Start starts the machine and both servers.
+func (r *Router) Start() {
+	r.shell.Start()
+	r.t.Go(func() error {
+		r.t.Go(func() error { return serveErr(r.callers.Serve(r.cfg.Callers)) })
+		return serveErr(r.internal.Serve(r.cfg.Internal))
+	})
+	r.cfg.Log.Info("router started", "id", r.cfg.ID, "callers", r.cfg.Callers.Addr().String(), "internal", r.cfg.Internal.Addr().String())
+}
+
+// Failed is closed when a part has ended by itself.
+func (r *Router) Failed() <-chan struct{} { return r.t.Dying() }
+
+// Err returns why a server ended by itself.
+func (r *Router) Err() error { return r.t.Err() }
+
+// Ready reports whether the router serves warm.
+func (r *Router) Ready() bool { return r.shell.View().Ready }
+
+// Revision returns the revision in force at this router.
+func (r *Router) Revision() proto.Revision { return r.shell.View().Config.Revision }
+
+// Kill ends the router at once, like a crash: connections break.
+func (r *Router) Kill() error {
+	return errors.Join(r.callers.Close(), r.internal.Close(), r.shell.Stop(), r.t.Wait())
+}
+
+// Drain ends the router after the requests in flight. New requests are served
+// during the grace period, and every connection is closed after its answer.
+func (r *Router) Drain() error {
+	r.cfg.Log.Info("router drains", "in_flight", r.shell.InFlight())
+	r.api.Drain()
+	time.Sleep(r.cfg.DrainGrace)
+	ctx, cancel := context.WithTimeout(context.Background(), r.cfg.DrainTimeout)
+	defer cancel()
+	err := shutdown(ctx, r.callers)
+	if r.cfg.Leave != nil {
+		r.shell.Do(r.cfg.Leave)
+	}
+	r.waitFlushed()
+	ctx, cancelInternal := context.WithTimeout(context.Background(), flushTimeout)
+	defer cancelInternal()
+	err = errors.Join(err, shutdown(ctx, r.internal), r.shell.Stop(), r.t.Wait())
+	r.cfg.Log.Info("router stopped", "id", r.cfg.ID)
+	return err
+}
+
+func (r *Router) waitFlushed() {
+	if r.cfg.Flushed == nil {
+		return
+	}
+	for end := time.Now().Add(flushTimeout); time.Now().Before(end); time.Sleep(flushPoll) {
+		flushed := false
+		if !r.shell.Do(func(proto.Instant) { flushed = r.cfg.Flushed() }) || flushed {
+			return
+		}
+	}
+	r.cfg.Log.Warn("router stops with records that are not in the log", "id", r.cfg.ID)
+}
--- /dev/null
+++ b/app/settings/settings.go
@@ -0,0 +1,153 @@
+// Package settings checks flags and environment variables, so that all that
+// is wrong is listed at once.
+package settings
+
+import (
+	"fmt"
+	"net/netip"
+	"os"
+	"runtime/debug"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/kumquatsill/kumquatsill/app/shell"
+)
+
+// Exit codes of the commands.
+const (
+	ExitOK      = 0
+	ExitFailure = 1
+	// ExitUsage stands for bad settings.
+	ExitUsage = 2
+)
+
+// Error lists all settings that are wrong.
+type Error struct{ Problems []string }
+
+// Error implements error, one problem a line.
+func (e *Error) Error() string { return "bad settings:\n  " + strings.Join(e.Problems, "\n  ") }
+
+// Checker collects what is wrong.
+type Checker struct{ problems []string }
+
+// Err returns an *Error if anything was wrong.
+func (c *Checker) Err() error {
+	if len(c.problems) == 0 {
+		return nil
+	}
+	return &Error{Problems: c.problems}
+}
+
+// Fail adds a problem of a flag.
+func (c *Checker) Fail(flag, format string, args ...any) {
+	c.problems = append(c.problems, "--"+flag+" "+fmt.Sprintf(format, args...))
+}
+
+// NoArgs refuses positional arguments.
+func (c *Checker) NoArgs(args []string) {
+	for _, a := range args {
+		c.problems = append(c.problems, fmt.Sprintf("unexpected argument %q", a))
+	}
+}
+
+// Name requires an identifier of letters, digits and "._-".
+func (c *Checker) Name(flag, value string) {
+	if value == "" {
+		c.Fail(flag, "is missing")
+		return
+	}
+	for _, r := range value {
+		letter := r >= 'a' && r <= 'z' || r >= 'A' && r <= 'Z' || r >= '0' && r <= '9'
+		if !letter && !strings.ContainsRune("._-", r) {
+			c.Fail(flag, "is %q, must be letters, digits, dots, dashes or underscores", value)
+			return
+		}
+	}
+}
+
+// Listen requires the "ip:port" of a listener; port 0 picks a free one.
+func (c *Checker) Listen(flag, value string) {
+	if _, err := netip.ParseAddrPort(value); err != nil {
+		c.Fail(flag, "is %q, must be ip:port", value)
+	}
+}
+
+// Address requires the "ip:port" of another process.
+func (c *Checker) Address(flag, value string) {
+	if value == "" {
+		c.Fail(flag, "is missing")
+		return
+	}
+	addr, err := netip.ParseAddrPort(value)
+	if err != nil || addr.Port() == 0 || addr.Addr().IsUnspecified() {
+		c.Fail(flag, "is %q, must be the ip:port of one process", value)
+	}
+}
+
+// Duration reads a positive duration such as "30s".
+func (c *Checker) Duration(flag, value string) time.Duration {
+	d, err := time.ParseDuration(value)
+	if err != nil || d < 0 {
+		c.Fail(flag, "is %q, must be a duration such as 30s", value)
+	}
+	return d
+}
+
+// Positive reads a whole number above 0.
+func (c *Checker) Positive(flag, value string) int64 {
+	n, err := strconv.ParseInt(value, 10, 64)
+	if err != nil || n <= 0 {
+		c.Fail(flag, "is %q, must be a whole number above 0", value)
+	}
+	return n
+}
+
+// TLS are the files of one side of a connection.
+type TLS struct {
+	Cert string `long:"cert" env:"CERT" value-name:"FILE" description:"PEM certificate"`
+	Key  string `long:"key" env:"KEY" value-name:"FILE" description:"PEM key"`
+	CA   string `long:"ca" env:"CA" value-name:"FILE" description:"PEM certificates that verify the other side"`
+}
+
+// Files returns the form that the shell takes.
+func (t TLS) Files() shell.TLSFiles { return shell.TLSFiles{Cert: t.Cert, Key: t.Key, CA: t.CA} }
+
+// TLS checks the files of one group of flags.
+func (c *Checker) TLS(group string, t TLS) {
+	if (t.Cert == "") != (t.Key == "") {
+		c.Fail(group+".cert", "and --%s.key must be given together", group)
+	}
+	for flag, file := range map[string]string{"cert": t.Cert, "key": t.Key, "ca": t.CA} {
+		if file == "" {
+			continue
+		}
+		if _, err := os.Stat(file); err != nil {
+			c.Fail(group+"."+flag, "cannot be read: %v", err)
+		}
+	}
+}
+
+// Mutual requires all three files or none: both sides of the connections
+// between own processes verify each other.
+func (c *Checker) Mutual(group string, t TLS) {
+	c.TLS(group, t)
+	if t.Cert != "" && t.CA == "" || t.Cert == "" && t.CA != "" {
+		c.Fail(group+".ca", "must be given together with --%s.cert and --%s.key", group, group)
+	}
+}
+
+// Version returns the version of the program from its build information.
+func Version() string {
+	info, ok := debug.ReadBuildInfo()
+	if !ok {
+		return "unknown"
+	}
+	version := info.Main.Version
+	for _, s := range info.Settings {
+		if s.Key == "vcs.revision" {
+			version += " " + s.Value
+		}
+	}
+	return version + " " + info.GoVersion
+}
--- a/app/shell/client.go
+++ b/app/shell/client.go
@@ -43,7 +43,7 @@
 // Unwrap returns the cause.
 func (e *LostError) Unwrap() error { return e.Err }
 
-var errSilent = errors.New("nothing received for " + SilenceTimeout.String())
+var errSilent = errors.New("the connection carried nothing for too long")
 
 // StatusError tells that the other side refused a message.
 type StatusError struct {
@@ -58,14 +58,16 @@
 // connections that were open to that address are retired, so that work goes
 // on over newly opened ones.
 type Client struct {
-	tls  *tls.Config
-	mu   sync.Mutex
-	pool map[string]*http.Transport
+	// silence is SilenceTimeout, except in tests.
+	silence time.Duration
+	tls     *tls.Config
+	mu      sync.Mutex
+	pool    map[string]*http.Transport
 }
 
 // NewClient returns a client. A nil tls means plain HTTP.
 func NewClient(tls *tls.Config) *Client {
-	return &Client{tls: tls, pool: map[string]*http.Transport{}}
+	return &Client{silence: SilenceTimeout, tls: tls, pool: map[string]*http.Transport{}}
 }
 
 // Close closes all idle connections.
@@ -119,7 +121,7 @@
 	if err != nil {
 		return Error.Wrap(err)
 	}
-	return c.do(ctx, http.MethodPost, addr, EnvelopePath, data, SilenceTimeout, func(text []byte) error {
+	return c.do(ctx, http.MethodPost, addr, EnvelopePath, data, c.silence, func(text []byte) error {
 		if len(text) == 0 {
 			return nil
 		}
--- a/app/shell/router.go
+++ b/app/shell/router.go
@@ -135,6 +135,10 @@
 		r.toRouter(env)
 	case proto.RoleLog:
 		r.log.Send(env)
+	case proto.RoleOperator:
+		if !r.inbound.Deliver(env) {
+			r.metrics.Undeliverable.Inc()
+		}
 	default:
 		r.metrics.Undeliverable.Inc()
 	}
--- a/app/shell/server.go
+++ b/app/shell/server.go
@@ -28,7 +28,7 @@
 		proto.GrantRequest{}.Kind(), proto.GrantReply{}.Kind(),
 		proto.TokenRequest{}.Kind(), proto.TokenReply{}.Kind(),
 		proto.IntentForward{}.Kind(), proto.CallerFinish{}.Kind(), proto.CallerRefusal{}.Kind(),
-		proto.HostList{}.Kind(),
+		proto.HostList{}.Kind(), proto.NoteSubmit{}.Kind(),
 	}
 	agentKinds = []proto.Kind{
 		proto.Dispatch{}.Kind(), proto.Cancel{}.Kind(), proto.Probe{}.Kind(), proto.Order{}.Kind(),
@@ -46,9 +46,8 @@
 	id   string
 }
 
-// topicOf returns the topic of a message between a router and an agent, and
-// whether it is the last of its stream. The kind is empty for messages that
-// have no response stream.
+// topicOf returns the topic of a message that has a response stream, and
+// whether it is the last of its stream. The kind is empty for other messages.
 func topicOf(peer proto.Addr, m proto.Message) (t topic, last bool) {
 	switch m := m.(type) {
 	case proto.Dispatch:
@@ -71,6 +70,10 @@
 		return topic{peer, "order", m.ID}, false
 	case proto.OrderDone:
 		return topic{peer, "order", m.ID}, true
+	case proto.NoteSubmit:
+		return topic{peer, "note", string(m.ID)}, false
+	case proto.NoteOutcome:
+		return topic{peer, "note", string(m.ID)}, true
 	}
 	return topic{}, false
 }
@@ -150,12 +153,22 @@
 		return http.StatusMisdirectedRequest, "this is " + h.self.String() + ", the message is for " + env.To.String()
 	case !slices.Contains(h.accepted, env.Msg.Kind()):
 		return http.StatusForbidden, "message " + string(env.Msg.Kind()) + " is not accepted from other processes"
-	case env.From.Role != proto.RoleRouter && env.From.Role != proto.RoleHosts:
+	case !fromAllowed(env):
 		return http.StatusForbidden, "messages of " + env.From.String() + " are not accepted here"
 	}
 	return 0, ""
 }
 
+func fromAllowed(env proto.Envelope) bool {
+	switch env.Msg.(type) {
+	case proto.NoteSubmit:
+		return env.From.Role == proto.RoleOperator
+	case proto.HostList:
+		return env.From.Role == proto.RoleHosts
+	}
+	return env.From.Role == proto.RoleRouter
+}
+
 func (h *Inbound) stepOnly(w http.ResponseWriter, env proto.Envelope) {
 	if !h.step(env) {
 		http.Error(w, "the process is stopping", http.StatusServiceUnavailable)
