e2e: test both programs as processes

Cause: nothing showed that the programs work together outside one process.

Change: tests with both binaries on loopback for the exact stream, resume after a router's death, bad callers and SIGTERM under load. The first run found a data race between serve.New and the first tick of a stand-in's timer; the timer is now set under the lock.

--- /dev/null
+++ b/app/e2e/e2e_test.go
@@ -0,0 +1,231 @@
+// Package e2e_test runs both programs as processes on loopback.
+package e2e_test
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"slices"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+)
+
+func mustMatch(t *testing.T, got, want []string) {
+	t.Helper()
+	if !slices.Equal(got, want) {
+		t.Errorf("%d tokens %.200q, want %d tokens %.200q", len(got), got, len(want), want)
+	}
+}
+
+// Guards against tokens that are lost, doubled or out of order between the
+// engine and the caller.
+func TestStreamIsExact(t *testing.T) {
+	f := startFleet(t)
+	for _, r := range f.routers {
+		s, err := request(r.start["callers"], generation("assistant", "hello", 100), "", key, nil)
+		if err != nil || !s.done {
+			t.Fatalf("%v, %+v", err, s)
+		}
+		mustMatch(t, s.tokens, expected("hello", 100))
+	}
+}
+
+// Guards against a stream that loses or doubles tokens when its router dies
+// and the caller goes on at another one.
+func TestResumeAfterRouterDeath(t *testing.T) {
+	const tokens = 1000
+	f := startFleet(t)
+	body := generation("assistant", "resume", tokens)
+	first, err := request(f.routers[0].start["callers"], body, "", key, func(n int) {
+		if n == 50 {
+			f.routers[0].signal(t, syscall.SIGKILL)
+		}
+	})
+	if err == nil || first.done || len(first.tokens) < 50 {
+		t.Fatalf("the stream was not cut: %v, %d tokens, done %v", err, len(first.tokens), first.done)
+	}
+	rest, err := request(f.routers[1].start["callers"], body, first.lastID, key, nil)
+	if err != nil || !rest.done {
+		t.Fatalf("%v, status %d, %s", err, rest.status, rest.body)
+	}
+	mustMatch(t, append(first.tokens, rest.tokens...), expected("resume", tokens))
+}
+
+// Guards against bad callers that get no clear error, or that take the router
+// away from others.
+func TestBadCallers(t *testing.T) {
+	f := startFleet(t)
+	r := f.routers[0]
+	addr := r.start["callers"]
+
+	half := dial(t, addr)
+	write(t, half, "POST /v1/completions HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer "+key+"\r\nContent-Length: 1000\r\n\r\n{\"mod")
+	slow := dial(t, addr)
+	long := generation("fast", "slow", 200_000)
+	write(t, slow, fmt.Sprintf("POST /v1/completions HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer %s\r\nContent-Length: %d\r\n\r\n%s", key, len(long), long))
+	stop := readSlowly(slow)
+	defer stop()
+
+	if s, err := request(addr, generation("assistant", "x", 5), "", "ks-unknown-key-0000", nil); err != nil || s.status != http.StatusUnauthorized || !strings.Contains(s.body, "unknown-key") {
+		t.Errorf("unknown key: %v, %+v", err, s)
+	}
+	if s, err := request(addr, "{", "", key, nil); err != nil || s.status != http.StatusBadRequest || !strings.Contains(s.body, "not_run") {
+		t.Errorf("bad JSON: %v, %+v", err, s)
+	}
+	if status := postHuge(t, addr); status != http.StatusRequestEntityTooLarge {
+		t.Errorf("100 MB body: status %d", status)
+	}
+	for range 5 {
+		s, err := request(addr, generation("assistant", "served", 20), "", key, nil)
+		if err != nil || !s.done {
+			t.Fatalf("another caller is not served: %v, %+v", err, s)
+		}
+		mustMatch(t, s.tokens, expected("served", 20))
+	}
+	answer, _ := io.ReadAll(half)
+	if !strings.HasPrefix(string(answer), "HTTP/1.1 408 ") {
+		t.Errorf("half-sent request: %.200q", answer)
+	}
+	f.await("the slow caller to be given up", func() bool {
+		return strings.Contains(f.get(r, "/metrics"), "kumquatsill_callers_abandoned_total")
+	})
+	f.await("the slow caller's request to end", func() bool {
+		return strings.Contains(f.get(r, "/metrics"), "kumquatsill_requests_in_flight 0\n")
+	})
+}
+
+func dial(t *testing.T, addr string) *net.TCPConn {
+	t.Helper()
+	conn, err := net.Dial("tcp", addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = conn.Close() })
+	tcp, ok := conn.(*net.TCPConn)
+	if !ok {
+		t.Fatalf("%T is not a TCP connection", conn)
+	}
+	_ = tcp.SetDeadline(time.Now().Add(hangGuard))
+	return tcp
+}
+
+func write(t *testing.T, w io.Writer, text string) {
+	t.Helper()
+	if _, err := io.WriteString(w, text); err != nil {
+		t.Fatal(err)
+	}
+}
+
+// readSlowly reads one byte a second until it is stopped.
+func readSlowly(conn *net.TCPConn) (stop func()) {
+	_ = conn.SetReadBuffer(4096)
+	done := make(chan struct{})
+	go func() {
+		one := make([]byte, 1)
+		for {
+			select {
+			case <-done:
+				return
+			case <-time.After(time.Second):
+			}
+			if _, err := conn.Read(one); err != nil {
+				return
+			}
+		}
+	}()
+	return func() { close(done) }
+}
+
+func postHuge(t *testing.T, addr string) int {
+	t.Helper()
+	conn := dial(t, addr)
+	write(t, conn, "POST /v1/completions HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer "+key+"\r\nContent-Length: 100000000\r\n\r\n")
+	// The router may close the connection while the body is still being sent.
+	go func() { _, _ = io.CopyN(conn, zeros{}, 100_000_000) }()
+	head := make([]byte, len("HTTP/1.1 413"))
+	if _, err := io.ReadFull(conn, head); err != nil {
+		t.Fatal(err)
+	}
+	var status int
+	_, _ = fmt.Sscanf(string(head), "HTTP/1.1 %d", &status)
+	return status
+}
+
+type zeros struct{}
+
+func (zeros) Read(p []byte) (int, error) {
+	clear(p)
+	return len(p), nil
+}
+
+// load sends requests one after another over several connections until stopped.
+type load struct {
+	t        *testing.T
+	finished atomic.Int64
+	stopped  atomic.Bool
+	wg       sync.WaitGroup
+}
+
+func startLoad(t *testing.T, addr string) *load {
+	l := &load{t: t}
+	for i := range 8 {
+		l.wg.Go(func() {
+			prompt := fmt.Sprintf("load %d", i)
+			for !l.stopped.Load() {
+				s, err := request(addr, generation("assistant", prompt, 60), "", key, nil)
+				if err != nil || !s.done || !slices.Equal(s.tokens, expected(prompt, 60)) {
+					t.Errorf("a request was cut: %v, status %d, %d tokens, %s", err, s.status, len(s.tokens), s.body)
+					return
+				}
+				l.finished.Add(1)
+			}
+		})
+	}
+	return l
+}
+
+func (l *load) stop() {
+	l.stopped.Store(true)
+	l.wg.Wait()
+}
+
+// Guards against a shutdown that cuts requests, in flight or new, before the
+// load balancer has seen that the router is not ready.
+func TestRouterDrainsUnderLoad(t *testing.T) {
+	f := startFleet(t)
+	r := f.routers[0]
+	l := startLoad(t, r.start["callers"])
+	f.await("load", func() bool { return l.finished.Load() >= 20 })
+	r.signal(t, syscall.SIGTERM)
+	f.await("the router to be not ready", func() bool {
+		res, err := http.Get("http://" + r.start["callers"] + "/readyz")
+		if err != nil {
+			return true
+		}
+		_ = res.Body.Close()
+		return res.StatusCode == http.StatusServiceUnavailable
+	})
+	l.stop()
+	if code := r.waitExit(t); code != 0 {
+		t.Errorf("exit code %d", code)
+	}
+}
+
+// Guards against an agent's shutdown that cuts requests.
+func TestAgentDrainsUnderLoad(t *testing.T) {
+	f := startFleet(t)
+	l := startLoad(t, f.routers[0].start["callers"])
+	f.await("load", func() bool { return l.finished.Load() >= 20 })
+	f.agents[0].signal(t, syscall.SIGTERM)
+	if code := f.agents[0].waitExit(t); code != 0 {
+		t.Errorf("exit code %d", code)
+	}
+	before := l.finished.Load()
+	f.await("load at the other agent", func() bool { return l.finished.Load() >= before+20 || t.Failed() })
+	l.stop()
+}
--- /dev/null
+++ b/app/e2e/harness_test.go
@@ -0,0 +1,295 @@
+package e2e_test
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/kumquatsill/kumquatsill/app/dev"
+	"github.com/kumquatsill/kumquatsill/app/shell"
+	"github.com/kumquatsill/kumquatsill/core/note"
+	"github.com/kumquatsill/kumquatsill/core/proto"
+	"github.com/kumquatsill/kumquatsill/standin/engine"
+	"github.com/kumquatsill/kumquatsill/standin/logsvc"
+	"github.com/kumquatsill/kumquatsill/standin/serve"
+)
+
+const (
+	key = "ks-e2e-0123456789"
+	// hangGuard ends a test that waits for something that does not come.
+	hangGuard = 2 * time.Minute
+	pollEvery = 20 * time.Millisecond
+)
+
+var binaries string
+
+func TestMain(m *testing.M) {
+	os.Exit(buildAndRun(m))
+}
+
+func buildAndRun(m *testing.M) int {
+	dir, err := os.MkdirTemp("", "e2e")
+	if err != nil {
+		panic(err)
+	}
+	defer func() { _ = os.RemoveAll(dir) }()
+	build := exec.Command("go", "build", "-o", dir+string(filepath.Separator), "../cmd/...")
+	if out, err := build.CombinedOutput(); err != nil {
+		fmt.Fprintf(os.Stderr, "go build: %v\n%s", err, out)
+		return 1
+	}
+	binaries = dir
+	return m.Run()
+}
+
+// process is a running binary.
+type process struct {
+	cmd    *exec.Cmd
+	start  map[string]string
+	exited chan struct{}
+	mu     sync.Mutex
+	log    strings.Builder
+}
+
+// launch starts a binary and waits for its line that ends in "started".
+func launch(t *testing.T, name string, args ...string) *process {
+	t.Helper()
+	p := &process{cmd: exec.Command(filepath.Join(binaries, name), args...), exited: make(chan struct{})}
+	stderr, err := p.cmd.StderrPipe()
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := p.cmd.Start(); err != nil {
+		t.Fatal(err)
+	}
+	started := make(chan map[string]string, 1)
+	go p.follow(stderr, started)
+	t.Cleanup(func() {
+		_ = p.cmd.Process.Kill()
+		<-p.exited
+		if t.Failed() {
+			p.mu.Lock()
+			defer p.mu.Unlock()
+			t.Logf("%s %v:\n%s", name, args, p.log.String())
+		}
+	})
+	select {
+	case p.start = <-started:
+	case <-p.exited:
+		t.Fatalf("%s ended at once", name)
+	case <-time.After(hangGuard):
+		t.Fatalf("%s did not start", name)
+	}
+	return p
+}
+
+func (p *process) follow(stderr io.Reader, started chan<- map[string]string) {
+	lines := bufio.NewScanner(stderr)
+	for lines.Scan() {
+		p.mu.Lock()
+		p.log.WriteString(lines.Text() + "\n")
+		p.mu.Unlock()
+		var fields map[string]string
+		if json.Unmarshal(lines.Bytes(), &fields) == nil && strings.HasSuffix(fields["msg"], "started") {
+			started <- fields
+		}
+	}
+	_ = p.cmd.Wait()
+	close(p.exited)
+}
+
+func (p *process) waitExit(t *testing.T) int {
+	t.Helper()
+	select {
+	case <-p.exited:
+	case <-time.After(hangGuard):
+		t.Fatal("the process did not end")
+	}
+	return p.cmd.ProcessState.ExitCode()
+}
+
+// fleet is two routers and three agents as processes, with stand-ins in the
+// test process. Engines 1 and 2 serve "assistant", engine 3 serves "fast".
+type fleet struct {
+	t       *testing.T
+	routers []*process
+	agents  []*process
+}
+
+func startFleet(t *testing.T) *fleet {
+	t.Helper()
+	f := &fleet{t: t}
+	logAddr := f.host(logsvc.New(logsvc.Config{Seed: 1}))
+	n := note.Note{Added: note.Items{
+		Accounts: []note.Account{{ID: "acme", Rate: 1_000_000, Burst: 100_000_000}},
+		Keys:     []note.Key{{Hash: note.HashKey(key), Account: "acme"}},
+		Models:   []note.Model{{Name: "assistant", Version: "v1"}, {Name: "fast", Version: "v1"}},
+	}}
+	for i, model := range []string{"assistant", "assistant", "fast"} {
+		id := proto.EndpointID(fmt.Sprintf("e%d", i+1))
+		cfg := engine.Config{Endpoint: id, Seed: uint64(i), DecodePerToken: 2 * time.Millisecond, Versions: map[string]string{model: "v1"}}
+		if model == "fast" {
+			cfg.DecodePerToken = 20 * time.Microsecond
+		}
+		p := launch(t, "kumquatsill-agent", "--endpoint", string(id), "--listen", "127.0.0.1:0", "--engine-addr", f.host(engine.New(cfg)))
+		f.agents = append(f.agents, p)
+		n.Added.Endpoints = append(n.Added.Endpoints, note.Endpoint{
+			ID: id, Kind: note.KindEngine, Domain: "zone-a", Addr: p.start["internal"], Models: []string{model},
+		})
+	}
+	for _, name := range []string{"r1", "r2"} {
+		f.routers = append(f.routers, launch(t, "kumquatsill", "router", "--name", name, "--domain", "zone-a",
+			"--listen", "127.0.0.1:0", "--internal-listen", "127.0.0.1:0", "--log-addr", logAddr,
+			"--body-timeout", "1s", "--write-timeout", "1s", "--drain-grace", "1s"))
+	}
+	f.submit(n)
+	return f
+}
+
+func (f *fleet) host(m proto.Machine) string {
+	host := serve.New(m)
+	server := httptest.NewServer(host)
+	f.t.Cleanup(func() {
+		host.Close()
+		server.CloseClientConnections()
+		server.Close()
+	})
+	return server.Listener.Addr().String()
+}
+
+func (f *fleet) submit(n note.Note) {
+	f.t.Helper()
+	client := shell.NewClient(nil)
+	defer client.Close()
+	r := f.routers[0].start
+	f.await("the note to be accepted", func() bool {
+		outcome, err := dev.Submit(context.Background(), client, proto.RouterID(r["id"]), r["internal"], "first", n)
+		if err == nil && outcome.Status == proto.NoteRefused {
+			f.t.Fatalf("note refused: %+v", outcome)
+		}
+		return err == nil && outcome.Status == proto.NoteAccepted
+	})
+	for _, r := range f.routers {
+		f.await("the note at "+r.start["id"], func() bool { return strings.Contains(f.get(r, "/debug/state"), `"revision": 1,`) })
+	}
+}
+
+// await polls until a condition holds; the deadline is only a hang guard.
+func (f *fleet) await(what string, done func() bool) {
+	f.t.Helper()
+	for end := time.Now().Add(hangGuard); !done(); time.Sleep(pollEvery) {
+		if time.Now().After(end) {
+			f.t.Fatalf("waited in vain for %s", what)
+		}
+	}
+}
+
+// get reads an operators' page of a router; "" stands for a failure.
+func (f *fleet) get(p *process, path string) string {
+	res, err := http.Get("http://" + p.start["internal"] + path)
+	if err != nil {
+		return ""
+	}
+	defer func() { _ = res.Body.Close() }()
+	body, err := io.ReadAll(res.Body)
+	if err != nil {
+		return ""
+	}
+	return string(body)
+}
+
+// generation is the body of a request.
+func generation(model, prompt string, tokens int) string {
+	return fmt.Sprintf(`{"model":%q,"prompt":%q,"max_tokens":%d,"stream":true,"temperature":0}`, model, prompt, tokens)
+}
+
+// expected returns the tokens that every engine gives for a prompt.
+func expected(prompt string, tokens int) []string {
+	body := engine.Prompt([]byte(generation("", prompt, 0)))
+	var out []string
+	for seq := range tokens {
+		out = append(out, engine.Token(body, "v1", "", proto.Sampling{}, proto.Seq(seq+1)))
+	}
+	return out
+}
+
+// stream is one streamed answer as far as it has come.
+type stream struct {
+	status int
+	tokens []string
+	lastID string
+	done   bool
+	body   string
+}
+
+// request streams an answer; onToken, if set, is called after each token.
+func request(addr, body, lastID, key string, onToken func(n int)) (stream, error) {
+	req, err := http.NewRequest(http.MethodPost, "http://"+addr+"/v1/completions", strings.NewReader(body))
+	if err != nil {
+		return stream{}, err
+	}
+	req.Header.Set("Authorization", "Bearer "+key)
+	if lastID != "" {
+		req.Header.Set("Last-Event-ID", lastID)
+	}
+	res, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return stream{}, err
+	}
+	defer func() { _ = res.Body.Close() }()
+	s := stream{status: res.StatusCode}
+	if res.StatusCode != http.StatusOK {
+		text, err := io.ReadAll(res.Body)
+		s.body = string(text)
+		return s, err
+	}
+	return s, s.read(res.Body, onToken)
+}
+
+func (s *stream) read(body io.Reader, onToken func(n int)) error {
+	lines := bufio.NewScanner(body)
+	for lines.Scan() {
+		s.body = lines.Text()
+		if id, ok := strings.CutPrefix(lines.Text(), "id: "); ok {
+			s.lastID = id
+		}
+		data, ok := strings.CutPrefix(lines.Text(), "data: ")
+		if !ok {
+			continue
+		}
+		if data == "[DONE]" {
+			s.done = true
+			continue
+		}
+		var part struct{ Choices []struct{ Text string } }
+		if err := json.Unmarshal([]byte(data), &part); err != nil {
+			return err
+		}
+		if len(part.Choices) == 1 && part.Choices[0].Text != "" {
+			s.tokens = append(s.tokens, part.Choices[0].Text)
+			if onToken != nil {
+				onToken(len(s.tokens))
+			}
+		}
+	}
+	return lines.Err()
+}
+
+func (p *process) signal(t *testing.T, s syscall.Signal) {
+	t.Helper()
+	if err := p.cmd.Process.Signal(s); err != nil {
+		t.Fatal(err)
+	}
+}
--- a/standin/serve/serve.go
+++ b/standin/serve/serve.go
@@ -56,6 +56,9 @@
 	}
 	h.mux.HandleFunc("POST /v1/message", h.message)
 	h.mux.HandleFunc("GET /v1/events", h.events)
+	// The lock keeps the first tick from running before the timer is set.
+	h.mu.Lock()
+	defer h.mu.Unlock()
 	h.timer = time.AfterFunc(0, h.tick)
 	return h
 }
