core/intent: decide at most once from the intent streams

Cause: a call that may not be repeated had messages for its intent, and nothing that decided on them.

Change: Table folds the intents and outcomes of the intent-N streams. The first intent of a key in log order is in force, a later one only after a recorded not_run, and a router decides when it reads its own record. Late records get the outcome not_run from their router. IntentDropped tells the table about a request that ended first, IntentDecided.Forward names a follower of the stream, IntentWanted.KeyAge carries the age of a key.

Before: no decision.

--- a/core/exchange/exchange.go
+++ b/core/exchange/exchange.go
@@ -65,13 +65,12 @@
 
 // attempt is the dispatch in flight.
 type attempt struct {
-	id        proto.AttemptID
-	endpoint  proto.EndpointID
-	reason    string
-	heard     proto.Instant
-	accepted  bool
-	last      proto.Seq
-	completed bool
+	id       proto.AttemptID
+	endpoint proto.EndpointID
+	reason   string
+	heard    proto.Instant
+	accepted bool
+	last     proto.Seq
 }
 
 // New starts an exchange at the arrival of its request.
--- /dev/null
+++ b/core/intent/table_test.go
@@ -0,0 +1,270 @@
+package intent_test
+
+import (
+	"encoding/json"
+	"fmt"
+	"runtime"
+	"testing"
+	"time"
+
+	"github.com/kumquatsill/kumquatsill/core/intent"
+	"github.com/kumquatsill/kumquatsill/core/ledger"
+	"github.com/kumquatsill/kumquatsill/core/proto"
+	"pgregory.net/rapid"
+)
+
+// Guards against a call that runs twice, or that runs after a not_run, when
+// several routers get the same keys while messages are lost and routers restart.
+func TestRacesOverOneLog(t *testing.T) {
+	granted, replayed := 0, 0
+	rapid.Check(t, func(t *rapid.T) {
+		w := newWorld(rapid.Uint64().Draw(t, "seed"), 3, intent.Faults{})
+		w.storm(20)
+		double, false_, wrong := w.faultsSeen()
+		if double+false_+wrong > 0 {
+			t.Fatalf("%d double runs, %d false not_run, %d wrong replays", double, false_, wrong)
+		}
+		for id := range w.asked {
+			if _, ok := w.decided[id]; !ok && len(w.nodes) == w.lives {
+				t.Fatalf("request %s has no decision", id)
+			}
+		}
+		for _, n := range w.nodes {
+			granted += int(n.table.Counters().Granted)
+			replayed += int(n.table.Counters().Replayed)
+		}
+	})
+	if granted == 0 || replayed == 0 {
+		t.Fatalf("%d granted, %d replayed: the run shows nothing", granted, replayed)
+	}
+}
+
+// Guards against a race test that could not notice a missing rule.
+func TestRacesNoticeMissingRules(t *testing.T) {
+	for name, f := range map[string]intent.Faults{
+		"skip the intent":              {SkipIntent: true},
+		"decide before the own offset": {DecideEarly: true},
+		"trust a late confirmation":    {TrustLate: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			bad := 0
+			for seed := range uint64(30) {
+				w := newWorld(seed, 3, f)
+				w.storm(20)
+				if double, false_, _ := w.faultsSeen(); double+false_ > 0 {
+					bad++
+				}
+			}
+			t.Logf("%d of 30 runs failed", bad)
+			if bad == 0 {
+				t.Fatal("no run noticed")
+			}
+		})
+	}
+}
+
+// calm returns a world without message faults, ready to decide.
+func calm(routers int) *world {
+	w := newWorld(1, routers, intent.Faults{})
+	w.quiet = true
+	w.run(200 * time.Millisecond)
+	return w
+}
+
+func (w *world) mustDecide(t *testing.T, id proto.RequestID) proto.IntentDecided {
+	t.Helper()
+	w.run(100 * time.Millisecond)
+	d, ok := w.decided[id]
+	if !ok {
+		t.Fatalf("request %s has no decision", id)
+	}
+	return d
+}
+
+// Guards against a record of a timed-out call that blocks its key for ever.
+func TestLateIntentFreesItsKey(t *testing.T) {
+	w := calm(2)
+	w.ask(w.nodes[0], "k")
+	// The append reaches the log, then nothing comes back.
+	w.run(10 * time.Millisecond)
+	w.down = true
+	w.wires = nil
+	w.run(4 * time.Second)
+	if d := w.decided["q1"]; d.Verdict != proto.NotRun || d.Cause != proto.CauseLogUnavailable || len(w.records) != 1 {
+		t.Fatalf("got %+v with %d records in the log", d, len(w.records))
+	}
+	w.down = false
+	w.run(8 * time.Second)
+	if d := w.mustDecide(t, w.ask(w.nodes[1], "k")); d.Intent == nil {
+		t.Fatalf("the key is blocked: %+v", d)
+	}
+}
+
+// Guards against a second run after the router that dispatched a call died.
+func TestDeadRouterLeavesMayHaveRun(t *testing.T) {
+	w := calm(2)
+	w.ask(w.nodes[0], "k")
+	w.run(10 * time.Millisecond)
+	w.nodes[0] = w.start()
+	w.run(time.Second)
+	for _, n := range w.nodes {
+		if d := w.mustDecide(t, w.ask(n, "k")); d.Intent != nil || d.Verdict != proto.MayHaveRun {
+			t.Fatalf("router %s: %+v", n.id, d)
+		}
+	}
+}
+
+// Guards against an answer that goes to other content, and against large
+// answers in the log.
+func TestRepeats(t *testing.T) {
+	w := calm(1)
+	n := w.nodes[0]
+	want := func(m proto.IntentWanted) proto.IntentDecided {
+		w.requests++
+		m.Request = proto.RequestID(fmt.Sprint("x", w.requests))
+		n.table.Wanted(w.now, m)
+		return w.mustDecide(t, m.Request)
+	}
+	w.ask(n, "k")
+	w.run(time.Second)
+	if d := want(proto.IntentWanted{Key: "k", Fingerprint: "other"}); d.Cause != proto.CauseKeyReused || d.Verdict != proto.NotRun {
+		t.Errorf("other content: %+v", d)
+	}
+	if d := want(proto.IntentWanted{Key: "k", Fingerprint: "f-k"}); d.Outcome == nil || string(d.Outcome.Body) != "q1" || d.Outcome.Status != 201 {
+		t.Errorf("repeat: %+v", d)
+	}
+	if d := want(proto.IntentWanted{Key: "new", Fingerprint: "f", KeyAge: intent.DefaultRetention*3/4 + 1}); d.Cause != proto.CauseKeyTooOld || d.Verdict != proto.NotRun {
+		t.Errorf("old key: %+v", d)
+	}
+	big := proto.OutcomeKnown{Request: "big", Verdict: proto.Ran, Finish: &proto.CallerFinish{Body: make([]byte, intent.MaxBody+1)}}
+	n.table.Event(w.now, ledger.Event{Kind: ledger.EventRecord, Stream: intent.StreamOf("big", 2), Offset: 50, Record: encode(intent.KindIntent, intent.Record{Key: "big", Fingerprint: "f", Router: "z", Seq: 1})})
+	n.table.Event(w.now, ledger.Event{Kind: ledger.EventRecord, Stream: intent.StreamOf("big", 2), Offset: 51, Record: encode(intent.KindOutcome, intent.Outcome{Key: "big", Intent: 50, Router: "z", Seq: 2, Verdict: big.Verdict})})
+	if d := want(proto.IntentWanted{Key: "big", Fingerprint: "f"}); d.Outcome != nil || d.Verdict != proto.Ran {
+		t.Errorf("repeat of a large answer: %+v", d)
+	}
+	w.down = true
+	w.run(4 * time.Second)
+	if d := want(proto.IntentWanted{Key: "k2", Fingerprint: "f"}); d.Cause != proto.CauseLogUnavailable || d.Verdict != proto.NotRun || d.RetryAfter == 0 {
+		t.Errorf("log down: %+v", d)
+	}
+}
+
+// Guards against a second run where retention removed records that this
+// router did not read: one may have superseded what it knows, and its own
+// intent may be among them.
+func TestGap(t *testing.T) {
+	w := calm(1)
+	n := w.nodes[0]
+	stream := intent.StreamOf("k", 2)
+	event := func(kind ledger.EventKind, at proto.Offset, rec proto.Record) {
+		n.table.Event(w.now, ledger.Event{Kind: kind, Stream: stream, ID: rec.ID, Offset: at, Record: rec})
+	}
+	event(ledger.EventRecord, 0, encode(intent.KindIntent, intent.Record{Key: "k", Fingerprint: "f-k", Router: "z", Seq: 1}))
+	event(ledger.EventRecord, 1, encode(intent.KindOutcome, intent.Outcome{Key: "k", Router: "z", Seq: 2, Verdict: proto.NotRun}))
+	event(ledger.EventGap, 9, proto.Record{})
+	if d := w.mustDecide(t, w.ask(n, "k")); d.Intent != nil || d.Verdict != proto.MayHaveRun {
+		t.Errorf("after a gap: %+v", d)
+	}
+
+	own := ""
+	for i := 0; own == ""; i++ {
+		if key := fmt.Sprint("own", i); intent.StreamOf(key, 2) == stream {
+			own = key
+		}
+	}
+	w.down = true
+	id := w.ask(n, own)
+	event(ledger.EventGap, 90, proto.Record{})
+	event(ledger.EventConfirmed, 50, proto.Record{ID: proto.RecordID(string(n.id) + ".1")})
+	if d := w.mustDecide(t, id); d.Intent != nil || d.Verdict != proto.NotRun {
+		t.Errorf("own intent in a gap: %+v", d)
+	}
+	w.down = false
+	w.run(4 * time.Second)
+	freed := false
+	for _, r := range w.stream(stream) {
+		var o intent.Outcome
+		if r.Kind == intent.KindOutcome && json.Unmarshal(r.Body, &o) == nil {
+			freed = freed || o.Intent == 50 && o.Verdict == proto.NotRun
+		}
+	}
+	if !freed {
+		t.Error("no outcome for the intent that was not used")
+	}
+}
+
+func encode(kind proto.RecordKind, body any) proto.Record {
+	data, _ := json.Marshal(body)
+	return proto.Record{Kind: kind, Body: data}
+}
+
+// Guards against a table that grows with all keys ever used, and against a
+// second copy of a record that takes a key.
+func TestMemoryAndCopies(t *testing.T) {
+	const keys = 20_000
+	c := ledger.New(ledger.Config{Self: proto.RouterAddr("r"), Incarnation: "r"})
+	table := intent.New(intent.Config{Self: proto.RouterAddr("r"), Router: "r", MaxBytes: 1 << 20}, c)
+	table.SetRouters([]proto.RouterID{"r"})
+	before := heap()
+	at, logged := proto.Offset(0), 0
+	fold := func(now proto.Instant, kind proto.RecordKind, body any) {
+		rec := encode(kind, body)
+		logged += len(rec.Body)
+		table.Event(now, ledger.Event{Kind: ledger.EventRecord, Stream: "intent-0", Offset: at, Record: rec})
+		at++
+	}
+	for i := range uint64(keys) {
+		key := fmt.Sprintf("%032x", i)
+		fold(1, intent.KindIntent, intent.Record{Key: key, Fingerprint: proto.Fingerprint(key), Router: "r-1f3a9c", Seq: 2*i + 1})
+		fold(1, intent.KindOutcome, intent.Outcome{Key: key, Intent: at - 1, Router: "r-1f3a9c", Seq: 2*i + 2, Verdict: proto.Ran,
+			Answer: &intent.Answer{Status: 201, ContentType: "application/json", Body: make([]byte, 200)}})
+	}
+	n, bytes := table.Keys()
+	t.Logf("per key: %d bytes of heap, %d bytes of record bodies; %d keys hold %d answer bytes",
+		(heap()-before)/keys, logged/keys, n, bytes)
+	if n != keys || bytes > 1<<20 {
+		t.Fatalf("%d keys, %d answer bytes", n, bytes)
+	}
+	fold(2, intent.KindIntent, intent.Record{Key: "copy", Fingerprint: "f", Router: "r-1f3a9c", Seq: 1})
+	if n, _ := table.Keys(); n != keys {
+		t.Error("a copy took a key")
+	}
+	table.Tick(proto.Instant(0).Add(intent.DefaultRetention) + 1)
+	if n, bytes := table.Keys(); n != 0 || bytes != 0 {
+		t.Errorf("%d keys with %d bytes left after the retention", n, bytes)
+	}
+}
+
+func heap() int {
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return int(m.HeapAlloc)
+}
+
+// Guards against routers that disagree about who follows a stream, and
+// against a call that is lost at a router which does not.
+func TestFollowers(t *testing.T) {
+	routers := []proto.RouterID{"a", "b", "c", "d", "e", "f"}
+	following := 0
+	for _, r := range routers {
+		c := ledger.New(ledger.Config{Self: proto.RouterAddr(r), Incarnation: "i"})
+		table := intent.New(intent.Config{Self: proto.RouterAddr(r), Router: r}, c)
+		table.SetRouters(routers)
+		table.Wanted(0, proto.IntentWanted{Request: "q", Key: "k", Fingerprint: "f"})
+		d := table.Take()[0].Msg.(proto.IntentDecided)
+		if d.Cause == proto.CauseNotReady {
+			following++
+			continue
+		}
+		if d.Forward == "" || d.Forward == r || d.Verdict != proto.NotRun {
+			t.Errorf("router %s does not follow the stream and says %+v", r, d)
+		}
+	}
+	if following != intent.FollowersPerShard {
+		t.Errorf("%d of 6 routers follow, want %d", following, intent.FollowersPerShard)
+	}
+	if got := intent.Followers("intent-0", routers[:4]); len(got) != 4 {
+		t.Errorf("%d of 4 routers follow", len(got))
+	}
+}
--- a/core/proto/internal.go
+++ b/core/proto/internal.go
@@ -13,6 +13,14 @@
 	// Key is the hash of the account's idempotency key.
 	Key         string      `json:"key"`
 	Fingerprint Fingerprint `json:"fingerprint"`
+	// KeyAge is the time since the key's creation, if the key carries it; else 0.
+	KeyAge time.Duration `json:"key_age_ns,omitempty"`
+}
+
+// IntentDropped tells the control machine that a request ended before it
+// acted on an IntentDecided: nothing was and nothing will be dispatched for it.
+type IntentDropped struct {
+	Request RequestID `json:"request"`
 }
 
 // IntentDecided answers IntentWanted. The call may be dispatched only if
@@ -25,6 +33,9 @@
 	Cause      Cause         `json:"cause,omitempty"`
 	Verdict    Verdict       `json:"verdict"`
 	RetryAfter time.Duration `json:"retry_after_ns,omitempty"`
+	// Forward names a router that follows the key's intent stream, where this
+	// one does not. The request goes there as an IntentForward.
+	Forward RouterID `json:"forward,omitempty"`
 }
 
 // OutcomeKnown asks the control machine to log how an intent ended.
--- a/core/proto/kinds.go
+++ b/core/proto/kinds.go
@@ -51,6 +51,7 @@
 	TokenRequest{},
 	TokenReply{},
 	IntentWanted{},
+	IntentDropped{},
 	IntentDecided{},
 	OutcomeKnown{},
 	CrashSeen{},
@@ -206,6 +207,9 @@
 // Kind implements Message.
 func (IntentWanted) Kind() Kind { return "IntentWanted" }
 
+// Kind implements Message.
+func (IntentDropped) Kind() Kind { return "IntentDropped" }
+
 // Kind implements Message.
 func (IntentDecided) Kind() Kind { return "IntentDecided" }
 
