--- a/core/proto/kinds.go
+++ b/core/proto/kinds.go
@@ -52,6 +52,7 @@
 	TokenRequest{},
 	TokenReply{},
 	IntentWanted{},
+	IntentDropped{},
 	IntentDecided{},
 	OutcomeKnown{},
 	CrashSeen{},
@@ -210,6 +211,9 @@
 // Kind implements Message.
 func (IntentWanted) Kind() Kind { return "IntentWanted" }
 
+// Kind implements Message.
+func (IntentDropped) Kind() Kind { return "IntentDropped" }
+
 // Kind implements Message.
 func (IntentDecided) Kind() Kind { return "IntentDecided" }
 
