Wire intents and the audit trail into the router

TestOrderRunsOnce fails at this commit: a first call that may not be repeated is refused by the agent since the router does not know the agent's life yet, and the exchange excludes the endpoint.

--- a/core/router/control.go
+++ b/core/router/control.go
@@ -10,6 +10,7 @@
 	"github.com/kumquatsill/kumquatsill/core/check"
 	"github.com/kumquatsill/kumquatsill/core/configlog"
 	"github.com/kumquatsill/kumquatsill/core/exchange"
+	"github.com/kumquatsill/kumquatsill/core/intent"
 	"github.com/kumquatsill/kumquatsill/core/ledger"
 	"github.com/kumquatsill/kumquatsill/core/limit"
 	"github.com/kumquatsill/kumquatsill/core/proto"
@@ -74,15 +75,19 @@
 	draining bool
 
 	checkpointer *configlog.Checkpointer
-	workAt       proto.Instant
-	registerAt   proto.Instant
-	removeAt     proto.Instant
-	stats        Stats
+	intents      *intent.Table
+	audit        auditor
+	// recentRequests answers operators who ask about one request.
+	recentRequests *recentRequests
+	workAt         proto.Instant
+	registerAt     proto.Instant
+	removeAt       proto.Instant
+	stats          Stats
 }
 
 // Stats counts what the control machine did.
 type Stats struct {
-	Checkpoints, CheckpointErrors, AppendErrors, BadReplies int64
+	Checkpoints, CheckpointErrors, AppendErrors, BadReplies, AuditErrors int64
 }
 
 // submission is a release note whose outcome an operator waits for.
--- /dev/null
+++ b/core/router/intents.go
@@ -0,0 +1,49 @@
+package router
+
+import (
+	"maps"
+	"slices"
+
+	"github.com/kumquatsill/kumquatsill/core/configlog"
+	"github.com/kumquatsill/kumquatsill/core/intent"
+	"github.com/kumquatsill/kumquatsill/core/proto"
+)
+
+// startIntents builds the table of intents once the number of shards is
+// known. A change of the number takes effect when a router restarts.
+func (c *Control) startIntents(state *configlog.Snapshot) {
+	if c.intents != nil || !c.ready {
+		return
+	}
+	c.intents = intent.New(intent.Config{
+		Self:      c.Self(),
+		Router:    c.cfg.ID,
+		Shards:    state.Config.Policy.IntentShards,
+		Retention: c.cfg.Retention,
+		Checks:    c.cfg.Checks,
+	}, c.log)
+}
+
+// updateIntents tells the table which routers are live.
+func (c *Control) updateIntents(state *configlog.Snapshot) {
+	c.startIntents(state)
+	if c.intents == nil {
+		return
+	}
+	ids := slices.Sorted(maps.Keys(state.Routers))
+	if !slices.Contains(ids, c.cfg.ID) {
+		ids = append(ids, c.cfg.ID)
+	}
+	c.intents.SetRouters(ids)
+}
+
+// onIntentWanted decides an intent, or refuses it while the table is not there.
+func (c *Control) onIntentWanted(now proto.Instant, m proto.IntentWanted) {
+	if c.intents == nil {
+		c.Send(c.Self(), proto.IntentDecided{
+			Request: m.Request, Cause: proto.CauseNotReady, Verdict: proto.NotRun, RetryAfter: registerRetry,
+		})
+		return
+	}
+	c.intents.Wanted(now, m)
+}
--- a/core/router/publish.go
+++ b/core/router/publish.go
@@ -47,6 +47,7 @@
 		return
 	}
 	c.applied = state
+	c.updateIntents(state)
 	c.peers.update(now, state.Routers)
 	c.fresh.forget(c.peers.chosen)
 }
--- /dev/null
+++ b/core/router/recent.go
@@ -0,0 +1,41 @@
+package router
+
+import "github.com/kumquatsill/kumquatsill/core/proto"
+
+// maxRecentRequests bounds the ended requests that a router can explain
+// without the audit stream.
+const maxRecentRequests = 4096
+
+// recentRequests is a ring of the requests that ended last.
+type recentRequests struct {
+	ring []proto.RequestEnded
+	next int
+	byID map[proto.RequestID]int
+}
+
+func newRecentRequests() *recentRequests {
+	return &recentRequests{byID: map[proto.RequestID]int{}}
+}
+
+func (r *recentRequests) add(m proto.RequestEnded) {
+	if len(r.ring) < maxRecentRequests {
+		r.byID[m.Request] = len(r.ring)
+		r.ring = append(r.ring, m)
+		return
+	}
+	old := r.ring[r.next].Request
+	if r.byID[old] == r.next {
+		delete(r.byID, old)
+	}
+	r.ring[r.next] = m
+	r.byID[m.Request] = r.next
+	r.next = (r.next + 1) % maxRecentRequests
+}
+
+func (r *recentRequests) find(id proto.RequestID) (proto.RequestEnded, bool) {
+	i, ok := r.byID[id]
+	if !ok {
+		return proto.RequestEnded{}, false
+	}
+	return r.ring[i], true
+}
--- a/core/router/step.go
+++ b/core/router/step.go
@@ -32,6 +32,9 @@
 		fresh:  newFreshness(),
 		peers:  newPeers(cfg.ID, rng),
 		notes:  map[proto.RecordID]submission{},
+		audit:  newAuditor(cfg),
+
+		recentRequests: newRecentRequests(),
 	}
 	if cfg.Retention == 0 {
 		cfg.Retention = DefaultRetention
@@ -87,6 +90,18 @@
 		c.onStateReply(now, m)
 	case proto.NoteSubmit:
 		c.onNoteSubmit(now, in.From, m)
+	case proto.IntentWanted:
+		c.onIntentWanted(now, m)
+	case proto.OutcomeKnown:
+		if c.intents != nil {
+			c.intents.Known(now, m)
+		}
+	case proto.IntentDropped:
+		if c.intents != nil {
+			c.intents.Dropped(now, m)
+		}
+	case proto.RequestEnded:
+		c.onRequestEnded(m)
 	}
 	c.settle(now)
 }
@@ -103,14 +118,22 @@
 		c.register(now)
 		c.removeSilent(now)
 		c.checkpoint(now)
+		c.appendAudit(now)
 		c.publish(now)
 	}
+	if c.intents != nil {
+		c.intents.Tick(now)
+	}
 	c.settle(now)
 }
 
 // Wake implements proto.Machine.
 func (c *Control) Wake() proto.Instant {
-	return proto.Earliest(c.log.Wake(), c.peers.beatAt, c.workAt)
+	wake := proto.Earliest(c.log.Wake(), c.peers.beatAt, c.workAt)
+	if c.intents != nil {
+		wake = min(wake, c.intents.Wake())
+	}
+	return wake
 }
 
 // settle takes in what the log client reports and passes its messages on.
@@ -129,17 +152,33 @@
 	if changed {
 		c.publish(now)
 	}
+	if c.intents != nil {
+		c.Forward(c.intents.Take())
+	}
 	c.Forward(c.log.Take())
 }
 
+// onLogEvent takes in one event and reports whether the folded state changed.
 func (c *Control) onLogEvent(now proto.Instant, e ledger.Event) bool {
+	switch e.Stream {
+	case proto.StreamConfig:
+		return c.onConfigEvent(e)
+	case proto.StreamAudit:
+		c.onAuditEvent(e)
+	default:
+		if c.intents != nil {
+			c.intents.Event(now, e)
+		}
+	}
+	return false
+}
+
+func (c *Control) onConfigEvent(e ledger.Event) bool {
 	switch e.Kind {
 	case ledger.EventRecord:
-		return e.Stream == proto.StreamConfig && c.foldRecord(e.Record)
+		return c.foldRecord(e.Record)
 	case ledger.EventGap:
-		if e.Stream == proto.StreamConfig {
-			c.state.Skip(e.Offset)
-		}
+		c.state.Skip(e.Offset)
 	case ledger.EventRefused, ledger.EventUnknown, ledger.EventAbsent:
 		c.noteFailed(e)
 	}
