--- a/core/route/view.go
+++ b/core/route/view.go
@@ -16,22 +16,25 @@
 	defaultMemory = 3 << 20
 	// staleAfter is the age at which a report no longer describes the load.
 	staleAfter = 1500 * time.Millisecond
+	// shortChoices is the number of members among which a prompt without
+	// blocks goes to the one with the shortest wait.
+	shortChoices = 4
 	// maxProbes is the greatest number of agents to ask first.
 	maxProbes = 3
 	// maxCandidates bounds the work of one decision.
 	maxCandidates = 40
-	// homeDepth is the greatest depth whose homes are considered. Blocks
-	// further down are shared by few requests.
-	homeDepth = 8
+	// homeDepth is the depth whose homes a prompt goes to. Deeper homes are
+	// considered only while those of half the depth are busy: each further
+	// depth is one more place to look for a prefix.
+	homeDepth = 3
 	// boundFactor and boundSlack limit an endpoint's own work in flight to a
 	// multiple of the mean plus a few attempts (bounded load).
 	boundFactor = 1.5
 	boundSlack  = 8
-	// spreadAt is the least wait among a prefix's homes at which it gets
-	// another home; it gives one up after contractHold below contractAt.
-	spreadAt     = 100 * time.Millisecond
-	contractAt   = 20 * time.Millisecond
-	contractHold = 3 * time.Second
+	// contractShare is the share of the wait at which a prefix gets another
+	// home below which it gives one up, after contractHold.
+	contractShare = 0.2
+	contractHold  = 3 * time.Second
 	// spreadUses is the number of uses in useWindow that makes a prefix hot.
 	spreadUses = 4
 	// importConfidence is the least chance that a peer still holds what is to
@@ -199,33 +202,45 @@
 		v.recall.update(now, hash, func(entry *recallEntry) {
 			entry.put(h)
 			uses := entry.count(now)
-			if g == nil || depth > homeDepth {
+			if g == nil {
 				return
 			}
-			entry.adapt(now, s.leastWait(now, g, hash, int(entry.spread)+1), uses)
+			entry.adapt(now, s.leastWait(now, g, hash, int(entry.spread)+1), v.prefill(int64(depth)*PieceTokens), uses)
 		})
 	}
 }
 
-// leastWait returns the least wait among the first width homes of a block.
+// leastWait returns the least wait among the first width homes of a block,
+// of those that take work.
 func (s *snapshot) leastWait(now proto.Instant, g *group, hash uint64, width int) time.Duration {
 	least := time.Duration(math.MaxInt64)
 	for rank, index := range g.of(hash) {
 		if rank >= width {
 			break
 		}
-		least = min(least, s.endpoints[index].queueAt(now))
+		e := s.endpoints[index]
+		if e.leaving || e.standingAt(now) >= member.Suspect {
+			continue
+		}
+		least = min(least, e.queueAt(now))
 	}
 	return least
 }
 
-// adapt widens or narrows the spread of a prefix, with hysteresis.
-func (e *recallEntry) adapt(now proto.Instant, least time.Duration, uses uint16) {
-	if least > contractAt {
+// prefill returns the time to compute tokens of prompt.
+func (v *View) prefill(tokens int64) time.Duration {
+	return time.Duration(tokens) * v.cfg.Costs.Prefill
+}
+
+// adapt widens or narrows the spread of a prefix, with hysteresis. It widens
+// when the least wait at the homes exceeds recompute, the time to compute the
+// prefix at another endpoint.
+func (e *recallEntry) adapt(now proto.Instant, least, recompute time.Duration, uses uint16) {
+	if least > time.Duration(contractShare*float64(recompute)) {
 		e.calm = now
 	}
 	switch {
-	case least > spreadAt && uses >= spreadUses && int(e.spread)+1 < maxHomes:
+	case least > recompute && uses >= spreadUses && int(e.spread)+1 < maxHomes:
 		e.spread++
 	case e.spread > 0 && now.Sub(e.calm) >= contractHold:
 		e.spread--
