core/member: keep the incarnation when a message carries none

Cause: a report without an incarnation, as from an agent whose engine does not answer, became the current incarnation. The next report of the true one was then dropped as late, for good.

Change: a message without an incarnation counts as a sign of life and leaves the incarnation as it is. View takes its tag from the evidence.

Figures: the extended TestLateIncarnation fails before and passes after.

--- a/core/member/member.go
+++ b/core/member/member.go
@@ -66,10 +66,11 @@
 // Heard takes in a sign of life. It returns false, without effect, for a late
 // message of the life before the current one.
 func (e *Evidence) Heard(now proto.Instant, life proto.Incarnation, leaving bool) bool {
-	if life != e.incarnation && life == e.previous && life != "" {
+	if life != "" && life != e.incarnation && life == e.previous {
 		return false
 	}
-	if life != e.incarnation {
+	// An agent that does not know its engine's incarnation sends none.
+	if life != e.incarnation && life != "" {
 		e.previous, e.incarnation = e.incarnation, life
 		e.leaving = false
 	}
--- a/core/member/member_test.go
+++ b/core/member/member_test.go
@@ -42,7 +42,8 @@
 }
 
 // Guards against a late message of a dead incarnation clearing the evidence
-// against its successor.
+// against its successor, and against a message without an incarnation that
+// makes the current one look dead.
 func TestLateIncarnation(t *testing.T) {
 	var e Evidence
 	e.Heard(1, "a", false)
@@ -51,4 +52,7 @@
 	if e.Heard(4, "a", false) || e.Incarnation() != "b" || e.Standing(4) != Doubtful {
 		t.Errorf("a late message of the old incarnation counted")
 	}
+	if !e.Heard(5, "", false) || !e.Heard(6, "b", false) || e.Incarnation() != "b" {
+		t.Errorf("incarnation %q after a message without one", e.Incarnation())
+	}
 }
--- a/core/route/endpoint.go
+++ b/core/route/endpoint.go
@@ -107,7 +107,7 @@
 	if !l.evidence.Heard(now, r.Incarnation, r.Leaving) {
 		return false
 	}
-	l.tag.Store(tagOf(l.id, r.Incarnation))
+	l.tag.Store(tagOf(l.id, l.evidence.Incarnation()))
 	l.rollRecent(now)
 	queue := time.Duration(r.QueuedTokens) * prefill
 	l.busyUntil.Store(int64(now.Add(queue + l.recent + l.before)))
