proof: compute the measures from events and generate both workloads

Cause: the five measures and the traffic of the two deployments existed only as a fake inside core/route's tests.

Change: proof/measure computes the measures from events, with exact quantiles. A refused or lost generation counts as one without a first token. proof/workload generates nested prefixes, sessions, calls and a flooding account from a seed, and gives each deployment's release note.

--- /dev/null
+++ b/proof/measure/measure_test.go
@@ -0,0 +1,108 @@
+package measure_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/kumquatsill/kumquatsill/core/proto"
+	"github.com/kumquatsill/kumquatsill/proof/measure"
+)
+
+func record(cfg measure.Config, events ...measure.Event) *measure.Recorder {
+	r := measure.NewRecorder(cfg)
+	for _, e := range events {
+		r.Add(e)
+	}
+	return r
+}
+
+func sent(id proto.RequestID, at time.Duration, account proto.AccountID, tokens int64) measure.Event {
+	return measure.Sent{At: at, Request: id, Account: account, Class: proto.ClassGenerate, Tokens: tokens}
+}
+
+// Guards against recomputation that is counted although no engine held the
+// prefix, or not counted although another engine did.
+func TestWasted(t *testing.T) {
+	rep := measure.NewReport(record(measure.Config{},
+		sent("a", 0, "x", 0), sent("b", 0, "x", 0), sent("c", 0, "x", 0),
+		measure.Prefilled{Request: "a", Prompt: 100, Computed: 100, Held: 0},
+		measure.Prefilled{Request: "b", Prompt: 100, Computed: 100, Held: 60},
+		measure.Prefilled{Request: "c", Prompt: 100, Computed: 40, Held: 60},
+	))
+	if got, want := rep.Wasted, 60.0/300; got != want {
+		t.Errorf("wasted %v, want %v", got, want)
+	}
+	if got, want := rep.HitRate, 60.0/300; got != want {
+		t.Errorf("hit rate %v, want %v", got, want)
+	}
+}
+
+// Guards against refusals beyond the rate that count as wrongful, refusals
+// inside it that do not, and refused tokens that are charged.
+func TestWrongful(t *testing.T) {
+	cfg := measure.Config{Limits: map[proto.AccountID]measure.Limit{"x": {Rate: 10, Burst: 100}}}
+	refused := func(id proto.RequestID, at time.Duration) measure.Event {
+		return measure.Refused{At: at, Request: id, Cause: proto.CauseRateLimited, Verdict: proto.NotRun}
+	}
+	rep := measure.NewReport(record(cfg,
+		sent("a", 0, "x", 80),                  // inside, served: 80 of 100 spent
+		sent("b", 0, "x", 30), refused("b", 0), // beyond
+		sent("c", time.Second, "x", 30), refused("c", time.Second), // 70 spent: inside
+		sent("d", time.Second, "x", 30), refused("d", time.Second), // inside, as c got its tokens back
+	))
+	if rep.Refusals != 3 || rep.Wrongful != 2 {
+		t.Errorf("%d refusals, %d wrongful, want 3 and 2", rep.Refusals, rep.Wrongful)
+	}
+}
+
+// Guards against a tail that improves when requests are refused or lost, and
+// against a flooding account that is compared with the others.
+func TestTailAndAccounts(t *testing.T) {
+	var events []measure.Event
+	serve := func(id proto.RequestID, account proto.AccountID, first time.Duration) {
+		events = append(events, sent(id, 0, account, 0), measure.FirstToken{At: first, Request: id})
+	}
+	serve("a1", "a", 1)
+	serve("b1", "b", 2)
+	serve("c1", "c", 5)
+	serve("f1", "f", 100)
+	rep := measure.NewReport(record(measure.Config{Flooding: "f"}, events...))
+	if rep.Worst != "c" || rep.Unfairness != 2.5 {
+		t.Errorf("worst account %s at %v of the median, want c at 2.5", rep.Worst, rep.Unfairness)
+	}
+	events = append(events, sent("lost", 0, "a", 0))
+	rep = measure.NewReport(record(measure.Config{}, events...))
+	if rep.FirstToken.P99 != measure.Never || rep.Unfinished != 5 {
+		t.Errorf("p99 %v with %d unfinished, want Never and 5", rep.FirstToken.P99, rep.Unfinished)
+	}
+}
+
+// Guards against quantiles that are off by one sample.
+func TestQuantiles(t *testing.T) {
+	samples := make([]time.Duration, 100)
+	for i := range samples {
+		samples[99-i] = time.Duration(i + 1)
+	}
+	q := measure.NewQuantiles(samples)
+	if q.P50 != 50 || q.P95 != 95 || q.P99 != 99 {
+		t.Errorf("quantiles of 1..100: %+v", q)
+	}
+}
+
+// Guards against a warm-restart figure that mixes the routers or the periods.
+func TestWarmRates(t *testing.T) {
+	r := measure.NewRecorder(measure.Config{})
+	run := func(id proto.RequestID, at time.Duration, router string, computed int64) {
+		r.Add(measure.Sent{At: at, Request: id, Class: proto.ClassGenerate, Router: router})
+		r.Add(measure.Prefilled{Request: id, Prompt: 100, Computed: computed})
+	}
+	run("old", 1, "r1", 100)
+	run("a", 5, "r2", 40)
+	run("b", 6, "r1", 20)
+	run("c", 7, "r2", 60)
+	run("late", 8, "r1", 100)
+	own, peers, ok := r.WarmRates("r2", 5, 2)
+	if !ok || own != 0.5 || peers != 0.8 {
+		t.Errorf("own %v, peers %v, %v; want 0.5, 0.8, true", own, peers, ok)
+	}
+}
--- /dev/null
+++ b/proof/workload/workload_test.go
@@ -0,0 +1,122 @@
+package workload_test
+
+import (
+	"reflect"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/kumquatsill/kumquatsill/core/note"
+	"github.com/kumquatsill/kumquatsill/core/proto"
+	"github.com/kumquatsill/kumquatsill/proof/workload"
+)
+
+func all(d workload.Deployment, cfg workload.Config) []workload.Arrival {
+	g := workload.New(d, cfg)
+	var arrivals []workload.Arrival
+	for {
+		a, ok := g.Next()
+		if !ok {
+			return arrivals
+		}
+		arrivals = append(arrivals, a)
+	}
+}
+
+// Guards against example notes that the program refuses or that miss an
+// endpoint of the design page.
+func TestNotes(t *testing.T) {
+	for _, d := range workload.Deployments() {
+		if err := note.Check(note.Empty(), d.Note()); err != nil {
+			t.Errorf("%s: %v", d.Name, err)
+		}
+		if got := len(d.Note().Added.Endpoints); got != d.Engines+d.Services {
+			t.Errorf("%s: %d endpoints", d.Name, got)
+		}
+	}
+}
+
+// Guards against a workload that differs between two runs of a seed, is
+// unordered, or strays from the shares, rates and nesting that it states.
+func TestGenerator(t *testing.T) {
+	const duration = 200 * time.Second
+	for _, d := range workload.Deployments() {
+		cfg := workload.Config{Seed: 1, Duration: duration}
+		arrivals := all(d, cfg)
+		if !reflect.DeepEqual(arrivals, all(d, cfg)) {
+			t.Errorf("%s: two runs of one seed differ", d.Name)
+		}
+		cost := map[proto.AccountID]int64{}
+		orders, calls, shared := 0, 0, 0
+		prefixes := map[uint64]bool{}
+		for i, a := range arrivals {
+			if i > 0 && a.At < arrivals[i-1].At {
+				t.Fatalf("%s: arrivals out of order", d.Name)
+			}
+			cost[a.Account] += a.Cost
+			if a.Request.Class == proto.ClassCall {
+				calls++
+				if a.Request.IdempotencyKey != "" {
+					orders++
+				}
+				continue
+			}
+			last := a.Request.Pieces[len(a.Request.Pieces)-2]
+			if prefixes[last] {
+				shared++
+			}
+			for _, p := range a.Request.Pieces {
+				prefixes[p] = true
+			}
+		}
+		within(t, d.Name+" requests/s", float64(len(arrivals))/duration.Seconds(), d.Traffic.Rate, 0.1)
+		within(t, d.Name+" calls", float64(calls)/float64(len(arrivals)), d.Traffic.Calls, 0.15)
+		within(t, d.Name+" orders", float64(orders)/float64(calls), d.Traffic.Orders, 0.2)
+		if share := float64(shared) / float64(len(arrivals)-calls); share < 0.5 {
+			t.Errorf("%s: only %.2f of the prompts repeat all but the last block", d.Name, share)
+		}
+		for _, a := range d.Accounts {
+			if mean := float64(cost[a.ID]) / duration.Seconds(); mean > float64(a.Rate) {
+				t.Errorf("%s: account %s demands %.0f tokens/s, above its rate %d", d.Name, a.ID, mean, a.Rate)
+			}
+		}
+	}
+}
+
+func within(t *testing.T, what string, got, want, tolerance float64) {
+	t.Helper()
+	if got < want*(1-tolerance) || got > want*(1+tolerance) {
+		t.Errorf("%s: %.3f, want %.3f", what, got, want)
+	}
+}
+
+// Guards against a flood that is not the stated multiple of the rate.
+func TestFlood(t *testing.T) {
+	d := workload.Pompas()
+	a := d.Accounts[2]
+	cfg := workload.Config{Seed: 1, Duration: 100 * time.Second, Flood: a.ID, FloodFactor: 5, FloodFrom: 20 * time.Second}
+	var cost int64
+	for _, arrival := range all(d, cfg) {
+		if arrival.Account == a.ID && arrival.At >= cfg.FloodFrom {
+			cost += arrival.Cost
+		}
+	}
+	within(t, "tokens/s of the flooding account", float64(cost)/80, 5*float64(a.Rate), 0.15)
+}
+
+// Guards against prompts over HTTP that do not share what their pieces share.
+func TestPrompt(t *testing.T) {
+	arrivals := all(workload.Karoo(), workload.Config{Seed: 1, Duration: 5 * time.Second})
+	for _, a := range arrivals {
+		for _, b := range arrivals {
+			common := 0
+			for common < min(len(a.Request.Pieces), len(b.Request.Pieces)) && a.Request.Pieces[common] == b.Request.Pieces[common] {
+				common++
+			}
+			const pieceBytes = 2048 * 4
+			if common > 0 && !strings.HasPrefix(b.Prompt(), a.Prompt()[:common*pieceBytes]) {
+				t.Fatalf("%s and %s share %d pieces, but not their text", a.Request.ID, b.Request.ID, common)
+			}
+		}
+	}
+}
