core/exchange: name the agent's incarnation in a dispatch

Cause: agents refuse a call that may not be repeated unless the dispatch names their incarnation, and no dispatch did. TestOrderRunsOnce failed: 0 orders ran.

Change: a Choice carries the incarnation that the agent last reported, and the exchange passes it on. A router that does not know it probes the agent first.

Result: TestOrderRunsOnce passes; one order runs and its repeat gets the recorded answer.

--- a/core/exchange/attempt.go
+++ b/core/exchange/attempt.go
@@ -7,6 +7,7 @@
 
 	"github.com/kumquatsill/kumquatsill/core/check"
 	"github.com/kumquatsill/kumquatsill/core/proto"
+	"github.com/kumquatsill/kumquatsill/core/route"
 )
 
 // place picks an endpoint and dispatches, after probing if that is allowed
@@ -24,7 +25,7 @@
 		x.probe(now, choice.Probe)
 		return
 	}
-	x.dispatch(now, choice.Endpoint, choice.Reason, choice.Import)
+	x.dispatch(now, choice)
 }
 
 // refusePlacement ends the request where no endpoint can take it. An earlier
@@ -61,22 +62,22 @@
 	}
 }
 
-func (x *Exchange) dispatch(now proto.Instant, endpoint proto.EndpointID, reason string, source *proto.KVSource) {
+func (x *Exchange) dispatch(now proto.Instant, choice route.Choice) {
 	x.checkBinding()
 	x.attempt = attempt{
 		id:       proto.NewAttemptID(x.req.ID, len(x.attempts)+1),
-		endpoint: endpoint,
-		reason:   reason,
+		endpoint: choice.Endpoint,
+		reason:   choice.Reason,
 		heard:    now,
 		last:     x.delivered + proto.Seq(len(x.held)),
 	}
 	x.step = StepDispatch
 	x.stepUntil = now.Add(silenceTimeout)
-	x.deps.Placement.Dispatched(now, endpoint, x.query)
-	x.Send(proto.AgentAddr(endpoint), x.dispatchMessage(now, source))
+	x.deps.Placement.Dispatched(now, choice.Endpoint, x.query)
+	x.Send(proto.AgentAddr(choice.Endpoint), x.dispatchMessage(now, choice))
 }
 
-func (x *Exchange) dispatchMessage(now proto.Instant, source *proto.KVSource) proto.Dispatch {
+func (x *Exchange) dispatchMessage(now proto.Instant, choice route.Choice) proto.Dispatch {
 	s := x.deps.Snapshot()
 	return proto.Dispatch{
 		Stamp:        s.Stamp,
@@ -104,7 +105,8 @@
 		Fingerprint:  x.fingerprint,
 		Alone:        s.Suspects[QuarantineKey{Account: x.account.ID, Fingerprint: x.fingerprint}],
 		Intent:       x.intent,
-		Import:       source,
+		Life:         choice.Life,
+		Import:       choice.Import,
 	}
 }
 
@@ -272,7 +274,7 @@
 	}
 	x.reattached = true
 	x.deps.Stats.Reattached.Add(1)
-	x.dispatch(now, endpoint, "resume on the same endpoint", nil)
+	x.dispatch(now, route.Choice{Endpoint: endpoint, Reason: "resume on the same endpoint"})
 }
 
 // retry makes another attempt if the last one did not run or may run again,
--- a/core/route/choose.go
+++ b/core/route/choose.go
@@ -381,7 +381,7 @@
 // admit turns a candidate into a Choice, unless it is known to be late.
 func (d *decision) admit(best int, reason string) (Choice, proto.Cause) {
 	c := &d.list[best]
-	choice := Choice{Endpoint: c.id, Matched: c.seen, Wait: c.first, Reason: reason}
+	choice := Choice{Endpoint: c.id, Life: c.agentLife(), Matched: c.seen, Wait: c.first, Reason: reason}
 	if d.late(best) {
 		return choice, proto.CauseOverload
 	}
@@ -435,7 +435,11 @@
 	if best.endpoint == nil {
 		return Choice{}, proto.CauseNoEndpoint
 	}
-	choice := Choice{Endpoint: best.id, Wait: best.first, Reason: reasonService}
+	choice := Choice{Endpoint: best.id, Life: best.agentLife(), Wait: best.first, Reason: reasonService}
+	if choice.Life == "" {
+		// A call that may not be repeated is refused without the agent's incarnation.
+		choice.Probe = []proto.EndpointID{best.id}
+	}
 	if d.q.Timeout > 0 && best.first > d.q.Timeout && best.knownAt(d.now, staleAfter) {
 		return choice, proto.CauseOverload
 	}
--- a/core/route/endpoint.go
+++ b/core/route/endpoint.go
@@ -60,6 +60,7 @@
 // observed is a report with its time of receipt; it is immutable.
 type observed struct {
 	at       proto.Instant
+	life     proto.Incarnation
 	waiting  int
 	down     bool
 	versions map[string]string
@@ -111,7 +112,7 @@
 	l.rollRecent(now)
 	queue := time.Duration(r.QueuedTokens) * prefill
 	l.busyUntil.Store(int64(now.Add(queue + l.recent + l.before)))
-	l.report.Store(&observed{at: now, waiting: r.Queued + r.Running, down: r.Down, versions: r.Versions})
+	l.report.Store(&observed{at: now, life: r.Life, waiting: r.Queued + r.Running, down: r.Down, versions: r.Versions})
 	l.judge(now)
 	return true
 }
@@ -154,6 +155,14 @@
 	return max(standing, member.Doubtful)
 }
 
+// agentLife returns the agent incarnation that was last reported, or "".
+func (l *live) agentLife() proto.Incarnation {
+	if report := l.report.Load(); report != nil {
+		return report.life
+	}
+	return ""
+}
+
 // knownAt reports whether the load was reported within maxAge.
 func (l *live) knownAt(now proto.Instant, maxAge time.Duration) bool {
 	report := l.report.Load()
--- a/core/route/placement.go
+++ b/core/route/placement.go
@@ -29,6 +29,8 @@
 // Choice is the outcome of a placement.
 type Choice struct {
 	Endpoint proto.EndpointID
+	// Life is the agent incarnation that was last reported, or "" if none was.
+	Life proto.Incarnation
 	// Matched is the number of leading blocks that the endpoint is expected to hold.
 	Matched int
 	Import  *proto.KVSource
--- a/core/route/view_test.go
+++ b/core/route/view_test.go
@@ -396,3 +396,21 @@
 		NewView(ViewConfig{}).Configure(0, cfg)
 	}
 }
+
+// Guards against calls that every agent refuses, as the router does not name
+// the agent's incarnation.
+func TestCallNamesAgentLife(t *testing.T) {
+	v := newTestView(1, 3)
+	q := Query{Class: proto.ClassCall, Service: "orders"}
+	if c := mustChoose(t, v, 0, q); len(c.Probe) != 1 || c.Probe[0] != c.Endpoint {
+		t.Errorf("life unknown: probes %v, chose %s", c.Probe, c.Endpoint)
+	}
+	for i := range 3 {
+		id := proto.EndpointID(fmt.Sprintf("s%d", i))
+		v.Observe(0, proto.Report{Endpoint: id, Incarnation: "1", Life: proto.Incarnation("life of " + id)}, nil)
+	}
+	c := mustChoose(t, v, 0, q)
+	if c.Life != proto.Incarnation("life of "+c.Endpoint) || len(c.Probe) != 0 {
+		t.Errorf("chose %s with life %q, probes %v", c.Endpoint, c.Life, c.Probe)
+	}
+}
