proof/compare: measure the policy against baselines and an oracle

Cause: the policy was only measured on a fake inside core/route, without routers, agents, queues or latency.

Engine.Backlog and Agent.QueuedTokens let the oracle read the true queues.

--- a/core/agent/agent.go
+++ b/core/agent/agent.go
@@ -107,6 +107,9 @@
 // Stats returns the counters.
 func (a *Agent) Stats() Stats { return a.stats }
 
+// QueuedTokens returns the prompt work that waits at the agent, in tokens.
+func (a *Agent) QueuedTokens() int64 { return a.queue.Tokens() }
+
 // Drain makes the agent refuse new work; what it has accepted goes on.
 func (a *Agent) Drain() { a.draining = true }
 
--- /dev/null
+++ b/proof/cmd/measure/print.go
@@ -0,0 +1,110 @@
+package main
+
+import (
+	"fmt"
+	"io"
+	"strings"
+	"text/tabwriter"
+	"time"
+
+	"github.com/kumquatsill/kumquatsill/proof/compare"
+	"github.com/kumquatsill/kumquatsill/proof/measure"
+)
+
+var header = []string{"deployment", "condition", "policy", "hit rate", "wasted", "p50 s", "p95 s", "p99 s", "worst/median account", "wrongful", "refused", "requests"}
+
+// cells returns a row in the order of header.
+func cells(r compare.Row) []string {
+	rep := r.Report
+	return []string{
+		r.Deployment, string(r.Condition), string(r.Policy),
+		fmt.Sprintf("%.3f", rep.HitRate), fmt.Sprintf("%.3f", rep.Wasted),
+		seconds(rep.FirstToken.P50), seconds(rep.FirstToken.P95), seconds(rep.FirstToken.P99),
+		fmt.Sprintf("%.2f", rep.Unfairness),
+		fmt.Sprint(rep.Wrongful), fmt.Sprint(rep.Refusals), fmt.Sprint(rep.Generations + rep.Calls),
+	}
+}
+
+// seconds writes "none" where the quantile falls on requests without an answer.
+func seconds(d time.Duration) string {
+	if d == measure.Never {
+		return "none"
+	}
+	return fmt.Sprintf("%.3f", d.Seconds())
+}
+
+func intro(t *compare.Table) string {
+	return fmt.Sprintf("seeds %d to %d, %d rows, took %s", t.Seed, t.Seed+uint64(t.Seeds)-1, len(t.Rows), t.Took.Round(time.Second))
+}
+
+func printText(out io.Writer, t *compare.Table) error {
+	fmt.Fprintln(out, intro(t))
+	w := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(w, strings.Join(header, "\t"))
+	for _, r := range t.Rows {
+		fmt.Fprintln(w, strings.Join(cells(r), "\t"))
+	}
+	if err := w.Flush(); err != nil {
+		return err
+	}
+	for _, line := range warmLines(t) {
+		fmt.Fprintln(out, line)
+	}
+	fmt.Fprintln(out)
+	for _, g := range t.Goals {
+		fmt.Fprintln(out, g)
+	}
+	for _, line := range troubles(t) {
+		fmt.Fprintln(out, line)
+	}
+	return nil
+}
+
+func printMarkdown(out io.Writer, t *compare.Table) error {
+	fmt.Fprintf(out, "%s.\n\n", intro(t))
+	fmt.Fprintf(out, "| %s |\n|%s\n", strings.Join(header, " | "), strings.Repeat(" --- |", len(header)))
+	for _, r := range t.Rows {
+		fmt.Fprintf(out, "| %s |\n", strings.Join(cells(r), " | "))
+	}
+	fmt.Fprintln(out)
+	for _, line := range warmLines(t) {
+		fmt.Fprintf(out, "- %s\n", line)
+	}
+	fmt.Fprintf(out, "\n| deployment | condition | goal | measured | bound | met |\n| --- | --- | --- | --- | --- | --- |\n")
+	for _, g := range t.Goals {
+		relation, met := "≤", "yes"
+		if g.AtLeast {
+			relation = "≥"
+		}
+		if !g.Met {
+			met = "**no**"
+		}
+		fmt.Fprintf(out, "| %s | %s | %s | %.3f | %s %.3f | %s |\n", g.Deployment, g.Condition, g.Name, g.Value, relation, g.Bound, met)
+	}
+	for _, line := range troubles(t) {
+		fmt.Fprintf(out, "\n- %s", line)
+	}
+	return nil
+}
+
+func warmLines(t *compare.Table) []string {
+	var lines []string
+	for _, w := range t.Warm {
+		lines = append(lines, fmt.Sprintf("%s: one router restarted, %d seeds: hit rate %.3f over its first 100 requests, %.3f for its peers", w.Deployment, w.Seeds, w.Own, w.Peers))
+	}
+	return lines
+}
+
+// troubles lists failed invariants, which no run should have.
+func troubles(t *compare.Table) []string {
+	var lines []string
+	for _, r := range t.Rows {
+		for _, f := range r.Failed {
+			lines = append(lines, fmt.Sprintf("failed invariant: %s, %s, %s: %s", r.Deployment, r.Condition, r.Policy, f))
+		}
+		if r.DoubleOrders > 0 {
+			lines = append(lines, fmt.Sprintf("%d orders ran twice: %s, %s, %s", r.DoubleOrders, r.Deployment, r.Condition, r.Policy))
+		}
+	}
+	return lines
+}
--- /dev/null
+++ b/proof/compare/run.go
@@ -0,0 +1,329 @@
+package compare
+
+import (
+	"fmt"
+	"strings"
+	"time"
+
+	"github.com/kumquatsill/kumquatsill/core/note"
+	"github.com/kumquatsill/kumquatsill/core/proto"
+	"github.com/kumquatsill/kumquatsill/core/route"
+	"github.com/kumquatsill/kumquatsill/proof/drive"
+	"github.com/kumquatsill/kumquatsill/proof/fleet"
+	"github.com/kumquatsill/kumquatsill/proof/measure"
+	"github.com/kumquatsill/kumquatsill/proof/workload"
+	"github.com/kumquatsill/kumquatsill/standin/engine"
+)
+
+// Settings names one run.
+type Settings struct {
+	Deployment workload.Deployment
+	Condition  Condition
+	Policy     Policy
+	Seed       uint64
+}
+
+// Result is the outcome of one run.
+type Result struct {
+	Recorder *measure.Recorder
+	// Own and Peers are the hit rates after a restart of one router, if Warm.
+	Own, Peers float64
+	Warm       bool
+	// Failed lists failed invariants.
+	Failed []string
+	// DoubleOrders counts orders that ran more than once.
+	DoubleOrders int
+}
+
+// run is a run in progress.
+type run struct {
+	dep       workload.Deployment
+	note      note.Note
+	fleet     *fleet.Fleet
+	generator *workload.Generator
+	recorder  *measure.Recorder
+	start     proto.Instant
+	engineIDs []proto.EndpointID
+	loads     loads
+	// waiting maps the id of the message in flight to its request.
+	waiting     map[proto.RequestID]*pending
+	resends     int
+	restarted   string
+	restartedAt time.Duration
+}
+
+// pending is a request that has not ended.
+type pending struct {
+	base    proto.RequestID
+	request proto.CallerRequest
+	via     int
+	first   bool
+}
+
+const (
+	// lookAgain is the time after which the load balancer looks again for a
+	// ready router, noticeAfter the time after which it notices a lost one.
+	lookAgain   = 20 * time.Millisecond
+	noticeAfter = 10 * time.Millisecond
+	// settleFor is the time before traffic starts.
+	settleFor = 3 * time.Second
+)
+
+// Run carries out one run. It fails if the fleet does not accept the
+// deployment's note.
+func Run(s Settings) (Result, error) {
+	r := &run{dep: s.Deployment, note: s.Deployment.Note(), waiting: map[proto.RequestID]*pending{}}
+	cfg := workloadOf(s.Deployment, s.Condition, s.Seed)
+	r.generator = workload.New(s.Deployment, cfg)
+	r.recorder = measure.NewRecorder(measure.Config{Limits: limits(s.Deployment), From: warmUp, Until: length, Flooding: cfg.Flood})
+	var failed []string
+	r.build(s, func(text string) { failed = append(failed, text) })
+	if !r.fleet.WaitReady(1) {
+		return Result{}, fmt.Errorf("compare: the note of %s is not in force: %+v", s.Deployment.Name, r.fleet.Callers.Notes)
+	}
+	w := r.fleet.World
+	w.Run(settleFor)
+	r.start = w.Now()
+	r.fleet.Callers.OnEnd = r.ended
+	r.schedule(s.Condition)
+	r.reportLoads()
+	r.nextArrival()
+	w.Run(length + drain)
+	r.firstTokens()
+	result := Result{Recorder: r.recorder, Failed: failed, DoubleOrders: r.fleet.Book.Doubles()}
+	if s.Condition == RestartOne {
+		const firstRequests = 100
+		result.Own, result.Peers, result.Warm = r.recorder.WarmRates(r.restarted, r.restartedAt, firstRequests)
+	}
+	return result, nil
+}
+
+func limits(d workload.Deployment) map[proto.AccountID]measure.Limit {
+	all := map[proto.AccountID]measure.Limit{}
+	for _, a := range d.Accounts {
+		all[a.ID] = measure.Limit{Rate: a.Rate, Burst: a.Burst}
+	}
+	return all
+}
+
+func (r *run) build(s Settings, fail func(string)) {
+	domains := map[string]proto.Domain{}
+	for _, e := range r.note.Added.Endpoints {
+		domains[string(e.ID)] = e.Domain
+		if e.Kind == note.KindEngine {
+			r.engineIDs = append(r.engineIDs, e.ID)
+		}
+	}
+	shared := &oracle{dep: r.dep}
+	domainOf := func(a proto.Addr) proto.Domain {
+		if a.Role == proto.RoleRouter {
+			var index int
+			if _, err := fmt.Sscanf(a.ID, "r%d-", &index); err == nil {
+				return r.dep.Domains[index%len(r.dep.Domains)]
+			}
+		}
+		return domains[a.ID]
+	}
+	r.fleet = fleet.Start(fleet.Config{
+		Drive: drive.Config{
+			Seed:    s.Seed,
+			Latency: fleet.Latency(domainOf, r.dep.Between, r.dep.Callers),
+			Observe: r.observe,
+		},
+		Routers: r.dep.Routers,
+		Domains: r.dep.Domains,
+		Note:    r.note,
+		Engine: engine.Config{
+			BatchSize: r.dep.Engine.BatchSize, CacheBlocks: r.dep.Engine.CacheBlocks,
+			PrefillPerToken: r.dep.Engine.PrefillPerToken, DecodePerToken: r.dep.Engine.DecodePerToken,
+		},
+		Placement: func(index int, cfg route.ViewConfig) route.Placer { return r.placer(s.Policy, shared, index, cfg) },
+	})
+	shared.fleet = r.fleet
+	r.fleet.Checks.OnFail = failures(fail)
+}
+
+// placer makes the placement of one router. Imports are priced out, as the
+// baselines have none: the comparison is of placement alone.
+func (r *run) placer(p Policy, shared *oracle, index int, cfg route.ViewConfig) route.Placer {
+	switch p {
+	case RoundRobin:
+		return newRoundRobin(index)
+	case LeastLoaded:
+		return newLeastLoaded(index, &r.loads)
+	case WholeHash:
+		return newWholeHash(index)
+	case Oracle:
+		return newOracle(index, shared)
+	}
+	cfg.Costs = route.Costs{Prefill: r.dep.Engine.PrefillPerToken, Hop: 2 * r.dep.Between, ImportSetup: time.Hour}
+	return route.NewView(cfg)
+}
+
+// now is the time since the start of the traffic.
+func (r *run) now() time.Duration { return r.fleet.World.Now().Sub(r.start) }
+
+func (r *run) nextArrival() {
+	a, ok := r.generator.Next()
+	if !ok {
+		return
+	}
+	r.fleet.World.After(a.At-r.now(), func() {
+		r.arrive(a)
+		r.nextArrival()
+	})
+}
+
+func (r *run) arrive(a workload.Arrival) {
+	p := &pending{base: a.Request.ID, request: a.Request}
+	sent := measure.Sent{At: r.now(), Request: a.Request.ID, Account: a.Account, Class: a.Request.Class, Tokens: a.Cost}
+	via, ok := r.ready()
+	if ok {
+		sent.Router = string(r.fleet.RouterID(via))
+	}
+	r.recorder.Add(sent)
+	r.send(p)
+}
+
+// ready picks a router that serves, as the load balancer's health checks do.
+func (r *run) ready() (int, bool) {
+	var routers []int
+	for i := range r.fleet.Routers {
+		if !r.fleet.World.Alive(r.fleet.RouterAddr(i)) {
+			continue
+		}
+		s := r.fleet.Routers[i].Snapshot()
+		if s.Ready && r.fleet.World.Now().Before(s.FreshUntil) {
+			routers = append(routers, i)
+		}
+	}
+	if len(routers) == 0 {
+		return 0, false
+	}
+	return routers[r.fleet.World.Rand().IntN(len(routers))], true
+}
+
+// send passes a request to a router as soon as one is ready.
+func (r *run) send(p *pending) {
+	via, ok := r.ready()
+	if !ok {
+		r.fleet.World.After(lookAgain, func() { r.send(p) })
+		return
+	}
+	p.via = via
+	r.waiting[p.request.ID] = p
+	r.fleet.Callers.Send(r.fleet.RouterAddr(via), p.request)
+}
+
+func (r *run) restartRouter(i int) {
+	r.stopRouter(i)
+	r.fleet.StartRouter(i)
+}
+
+// stopRouter crashes a router; its callers send again what it had not answered.
+func (r *run) stopRouter(i int) {
+	addr := r.fleet.RouterAddr(i)
+	r.fleet.StopRouter(i)
+	for _, a := range r.fleet.Callers.All() {
+		if a.Done() || a.Router != addr {
+			continue
+		}
+		if p := r.waiting[a.Request.ID]; p != nil {
+			r.resend(p, a)
+		}
+	}
+}
+
+// resend sends a request again under a new id. A stream goes on after the
+// last part that the caller has.
+func (r *run) resend(p *pending, a *fleet.Answer) {
+	delete(r.waiting, p.request.ID)
+	r.takeFirst(p, a)
+	if n := len(a.Chunks); n > 0 {
+		stream := p.request.ID
+		if p.request.Resume != nil {
+			stream = p.request.Resume.Request
+		}
+		p.request.Resume = &proto.ResumePoint{Request: stream, Version: a.Chunks[n-1].Version, After: a.Chunks[n-1].Seq}
+	}
+	r.resends++
+	p.request.ID = proto.RequestID(fmt.Sprintf("%s~%d", p.base, r.resends))
+	r.fleet.World.After(noticeAfter, func() { r.send(p) })
+}
+
+func baseOf(id proto.RequestID) proto.RequestID {
+	base, _, _ := strings.Cut(string(id), "~")
+	return proto.RequestID(base)
+}
+
+func (r *run) takeFirst(p *pending, a *fleet.Answer) {
+	if len(a.Chunks) > 0 && !p.first {
+		p.first = true
+		r.recorder.Add(measure.FirstToken{At: a.First.Sub(r.start), Request: p.base})
+	}
+}
+
+// ended takes in the end of a request.
+func (r *run) ended(a *fleet.Answer) {
+	p := r.waiting[a.Request.ID]
+	if p == nil {
+		return
+	}
+	delete(r.waiting, a.Request.ID)
+	r.takeFirst(p, a)
+	if a.Finish != nil {
+		r.recorder.Add(measure.Answered{At: r.now(), Request: p.base, Usage: a.Finish.Usage})
+		return
+	}
+	r.recorder.Add(measure.Refused{At: r.now(), Request: p.base, Cause: a.Refusal.Cause, Verdict: a.Refusal.Verdict})
+}
+
+// firstTokens takes in the answers that are still under way.
+func (r *run) firstTokens() {
+	for _, a := range r.fleet.Callers.All() {
+		if p := r.waiting[a.Request.ID]; p != nil {
+			r.takeFirst(p, a)
+		}
+	}
+}
+
+// observe sees each message at its delivery, before the receiver does.
+func (r *run) observe(_ proto.Instant, e proto.Envelope) {
+	m, ok := e.Msg.(proto.EngineRun)
+	if !ok || r.fleet == nil || r.start == 0 {
+		return
+	}
+	id := proto.EndpointID(e.To.ID)
+	if !alive(r.fleet, id) {
+		return
+	}
+	tokens := func(blocks int) int64 { return min(m.PromptTokens, int64(blocks)*engine.BlockTokens) }
+	hit := tokens(min(r.fleet.Engines[id].Held(m.Blocks), max(0, m.Reuse)))
+	held := int64(0)
+	for _, other := range r.engineIDs {
+		if alive(r.fleet, other) {
+			held = max(held, tokens(r.fleet.Engines[other].Held(m.Blocks)))
+		}
+	}
+	r.recorder.Add(measure.Prefilled{
+		At: r.now(), Request: baseOf(m.Attempt.Request()), Prompt: m.PromptTokens, Computed: m.PromptTokens - hit, Held: held,
+	})
+}
+
+// reportLoads gives all routers the load of every endpoint, with a lag.
+func (r *run) reportLoads() {
+	now := r.fleet.World.Now()
+	sample := map[proto.EndpointID]int64{}
+	for _, id := range r.engineIDs {
+		if !alive(r.fleet, id) {
+			continue
+		}
+		backlog := int64(r.fleet.Engines[id].Backlog(now) / r.dep.Engine.PrefillPerToken)
+		sample[id] = backlog + r.fleet.Agents[id].QueuedTokens()
+	}
+	r.fleet.World.After(loadLag, func() {
+		r.loads.round++
+		r.loads.prefill = sample
+	})
+	r.fleet.World.After(loadEvery, r.reportLoads)
+}
--- /dev/null
+++ b/proof/compare/table.go
@@ -0,0 +1,197 @@
+package compare
+
+import (
+	"errors"
+	"fmt"
+	"sync"
+	"time"
+
+	"github.com/kumquatsill/kumquatsill/proof/measure"
+	"github.com/kumquatsill/kumquatsill/proof/workload"
+)
+
+// Plan lists the runs of a table. Zero fields take everything there is.
+type Plan struct {
+	Deployments []workload.Deployment
+	Conditions  []Condition
+	Policies    []Policy
+	// Seed is the first of Seeds consecutive seeds, whose requests are pooled.
+	Seed  uint64
+	Seeds int
+	// Parallel is the number of runs at once; 0 means 1.
+	Parallel int
+	// WarmSeeds is the number of seeds for the restart of one router; 0 leaves it out.
+	WarmSeeds int
+	// Progress, if set, is called after each run, by one goroutine at a time.
+	Progress func(done, total int)
+}
+
+// Row holds the measures of one policy in one condition.
+type Row struct {
+	Deployment string         `json:"deployment"`
+	Condition  Condition      `json:"condition"`
+	Policy     Policy         `json:"policy"`
+	Report     measure.Report `json:"report"`
+	// Failed lists failed invariants, DoubleOrders counts orders that ran twice.
+	Failed       []string `json:"failed_invariants,omitempty"`
+	DoubleOrders int      `json:"double_orders"`
+}
+
+// Warm holds the hit rates over the first 100 requests of one restarted
+// router, and of its peers over the same period, as means over the seeds.
+type Warm struct {
+	Deployment string  `json:"deployment"`
+	Seeds      int     `json:"seeds"`
+	Own        float64 `json:"own"`
+	Peers      float64 `json:"peers"`
+}
+
+// Table is the outcome of a Plan.
+type Table struct {
+	Seed  uint64        `json:"seed"`
+	Seeds int           `json:"seeds"`
+	Took  time.Duration `json:"took_ns"`
+	Rows  []Row         `json:"rows"`
+	Warm  []Warm        `json:"warm"`
+	Goals []Goal        `json:"goals"`
+}
+
+func (p Plan) withDefaults() Plan {
+	if len(p.Deployments) == 0 {
+		p.Deployments = workload.Deployments()
+	}
+	if len(p.Conditions) == 0 {
+		p.Conditions = Conditions()
+	}
+	if len(p.Policies) == 0 {
+		p.Policies = Policies()
+	}
+	p.Seeds = max(1, p.Seeds)
+	p.Parallel = max(1, p.Parallel)
+	return p
+}
+
+// job is the runs of one row.
+type job struct {
+	settings Settings
+	results  []Result
+}
+
+// Measure carries out a plan.
+func Measure(p Plan) (*Table, error) {
+	p = p.withDefaults()
+	began := time.Now()
+	var jobs []*job
+	add := func(d workload.Deployment, c Condition, policy Policy, seeds int) {
+		s := Settings{Deployment: d, Condition: c, Policy: policy, Seed: p.Seed}
+		jobs = append(jobs, &job{settings: s, results: make([]Result, seeds)})
+	}
+	for _, d := range p.Deployments {
+		for _, c := range p.Conditions {
+			for _, policy := range p.Policies {
+				add(d, c, policy, p.Seeds)
+			}
+		}
+		if p.WarmSeeds > 0 {
+			add(d, RestartOne, View, p.WarmSeeds)
+		}
+	}
+	if err := runAll(p, jobs); err != nil {
+		return nil, err
+	}
+	t := &Table{Seed: p.Seed, Seeds: p.Seeds}
+	for _, j := range jobs {
+		if j.settings.Condition == RestartOne {
+			t.Warm = append(t.Warm, j.warm())
+			continue
+		}
+		t.Rows = append(t.Rows, j.row())
+	}
+	t.Goals = goals(t)
+	t.Took = time.Since(began)
+	return t, nil
+}
+
+// runAll carries out the runs of all jobs, some at once. The result does not
+// depend on their order, as each run has a world of its own.
+func runAll(p Plan, jobs []*job) error {
+	type task struct {
+		job  *job
+		seed int
+	}
+	var tasks []task
+	for _, j := range jobs {
+		for seed := range j.results {
+			tasks = append(tasks, task{j, seed})
+		}
+	}
+	queue := make(chan task)
+	var mu sync.Mutex
+	var failed []error
+	done := 0
+	var workers sync.WaitGroup
+	for range p.Parallel {
+		workers.Go(func() {
+			for t := range queue {
+				s := t.job.settings
+				s.Seed += uint64(t.seed)
+				result, err := Run(s)
+				t.job.results[t.seed] = result
+				mu.Lock()
+				done++
+				if err != nil {
+					failed = append(failed, fmt.Errorf("%s, %s, %s, seed %d: %w", s.Deployment.Name, s.Condition, s.Policy, s.Seed, err))
+				}
+				if p.Progress != nil {
+					p.Progress(done, len(tasks))
+				}
+				mu.Unlock()
+			}
+		})
+	}
+	for _, t := range tasks {
+		queue <- t
+	}
+	close(queue)
+	workers.Wait()
+	return errors.Join(failed...)
+}
+
+func (j *job) row() Row {
+	row := Row{Deployment: j.settings.Deployment.Name, Condition: j.settings.Condition, Policy: j.settings.Policy}
+	var recorders []*measure.Recorder
+	for _, r := range j.results {
+		recorders = append(recorders, r.Recorder)
+		row.Failed = append(row.Failed, r.Failed...)
+		row.DoubleOrders += r.DoubleOrders
+	}
+	row.Report = measure.NewReport(recorders...)
+	return row
+}
+
+func (j *job) warm() Warm {
+	w := Warm{Deployment: j.settings.Deployment.Name}
+	for _, r := range j.results {
+		if !r.Warm {
+			continue
+		}
+		w.Seeds++
+		w.Own += r.Own
+		w.Peers += r.Peers
+	}
+	if w.Seeds > 0 {
+		w.Own /= float64(w.Seeds)
+		w.Peers /= float64(w.Seeds)
+	}
+	return w
+}
+
+// Row returns the row of a policy, and false if the table has none.
+func (t *Table) Row(deployment string, c Condition, p Policy) (Row, bool) {
+	for _, r := range t.Rows {
+		if r.Deployment == deployment && r.Condition == c && r.Policy == p {
+			return r, true
+		}
+	}
+	return Row{}, false
+}
--- a/standin/engine/engine.go
+++ b/standin/engine/engine.go
@@ -189,6 +189,14 @@
 	return len(blocks)
 }
 
+// Backlog returns the time until the prompt work that the engine has taken is done.
+func (e *Engine) Backlog(now proto.Instant) time.Duration {
+	if e.life == nil {
+		return 0
+	}
+	return max(0, e.life.prefillFree.Sub(now))
+}
+
 // Import implements Peer.
 func (e *Engine) Import(blocks []proto.BlockHash) int { return e.Held(blocks) }
 
