core/route: make the tests faster under the race detector

Cause: the tests took 24 s, mostly for rankings that are the same in every View and for 3 MiB tables in each of some hundred Views.

Change: test Views share the rankings, take 1 MiB, and independent subtests run in parallel. No check changed.

--- a/core/route/policy_test.go
+++ b/core/route/policy_test.go
@@ -5,6 +5,7 @@
 	"math"
 	"math/rand/v2"
 	"slices"
+	"sync"
 	"testing"
 	"time"
 
@@ -97,6 +98,9 @@
 }
 
 func (t *trial) newViews(seed uint64) {
+	if t.policy != "view" && t.views != nil {
+		return // the baselines use no more of a view than its rankings
+	}
 	t.views = nil
 	for i := range uint64(3) {
 		t.views = append(t.views, newTestView(seed*10+i, len(t.engines)))
@@ -265,14 +269,17 @@
 func TestPolicyAgainstBaselines(t *testing.T) {
 	for seed := range uint64(3) {
 		for _, condition := range []string{"calm", "hot shift", "restart", "crash"} {
-			results := map[string]figures{}
-			for _, policy := range []string{"round robin", "least loaded", "whole hash", "shared hash", "view", "oracle"} {
-				run := trial{policy: policy, condition: condition}
-				f := run.run(seed+1, 12)
-				results[policy] = f
-				t.Logf("seed %d %-9s %-12s hit %.3f wasted %.3f p50 %v p95 %v p99 %v probes %d/%d", seed+1, condition, policy, f.hit, f.wasted, f.p50, f.p95, f.p99, run.probes, run.requests)
-			}
-			checkBaselines(t, condition, results)
+			t.Run(fmt.Sprintf("%s %d", condition, seed+1), func(t *testing.T) {
+				t.Parallel()
+				results := map[string]figures{}
+				for _, policy := range []string{"round robin", "least loaded", "whole hash", "shared hash", "view", "oracle"} {
+					run := trial{policy: policy, condition: condition}
+					f := run.run(seed+1, 12)
+					results[policy] = f
+					t.Logf("%-12s hit %.3f wasted %.3f p50 %v p95 %v p99 %v probes %d/%d", policy, f.hit, f.wasted, f.p50, f.p95, f.p99, run.probes, run.requests)
+				}
+				checkBaselines(t, condition, results)
+			})
 		}
 	}
 }
@@ -295,11 +302,19 @@
 // (warm-restart): at most 0.02 below them over its first 100 requests, as a
 // mean of 20 seeds.
 func TestWarmRestart(t *testing.T) {
+	t.Parallel()
 	after, peers := 0.0, 0.0
 	const seeds = 20
-	for seed := range uint64(seeds) {
-		run := trial{policy: "view", condition: "restart one"}
-		f := run.run(seed+1, 12)
+	var all [seeds]figures
+	var group sync.WaitGroup
+	for seed := range all {
+		group.Go(func() {
+			run := trial{policy: "view", condition: "restart one"}
+			all[seed] = run.run(uint64(seed)+1, 12)
+		})
+	}
+	group.Wait()
+	for _, f := range all {
 		after += f.after / seeds
 		peers += f.peers / seeds
 	}
--- a/core/route/view_test.go
+++ b/core/route/view_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"runtime"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 	"unsafe"
@@ -29,8 +30,28 @@
 	return cfg
 }
 
+// rankings holds a configured snapshot by the number of engines. Rankings are
+// the same in every View, and slow to compute under the race detector.
+var rankings sync.Map
+
+func testRankings(engines int) *snapshot {
+	if s, ok := rankings.Load(engines); ok {
+		return s.(*snapshot)
+	}
+	v := NewView(ViewConfig{})
+	v.Configure(0, fleet(engines))
+	rankings.Store(engines, v.snap.Load())
+	return v.snap.Load()
+}
+
 func newTestView(seed uint64, engines int) *View {
-	v := NewView(ViewConfig{Domain: "0", Seed: seed})
+	// Large enough for all blocks of a test; the race detector makes large
+	// allocations slow.
+	const memory = 1 << 20
+	v := NewView(ViewConfig{Domain: "0", Seed: seed, MemoryBytes: memory})
+	first := testRankings(engines)
+	models := map[string]*group{"m": {homes: first.models["m"].homes, inFlight: &atomic.Int64{}}}
+	v.snap.Store(&snapshot{endpoints: first.endpoints, models: models})
 	v.Configure(0, fleet(engines))
 	return v
 }
@@ -84,6 +105,7 @@
 // Guards against a restarted router that places otherwise than its peers, and
 // against a herd of them on one endpoint.
 func TestNewViewsPlaceLikePeers(t *testing.T) {
+	t.Parallel()
 	q := generation(7, 1, 5, 8)
 	peer := newTestView(1, 18)
 	reportAll(peer, 0, 18, 0)
@@ -111,6 +133,7 @@
 // Guards against requests of one family being scattered, against families
 // piling up on few endpoints, and against a match the engine lost.
 func TestFamiliesStayTogether(t *testing.T) {
+	t.Parallel()
 	used := map[proto.EndpointID]bool{}
 	for family := range uint64(60) {
 		v := newTestView(1, 18)
