core/exchange: wait for all probe replies, up to the probe timeout

Cause: the exchange placed a request at the first of up to three probe replies. The nearest agent answers first, so the reply of the one that holds the prefix was mostly not used.

--- a/core/exchange/attempt.go
+++ b/core/exchange/attempt.go
@@ -50,6 +50,7 @@
 func (x *Exchange) probe(now proto.Instant, endpoints []proto.EndpointID) {
 	x.step = StepProbe
 	x.stepUntil = now.Add(probeTimeout)
+	x.probing = slices.Clone(endpoints)
 	for _, id := range endpoints {
 		x.Send(proto.AgentAddr(id), proto.Probe{Stamp: x.stamp(), Request: x.req.ID, Blocks: x.query.Blocks})
 	}
@@ -57,7 +58,8 @@
 
 func (x *Exchange) onProbeReply(now proto.Instant, m proto.ProbeReply) {
 	x.deps.Placement.Observe(now, m.Report, x.query.Blocks)
-	if x.step == StepProbe {
+	x.probing = slices.DeleteFunc(x.probing, func(id proto.EndpointID) bool { return id == m.Report.Endpoint })
+	if x.step == StepProbe && len(x.probing) == 0 {
 		x.place(now, false)
 	}
 }
--- a/core/exchange/exchange.go
+++ b/core/exchange/exchange.go
@@ -52,9 +52,11 @@
 
 	reserved   int64
 	rateReason string
-	attempt    attempt
-	attempts   []proto.AttemptSummary
-	excluded   []proto.EndpointID
+	// probing lists the agents whose probe reply is awaited.
+	probing  []proto.EndpointID
+	attempt  attempt
+	attempts []proto.AttemptSummary
+	excluded []proto.EndpointID
 	// delivered is the last chunk number sent to the caller.
 	delivered proto.Seq
 	// held keeps the chunks of a request that is not streamed until its end.
--- a/proof/compare/table.go
+++ b/proof/compare/table.go
@@ -18,6 +18,8 @@
 	// Seed is the first of Seeds consecutive seeds, whose requests are pooled.
 	Seed  uint64
 	Seeds int
+	// Length is the time for which each run sends requests; 0 means 90 s.
+	Length time.Duration
 	// Parallel is the number of runs at once; 0 means 1.
 	Parallel int
 	// WarmSeeds is the number of seeds for the restart of one router; 0 leaves it out.
@@ -83,7 +85,7 @@
 	began := time.Now()
 	var jobs []*job
 	add := func(d workload.Deployment, c Condition, policy Policy, seeds int) {
-		s := Settings{Deployment: d, Condition: c, Policy: policy, Seed: p.Seed}
+		s := Settings{Deployment: d, Condition: c, Policy: policy, Seed: p.Seed, Length: p.Length}
 		jobs = append(jobs, &job{settings: s, results: make([]Result, seeds)})
 	}
 	for _, d := range p.Deployments {
--- a/standin/kv/kv.go
+++ b/standin/kv/kv.go
@@ -61,6 +61,16 @@
 	return len(blocks)
 }
 
+// Holds returns how many leading blocks are in the set, and leaves their order.
+func (l *LRU) Holds(blocks []proto.BlockHash) int {
+	for i, b := range blocks {
+		if _, ok := l.items[b]; !ok {
+			return i
+		}
+	}
+	return len(blocks)
+}
+
 // Add puts blocks into the set, the first of them as the most recently used,
 // so that prefixes outlive what follows them. It returns what was new and
 // what was evicted.
