core/route: remember each depth up to 16 blocks

Cause: blocks were looked up and remembered at 1, 2, 3, 4, 6, 8, 12 and 16 blocks. A prompt of 11 blocks was known up to 8 of them at best, so that its home was probed each time and two homes of which only one holds the session looked alike.

Change: all depths up to 16, wider steps above.

--- a/core/route/view.go
+++ b/core/route/view.go
@@ -43,7 +43,7 @@
 )
 
 // depths are the prefix lengths in blocks that are looked up and remembered.
-var depths = [...]int{1, 2, 3, 4, 6, 8, 12, 16, 24, 32, 48, 64, 96, 128}
+var depths = [...]int{1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16, 20, 24, 32, 48, 64, 96, 128}
 
 // ViewConfig configures a View.
 type ViewConfig struct {
