core/route: expect more of homes that nothing is known of

Cause: a home of which a router knows nothing counted as holding the 3 leading blocks with a chance of 0.44. Measured, the homes of a prefix in use mostly hold it, so that routers left them too early, above all after a restart.

Change: the chance falls by 0.9 rather than 0.7 per block (0.73 at 3 blocks).

--- a/core/route/cost.go
+++ b/core/route/cost.go
@@ -63,7 +63,7 @@
 	// this router knows nothing of; depthDecay is its factor per further block,
 	// as deeper blocks are shared by fewer requests.
 	homePrior  = 0.9
-	depthDecay = 0.7
+	depthDecay = 0.9
 	// standbyPrior is the factor for a home beyond the current spread.
 	standbyPrior = 0.3
 	// halfLife is the time after which a block that was seen at an endpoint
