core/route: probe only what is not known, and leave homes only for homes

Cause: of the three probes one went to the chosen endpoint even if its load and match had just been reported. And when the best home was busier than the time to compute the whole prompt, two members drawn at random became candidates; a prefix that goes there is not found by other routers.

Change: candidates of which the load and the match are known are not probed. No members are drawn at random any more; a spread prefix gets more homes, and deeper homes count when all 8 are busy, as before.

--- a/core/route/choose.go
+++ b/core/route/choose.go
@@ -71,13 +71,6 @@
 	}
 	d.evaluate()
 	best := d.best()
-	// Other members are tried only once waiting costs more than any miss:
-	// each place outside the homes is one that no other router looks at.
-	if best >= 0 && d.list[best].wait > d.view.prefill(d.q.PromptTokens) {
-		d.addRandom(g, 2)
-		d.evaluate()
-		best = d.best()
-	}
 	reason := ""
 	if best < 0 {
 		d.fallback(g)
@@ -192,7 +185,7 @@
 			return
 		}
 		chance := prior(depth)
-		if rank > spread {
+		if rank > spread+1 {
 			chance *= standbyPrior
 		}
 		if gain := float64(depth) * chance; gain > float64(c.home)*c.chance {
@@ -201,7 +194,7 @@
 	}
 }
 
-// addRandom adds members for their load, so that work can leave its homes.
+// addRandom adds members for their load.
 func (d *decision) addRandom(g *group, n int) {
 	for range n {
 		d.add(d.snap.endpoints[g.members[d.view.draw()%uint64(len(g.members))]])
@@ -403,20 +396,26 @@
 	if sure || len(d.q.Blocks) == 0 {
 		return nil
 	}
-	ids := make([]proto.EndpointID, 1, maxProbes)
-	ids[0] = d.list[best].id
-	d.list[best].usable = false
-	for len(ids) < maxProbes {
-		next := d.best()
-		if next < 0 || d.list[next].expected == 0 {
+	ids := make([]proto.EndpointID, 0, maxProbes)
+	for next := best; len(ids) < maxProbes && next >= 0; next = d.best() {
+		c := &d.list[next]
+		if c.expected == 0 {
 			break
 		}
-		ids = append(ids, d.list[next].id)
-		d.list[next].usable = false
+		c.usable = false
+		if !d.certain(c) {
+			ids = append(ids, c.id)
+		}
 	}
 	return ids
 }
 
+// certain reports whether a probe would tell nothing new of a candidate.
+func (d *decision) certain(c *candidate) bool {
+	matchKnown := c.seen+1 >= len(d.q.Blocks) || c.absentFrom > 0
+	return matchKnown && c.knownAt(d.now, staleAfter)
+}
+
 // service picks the member of a plain service with the least expected wait.
 // Equal waits are drawn, so that routers without reports spread their calls.
 func (d *decision) service(g *group) (Choice, proto.Cause) {
