core/suspect: try suspects alone and quarantine what crashes twice

Cause: a request that crashes each endpoint that runs it was only marked as a suspect, and nothing recorded, tried or quarantined it.

Change: Register folds suspect, trial, trial-end, quarantine and release records of the config stream. Table decides TrialWanted: a trial names the one before it, so that the first of several racing claims takes effect. Answers wait until all routers have read of a crash; PeerBeat.Crashes carries crashes during an outage.

--- a/core/proto/attempt.go
+++ b/core/proto/attempt.go
@@ -140,7 +140,9 @@
 	Cause      Cause         `json:"cause"`
 	Verdict    Verdict       `json:"verdict"`
 	RetryAfter time.Duration `json:"retry_after_ns,omitempty"`
-	// Crashed is set when the engine died while the attempt was in flight.
+	// Crashed is set when the engine died while the attempt ran on it. The
+	// report's Incarnation is then that of the life that died, so that all
+	// reports of one crash name it alike.
 	Crashed bool   `json:"crashed,omitempty"`
 	Report  Report `json:"report"`
 }
--- a/core/proto/caller.go
+++ b/core/proto/caller.go
@@ -146,6 +146,7 @@
 	CauseKeyReused        Cause = "idempotency-key-reused"
 	CauseMissingIdemKey   Cause = "missing-idempotency-key"
 	CauseQuarantined      Cause = "request-quarantined"
+	CauseSuspected        Cause = "request-suspected"
 	CauseCanceled         Cause = "canceled"
 	CauseWrongVersion     Cause = "wrong-model-version"
 	CauseWrongIncarnation Cause = "wrong-incarnation"
--- a/core/proto/internal.go
+++ b/core/proto/internal.go
@@ -59,6 +59,57 @@
 	Alone bool `json:"alone"`
 }
 
+// TrialWanted asks the control machine for the right to run a suspect alone.
+type TrialWanted struct {
+	Request     RequestID   `json:"request"`
+	Account     AccountID   `json:"account"`
+	Fingerprint Fingerprint `json:"fingerprint"`
+	// Endpoint is where the trial will run, Incarnation the last known life of
+	// its engine, empty if none is known.
+	Endpoint    EndpointID  `json:"endpoint"`
+	Incarnation Incarnation `json:"incarnation,omitempty"`
+	// Hold asks for no trial, but to be told when every router knows the suspect.
+	Hold bool `json:"hold,omitempty"`
+}
+
+// TrialDecided answers TrialWanted.
+type TrialDecided struct {
+	Request RequestID `json:"request"`
+	// OK allows the attempt. If Trial is not 0 it is the offset of the trial
+	// record, and the attempt runs alone and ends within For of TrialWanted.
+	OK    bool          `json:"ok"`
+	Trial Offset        `json:"trial,omitempty"`
+	For   time.Duration `json:"for_ns,omitempty"`
+	// Cause and RetryAfter are set on a refusal; nothing was run for it.
+	Cause      Cause         `json:"cause,omitempty"`
+	RetryAfter time.Duration `json:"retry_after_ns,omitempty"`
+}
+
+// TrialResult says how a trial ended.
+type TrialResult string
+
+// Results of trials.
+const (
+	// TrialCleared means that the endpoint survived the whole request.
+	TrialCleared TrialResult = "cleared"
+	// TrialCrashed means that the endpoint crashed.
+	TrialCrashed TrialResult = "crashed"
+	// TrialUnused means that the request did not run.
+	TrialUnused TrialResult = "unused"
+)
+
+// TrialEnded tells the control machine how a trial ended. A trial whose end
+// is not known has no TrialEnded.
+type TrialEnded struct {
+	Request     RequestID   `json:"request"`
+	Account     AccountID   `json:"account"`
+	Fingerprint Fingerprint `json:"fingerprint"`
+	Trial       Offset      `json:"trial"`
+	Result      TrialResult `json:"result"`
+	Endpoint    EndpointID  `json:"endpoint"`
+	Incarnation Incarnation `json:"incarnation,omitempty"`
+}
+
 // AttemptSummary is one attempt in an audit record.
 type AttemptSummary struct {
 	Attempt  AttemptID  `json:"attempt"`
--- a/core/proto/kinds.go
+++ b/core/proto/kinds.go
@@ -55,6 +55,9 @@
 	IntentDecided{},
 	OutcomeKnown{},
 	CrashSeen{},
+	TrialWanted{},
+	TrialDecided{},
+	TrialEnded{},
 	RequestEnded{},
 	NoteSubmit{},
 	NoteOutcome{},
@@ -219,6 +222,15 @@
 // Kind implements Message.
 func (CrashSeen) Kind() Kind { return "CrashSeen" }
 
+// Kind implements Message.
+func (TrialWanted) Kind() Kind { return "TrialWanted" }
+
+// Kind implements Message.
+func (TrialDecided) Kind() Kind { return "TrialDecided" }
+
+// Kind implements Message.
+func (TrialEnded) Kind() Kind { return "TrialEnded" }
+
 // Kind implements Message.
 func (RequestEnded) Kind() Kind { return "RequestEnded" }
 
--- a/core/proto/peer.go
+++ b/core/proto/peer.go
@@ -17,6 +17,9 @@
 	LogReachable bool `json:"log_reachable"`
 	// Leaving is set while the sender drains.
 	Leaving bool `json:"leaving,omitempty"`
+	// Crashes lists crashes that the sender has seen and not yet read back
+	// from the log, so that peers know the suspects during an outage as well.
+	Crashes []CrashSeen `json:"crashes,omitempty"`
 }
 
 // PeerBeatReply answers a PeerBeat with the receiver's own state.
--- /dev/null
+++ b/core/suspect/table.go
@@ -0,0 +1,539 @@
+// Package suspect limits what requests that crash endpoints can destroy. A
+// fingerprint that was in flight at a crash runs alone, one trial at a time
+// in the fleet, and is quarantined after a second crash. The package contains
+// no I/O; its types belong to a router's control machine.
+package suspect
+
+import (
+	"cmp"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"github.com/kumquatsill/kumquatsill/core/ledger"
+	"github.com/kumquatsill/kumquatsill/core/proto"
+)
+
+const (
+	// recallGrace is the time that routers need to cancel copies of a new
+	// suspect that are in flight, and that the first trial waits.
+	recallGrace = time.Second
+	// TrialLife is the longest time that a trial runs, from its request on
+	// the clock of the router that runs it.
+	TrialLife = time.Minute
+	// voidAfter is the age, from the reading of its record, at which another
+	// router takes a trial for void. The margin covers the way to the agent,
+	// which ends the attempt after its own timeout.
+	voidAfter = TrialLife + 10*time.Second
+	// decideTimeout bounds the wait for a decision of the log.
+	decideTimeout = 3 * time.Second
+	// holdTimeout is the age of a record at which a router that has not read
+	// it has stopped keyed traffic for lack of freshness.
+	holdTimeout = 4 * time.Second
+	// settledAfter drops a crash whose confirmed record was skipped by a checkpoint.
+	settledAfter = 10 * time.Second
+	retryAfter   = 2 * time.Second
+	// releaseJitter spreads the routers that release an expired entry.
+	releaseJitter = 30 * time.Second
+	resendEvery   = time.Second
+	// holdPoll is how often a waiting request looks at the other routers.
+	holdPoll   = 50 * time.Millisecond
+	maxWaiting = 1024
+	maxPending = 1024
+	// maxGossip bounds the crashes in one beat.
+	maxGossip = 64
+)
+
+// Log is the part of the log client that a Table uses.
+type Log interface {
+	Append(now proto.Instant, stream string, kind proto.RecordKind, body any) (proto.RecordID, error)
+	SetDeadline(id proto.RecordID, at proto.Instant)
+	Abandon(id proto.RecordID)
+	Reachable(now proto.Instant) bool
+}
+
+// Config connects a Table to its router.
+type Config struct {
+	Self   proto.Addr
+	Router proto.RouterID
+	Seed   uint64
+	// Quarantine returns Policy.Quarantine. It also is how long a suspicion lasts.
+	Quarantine func() time.Duration
+	// Life returns the last incarnation that an endpoint's agent reported,
+	// and when.
+	Life func(proto.EndpointID) (proto.Incarnation, proto.Instant, bool)
+	// ReadByAll reports whether every live router has read the config stream
+	// beyond an offset.
+	ReadByAll func(proto.Offset) bool
+}
+
+// Counters count what a Table did.
+type Counters struct {
+	Crashes, Trials, Lost, Cleared, Crashed, Refused, Overflow int64
+}
+
+// pending is a crash or a trial's end that this router knows and the register
+// does not show yet.
+type pending struct {
+	key  Key
+	kind proto.RecordKind
+	body any
+	id   proto.RecordID
+	// confirmed is when the log confirmed the record; 0 before.
+	confirmed proto.Instant
+	sendAt    proto.Instant
+	// heard is set on a peer's crash, which the peer appends.
+	heard bool
+}
+
+// waiting is a TrialWanted without an answer.
+type waiting struct {
+	m     proto.TrialWanted
+	key   Key
+	until proto.Instant
+	// id is the trial record that was appended, if any.
+	id proto.RecordID
+	// failed is the cause of a refusal that waits for the other routers.
+	failed proto.Cause
+}
+
+// Table decides trials for the exchanges of one router.
+type Table struct {
+	proto.Outbox
+	cfg      Config
+	log      Log
+	reg      *Register
+	rng      *rand.Rand
+	pending  []*pending
+	waiting  []*waiting
+	releases map[Key]release
+	counters Counters
+	faults   faults
+}
+
+// release is a planned release of an expired entry.
+type release struct {
+	since proto.Offset
+	at    proto.Instant
+}
+
+// faults switch single rules off, for the tests of the checks.
+type faults struct{ skipTrial, voidByTime, skipHold bool }
+
+// New returns a Table that decides on a register which the owner folds.
+func New(cfg Config, log Log, reg *Register) *Table {
+	return &Table{
+		Outbox: proto.NewOutbox(cfg.Self), cfg: cfg, log: log, reg: reg,
+		rng: rand.New(rand.NewPCG(cfg.Seed, 0x73757370)), releases: map[Key]release{},
+	}
+}
+
+// Counters returns the counters.
+func (t *Table) Counters() Counters { return t.counters }
+
+// Snapshot returns the fingerprints to refuse at once and those that have to
+// ask by TrialWanted. A quarantine that other routers may not have read yet
+// is among the latter, since the refusal has to wait for them.
+func (t *Table) Snapshot(now proto.Instant) (quarantined, suspects map[Key]bool) {
+	quarantined, suspects = map[Key]bool{}, map[Key]bool{}
+	for _, p := range t.pending {
+		suspects[p.key] = true
+	}
+	for k, e := range t.reg.entries {
+		if e.Quarantined && t.settled(now, *e) {
+			quarantined[k] = true
+			delete(suspects, k)
+		} else {
+			suspects[k] = true
+		}
+	}
+	return quarantined, suspects
+}
+
+// settled reports whether every router that serves has read the present
+// state of an entry. One that has not stops keyed traffic after holdTimeout.
+func (t *Table) settled(now proto.Instant, e Entry) bool {
+	return t.faults.skipHold || now.Sub(e.seen) >= holdTimeout || t.cfg.ReadByAll(e.Since)
+}
+
+// CrashSeen takes a crash outside a trial, the end of a trial comes as TrialEnded.
+func (t *Table) CrashSeen(now proto.Instant, m proto.CrashSeen) {
+	if m.Alone {
+		return
+	}
+	t.counters.Crashes++
+	key := Key{Account: m.Account, Fingerprint: m.Fingerprint}
+	body := Suspect{Key: key, Crash: Crash{Endpoint: m.Endpoint, Incarnation: m.Incarnation}}
+	if e, ok := t.reg.Get(key); ok && slices.Contains(e.Crashes, body.Crash) {
+		return
+	}
+	same := func(p *pending) bool { return p.body == any(body) && !p.heard }
+	if !slices.ContainsFunc(t.pending, same) {
+		t.record(now, &pending{key: key, kind: KindSuspect, body: body})
+	}
+}
+
+// Crashes returns the crashes that this router knows and that others may not
+// have read in the log. They go to the peers with each beat.
+func (t *Table) Crashes() []proto.CrashSeen {
+	var out []proto.CrashSeen
+	add := func(k Key, c Crash) {
+		if len(out) < maxGossip {
+			out = append(out, proto.CrashSeen{
+				Account: k.Account, Fingerprint: k.Fingerprint, Endpoint: c.Endpoint, Incarnation: c.Incarnation,
+			})
+		}
+	}
+	for _, p := range t.pending {
+		if b, ok := p.body.(Suspect); ok && !p.heard {
+			add(b.Key, b.Crash)
+		}
+	}
+	for _, k := range t.sortedKeys() {
+		e := t.reg.entries[k]
+		if len(e.Crashes) > 0 && !t.cfg.ReadByAll(e.Since) {
+			add(k, e.Crashes[0])
+		}
+	}
+	return out
+}
+
+// Heard takes the crashes of a peer's beat. Their fingerprints are suspects
+// here for a while, or until the log shows them.
+func (t *Table) Heard(now proto.Instant, crashes []proto.CrashSeen) {
+	for _, m := range crashes {
+		key := Key{Account: m.Account, Fingerprint: m.Fingerprint}
+		body := Suspect{Key: key, Crash: Crash{Endpoint: m.Endpoint, Incarnation: m.Incarnation}}
+		if e, ok := t.reg.Get(key); ok && slices.Contains(e.Crashes, body.Crash) {
+			continue
+		}
+		i := slices.IndexFunc(t.pending, func(p *pending) bool { return p.body == any(body) })
+		switch {
+		case i >= 0 && t.pending[i].heard:
+			t.pending[i].confirmed = now
+		case i < 0 && len(t.pending) < maxPending:
+			t.pending = append(t.pending, &pending{key: key, kind: KindSuspect, body: body, confirmed: now, sendAt: proto.Never, heard: true})
+		}
+	}
+}
+
+// TrialEnded takes the end of a trial.
+func (t *Table) TrialEnded(now proto.Instant, m proto.TrialEnded) {
+	key := Key{Account: m.Account, Fingerprint: m.Fingerprint}
+	body := TrialEnd{Key: key, Trial: m.Trial, Result: m.Result}
+	switch m.Result {
+	case proto.TrialCrashed:
+		t.counters.Crashed++
+		body.Crash = Crash{Endpoint: m.Endpoint, Incarnation: m.Incarnation}
+	case proto.TrialCleared:
+		t.counters.Cleared++
+	}
+	t.record(now, &pending{key: key, kind: KindTrialEnd, body: body})
+}
+
+// record appends a record until the log has it.
+func (t *Table) record(now proto.Instant, p *pending) {
+	if len(t.pending) >= maxPending {
+		t.counters.Overflow++
+		return
+	}
+	t.pending = append(t.pending, p)
+	t.send(now, p)
+}
+
+func (t *Table) send(now proto.Instant, p *pending) {
+	id, err := t.log.Append(now, proto.StreamConfig, p.kind, p.body)
+	if err != nil {
+		p.sendAt = now.Add(resendEvery)
+		return
+	}
+	p.id, p.sendAt = id, proto.Never
+}
+
+// Wanted takes an exchange's request for a trial. A TrialDecided follows.
+func (t *Table) Wanted(now proto.Instant, m proto.TrialWanted) {
+	w := &waiting{m: m, key: Key{Account: m.Account, Fingerprint: m.Fingerprint}, until: now.Add(holdTimeout)}
+	if len(t.waiting) >= maxWaiting {
+		t.refuse(w, proto.CauseOverload)
+		return
+	}
+	t.waiting = append(t.waiting, w)
+	t.review(now, w.key)
+}
+
+// review decides the waiting requests of a fingerprint as far as possible.
+func (t *Table) review(now proto.Instant, key Key) {
+	for _, w := range slices.Clone(t.waiting) {
+		if w.key == key && w.id == "" && t.decide(now, w) {
+			t.drop(w)
+		}
+	}
+}
+
+// decide answers a request, or reports false while it has to wait.
+func (t *Table) decide(now proto.Instant, w *waiting) bool {
+	e, known := t.reg.Get(w.key)
+	switch {
+	case t.faults.skipTrial && !w.m.Hold:
+		t.allow(w, proto.TrialDecided{})
+	case known && e.Quarantined:
+		return t.conclude(now, w, e, proto.CauseQuarantined)
+	case t.isPending(w.key):
+		return false
+	case w.m.Hold:
+		return t.conclude(now, w, e, proto.CauseSuspected)
+	case w.failed != "":
+		return t.conclude(now, w, e, w.failed)
+	case !known:
+		t.allow(w, proto.TrialDecided{})
+	case !t.log.Reachable(now):
+		return t.conclude(now, w, e, proto.CauseLogUnavailable)
+	case !t.free(now, e) || t.isClaimed(w.key):
+		return t.conclude(now, w, e, proto.CauseSuspected)
+	case !t.settled(now, e) || e.Trial == 0 && now.Sub(e.seen) < recallGrace:
+		// A copy that runs elsewhere may still crash its endpoint.
+		w.until = max(w.until, e.seen.Add(holdTimeout))
+		return false
+	default:
+		t.claim(now, w, e)
+		return false
+	}
+	return true
+}
+
+// conclude answers without an attempt, which lets the caller send the request
+// again elsewhere. The answer waits until every router knows the fingerprint,
+// so that the request meets a trial or the quarantine everywhere.
+func (t *Table) conclude(now proto.Instant, w *waiting, e Entry, cause proto.Cause) bool {
+	if !t.settled(now, e) {
+		w.until = max(w.until, e.seen.Add(holdTimeout))
+		return false
+	}
+	if w.m.Hold {
+		t.allow(w, proto.TrialDecided{})
+	} else {
+		t.refuse(w, cause)
+	}
+	return true
+}
+
+// free reports whether a trial may be claimed: there was none, or the last
+// one ended, or it is void. A void trial without an end may have crashed its
+// endpoint, so that it counts as void only if the same life of the endpoint
+// was seen after it.
+func (t *Table) free(now proto.Instant, e Entry) bool {
+	if e.Trial == 0 || e.Ended {
+		return true
+	}
+	void := e.trialSeen.Add(voidAfter)
+	if t.faults.voidByTime {
+		return !now.Before(void)
+	}
+	life, at, ok := t.cfg.Life(e.TrialOn.Endpoint)
+	return !now.Before(void) && ok && at >= void && life == e.TrialOn.Incarnation && life != ""
+}
+
+func (t *Table) claim(now proto.Instant, w *waiting, e Entry) {
+	id, err := t.log.Append(now, proto.StreamConfig, KindTrial, Trial{
+		Key: w.key, After: e.Trial, Router: t.cfg.Router,
+		On: Crash{Endpoint: w.m.Endpoint, Incarnation: w.m.Incarnation},
+	})
+	if err != nil {
+		w.failed = proto.CauseLogUnavailable
+		return
+	}
+	w.until = now.Add(decideTimeout)
+	t.log.SetDeadline(id, w.until)
+	w.id = id
+}
+
+func (t *Table) isPending(k Key) bool {
+	return slices.ContainsFunc(t.pending, func(p *pending) bool { return p.key == k })
+}
+
+func (t *Table) isClaimed(k Key) bool {
+	return slices.ContainsFunc(t.waiting, func(w *waiting) bool { return w.key == k && w.id != "" })
+}
+
+// Folded takes a record of the config stream after the register folded it.
+// The owner calls it for every record, in order.
+func (t *Table) Folded(now proto.Instant, key Key, rec proto.Record) {
+	t.pending = slices.DeleteFunc(t.pending, func(p *pending) bool {
+		return p.id == rec.ID || p.heard && p.key == key
+	})
+	if rec.Kind == KindTrial {
+		t.trialFolded(now, key, rec)
+	}
+	t.review(now, key)
+}
+
+// trialFolded decides the claim of a trial record that this router appended.
+// One that was refused before is ended unused, since nothing ran for it.
+func (t *Table) trialFolded(now proto.Instant, key Key, rec proto.Record) {
+	e, _ := t.reg.Get(key)
+	won := e.Trial == rec.Offset
+	i := slices.IndexFunc(t.waiting, func(w *waiting) bool { return w.id == rec.ID })
+	if i < 0 {
+		t.endUnused(now, key, rec, won)
+		return
+	}
+	w := t.waiting[i]
+	if !won {
+		t.counters.Lost++
+		w.id, w.failed = "", proto.CauseSuspected
+		return
+	}
+	t.drop(w)
+	t.counters.Trials++
+	t.allow(w, proto.TrialDecided{Trial: rec.Offset, For: TrialLife})
+}
+
+func (t *Table) endUnused(now proto.Instant, key Key, rec proto.Record, won bool) {
+	var body Trial
+	if !won || !decode(rec, &body) || body.Router != t.cfg.Router {
+		return
+	}
+	t.record(now, &pending{key: key, kind: KindTrialEnd, body: TrialEnd{Key: key, Trial: rec.Offset, Result: proto.TrialUnused}})
+}
+
+// Event takes an event of the log client about an append to the config stream.
+func (t *Table) Event(now proto.Instant, ev ledger.Event) {
+	for _, p := range t.pending {
+		if p.id != ev.ID || p.id == "" {
+			continue
+		}
+		switch ev.Kind {
+		case ledger.EventConfirmed:
+			p.confirmed = now
+		case ledger.EventAbsent, ledger.EventRefused, ledger.EventUnknown:
+			p.id, p.sendAt = "", now.Add(resendEvery)
+		}
+	}
+	if ev.Kind == ledger.EventAbsent || ev.Kind == ledger.EventRefused || ev.Kind == ledger.EventUnknown {
+		for _, w := range t.waiting {
+			if w.id == ev.ID && w.id != "" {
+				w.id, w.failed = "", proto.CauseLogUnavailable
+			}
+		}
+	}
+}
+
+func (t *Table) allow(w *waiting, d proto.TrialDecided) {
+	d.Request, d.OK = w.m.Request, true
+	t.Send(t.cfg.Self, d)
+}
+
+func (t *Table) refuse(w *waiting, cause proto.Cause) {
+	t.counters.Refused++
+	d := proto.TrialDecided{Request: w.m.Request, Cause: cause}
+	if cause != proto.CauseQuarantined {
+		d.RetryAfter = retryAfter
+	}
+	t.Send(t.cfg.Self, d)
+}
+
+func (t *Table) drop(w *waiting) {
+	t.waiting = slices.DeleteFunc(t.waiting, func(x *waiting) bool { return x == w })
+}
+
+// Tick applies the passage of time.
+func (t *Table) Tick(now proto.Instant) {
+	t.pending = slices.DeleteFunc(t.pending, func(p *pending) bool {
+		return p.confirmed != 0 && now.Sub(p.confirmed) >= settledAfter
+	})
+	for _, p := range t.pending {
+		if p.id == "" && !p.heard && !now.Before(p.sendAt) {
+			t.send(now, p)
+		}
+	}
+	for _, w := range slices.Clone(t.waiting) {
+		t.expire(now, w)
+	}
+	t.expireEntries(now)
+}
+
+func (t *Table) expire(now proto.Instant, w *waiting) {
+	over := !now.Before(w.until)
+	if over && w.id != "" {
+		t.log.Abandon(w.id)
+		w.id, w.failed = "", proto.CauseLogUnavailable
+	}
+	if w.id != "" {
+		return
+	}
+	e, _ := t.reg.Get(w.key)
+	switch {
+	case t.decide(now, w):
+	case w.id != "" || now.Before(w.until):
+		return
+	case w.m.Hold:
+		t.allow(w, proto.TrialDecided{})
+	case e.Quarantined:
+		t.refuse(w, proto.CauseQuarantined)
+	default:
+		t.refuse(w, proto.CauseLogUnavailable)
+	}
+	t.drop(w)
+}
+
+// expireEntries releases through the log what is older than the quarantine,
+// so that the register stays a function of the records.
+func (t *Table) expireEntries(now proto.Instant) {
+	for k, r := range t.releases {
+		if e := t.reg.entries[k]; e == nil || e.Since != r.since {
+			delete(t.releases, k)
+		}
+	}
+	for _, k := range t.sortedKeys() {
+		e := t.reg.entries[k]
+		r, planned := t.releases[k]
+		if !planned {
+			life := cmp.Or(e.For, t.cfg.Quarantine())
+			jitter := time.Duration(t.rng.Int64N(int64(releaseJitter)))
+			r = release{since: e.Since, at: e.seen.Add(life + jitter)}
+		}
+		if !now.Before(r.at) {
+			id, err := t.log.Append(now, proto.StreamConfig, KindRelease, Release{Key: k, Since: e.Since, By: "expiry"})
+			if err == nil {
+				t.log.SetDeadline(id, now.Add(decideTimeout))
+			}
+			r.at = now.Add(releaseJitter) // it is tried again if it does not get through
+		}
+		t.releases[k] = r
+	}
+}
+
+func (t *Table) sortedKeys() []Key {
+	keys := make([]Key, 0, len(t.reg.entries))
+	for k := range t.reg.entries {
+		keys = append(keys, k)
+	}
+	slices.SortFunc(keys, func(a, b Key) int {
+		return cmp.Or(cmp.Compare(a.Account, b.Account), cmp.Compare(a.Fingerprint, b.Fingerprint))
+	})
+	return keys
+}
+
+// Wake returns when Tick is needed next. Requests that wait for the other
+// routers ask for a look at their progress every 50 ms.
+func (t *Table) Wake(now proto.Instant) proto.Instant {
+	wake := proto.Never
+	for _, p := range t.pending {
+		if p.id == "" {
+			wake = min(wake, p.sendAt)
+		}
+		if p.confirmed != 0 {
+			wake = min(wake, p.confirmed.Add(settledAfter))
+		}
+	}
+	for _, w := range t.waiting {
+		wake = min(wake, w.until)
+		if w.id == "" {
+			wake = min(wake, now.Add(holdPoll))
+		}
+	}
+	for _, r := range t.releases {
+		wake = min(wake, r.at)
+	}
+	return wake
+}
