core/exchange: ask for trials, forward calls, settle what was cut

Cause: the exchange retried a request that had crashed an endpoint without asking, sent no agent life, kept the whole reservation of a generation that was cut and refunded nothing of it, left the intent of a request that ended while it waited, took an Unsent connection loss after an answer as not_run, and took decisions, probe replies and CallerGone of other requests as its own.

Change: StepTrial asks for a trial before a suspect runs and reports how it ended; a copy without output is recalled; the answer after a crash waits until every router knows of it. StepForward hands a call to a follower of its intent stream. Lives keeps the last life per endpoint for Dispatch.Life, and a wrong-incarnation refusal with not_run is repeated at the same endpoint. A cut generation keeps its prompt and its chunks. UUIDv7 keys carry their age.

Conclusion: every refusal states the worst verdict of its attempts, and refusals before a dispatch give all tokens back.

--- a/core/exchange/admit.go
+++ b/core/exchange/admit.go
@@ -189,11 +189,12 @@
 		Account:     x.account.ID,
 		Key:         intentKey(x.account.ID, x.req.IdempotencyKey),
 		Fingerprint: x.fingerprint,
+		KeyAge:      keyAge(x.req.IdempotencyKey, x.req.ArrivedWall),
 	})
 }
 
 func (x *Exchange) onIntent(now proto.Instant, m proto.IntentDecided) {
-	if x.step != StepIntent {
+	if x.step != StepIntent || m.Request != x.req.ID {
 		x.deps.Stats.Late.Add(1)
 		return
 	}
@@ -201,6 +202,8 @@
 	case m.Intent != nil:
 		x.intent = m.Intent
 		x.place(now, true)
+	case m.Forward != "":
+		x.forward(now, m.Forward)
 	case m.Outcome != nil:
 		x.replay(now, *m.Outcome)
 	default:
--- a/core/exchange/attempt.go
+++ b/core/exchange/attempt.go
@@ -7,6 +7,7 @@
 
 	"github.com/kumquatsill/kumquatsill/core/check"
 	"github.com/kumquatsill/kumquatsill/core/proto"
+	"github.com/kumquatsill/kumquatsill/core/route"
 )
 
 // place picks an endpoint and dispatches, after probing if that is allowed
@@ -24,6 +25,10 @@
 		x.probe(now, choice.Probe)
 		return
 	}
+	if x.needsTrial() {
+		x.askTrial(now, choice, false)
+		return
+	}
 	x.dispatch(now, choice.Endpoint, choice.Reason, choice.Import)
 }
 
@@ -34,10 +39,13 @@
 	if cause == proto.CauseOverload {
 		detail = "no endpoint can finish the request before its deadline"
 	}
-	x.refuse(now, cause, detail, x.worstVerdict(), overloadRetryAfter)
+	x.giveUp(now, cause, detail, x.worstVerdict(), overloadRetryAfter)
 }
 
 func (x *Exchange) worstVerdict() proto.Verdict {
+	if x.step == StepForward {
+		return proto.MayHaveRun
+	}
 	for _, a := range x.attempts {
 		if a.Verdict != proto.NotRun {
 			return proto.MayHaveRun
@@ -55,7 +63,11 @@
 }
 
 func (x *Exchange) onProbeReply(now proto.Instant, m proto.ProbeReply) {
-	x.deps.Placement.Observe(now, m.Report, x.query.Blocks)
+	if m.Request != x.req.ID {
+		x.deps.Stats.Misdelivered.Add(1)
+		return
+	}
+	x.observe(now, m.Report)
 	if x.step == StepProbe {
 		x.place(now, false)
 	}
@@ -78,6 +90,7 @@
 
 func (x *Exchange) dispatchMessage(now proto.Instant, source *proto.KVSource) proto.Dispatch {
 	s := x.deps.Snapshot()
+	life, _ := x.deps.Lives.Of(x.attempt.endpoint)
 	return proto.Dispatch{
 		Stamp:        s.Stamp,
 		Attempt:      x.attempt.id,
@@ -100,14 +113,24 @@
 		PromptTokens: x.req.PromptTokens,
 		Blocks:       x.query.Blocks,
 		ResumeAfter:  x.attempt.last,
-		Timeout:      x.remaining(now),
+		Timeout:      x.attemptTime(now),
 		Fingerprint:  x.fingerprint,
-		Alone:        s.Suspects[QuarantineKey{Account: x.account.ID, Fingerprint: x.fingerprint}],
+		Alone:        x.trial.at != 0,
+		Life:         life.Agent,
 		Intent:       x.intent,
 		Import:       source,
 	}
 }
 
+// attemptTime is the time left to the deadline, and to the end of a trial.
+func (x *Exchange) attemptTime(now proto.Instant) time.Duration {
+	left := x.remaining(now)
+	if x.trial.at != 0 {
+		left = min(left, x.trial.ends.Sub(now))
+	}
+	return left
+}
+
 // streamRequest names the stream: a resumed request continues its predecessor's.
 func (x *Exchange) streamRequest() proto.RequestID {
 	if x.req.Resume != nil {
@@ -132,6 +155,11 @@
 	return x.step == StepDispatch || x.step == StepQueue || x.step == StepStream
 }
 
+func (x *Exchange) observe(now proto.Instant, r proto.Report) {
+	x.deps.Placement.Observe(now, r, x.query.Blocks)
+	x.deps.Lives.Observe(now, r)
+}
+
 func (x *Exchange) heard(now proto.Instant) {
 	x.attempt.heard = now
 	x.stepUntil = now.Add(silenceTimeout)
@@ -143,7 +171,7 @@
 	}
 	x.heard(now)
 	x.attempt.accepted = true
-	x.deps.Placement.Observe(now, m.Report, x.query.Blocks)
+	x.observe(now, m.Report)
 	if x.step == StepDispatch {
 		x.step = StepQueue
 	}
@@ -154,7 +182,7 @@
 		return
 	}
 	x.heard(now)
-	x.deps.Placement.Observe(now, m.Report, x.query.Blocks)
+	x.observe(now, m.Report)
 	if m.LastSeq > x.attempt.last {
 		x.deps.Stats.Gaps.Add(1)
 		x.reattach(now, proto.CauseStreamBroken)
@@ -203,7 +231,7 @@
 	if !x.isCurrent(from, m.Attempt) {
 		return
 	}
-	x.deps.Placement.Observe(now, m.Report, x.query.Blocks)
+	x.observe(now, m.Report)
 	if m.LastSeq != x.attempt.last {
 		x.deps.Stats.Gaps.Add(1)
 		x.reattach(now, proto.CauseStreamBroken)
@@ -229,23 +257,36 @@
 	if !x.isCurrent(from, m.Attempt) {
 		return
 	}
-	x.deps.Placement.Observe(now, m.Report, x.query.Blocks)
+	x.observe(now, m.Report)
 	if m.Crashed {
-		x.Send(x.deps.Self, proto.CrashSeen{
-			Request: x.req.ID, Account: x.account.ID, Fingerprint: x.fingerprint,
-			Endpoint: x.attempt.endpoint, Incarnation: m.Report.Incarnation,
-		})
+		x.onCrash(m)
 	}
 	x.closeAttempt(now, m.Cause, m.Verdict)
+	if m.Cause == proto.CauseWrongIncarnation && m.Verdict == proto.NotRun && x.lifeRetries < maxLifeRetries {
+		x.lifeRetries++
+		x.again(now)
+		return
+	}
 	x.retry(now, m.Cause)
 }
 
+// again repeats a call at the same endpoint, whose agent has told its new life.
+func (x *Exchange) again(now proto.Instant) {
+	endpoint := x.attempt.endpoint
+	const reason = "same endpoint, new agent"
+	if x.needsTrial() {
+		x.askTrial(now, route.Choice{Endpoint: endpoint, Reason: reason}, false)
+		return
+	}
+	x.dispatch(now, endpoint, reason, nil)
+}
+
 func (x *Exchange) onConnLost(now proto.Instant, m proto.ConnLost) {
 	if m.Attempt != x.attempt.id || !x.inFlight() {
 		x.deps.Stats.Late.Add(1)
 		return
 	}
-	if m.Unsent {
+	if m.Unsent && !x.attempt.accepted && x.step == StepDispatch {
 		x.deps.Placement.Failed(now, x.attempt.endpoint)
 		x.closeAttempt(now, proto.CauseEndpointFailed, proto.NotRun)
 		x.retry(now, proto.CauseEndpointFailed)
@@ -265,7 +306,7 @@
 func (x *Exchange) reattach(now proto.Instant, cause proto.Cause) {
 	endpoint := x.attempt.endpoint
 	x.closeAttempt(now, cause, proto.MayHaveRun)
-	if x.req.Class != proto.ClassGenerate || x.reattached || x.attempt.last == 0 {
+	if x.req.Class != proto.ClassGenerate || x.reattached || x.attempt.last == 0 || x.trial.at == 0 && x.needsTrial() {
 		x.cancelAttempt()
 		x.retry(now, cause)
 		return
@@ -282,11 +323,11 @@
 	x.exclude(x.attempt.endpoint)
 	switch {
 	case verdict != proto.NotRun && !x.idempotent:
-		x.refuse(now, cause, "the call was dispatched and its outcome is unknown", proto.MayHaveRun, 0)
+		x.giveUp(now, cause, "the call was dispatched and its outcome is unknown", proto.MayHaveRun, 0)
 	case x.attempt.last > 0 && !x.restartable():
-		x.refuse(now, proto.CauseStreamBroken, "the stream broke and cannot be continued identically", proto.MayHaveRun, 0)
+		x.giveUp(now, proto.CauseStreamBroken, "the stream broke and cannot be continued identically", proto.MayHaveRun, 0)
 	case len(x.attempts) >= maxAttempts || !x.deps.Budget.Take():
-		x.refuse(now, cause, "the request failed and was not tried again", verdict, overloadRetryAfter)
+		x.giveUp(now, cause, "the request failed and was not tried again", verdict, overloadRetryAfter)
 	default:
 		x.deps.Stats.Retries.Add(1)
 		x.step = StepBackoff
@@ -324,6 +365,12 @@
 
 func (x *Exchange) closeAttempt(now proto.Instant, cause proto.Cause, verdict proto.Verdict) {
 	x.deps.Placement.Ended(now, x.attempt.endpoint, x.query)
+	switch verdict {
+	case proto.Ran:
+		x.endTrial(proto.TrialCleared, "")
+	case proto.NotRun:
+		x.endTrial(proto.TrialUnused, "")
+	}
 	x.attempts = append(x.attempts, proto.AttemptSummary{
 		Attempt:  x.attempt.id,
 		Endpoint: x.attempt.endpoint,
--- a/core/exchange/end.go
+++ b/core/exchange/end.go
@@ -16,7 +16,11 @@
 			Request: x.req.ID, Account: x.account.ID, Intent: *x.intent, Verdict: proto.Ran, Finish: &outcome,
 		})
 	}
-	x.settle(now, f.Usage.PromptTokens+f.Usage.CompletionTokens, f.Replayed)
+	used := f.Usage.PromptTokens + f.Usage.CompletionTokens
+	if used == 0 && !f.Replayed {
+		used = x.usedByCut() // the engine counted nothing
+	}
+	x.settle(now, used, f.Replayed)
 	x.close(now, proto.Ran, "", f.Usage)
 }
 
@@ -28,14 +32,15 @@
 func (x *Exchange) end(now proto.Instant, r proto.CallerRefusal) {
 	r.Request = x.req.ID
 	x.Send(proto.CallerAddr(x.req.ID), r)
+	if x.step == StepIntent {
+		x.Send(x.deps.Self, proto.IntentDropped{Request: x.req.ID})
+	}
 	if x.intent != nil {
 		x.Send(x.deps.Self, proto.OutcomeKnown{
 			Request: x.req.ID, Account: x.account.ID, Intent: *x.intent, Verdict: r.Verdict,
 		})
 	}
-	if r.Verdict == proto.NotRun {
-		x.settle(now, 0, false)
-	}
+	x.settle(now, x.usedByCut(), false)
 	x.close(now, r.Verdict, r.Cause, proto.Usage{})
 }
 
@@ -48,6 +53,20 @@
 	x.refuse(now, cause, detail, x.worstVerdict(), 0)
 }
 
+// usedByCut returns the tokens that a request without a full answer keeps:
+// none if no attempt ran, else at least the prompt and what was generated,
+// counted as one token a chunk.
+func (x *Exchange) usedByCut() int64 {
+	if x.worstVerdict() == proto.NotRun || x.req.Class == proto.ClassCall {
+		return 0 // settle keeps the whole cost of a call that may have run
+	}
+	last := max(x.attempt.last, x.delivered)
+	if x.req.Resume != nil {
+		last -= x.req.Resume.After
+	}
+	return x.req.PromptTokens + max(0, int64(last))
+}
+
 // settle gives back the tokens that were reserved and not used.
 func (x *Exchange) settle(now proto.Instant, used int64, replayed bool) {
 	if x.reserved == 0 {
--- a/core/exchange/exchange.go
+++ b/core/exchange/exchange.go
@@ -26,6 +26,9 @@
 	Budget    *Budget
 	Stats     *Stats
 	Checks    *check.Set
+	// Lives may be shared with the control machine, which asks it whether an
+	// endpoint has crashed.
+	Lives *Lives
 }
 
 // Exchange is one caller request. It is not safe for concurrent use.
@@ -61,6 +64,14 @@
 	held       []proto.CallerChunk
 	firstToken proto.Instant
 	reattached bool
+
+	// crashed is set once the request is known to need a trial.
+	crashed bool
+	trial   trial
+	// answer is the refusal that waits until every router knows of a crash.
+	answer      *proto.CallerRefusal
+	forwardedTo proto.Addr
+	lifeRetries int
 }
 
 // attempt is the dispatch in flight.
@@ -107,18 +118,31 @@
 	if x.Done() {
 		return proto.Never
 	}
-	return proto.Earliest(x.deadline, x.stepUntil, x.checkAt)
+	wake := proto.Earliest(x.deadline, x.stepUntil, x.checkAt)
+	if x.inFlight() && x.trial.at != 0 {
+		wake = min(wake, x.trial.ends)
+	}
+	return wake
 }
 
 // Step implements proto.Machine.
 func (x *Exchange) Step(now proto.Instant, in proto.Envelope) {
 	if x.Done() {
 		x.deps.Stats.Late.Add(1)
+		if m, ok := in.Msg.(proto.TrialDecided); ok {
+			x.dropTrial(m)
+		}
 		return
 	}
 	switch m := in.Msg.(type) {
 	case proto.CallerGone:
-		x.abort(now, proto.CauseCanceled, "the caller closed the connection")
+		x.onGone(now, m)
+	case proto.TrialDecided:
+		x.onTrial(now, m)
+	case proto.CallerFinish:
+		x.onForwardFinish(now, in.From, m)
+	case proto.CallerRefusal:
+		x.onForwardRefusal(now, in.From, m)
 	case proto.IntentDecided:
 		x.onIntent(now, m)
 	case proto.ProbeReply:
@@ -138,6 +162,14 @@
 	}
 }
 
+func (x *Exchange) onGone(now proto.Instant, m proto.CallerGone) {
+	if m.Request != x.req.ID {
+		x.deps.Stats.Misdelivered.Add(1)
+		return
+	}
+	x.abort(now, proto.CauseCanceled, "the caller closed the connection")
+}
+
 // Tick implements proto.Machine.
 func (x *Exchange) Tick(now proto.Instant) {
 	if x.Done() {
@@ -150,6 +182,10 @@
 	if !now.Before(x.checkAt) {
 		x.checkAt = now.Add(recheckInterval)
 		x.recheckKey(now)
+		x.recall(now)
+	}
+	if x.inFlight() && x.trial.at != 0 && !now.Before(x.trial.ends) {
+		x.abort(now, proto.CauseDeadline, "the trial of the request took too long")
 	}
 	if x.Done() || now.Before(x.stepUntil) {
 		return
@@ -165,6 +201,8 @@
 		x.reserve(now)
 	case StepIntent:
 		x.onIntentTimeout(now)
+	case StepTrial:
+		x.onTrialTimeout(now)
 	case StepDispatch, StepQueue, StepStream:
 		x.onSilence(now)
 	}
--- a/core/exchange/hash.go
+++ b/core/exchange/hash.go
@@ -5,6 +5,8 @@
 	"encoding/binary"
 	"encoding/hex"
 	"io"
+	"strings"
+	"time"
 
 	"github.com/kumquatsill/kumquatsill/core/proto"
 )
@@ -35,6 +37,21 @@
 	return hex.EncodeToString(h.Sum(nil)[:16])
 }
 
+// keyAge returns how old an idempotency key was at arrival, if it is a UUIDv7,
+// which starts with its creation time in milliseconds. Else it returns 0.
+func keyAge(key string, arrived time.Time) time.Duration {
+	digits := strings.ReplaceAll(key, "-", "")
+	if len(key) != 36 || len(digits) != 32 || digits[12] != '7' || arrived.IsZero() {
+		return 0
+	}
+	raw, err := hex.DecodeString(digits)
+	if err != nil || raw[8]>>6 != 2 {
+		return 0
+	}
+	created := time.UnixMilli(int64(binary.BigEndian.Uint64(raw[:8]) >> 16))
+	return max(0, arrived.Sub(created))
+}
+
 // writeField writes a length before the content, so that no two lists of
 // fields give the same bytes. Writes to a hash never fail.
 func writeField(w io.Writer, field string) {
--- a/core/exchange/snapshot.go
+++ b/core/exchange/snapshot.go
@@ -5,6 +5,7 @@
 
 	"github.com/kumquatsill/kumquatsill/core/note"
 	"github.com/kumquatsill/kumquatsill/core/proto"
+	"github.com/kumquatsill/kumquatsill/core/suspect"
 )
 
 // Snapshot is the immutable state that requests are decided on. The router's
@@ -20,15 +21,12 @@
 	FreshUntil proto.Instant
 	// Quarantined lists refused fingerprints by client account.
 	Quarantined map[QuarantineKey]bool
-	// Suspects lists fingerprints that were in flight when an endpoint crashed.
+	// Suspects lists fingerprints that run in a trial only.
 	Suspects map[QuarantineKey]bool
 }
 
 // QuarantineKey names a fingerprint of a client account.
-type QuarantineKey struct {
-	Account     proto.AccountID
-	Fingerprint proto.Fingerprint
-}
+type QuarantineKey = suspect.Key
 
 // Stats counts what exchanges saw. All fields are safe for concurrent use.
 type Stats struct {
--- a/core/exchange/steps.go
+++ b/core/exchange/steps.go
@@ -13,8 +13,12 @@
 	StepTokens
 	// StepIntent waits for the log to decide an intent.
 	StepIntent
+	// StepForward waits for the answer of a router that follows the key's stream.
+	StepForward
 	// StepProbe waits for agents to say what they hold.
 	StepProbe
+	// StepTrial waits for the right to run a suspect.
+	StepTrial
 	// StepBackoff waits before another attempt.
 	StepBackoff
 	// StepDispatch waits for the agent to accept an attempt.
@@ -27,7 +31,7 @@
 	StepDone
 )
 
-var stepNames = [...]string{"admit", "tokens", "intent", "probe", "backoff", "dispatch", "queue", "stream", "done"}
+var stepNames = [...]string{"admit", "tokens", "intent", "forward", "probe", "trial", "backoff", "dispatch", "queue", "stream", "done"}
 
 // Steps lists every step of a request.
 func Steps() []Step {
@@ -51,9 +55,14 @@
 	recheckInterval = 500 * time.Millisecond
 	probeTimeout    = 15 * time.Millisecond
 	intentTimeout   = 4 * time.Second
-	backoffBase     = 20 * time.Millisecond
-	backoffMax      = time.Second
-	maxAttempts     = 5
+	// trialTimeout is above the longest time that the control machine takes:
+	// a crash and a trial to be logged and read by every router.
+	trialTimeout = 12 * time.Second
+	backoffBase  = 20 * time.Millisecond
+	backoffMax   = time.Second
+	maxAttempts  = 5
+	// maxLifeRetries bounds attempts that repeat a call with the agent's new life.
+	maxLifeRetries = 2
 	// overloadRetryAfter and staleRetryAfter are what refused callers are told to wait.
 	overloadRetryAfter = time.Second
 	staleRetryAfter    = 2 * time.Second
--- a/core/proto/caller.go
+++ b/core/proto/caller.go
@@ -55,6 +55,10 @@
 	// Resume is set when the caller continues a stream that broke.
 	Resume *ResumePoint `json:"resume,omitempty"`
 
+	// Forwarded is set on a request that another router forwarded. It never
+	// comes from a caller.
+	Forwarded bool `json:"forwarded,omitempty"`
+
 	// ArrivedWall is the wall time of arrival, for the audit record only.
 	ArrivedWall time.Time `json:"arrived_wall"`
 }
