--- /dev/null
+++ b/core/limit/driver_test.go
@@ -0,0 +1,329 @@
+package limit
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"github.com/kumquatsill/kumquatsill/core/note"
+	"github.com/kumquatsill/kumquatsill/core/proto"
+)
+
+const (
+	step     = time.Millisecond
+	leaseFor = 3 * time.Second
+	acct     = proto.AccountID("shop")
+)
+
+// fleet drives wallets and holders in virtual time, with a shadow bucket that
+// sees every token spent. A spend that takes the shadow below 0 is more than
+// burst + rate x interval over some interval.
+type fleet struct {
+	rng      *rand.Rand
+	now      proto.Instant
+	limit    note.Account
+	nodes    []*fleetNode
+	queue    []delivery
+	slots    []Slot
+	owner    [Parts]int
+	until    [Parts]proto.Instant
+	fence    proto.Offset
+	level    float64
+	levelAt  proto.Instant
+	lowest   float64
+	loss     float64
+	double   float64
+	maxDelay time.Duration
+	requests []*request
+
+	served, refused, messages int
+	waits                     []time.Duration
+	// mutations of the mechanism, for tests of the check itself
+	ignoreLease, startFull, staleGrants bool
+}
+
+type delivery struct {
+	at  proto.Instant
+	env proto.Envelope
+}
+
+type request struct {
+	node            *fleetNode
+	tokens          int64
+	arrived, retry  proto.Instant
+	refundAfterward int64
+}
+
+type fleetNode struct {
+	f       *fleet
+	index   int
+	life    int
+	id      proto.RouterID
+	offset  proto.Instant
+	wallet  *Wallet
+	holders [Parts]*Holder
+	leases  [Parts]*fleetLease
+	paused  proto.Instant
+	cut     proto.Instant
+}
+
+type fleetLease struct {
+	f     *fleet
+	until proto.Instant
+	fence proto.Offset
+}
+
+func (l *fleetLease) Valid(now proto.Instant) bool {
+	return l.fence > 0 && (now < l.until || l.f.ignoreLease)
+}
+func (l *fleetLease) Fence() proto.Offset { return l.fence }
+
+func newFleet(seed uint64, n int, limit note.Account) *fleet {
+	f := &fleet{
+		rng: rand.New(rand.NewPCG(seed, 1)), limit: limit, level: float64(limit.Burst),
+		lowest: float64(limit.Burst), maxDelay: 2 * time.Millisecond, slots: make([]Slot, 4),
+	}
+	for i := range n {
+		f.nodes = append(f.nodes, &fleetNode{f: f, index: i})
+		f.start(f.nodes[i])
+	}
+	for p := range Parts {
+		f.assign(p, p%n)
+	}
+	return f
+}
+
+// start gives a node a new life: a new id, clock and empty state.
+func (f *fleet) start(n *fleetNode) {
+	n.life++
+	for i := range f.slots {
+		if f.slots[i].Owner == n.id && n.id != "" {
+			f.fence++
+			f.slots[i] = Slot{Claimed: f.fence}
+		}
+	}
+	n.id = proto.RouterID(fmt.Sprintf("r%d.%d", n.index, n.life))
+	n.offset = proto.Instant(f.rng.Int64N(int64(time.Hour)))
+	n.wallet = NewWallet(n.id)
+	for p := range Parts {
+		n.leases[p] = &fleetLease{f: f}
+		n.holders[p] = NewHolder(n.id, Lease{Group: Group(acct), Part: p}, n.leases[p])
+	}
+	for i := range f.slots {
+		if f.slots[i].Owner == "" && i != 3 {
+			f.fence++
+			f.slots[i] = Slot{Owner: n.id, Claimed: f.fence}
+			break
+		}
+	}
+	f.requests = slices.DeleteFunc(f.requests, func(r *request) bool { return r.node == n })
+	n.configure()
+}
+
+func (n *fleetNode) local() proto.Instant { return n.f.now + n.offset }
+
+func (n *fleetNode) alive() bool { return n.f.now >= n.paused }
+
+func (n *fleetNode) configure() {
+	accounts := map[proto.AccountID]note.Account{acct: n.f.limit}
+	n.wallet.SetAccounts(n.local(), accounts)
+	for _, h := range n.holders {
+		h.SetAccounts(n.local(), accounts)
+	}
+	n.look()
+}
+
+// look brings a node's view of leases and slots up to date.
+func (n *fleetNode) look() {
+	holders := map[Lease]proto.RouterID{}
+	for p := range Parts {
+		if n.f.fence > 0 && n.f.until[p] > 0 {
+			holders[Lease{Group: Group(acct), Part: p}] = n.f.nodes[n.f.owner[p]].id
+		}
+	}
+	n.wallet.SetHolders(holders)
+	view := SlotView{Slots: slices.Clone(n.f.slots), ReadAt: n.local()}
+	n.wallet.SetSlots(n.local(), view)
+	for _, h := range n.holders {
+		h.SetSlots(n.local(), view)
+	}
+}
+
+func (f *fleet) assign(p, i int) {
+	f.fence++
+	f.owner[p] = i
+	f.until[p] = f.now.Add(leaseFor)
+	l := f.nodes[i].leases[p]
+	l.fence, l.until = f.fence, f.nodes[i].local().Add(leaseFor)
+	if f.startFull {
+		h := f.nodes[i].holders[p]
+		h.Tick(f.nodes[i].local())
+		b := h.buckets[acct]
+		b.last, b.balance = f.nodes[i].local(), b.burst
+	}
+}
+
+// leasesTick renews leases of live holders and replaces the others.
+func (f *fleet) leasesTick() {
+	for p := range Parts {
+		n := f.nodes[f.owner[p]]
+		if n.alive() && f.now >= n.cut && n.leases[p].fence > 0 && f.now < f.until[p] {
+			f.until[p] = f.now.Add(leaseFor)
+			n.leases[p].until = n.local().Add(leaseFor)
+			continue
+		}
+		i := f.rng.IntN(len(f.nodes))
+		if f.now >= f.until[p] && f.nodes[i].alive() && f.now >= f.nodes[i].cut {
+			f.assign(p, i)
+		}
+	}
+}
+
+func (f *fleet) send(out []proto.Envelope) {
+	for _, e := range out {
+		f.messages++
+		copies := 1
+		if f.rng.Float64() < f.double {
+			copies = 2
+		}
+		for range copies {
+			if f.rng.Float64() >= f.loss {
+				delay := step + time.Duration(f.rng.Int64N(int64(f.maxDelay)))
+				f.queue = append(f.queue, delivery{f.now.Add(delay), e})
+			}
+		}
+	}
+}
+
+func (f *fleet) deliver() {
+	due := f.queue
+	f.queue = nil
+	for _, d := range due {
+		if f.now < d.at || !f.receive(d.env) {
+			f.queue = append(f.queue, d)
+		}
+	}
+}
+
+// receive reports whether the message is done with; a paused node gets it later.
+func (f *fleet) receive(e proto.Envelope) bool {
+	for _, n := range f.nodes {
+		if proto.RouterAddr(n.id) != e.To {
+			continue
+		}
+		if !n.alive() {
+			return false
+		}
+		if f.now < n.cut {
+			return true
+		}
+		n.wallet.Step(n.local(), e)
+		for _, h := range n.holders {
+			h.Step(n.local(), e)
+		}
+		f.drain(n)
+	}
+	return true
+}
+
+func (f *fleet) drain(n *fleetNode) {
+	if f.staleGrants {
+		n.wallet.accountFor(acct).keepForever()
+	}
+	out := n.wallet.Take()
+	for _, h := range n.holders {
+		out = append(out, h.Take()...)
+	}
+	if f.now >= n.cut {
+		f.send(out)
+	}
+	if len(n.wallet.TakeChanged()) > 0 {
+		for _, r := range f.requests {
+			if r.node == n {
+				r.retry = f.now
+			}
+		}
+	}
+}
+
+func (w *Wallet) accountFor(id proto.AccountID) *account { return (*w.accounts.Load())[id] }
+
+func (a *account) keepForever() {
+	for i := range a.grants {
+		a.grants[i].expires = proto.Never
+		a.grants[i].asked = proto.Never
+	}
+}
+
+func (f *fleet) arrive(n *fleetNode, tokens, refund int64) {
+	f.requests = append(f.requests, &request{n, tokens, f.now, f.now, refund})
+}
+
+func (f *fleet) advance() {
+	f.now = f.now.Add(step)
+	if f.now%proto.Instant(500*time.Millisecond) == 0 {
+		f.leasesTick()
+		for _, n := range f.nodes {
+			if n.alive() && f.now >= n.cut {
+				n.look()
+			}
+		}
+	}
+	f.deliver()
+	f.serve()
+	for _, n := range f.nodes {
+		if n.alive() && n.wallet.Wake() <= n.local() {
+			n.wallet.Tick(n.local())
+			f.drain(n)
+		}
+	}
+}
+
+func (f *fleet) serve() {
+	f.requests = slices.DeleteFunc(f.requests, func(r *request) bool {
+		if f.now < r.retry || !r.node.alive() {
+			return false
+		}
+		d := r.node.wallet.Spend(r.node.local(), acct, r.tokens)
+		if d.OK {
+			f.spent(r.tokens)
+			f.served++
+			f.waits = append(f.waits, f.now.Sub(r.arrived))
+			if r.refundAfterward > 0 {
+				r.node.wallet.Refund(r.node.local(), acct, r.refundAfterward)
+				f.spent(-r.refundAfterward)
+			}
+			return true
+		}
+		if d.Wait > 0 && f.now.Sub(r.arrived) < MaxWait {
+			r.retry = f.now.Add(d.Wait)
+			return false
+		}
+		f.refused++
+		return true
+	})
+}
+
+func (f *fleet) spent(tokens int64) {
+	elapsed := f.now.Sub(f.levelAt).Seconds()
+	f.level = min(float64(f.limit.Burst), f.level+elapsed*float64(f.limit.Rate))
+	f.levelAt = f.now
+	f.level = min(float64(f.limit.Burst), f.level-float64(tokens))
+	f.lowest = min(f.lowest, f.level)
+}
+
+// allowance is a caller that stays inside a share of rate and burst.
+type allowance struct{ rate, burst, level float64 }
+
+func (a *allowance) pass(elapsed time.Duration) {
+	a.level = min(a.burst, a.level+elapsed.Seconds()*a.rate)
+}
+
+func (a *allowance) use(tokens int64) bool {
+	if a.level < float64(tokens) {
+		return false
+	}
+	a.level -= float64(tokens)
+	return true
+}
--- a/core/limit/limiter.go
+++ b/core/limit/limiter.go
@@ -9,11 +9,21 @@
 )
 
 // Decision is the outcome of a request for tokens.
+//
+// With OK, the tokens are taken. With Wait above 0, nothing was taken and the
+// request is neither admitted nor refused: the Wallet has queued a request to
+// the holders, and the request machine calls Spend again with the same
+// arguments when Wallet.TakeChanged names the account or after Wait, whichever
+// is first. It bounds the whole wait by the request's deadline and by MaxWait,
+// and then refuses with cause rate-limited, verdict not_run and RetryAfter.
+// With neither, the request is refused in the same way at once.
 type Decision struct {
 	OK bool
 	// Reason explains the decision in the audit record.
 	Reason string
-	// RetryAfter is set on a refusal.
+	// Wait is above 0 if a holder may still have enough tokens.
+	Wait time.Duration
+	// RetryAfter is set unless OK.
 	RetryAfter time.Duration
 	State      proto.LimitState
 }
@@ -22,7 +32,7 @@
 // concurrent use.
 type Limiter interface {
 	// Spend takes tokens from what this router may spend for the account, all
-	// or none.
+	// or none. The spending counts at now.
 	Spend(now proto.Instant, account proto.AccountID, tokens int64) Decision
 	// Refund gives back tokens that were taken and not used.
 	Refund(now proto.Instant, account proto.AccountID, tokens int64)
--- a/core/proto/limit.go
+++ b/core/proto/limit.go
@@ -9,12 +9,22 @@
 	Account AccountID `json:"account"`
 	Part    int       `json:"part"`
 	Call    uint64    `json:"call"`
-	Want    int64     `json:"want"`
+	// Need is the number of tokens that requests are waiting for, Want the
+	// number to hold in reserve beyond that. If both are 0 the message only
+	// returns tokens and gets no reply.
+	Need int64 `json:"need,omitempty"`
+	Want int64 `json:"want"`
 	// Returned lists unspent tokens of earlier grants by call number.
 	Returned []ReturnedGrant `json:"returned,omitempty"`
+	// Refund gives back tokens that were spent and then not used, once per
+	// RefundSeq, to the holder under the lease RefundFence only.
+	Refund      int64  `json:"refund,omitempty"`
+	RefundSeq   uint64 `json:"refund_seq,omitempty"`
+	RefundFence Offset `json:"refund_fence,omitempty"`
 }
 
-// ReturnedGrant gives back the unspent tokens of one grant.
+// ReturnedGrant closes one grant and gives back its unspent tokens; the rest
+// was spent.
 type ReturnedGrant struct {
 	Call   uint64 `json:"call"`
 	Tokens int64  `json:"tokens"`
@@ -42,6 +52,8 @@
 	Account AccountID `json:"account"`
 	Call    uint64    `json:"call"`
 	Want    int64     `json:"want"`
+	// Returned lists unspent tokens of earlier transfers by call number.
+	Returned []ReturnedGrant `json:"returned,omitempty"`
 }
 
 // TokenReply transfers tokens that the sender has already debited. A lost
@@ -52,4 +64,6 @@
 	Call    uint64        `json:"call"`
 	Tokens  int64         `json:"tokens"`
 	TTL     time.Duration `json:"ttl_ns"`
+	// Remaining is the balance that the sender has left.
+	Remaining int64 `json:"remaining"`
 }
