--- a/core/limit/bucket.go
+++ b/core/limit/bucket.go
@@ -99,6 +99,12 @@
 	b.remainder = 0
 }
 
+// within reports whether the balance fits beside the outstanding issues. These
+// alone may exceed a burst that was lowered after they were issued.
+func (b *bucket) within() bool {
+	return b.balance >= 0 && b.balance <= max(0, b.burst-b.outstanding)
+}
+
 // whole returns the balance in whole tokens.
 func (b *bucket) whole() int64 { return b.balance / micro }
 
--- a/core/limit/driver_test.go
+++ b/core/limit/driver_test.go
@@ -6,6 +6,7 @@
 	"slices"
 	"time"
 
+	"github.com/kumquatsill/kumquatsill/core/check"
 	"github.com/kumquatsill/kumquatsill/core/note"
 	"github.com/kumquatsill/kumquatsill/core/proto"
 )
@@ -36,6 +37,7 @@
 	double   float64
 	maxDelay time.Duration
 	requests []*request
+	checks   check.Set
 
 	served, refused, messages int
 	waits                     []time.Duration
@@ -103,9 +105,11 @@
 	n.id = proto.RouterID(fmt.Sprintf("r%d.%d", n.index, n.life))
 	n.offset = proto.Instant(f.rng.Int64N(int64(time.Hour)))
 	n.wallet = NewWallet(n.id)
+	n.wallet.Checks = &f.checks
 	for p := range Parts {
 		n.leases[p] = &fleetLease{f: f}
 		n.holders[p] = NewHolder(n.id, Lease{Group: Group(acct), Part: p}, n.leases[p])
+		n.holders[p].Checks = &f.checks
 	}
 	for i := range f.slots {
 		if f.slots[i].Owner == "" && i != 3 {
--- a/core/limit/fleet_test.go
+++ b/core/limit/fleet_test.go
@@ -2,12 +2,14 @@
 
 import (
 	"flag"
+	"fmt"
 	"math/rand/v2"
 	"os"
 	"slices"
 	"testing"
 	"time"
 
+	"github.com/kumquatsill/kumquatsill/core/check"
 	"github.com/kumquatsill/kumquatsill/core/note"
 	"pgregory.net/rapid"
 )
@@ -102,6 +104,9 @@
 		if f.lowest < -0.001 {
 			t.Fatalf("spent %.0f tokens above rate and burst", -f.lowest)
 		}
+		if c := f.checks.Counts(check.RateLimit); c.Checked == 0 || c.Failed > 0 {
+			t.Fatalf("run-time checks: %+v", c)
+		}
 	})
 	t.Logf("lowest level of each run: %v", lows)
 	if served == 0 {
@@ -236,16 +241,20 @@
 		"shifts": func(f *fleet) func() int { return func() int { return int(f.now/3e9) % 5 } },
 	}
 	for name, pattern := range patterns {
-		t.Run(name, func(t *testing.T) {
-			f := newFleet(3, 5, shop)
-			f.warm()
-			a := &allowance{rate: 0.95 * float64(shop.Rate), burst: 0.9 * float64(shop.Burst), level: 0.9 * float64(shop.Burst)}
-			demand(f, a, 2*time.Minute, pattern(f))
-			f.report(t)
-			if f.refused > 0 || f.lowest < 0 {
-				t.Errorf("%d of %d refused, lowest %.0f", f.refused, f.served+f.refused, f.lowest)
-			}
-		})
+		for _, seconds := range []int64{1, 10} {
+			t.Run(fmt.Sprintf("%s, burst of %d s", name, seconds), func(t *testing.T) {
+				limit := shop
+				limit.Burst = limit.Rate * seconds
+				f := newFleet(3, 5, limit)
+				f.warm()
+				burst := 0.9 * float64(limit.Burst)
+				demand(f, &allowance{rate: 0.95 * float64(limit.Rate), burst: burst, level: burst}, 2*time.Minute, pattern(f))
+				f.report(t)
+				if f.refused > 0 || f.lowest < 0 {
+					t.Errorf("%d of %d refused, lowest %.0f", f.refused, f.served+f.refused, f.lowest)
+				}
+			})
+		}
 	}
 }
 
--- a/core/limit/holder.go
+++ b/core/limit/holder.go
@@ -3,6 +3,7 @@
 import (
 	"slices"
 
+	"github.com/kumquatsill/kumquatsill/core/check"
 	"github.com/kumquatsill/kumquatsill/core/note"
 	"github.com/kumquatsill/kumquatsill/core/proto"
 )
@@ -34,8 +35,10 @@
 // answers only while its lease is valid.
 type Holder struct {
 	proto.Outbox
-	lease Lease
-	held  HeldLease
+	// Checks, if set, counts checks of the invariant rate-limit.
+	Checks *check.Set
+	lease  Lease
+	held   HeldLease
 
 	fence    proto.Offset
 	started  bool
@@ -212,6 +215,9 @@
 		h.counts.Granted += reply.Tokens
 	}
 	reply.Remaining = b.whole()
+	h.Checks.Check(check.RateLimit, b.within(), func() string {
+		return string(req.Account) + ": balance and outstanding grants exceed the part's burst"
+	})
 	h.reply(in, req, reply)
 }
 
--- a/core/limit/source.go
+++ b/core/limit/source.go
@@ -380,7 +380,7 @@
 }
 
 func (w *Wallet) askReserve(now proto.Instant, a *account, pool, reserve int64) {
-	if reserve == 0 || pool >= a.lowMark(reserve) || a.asked > 0 {
+	if reserve == 0 || pool >= a.lowMark(reserve) || a.asked > 0 || now < a.reserveFrom {
 		return
 	}
 	if a.requestRate*a.decay(now) < minAheadRate {
@@ -390,6 +390,7 @@
 	if best >= Parts || a.sources[best].busy() || a.available(now, best) <= 0 {
 		return
 	}
+	a.reserveFrom = now.Add(reservePause)
 	w.request(now, a, best, 0, reserve-pool)
 }
 
--- a/core/limit/wallet.go
+++ b/core/limit/wallet.go
@@ -7,6 +7,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/kumquatsill/kumquatsill/core/check"
 	"github.com/kumquatsill/kumquatsill/core/note"
 	"github.com/kumquatsill/kumquatsill/core/proto"
 )
@@ -42,6 +43,9 @@
 	demandTime = 5 * time.Second
 	// reserveTime is the time of demand for which tokens are held in reserve.
 	reserveTime = 250 * time.Millisecond
+	// reservePause keeps a wallet from asking a nearly empty holder for a reserve
+	// again with every reply.
+	reservePause = reserveTime / 2
 	// settleShare makes spent grants worth reporting by themselves once they
 	// exceed 1/settleShare of the burst: until reported they hold off refill.
 	settleShare = 32
@@ -100,6 +104,8 @@
 	tokenRate      float64
 	requestRate    float64
 	demandMeasured proto.Instant
+	// reserveFrom is the earliest next request for a reserve.
+	reserveFrom proto.Instant
 }
 
 // Wallet is a router's side of the limits. Spend and Refund are safe for
@@ -111,6 +117,8 @@
 	// OnUrgent, if set before use, is called by Spend when the control machine
 	// should call Tick without delay. It must not call back into the Wallet.
 	OnUrgent func()
+	// Checks, if set before use, counts checks of the invariant rate-limit.
+	Checks *check.Set
 
 	self     proto.RouterID
 	stamp    proto.Stamp
@@ -283,7 +291,10 @@
 func (w *Wallet) spendLocked(now proto.Instant, a *account, tokens int64) (Decision, bool) {
 	pool := w.pool(now, a)
 	if pool >= tokens {
-		w.take(now, a, tokens)
+		missing := w.take(now, a, tokens)
+		w.Checks.Check(check.RateLimit, missing == 0, func() string {
+			return string(a.limit.ID) + ": admitted without tokens"
+		})
 		a.measure(now, tokens)
 		w.counters.spent.Add(tokens)
 		w.counters.admitted.Add(1)
@@ -351,8 +362,9 @@
 }
 
 // take spends tokens that pool found: first static tokens above half of the
-// slot's burst, whose refill would be lost, then grants, then the rest.
-func (w *Wallet) take(now proto.Instant, a *account, tokens int64) {
+// slot's burst, whose refill would be lost, then grants, then the rest. It
+// returns how many tokens were missing.
+func (w *Wallet) take(now proto.Instant, a *account, tokens int64) int64 {
 	static := w.slotTokens(now, a)
 	if static > 0 {
 		half := a.slot.burst / 2 / micro
@@ -364,8 +376,9 @@
 		tokens -= n
 	}
 	if tokens > 0 && static > 0 {
-		a.slot.take(tokens)
+		tokens -= a.slot.take(tokens)
 	}
+	return tokens
 }
 
 // measure updates the averages of demand.
--- a/core/limit/wallet_test.go
+++ b/core/limit/wallet_test.go
@@ -35,7 +35,7 @@
 		})
 	}
 	var granted int64
-	for range 2000 {
+	for i := 0; i < 2000 || spent.Load() == 0; i++ {
 		w.SetAccounts(1, limits)
 		w.Tick(1)
 		for _, e := range w.Take() {
@@ -50,7 +50,7 @@
 	}
 	close(stop)
 	workers.Wait()
-	if spent.Load() == 0 || spent.Load() > granted {
+	if spent.Load() > granted {
 		t.Errorf("spent %d of %d granted tokens", spent.Load(), granted)
 	}
 }
