--- a/app/e2e/harness_test.go
+++ b/app/e2e/harness_test.go
@@ -126,6 +126,7 @@
 	t       *testing.T
 	routers []*process
 	agents  []*process
+	hosts   []*serve.Host
 }
 
 func startFleet(t *testing.T) *fleet {
@@ -160,6 +161,7 @@
 
 func (f *fleet) host(m proto.Machine) string {
 	host := serve.New(m)
+	f.hosts = append(f.hosts, host)
 	server := httptest.NewServer(host)
 	f.t.Cleanup(func() {
 		host.Close()
--- a/app/shell/client.go
+++ b/app/shell/client.go
@@ -121,7 +121,7 @@
 	if err != nil {
 		return Error.Wrap(err)
 	}
-	return c.do(ctx, http.MethodPost, addr, EnvelopePath, data, c.silence, func(text []byte) error {
+	return c.do(ctx, http.MethodPost, addr, EnvelopePath, data, c.silence, nil, func(text []byte) error {
 		if len(text) == 0 {
 			return nil
 		}
@@ -134,9 +134,9 @@
 	})
 }
 
-// do sends a request and calls line for each line of the response. The
-// connection is abandoned when it carries nothing for the silence given.
-func (c *Client) do(ctx context.Context, method, addr, path string, body []byte, silence time.Duration, line func([]byte) error) error {
+// do sends a request and calls opened, which may be nil, with the headers and
+// line for each line of the response. The connection is abandoned when it carries nothing for the silence given.
+func (c *Client) do(ctx context.Context, method, addr, path string, body []byte, silence time.Duration, opened func(http.Header), line func([]byte) error) error {
 	t := c.transport(addr)
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
@@ -159,6 +159,9 @@
 		detail, _ := io.ReadAll(io.LimitReader(res.Body, 512))
 		return &StatusError{Status: res.StatusCode, Detail: string(bytes.TrimSpace(detail))}
 	}
+	if opened != nil {
+		opened(res.Header)
+	}
 	scanner := bufio.NewScanner(res.Body)
 	scanner.Buffer(nil, maxLine)
 	for scanner.Scan() {
--- a/app/shell/logclient.go
+++ b/app/shell/logclient.go
@@ -82,7 +82,7 @@
 	ctx, cancel := context.WithTimeout(l.t.Context(context.Background()), timeout)
 	defer cancel()
 	var answer proto.Message
-	err = l.client.do(ctx, http.MethodPost, l.addr, MessagePath, data, timeout, func(line []byte) error {
+	err = l.client.do(ctx, http.MethodPost, l.addr, MessagePath, data, timeout, nil, func(line []byte) error {
 		in, err := proto.Decode(line)
 		if err != nil {
 			return err
