--- a/app/e2e/e2e_test.go
+++ b/app/e2e/e2e_test.go
@@ -22,6 +22,15 @@
 	}
 }
 
+// mustNotResume checks that no stream broke, also none that was continued
+// unseen by its caller.
+func (f *fleet) mustNotResume(r *process) {
+	f.t.Helper()
+	if state := f.get(r, "/debug/state"); !strings.Contains(state, `"gaps": 0`) || !strings.Contains(state, `"reattached": 0`) || !strings.Contains(state, `"retries": 0`) {
+		f.t.Errorf("a stream was resumed: %s", state)
+	}
+}
+
 // Guards against tokens that are lost, doubled or out of order between the
 // engine and the caller.
 func TestStreamIsExact(t *testing.T) {
@@ -226,6 +235,7 @@
 	if code := f.agents[0].waitExit(t); code != 0 {
 		t.Errorf("exit code %d", code)
 	}
+	f.mustNotResume(f.routers[0])
 	before := l.finished.Load()
 	f.await("load at the other agent", func() bool { return l.finished.Load() >= before+20 || t.Failed() })
 	l.stop()
@@ -246,6 +256,7 @@
 		t.Fatalf("%v, %d tokens, %s", err, len(s.tokens), s.body)
 	}
 	mustMatch(t, s.tokens, expected("silent", 1000))
+	f.mustNotResume(f.routers[0])
 	for _, a := range f.agents {
 		if state := f.get(a, "/debug/state"); !strings.Contains(state, `"Crashed": 0`) {
 			t.Errorf("agent %s: %s", a.start["endpoint"], state)
