--- a/core/proto/kinds.go
+++ b/core/proto/kinds.go
@@ -9,6 +9,7 @@
 	CallerRefusal{},
 	Dispatch{},
 	Cancel{},
+	EndpointLeaving{},
 	Probe{},
 	ProbeReply{},
 	Accepted{},
@@ -51,6 +52,7 @@
 	TokenRequest{},
 	TokenReply{},
 	IntentWanted{},
+	IntentDropped{},
 	IntentDecided{},
 	OutcomeKnown{},
 	CrashSeen{},
@@ -80,6 +82,9 @@
 // Kind implements Message.
 func (Cancel) Kind() Kind { return "Cancel" }
 
+// Kind implements Message.
+func (EndpointLeaving) Kind() Kind { return "EndpointLeaving" }
+
 // Kind implements Message.
 func (Probe) Kind() Kind { return "Probe" }
 
@@ -206,6 +211,9 @@
 // Kind implements Message.
 func (IntentWanted) Kind() Kind { return "IntentWanted" }
 
+// Kind implements Message.
+func (IntentDropped) Kind() Kind { return "IntentDropped" }
+
 // Kind implements Message.
 func (IntentDecided) Kind() Kind { return "IntentDecided" }
 
--- a/core/router/step.go
+++ b/core/router/step.go
@@ -3,6 +3,7 @@
 import (
 	"math/rand/v2"
 
+	"github.com/kumquatsill/kumquatsill/core/configlog"
 	"github.com/kumquatsill/kumquatsill/core/exchange"
 	"github.com/kumquatsill/kumquatsill/core/ledger"
 	"github.com/kumquatsill/kumquatsill/core/limit"
@@ -27,10 +28,19 @@
 		cfg:    cfg,
 		rng:    rng,
 		log:    ledger.New(ledger.Config{Self: self, Incarnation: cfg.Incarnation, Seed: cfg.Seed}),
-		state:  newFold(),
+		state:  configlog.NewState(cfg.Checks),
 		fresh:  newFreshness(),
 		peers:  newPeers(cfg.ID, rng),
 		notes:  map[proto.RecordID]submission{},
+		audit:  newAuditor(cfg),
+
+		recentRequests: newRecentRequests(),
+	}
+	if cfg.Retention == 0 {
+		cfg.Retention = DefaultRetention
+	}
+	if cfg.RetainedRecords == 0 {
+		cfg.RetainedRecords = DefaultRetainedRecords
 	}
 	if cfg.Placement == nil {
 		cfg.Placement = route.NewView(route.ViewConfig{Domain: cfg.Domain, Seed: cfg.Seed})
@@ -47,6 +57,7 @@
 		Stats:     &exchange.Stats{},
 		Checks:    cfg.Checks,
 	}
+	c.checkpointer = configlog.NewCheckpointer(cfg.Retention, cfg.RetainedRecords, cfg.Seed)
 	c.log.Follow(proto.StreamConfig, 0)
 	c.publish(0)
 	return c
@@ -79,6 +90,18 @@
 		c.onStateReply(now, m)
 	case proto.NoteSubmit:
 		c.onNoteSubmit(now, in.From, m)
+	case proto.IntentWanted:
+		c.onIntentWanted(now, m)
+	case proto.OutcomeKnown:
+		if c.intents != nil {
+			c.intents.Known(now, m)
+		}
+	case proto.IntentDropped:
+		if c.intents != nil {
+			c.intents.Dropped(now, m)
+		}
+	case proto.RequestEnded:
+		c.onRequestEnded(m)
 	}
 	c.settle(now)
 }
@@ -92,14 +115,25 @@
 	if now >= c.workAt {
 		c.workAt = now.Add(housekeepingInterval)
 		c.expireNotes(now)
+		c.register(now)
+		c.removeSilent(now)
+		c.checkpoint(now)
+		c.appendAudit(now)
 		c.publish(now)
 	}
+	if c.intents != nil {
+		c.intents.Tick(now)
+	}
 	c.settle(now)
 }
 
 // Wake implements proto.Machine.
 func (c *Control) Wake() proto.Instant {
-	return proto.Earliest(c.log.Wake(), c.peers.beatAt, c.workAt)
+	wake := proto.Earliest(c.log.Wake(), c.peers.beatAt, c.workAt)
+	if c.intents != nil {
+		wake = min(wake, c.intents.Wake())
+	}
+	return wake
 }
 
 // settle takes in what the log client reports and passes its messages on.
@@ -110,19 +144,41 @@
 	}
 	if at, ok := c.log.HeadReadAt(proto.StreamConfig); ok {
 		c.fresh.headRead(at)
-		changed = changed || !c.ready
-		c.ready = true
+		if !c.ready && c.state.Snapshot().Complete {
+			c.ready = true
+			changed = true
+		}
 	}
 	if changed {
 		c.publish(now)
 	}
+	if c.intents != nil {
+		c.Forward(c.intents.Take())
+	}
 	c.Forward(c.log.Take())
 }
 
+// onLogEvent takes in one event and reports whether the folded state changed.
 func (c *Control) onLogEvent(now proto.Instant, e ledger.Event) bool {
+	switch e.Stream {
+	case proto.StreamConfig:
+		return c.onConfigEvent(e)
+	case proto.StreamAudit:
+		c.onAuditEvent(e)
+	default:
+		if c.intents != nil {
+			c.intents.Event(now, e)
+		}
+	}
+	return false
+}
+
+func (c *Control) onConfigEvent(e ledger.Event) bool {
 	switch e.Kind {
 	case ledger.EventRecord:
-		return e.Stream == proto.StreamConfig && c.foldRecord(now, e.Record)
+		return c.foldRecord(e.Record)
+	case ledger.EventGap:
+		c.state.Skip(e.Offset)
 	case ledger.EventRefused, ledger.EventUnknown, ledger.EventAbsent:
 		c.noteFailed(e)
 	}
