core/router: wire intents, agent lives, forwards and suspects

Cause: a call that may not be repeated was refused since the router did not know the agent's life, and nothing decided trials of suspects. Change: exchanges share the known lives of agents; the control machine folds suspects, decides trials and passes crashes on with its beats; a call handed over by another router is answered to that router. Before: TestOrderRunsOnce failed, no order ran. After: it passes: of two copies through two routers one runs, and a later repeat gets its answer.

--- a/core/router/control.go
+++ b/core/router/control.go
@@ -15,6 +15,7 @@
 	"github.com/kumquatsill/kumquatsill/core/limit"
 	"github.com/kumquatsill/kumquatsill/core/proto"
 	"github.com/kumquatsill/kumquatsill/core/route"
+	"github.com/kumquatsill/kumquatsill/core/suspect"
 )
 
 const (
@@ -74,15 +75,21 @@
 	ready    bool
 	draining bool
 
-	checkpointer *configlog.Checkpointer
-	intents      *intent.Table
-	audit        auditor
+	checkpointer    *configlog.Checkpointer
+	intents         *intent.Table
+	suspectRegister *suspect.Register
+	suspects        *suspect.Table
+	// suspectsChanged asks for a new snapshot.
+	suspectsChanged bool
+	audit           auditor
 	// recentRequests answers operators who ask about one request.
 	recentRequests *recentRequests
-	workAt         proto.Instant
-	registerAt     proto.Instant
-	removeAt       proto.Instant
-	stats          Stats
+	// now is the time of the last input.
+	now        proto.Instant
+	workAt     proto.Instant
+	registerAt proto.Instant
+	removeAt   proto.Instant
+	stats      Stats
 }
 
 // Stats counts what the control machine did.
--- a/core/router/follow.go
+++ b/core/router/follow.go
@@ -11,15 +11,18 @@
 
 // foldRecord folds one record of the config stream and reports whether the
 // state changed.
-func (c *Control) foldRecord(r proto.Record) bool {
-	return c.onFolded(c.state.Fold(r))
+func (c *Control) foldRecord(now proto.Instant, r proto.Record) bool {
+	return c.onFolded(now, c.state.Fold(r))
 }
 
-func (c *Control) onFolded(result configlog.Result) bool {
+func (c *Control) onFolded(now proto.Instant, result configlog.Result) bool {
 	switch result.Outcome {
 	case configlog.Stale, configlog.Missing, configlog.Buffered:
 		return false
 	}
+	if result.Outcome != configlog.Duplicate {
+		c.foldSuspect(now, result)
+	}
 	if result.Note != nil {
 		c.answerNote(*result.Note)
 	}
--- a/core/router/peers.go
+++ b/core/router/peers.go
@@ -40,10 +40,12 @@
 	chosen map[proto.RouterID]proto.Domain
 	// lastHeard is when a chosen router was last heard, or was chosen.
 	lastHeard map[proto.RouterID]proto.Instant
+	// offsets is how far each router says that it has read the config stream.
+	offsets map[proto.RouterID]proto.Offset
 }
 
 func newPeers(self proto.RouterID, rng *rand.Rand) *peers {
-	return &peers{self: self, rng: rng, sent: map[uint64]proto.Instant{}, chosen: map[proto.RouterID]proto.Domain{}, lastHeard: map[proto.RouterID]proto.Instant{}}
+	return &peers{self: self, rng: rng, sent: map[uint64]proto.Instant{}, chosen: map[proto.RouterID]proto.Domain{}, lastHeard: map[proto.RouterID]proto.Instant{}, offsets: map[proto.RouterID]proto.Offset{}}
 }
 
 // update takes in the registered routers.
@@ -54,17 +56,22 @@
 			p.lastHeard[id] = now
 		}
 	}
-	maps.DeleteFunc(p.lastHeard, func(id proto.RouterID, _ proto.Instant) bool {
-		_, ok := p.chosen[id]
-		return !ok
-	})
+	maps.DeleteFunc(p.lastHeard, func(id proto.RouterID, _ proto.Instant) bool { return !p.isChosen(id) })
+	maps.DeleteFunc(p.offsets, func(id proto.RouterID, _ proto.Offset) bool { return !p.isChosen(id) })
 }
 
-// heard takes in a sign of life.
-func (p *peers) heard(now proto.Instant, id proto.RouterID) {
-	if _, ok := p.chosen[id]; ok {
-		p.lastHeard[id] = now
+func (p *peers) isChosen(id proto.RouterID) bool {
+	_, ok := p.chosen[id]
+	return ok
+}
+
+// heard takes in a beat or the answer to one.
+func (p *peers) heard(now proto.Instant, beat proto.PeerBeat) {
+	if !p.isChosen(beat.Router) {
+		return
 	}
+	p.lastHeard[beat.Router] = now
+	p.offsets[beat.Router] = max(p.offsets[beat.Router], beat.Stamp.ConfigOffset)
 }
 
 // silent reports whether a chosen router was not heard for d.
--- a/core/router/publish.go
+++ b/core/router/publish.go
@@ -15,12 +15,16 @@
 	old := c.snapshot.Load()
 	state := c.state.Snapshot()
 	c.applyState(now, state)
+	quarantined, suspects := c.suspects.Snapshot(now)
+	c.suspectsChanged = false
 	next := &exchange.Snapshot{
-		Config:     state.Config,
-		Stamp:      c.stamp(),
-		Ready:      c.ready,
-		Draining:   c.draining,
-		FreshUntil: c.fresh.until(now, c.cfg.Domain, c.logReachable(now), c.peers.chosen),
+		Config:      state.Config,
+		Stamp:       c.stamp(),
+		Ready:       c.ready,
+		Draining:    c.draining,
+		Quarantined: quarantined,
+		Suspects:    suspects,
+		FreshUntil:  c.fresh.until(now, c.cfg.Domain, c.logReachable(now), c.peers.chosen),
 	}
 	if old == nil || old.Config != next.Config {
 		c.deps.Placement.Configure(now, next.Config)
@@ -72,6 +76,7 @@
 		LogReadAge:   c.fresh.age(now),
 		LogReachable: c.logReachable(now),
 		Leaving:      c.draining,
+		Crashes:      c.suspects.Crashes(),
 	}
 }
 
@@ -84,7 +89,7 @@
 
 func (c *Control) onBeat(now proto.Instant, from proto.Addr, m proto.PeerBeat) {
 	c.Send(from, proto.PeerBeatReply{Beat: c.ownBeat(now, m.Call)})
-	c.peers.heard(now, m.Router)
+	c.hear(now, m)
 	c.catchUp(now, from, m.Stamp)
 }
 
@@ -93,11 +98,20 @@
 	if !ok {
 		return
 	}
-	c.peers.heard(now, m.Beat.Router)
+	c.hear(now, m.Beat)
 	c.fresh.peer(now, sent, m.Beat, c.state.Next())
 	c.catchUp(now, proto.RouterAddr(m.Beat.Router), m.Beat.Stamp)
 }
 
+// hear takes in what a peer's beat says about the peer itself.
+func (c *Control) hear(now proto.Instant, beat proto.PeerBeat) {
+	c.peers.heard(now, beat)
+	if len(beat.Crashes) > 0 {
+		c.suspects.Heard(now, beat.Crashes)
+		c.suspectsChanged = true
+	}
+}
+
 // catchUp asks a peer that knows more for what is missing.
 func (c *Control) catchUp(now proto.Instant, peer proto.Addr, stamp proto.Stamp) {
 	if stamp.ConfigOffset > c.state.Next() && !c.logReachable(now) {
@@ -123,7 +137,7 @@
 	}
 	changed := false
 	for _, r := range results {
-		changed = c.onFolded(r) || changed
+		changed = c.onFolded(now, r) || changed
 	}
 	if changed {
 		c.publish(now)
--- a/core/router/router.go
+++ b/core/router/router.go
@@ -13,13 +13,15 @@
 type Router struct {
 	control   *Control
 	exchanges map[proto.RequestID]*exchange.Exchange
+	// forwarded maps a request that another router handed over to that router.
+	forwarded map[proto.RequestID]proto.Addr
 	out       []proto.Envelope
 	opened    uint64
 }
 
 // New returns a router without state: it reads the log before it serves.
 func New(cfg Config) *Router {
-	return &Router{control: newControl(cfg), exchanges: map[proto.RequestID]*exchange.Exchange{}}
+	return &Router{control: newControl(cfg), exchanges: map[proto.RequestID]*exchange.Exchange{}, forwarded: map[proto.RequestID]proto.Addr{}}
 }
 
 // Control returns the control machine. It is not safe for concurrent use,
@@ -44,14 +46,19 @@
 func (r *Router) Step(now proto.Instant, in proto.Envelope) {
 	switch m := in.Msg.(type) {
 	case proto.CallerRequest:
-		r.open(now, in.From, m)
+		r.open(now, m)
+	case proto.IntentForward:
+		if r.exchanges[m.Request.ID] == nil {
+			r.forwarded[m.Request.ID] = in.From
+			r.open(now, m.Request)
+		}
 	default:
 		r.route(now, in)
 	}
 	r.pump(now)
 }
 
-func (r *Router) open(now proto.Instant, _ proto.Addr, req proto.CallerRequest) {
+func (r *Router) open(now proto.Instant, req proto.CallerRequest) {
 	if r.exchanges[req.ID] != nil {
 		return
 	}
@@ -99,6 +106,12 @@
 		return m.Attempt.Request(), true
 	case proto.ConnLost:
 		return m.Attempt.Request(), true
+	case proto.TrialDecided:
+		return m.Request, true
+	case proto.CallerFinish:
+		return m.Request, true
+	case proto.CallerRefusal:
+		return m.Request, true
 	}
 	return "", false
 }
@@ -106,9 +119,24 @@
 // collect takes the outputs of an exchange and forgets it at its end.
 func (r *Router) collect(id proto.RequestID) {
 	x := r.exchanges[id]
-	r.out = append(r.out, x.Take()...)
+	out := x.Take()
+	if origin, ok := r.forwarded[id]; ok {
+		Redirect(out, origin)
+	}
+	r.out = append(r.out, out...)
 	if x.Done() {
 		delete(r.exchanges, id)
+		delete(r.forwarded, id)
+	}
+}
+
+// Redirect sends what an exchange answers its caller to the router that
+// handed the request over.
+func Redirect(out []proto.Envelope, origin proto.Addr) {
+	for i := range out {
+		if out[i].To.Role == proto.RoleCaller {
+			out[i].To = origin
+		}
 	}
 }
 
--- a/core/router/step.go
+++ b/core/router/step.go
@@ -56,7 +56,9 @@
 		Budget:    exchange.NewBudget(),
 		Stats:     &exchange.Stats{},
 		Checks:    cfg.Checks,
+		Lives:     exchange.NewLives(),
 	}
+	c.startSuspects()
 	c.checkpointer = configlog.NewCheckpointer(cfg.Retention, cfg.RetainedRecords, cfg.Seed)
 	c.log.Follow(proto.StreamConfig, 0)
 	c.publish(0)
@@ -77,6 +79,7 @@
 
 // Step implements proto.Machine.
 func (c *Control) Step(now proto.Instant, in proto.Envelope) {
+	c.now = now
 	switch m := in.Msg.(type) {
 	case proto.LogAppended, proto.LogRecords, proto.LogFailed:
 		c.log.Step(now, in)
@@ -100,6 +103,14 @@
 		if c.intents != nil {
 			c.intents.Dropped(now, m)
 		}
+	case proto.CrashSeen:
+		c.suspects.CrashSeen(now, m)
+		c.suspectsChanged = true
+	case proto.TrialWanted:
+		c.suspects.Wanted(now, m)
+	case proto.TrialEnded:
+		c.suspects.TrialEnded(now, m)
+		c.suspectsChanged = true
 	case proto.RequestEnded:
 		c.onRequestEnded(m)
 	}
@@ -108,6 +119,7 @@
 
 // Tick implements proto.Machine.
 func (c *Control) Tick(now proto.Instant) {
+	c.now = now
 	c.log.Tick(now)
 	if now >= c.peers.beatAt {
 		c.beat(now)
@@ -124,6 +136,7 @@
 	if c.intents != nil {
 		c.intents.Tick(now)
 	}
+	c.suspects.Tick(now)
 	c.settle(now)
 }
 
@@ -133,7 +146,7 @@
 	if c.intents != nil {
 		wake = min(wake, c.intents.Wake())
 	}
-	return wake
+	return min(wake, c.suspects.Wake(c.now))
 }
 
 // settle takes in what the log client reports and passes its messages on.
@@ -149,9 +162,10 @@
 			changed = true
 		}
 	}
-	if changed {
+	if changed || c.suspectsChanged {
 		c.publish(now)
 	}
+	c.Forward(c.suspects.Take())
 	if c.intents != nil {
 		c.Forward(c.intents.Take())
 	}
@@ -162,7 +176,7 @@
 func (c *Control) onLogEvent(now proto.Instant, e ledger.Event) bool {
 	switch e.Stream {
 	case proto.StreamConfig:
-		return c.onConfigEvent(e)
+		return c.onConfigEvent(now, e)
 	case proto.StreamAudit:
 		c.onAuditEvent(e)
 	default:
@@ -173,10 +187,13 @@
 	return false
 }
 
-func (c *Control) onConfigEvent(e ledger.Event) bool {
+func (c *Control) onConfigEvent(now proto.Instant, e ledger.Event) bool {
+	if e.Kind != ledger.EventRecord && e.Kind != ledger.EventGap {
+		c.suspects.Event(now, e)
+	}
 	switch e.Kind {
 	case ledger.EventRecord:
-		return c.foldRecord(e.Record)
+		return c.foldRecord(now, e.Record)
 	case ledger.EventGap:
 		c.state.Skip(e.Offset)
 	case ledger.EventRefused, ledger.EventUnknown, ledger.EventAbsent:
