core/limit: test the delay of static slots

Two tests now state the delay in seconds and fail with a delay of 0: a claimed slot stays empty for 9 s, and part 0 counts an unclaimed slot only after that and only with a fresh view.

--- a/core/limit/wallet_test.go
+++ b/core/limit/wallet_test.go
@@ -118,8 +118,11 @@
 	w.SetAccounts(0, map[proto.AccountID]note.Account{acct: shop})
 	view := SlotView{Slots: []Slot{{Owner: "r1", Claimed: 4}, {Owner: "r2", Claimed: 5}}}
 	w.SetSlots(0, view)
-	if w.Spend(proto.Instant(SlotDelay), acct, 1).OK {
-		t.Error("the slot did not start empty")
+	// Views may be 4 s old, and grants from them live for 5 s.
+	view.ReadAt = proto.Instant(9 * time.Second)
+	w.SetSlots(view.ReadAt, view)
+	if w.Spend(view.ReadAt, acct, 1).OK {
+		t.Error("spent from a slot that grants of part 0 may still cover")
 	}
 	view.ReadAt = proto.Instant(time.Minute)
 	w.SetSlots(view.ReadAt, view)
@@ -138,3 +141,37 @@
 		t.Errorf("above burst: %+v", d)
 	}
 }
+
+// Guards against an unclaimed slot that counts to part 0 while its former
+// owner may still spend it, without a fresh view, or after a claim.
+func TestUnclaimedSlotsCountToPartZero(t *testing.T) {
+	h := NewHolder("r1", Lease{Group: Group(acct), Part: 0}, alwaysHeld{})
+	h.SetAccounts(0, map[proto.AccountID]note.Account{acct: shop})
+	free := []Slot{{}, {}}
+	claimed := []Slot{{Owner: "r3", Claimed: 7}, {}}
+	steps := []struct {
+		name  string
+		at    time.Duration
+		slots []Slot
+		burst int64
+	}{
+		{"first view", 0, free, 30_000},
+		{"former owner may be stale", 9 * time.Second, free, 30_000},
+		{"both free", 60 * time.Second, free, 40_000},
+		{"view not fresh", 64 * time.Second, nil, 30_000},
+		{"fresh again", 65 * time.Second, free, 40_000},
+		{"one claimed", 66 * time.Second, claimed, 35_000},
+		{"released", 67 * time.Second, []Slot{{Claimed: 8}, {}}, 35_000},
+	}
+	for _, s := range steps {
+		now := proto.Instant(s.at)
+		if s.slots != nil {
+			h.SetSlots(now, SlotView{Slots: s.slots, ReadAt: now})
+		}
+		h.Tick(now)
+		b := h.buckets[acct]
+		if b.advance(now); b.burst != s.burst*micro || b.balance > b.burst {
+			t.Errorf("%s: burst %d, balance %d, want burst %d", s.name, b.burst/micro, b.balance/micro, s.burst)
+		}
+	}
+}
