--- a/core/intent/table.go
+++ b/core/intent/table.go
@@ -25,6 +25,7 @@
 	decideTimeout = 3500 * time.Millisecond
 	retryAfter    = 2 * time.Second
 	maxWaiting    = 2048
+	pruneEvery    = time.Minute
 	// defaultMaxKeys and defaultMaxBytes bound memory; see docs/decisions/at-most-once.md.
 	defaultMaxKeys  = 100_000
 	defaultMaxBytes = 4 << 20
@@ -91,14 +92,18 @@
 // Table decides the intents of one router.
 type Table struct {
 	proto.Outbox
-	cfg      Config
-	log      Log
-	routers  []proto.RouterID
-	shards   map[string]*shard
-	order    []*shard
-	claims   map[string]*claim
-	byID     map[proto.RecordID]*claim
-	waiting  int
+	cfg     Config
+	log     Log
+	routers []proto.RouterID
+	shards  map[string]*shard
+	order   []*shard
+	claims  map[string]*claim
+	byID    map[proto.RecordID]*claim
+	waiting int
+	// expireAt is the earliest end of a wait, or earlier; pruneAt is when
+	// grants are looked through next.
+	expireAt proto.Instant
+	pruneAt  proto.Instant
 	grants   map[proto.RequestID]grant
 	bytes    int
 	counters Counters
@@ -123,7 +128,7 @@
 	return &Table{
 		Outbox: proto.NewOutbox(cfg.Self), cfg: cfg, log: log,
 		shards: map[string]*shard{}, claims: map[string]*claim{},
-		byID: map[proto.RecordID]*claim{}, grants: map[proto.RequestID]grant{},
+		byID: map[proto.RecordID]*claim{}, grants: map[proto.RequestID]grant{}, expireAt: proto.Never,
 	}
 }
 
@@ -201,6 +206,7 @@
 func (t *Table) claim(now proto.Instant, s *shard, m proto.IntentWanted) {
 	keys, _ := t.Keys()
 	w := waiter{request: m.Request, fingerprint: m.Fingerprint, until: now.Add(decideTimeout)}
+	t.expireAt = min(t.expireAt, w.until)
 	switch c := t.claims[m.Key]; {
 	case !t.ready(s):
 		t.refuse(m.Request, proto.CauseNotReady, retryAfter)
@@ -485,17 +491,16 @@
 
 // Tick applies the passage of time.
 func (t *Table) Tick(now proto.Instant) {
-	expired := make([]string, 0, len(t.claims))
-	for key := range t.claims {
-		expired = append(expired, key)
-	}
-	slices.Sort(expired)
-	for _, key := range expired {
-		t.withdraw(t.claims[key], func(w waiter) bool { return !now.Before(w.until) }, true)
+	if !now.Before(t.expireAt) {
+		t.expire(now)
 	}
 	for _, s := range t.order {
 		t.bytes -= s.forget(now, t.cfg.Retention)
 	}
+	if now.Before(t.pruneAt) {
+		return
+	}
+	t.pruneAt = now.Add(pruneEvery)
 	for request, g := range t.grants {
 		if now.Sub(g.since) >= t.cfg.Window() {
 			delete(t.grants, request)
@@ -503,14 +508,27 @@
 	}
 }
 
-// Wake returns when Tick is needed next.
-func (t *Table) Wake() proto.Instant {
-	wake := proto.Never
+// expire refuses the requests whose wait is over.
+func (t *Table) expire(now proto.Instant) {
+	expired := make([]string, 0, len(t.claims))
+	for key := range t.claims {
+		expired = append(expired, key)
+	}
+	slices.Sort(expired)
+	for _, key := range expired {
+		t.withdraw(t.claims[key], func(w waiter) bool { return !now.Before(w.until) }, true)
+	}
+	t.expireAt = proto.Never
 	for _, c := range t.claims {
 		for _, w := range c.waiters {
-			wake = min(wake, w.until)
+			t.expireAt = min(t.expireAt, w.until)
 		}
 	}
+}
+
+// Wake returns when Tick is needed next.
+func (t *Table) Wake() proto.Instant {
+	wake := t.expireAt
 	for _, s := range t.order {
 		if len(s.marks) > 0 {
 			wake = min(wake, s.marks[0].seen.Add(t.cfg.Retention))
--- a/core/suspect/table.go
+++ b/core/suspect/table.go
@@ -36,6 +36,7 @@
 	// releaseJitter spreads the routers that release an expired entry.
 	releaseJitter = 30 * time.Second
 	resendEvery   = time.Second
+	expireEvery   = time.Second
 	// holdPoll is how often a waiting request looks at the other routers.
 	holdPoll   = 50 * time.Millisecond
 	maxWaiting = 1024
@@ -107,6 +108,8 @@
 	pending  []*pending
 	waiting  []*waiting
 	releases map[Key]release
+	// expireAt is when expireEntries looks at the register next.
+	expireAt proto.Instant
 	counters Counters
 	faults   faults
 }
@@ -479,6 +482,10 @@
 // expireEntries releases through the log what is older than the quarantine,
 // so that the register stays a function of the records.
 func (t *Table) expireEntries(now proto.Instant) {
+	if now.Before(t.expireAt) || len(t.reg.entries) == 0 {
+		return
+	}
+	t.expireAt = now.Add(expireEvery)
 	for k, r := range t.releases {
 		if e := t.reg.entries[k]; e == nil || e.Since != r.since {
 			delete(t.releases, k)
@@ -532,8 +539,8 @@
 			wake = min(wake, now.Add(holdPoll))
 		}
 	}
-	for _, r := range t.releases {
-		wake = min(wake, r.at)
+	if len(t.reg.entries) > 0 {
+		wake = min(wake, t.expireAt)
 	}
 	return wake
 }
