core/suspect: refuse unknown requests while crashes overflow

Cause: with 1,024 crashes waiting for the log a further one was dropped, and its request was then taken for no suspect and allowed to run at once.

Change: while the list is full, a request that is no known suspect is refused as overload instead of being allowed.

Before: the 1,025th crashing request ran without a trial. After: TestOverflowOfCrashesRefuses sees the refusal.

Conclusion: the bound on memory does not weaken the rule.

--- a/core/suspect/table.go
+++ b/core/suspect/table.go
@@ -287,6 +287,9 @@
 		return t.conclude(now, w, e, proto.CauseSuspected)
 	case w.failed != "":
 		return t.conclude(now, w, e, w.failed)
+	case !known && len(t.pending) >= maxPending:
+		// The crash of this request may be among those that were not kept.
+		t.refuse(w, proto.CauseOverload)
 	case !known:
 		t.allow(w, proto.TrialDecided{})
 	case !t.log.Reachable(now):
--- a/core/suspect/table_test.go
+++ b/core/suspect/table_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"fmt"
 	"reflect"
 	"slices"
 	"testing"
@@ -291,3 +292,20 @@
 		t.Fatal("more endpoints lost than copies sent")
 	}
 }
+
+// Guards against a request that runs without a trial since too many crashes
+// wait for the log to keep its own.
+func TestOverflowOfCrashesRefuses(t *testing.T) {
+	w := newFleet(1, 1, 2, suspect.Faults{})
+	w.down = true
+	table := w.routers[0].table
+	for i := range 1100 {
+		table.CrashSeen(w.now, proto.CrashSeen{Account: "a", Fingerprint: proto.Fingerprint(fmt.Sprint(i)), Endpoint: "e0", Incarnation: "0"})
+	}
+	table.Take()
+	table.Wanted(w.now, proto.TrialWanted{Request: "q", Account: "a", Fingerprint: "1099", Endpoint: "e1"})
+	out := table.Take()
+	if len(out) != 1 || out[0].Msg.(proto.TrialDecided).OK || table.Counters().Overflow == 0 {
+		t.Errorf("decided %+v with %d crashes not kept", out, table.Counters().Overflow)
+	}
+}
