--- a/proof/compare/baseline.go
+++ b/proof/compare/baseline.go
@@ -22,7 +22,6 @@
 type baseline struct {
 	cfg      *note.Config
 	members  map[string][]proto.EndpointID
-	lives    map[proto.EndpointID]proto.Incarnation
 	avoid    map[proto.EndpointID]proto.Instant
 	turn     int
 	generate func(now proto.Instant, members []proto.EndpointID, q route.Query) int
@@ -31,7 +30,6 @@
 func newBaseline() *baseline {
 	return &baseline{
 		cfg:   note.Empty(),
-		lives: map[proto.EndpointID]proto.Incarnation{},
 		avoid: map[proto.EndpointID]proto.Instant{},
 	}
 }
@@ -69,16 +67,10 @@
 	}
 	if q.Class == proto.ClassGenerate {
 		id := members[b.generate(now, members, q)]
-		return route.Choice{Endpoint: id, Life: b.lives[id], Reason: "baseline"}, ""
+		return route.Choice{Endpoint: id, Reason: "baseline"}, ""
 	}
 	b.turn++
-	id := members[b.turn%len(members)]
-	choice := route.Choice{Endpoint: id, Life: b.lives[id], Reason: "baseline"}
-	if choice.Life == "" {
-		choice.Probe = []proto.EndpointID{id}
-		b.turn-- // the same endpoint is chosen after the probe
-	}
-	return choice, ""
+	return route.Choice{Endpoint: members[b.turn%len(members)], Reason: "baseline"}, ""
 }
 
 // usable returns the members that are not excluded; those that failed lately
@@ -108,7 +100,6 @@
 
 // Observe implements route.Placer.
 func (b *baseline) Observe(now proto.Instant, r proto.Report, _ []proto.BlockHash) {
-	b.lives[r.Endpoint] = r.Life
 	if r.Down {
 		b.avoid[r.Endpoint] = now.Add(avoidFor)
 		return
