--- a/proof/compare/placers.go
+++ b/proof/compare/placers.go
@@ -107,8 +107,8 @@
 }
 
 // oracle knows the true caches and queues at every moment, and minimises the
-// same weighted sum as the policy. All routers share it. It is greedy, so it
-// is no strict upper bound.
+// expected time to first token plus the weighted time to compute what is
+// missed. All routers share it. It is greedy, so it is no strict upper bound.
 type oracle struct {
 	fleet *fleet.Fleet
 	dep   workload.Deployment
@@ -126,12 +126,12 @@
 	b := newBaseline()
 	b.turn = index
 	b.generate = func(now proto.Instant, members []proto.EndpointID, q route.Query) int {
-		return shared.choose(b, now, members, q)
+		return shared.choose(now, members, q)
 	}
 	return b
 }
 
-func (o *oracle) choose(b *baseline, now proto.Instant, members []proto.EndpointID, q route.Query) int {
+func (o *oracle) choose(now proto.Instant, members []proto.EndpointID, q route.Query) int {
 	best, least, work := 0, math.Inf(1), time.Duration(0)
 	for i, id := range members {
 		if !alive(o.fleet, id) {
@@ -140,8 +140,7 @@
 		missed := max(0, q.PromptTokens-int64(o.fleet.Engines[id].Held(q.Blocks))*route.PieceTokens)
 		compute := time.Duration(missed) * o.dep.Engine.PrefillPerToken
 		first := o.wait(now, id) + compute
-		policy := b.cfg.Policy
-		score := policy.TailWeight*float64(first) + policy.HitWeight*float64(compute)
+		score := float64(first) + o.dep.OracleHitWeight*float64(compute)
 		if score < least {
 			best, least, work = i, score, compute
 		}
