core/route: keep prefixes together

Cause: three faults scattered a prefix over endpoints at which other routers do not look. (1) The three places for the holders of a block were also taken by reports of absence, so that each probe could displace a known holder. (2) The holders of an account's first blocks became candidates for every new catalogue of the account. (3) A probe was left unused where there were only two candidates, while the prefix was at a lower-ranked home.

Change: an absence does not displace a holder; holders of blocks above the homes' depth only complete other candidates; probes that are left go to further homes, which become candidates only if they hold the prefix.

--- a/core/route/choose.go
+++ b/core/route/choose.go
@@ -85,7 +85,7 @@
 	if d.late(best) {
 		best, reason = d.rescue(g, best, reason)
 	}
-	return d.admit(best, reason)
+	return d.admit(g, best, reason)
 }
 
 // late reports whether a candidate is known to miss the caller's deadline. An
@@ -112,11 +112,18 @@
 	return 0, reason
 }
 
-// collect adds the homes and the remembered holders of each depth.
+// collect adds the homes and the remembered holders. What is known at depths
+// above the homes only completes these candidates: many endpoints hold the
+// first blocks of an account, and to choose one for them would scatter what
+// follows.
 func (d *decision) collect(g *group) {
+	first := min(homeDepth, len(d.q.Blocks))
+	next := first
 	var entry recallEntry
-	next := min(homeDepth, len(d.q.Blocks))
 	for _, depth := range depths {
+		if depth < first {
+			continue
+		}
 		if depth > len(d.q.Blocks) {
 			break
 		}
@@ -124,7 +131,7 @@
 		known := d.view.recall.get(hash, &entry)
 		if known {
 			d.known = depth
-			d.addHolders(&entry, depth)
+			d.addHolders(&entry, depth, true)
 		}
 		if depth != next {
 			continue
@@ -138,9 +145,17 @@
 			next = 2 * depth
 		}
 	}
+	for depth := 1; depth < first; depth++ {
+		if d.view.recall.get(uint64(d.q.Blocks[depth-1]), &entry) {
+			d.known = max(d.known, depth)
+			d.addHolders(&entry, depth, false)
+		}
+	}
 }
 
-func (d *decision) addHolders(entry *recallEntry, depth int) {
+// addHolders takes in what is known of a block, and adds its holders as
+// candidates if add is set.
+func (d *decision) addHolders(entry *recallEntry, depth int, add bool) {
 	for i := range entry.holders {
 		h := &entry.holders[i]
 		if h.tag == 0 || int(h.num) >= len(d.snap.byNum) {
@@ -150,26 +165,29 @@
 		if e == nil || e.tag.Load() != h.tag {
 			continue
 		}
-		d.addHolder(e, h, depth)
+		c := d.find(e)
+		if c == nil && add {
+			c = d.add(e)
+		}
+		if c != nil {
+			d.learn(c, h, depth)
+		}
 	}
 }
 
-func (d *decision) addHolder(e *endpoint, h *holder, depth int) {
+// learn takes in what is known of a candidate and a block at depth.
+func (d *decision) learn(c *candidate, h *holder, depth int) {
 	age := d.now.Sub(h.at)
-	trust := confidence(age)
-	c := d.add(e)
-	if c == nil {
-		return
-	}
 	if h.absent {
-		if c.absentFrom == 0 && age < staleAfter {
+		if age < staleAfter && (c.absentFrom == 0 || depth < c.absentFrom) {
 			c.absentFrom = depth
 		}
 		return
 	}
+	trust := confidence(age)
 	c.held = max(c.held, float64(depth)*trust)
 	if trust >= importConfidence {
-		c.seen = depth
+		c.seen = max(c.seen, depth)
 	}
 }
 
@@ -372,7 +390,7 @@
 }
 
 // admit turns a candidate into a Choice, unless it is known to be late.
-func (d *decision) admit(best int, reason string) (Choice, proto.Cause) {
+func (d *decision) admit(g *group, best int, reason string) (Choice, proto.Cause) {
 	c := &d.list[best]
 	choice := Choice{Endpoint: c.id, Matched: c.seen, Wait: c.first, Reason: reason}
 	if d.late(best) {
@@ -382,7 +400,7 @@
 		source := c.source
 		choice.Import = &source
 	}
-	choice.Probe = d.probes(best)
+	choice.Probe = d.probes(g, best)
 	return choice, ""
 }
 
@@ -390,7 +408,7 @@
 // unless the load of the chosen one is known and at most one block is not
 // known to be there. A probe costs a round trip, a block that another home
 // holds costs far more.
-func (d *decision) probes(best int) []proto.EndpointID {
+func (d *decision) probes(g *group, best int) []proto.EndpointID {
 	c := &d.list[best]
 	sure := c.knownAt(d.now, staleAfter) && c.seen+1 >= len(d.q.Blocks)
 	if sure || len(d.q.Blocks) == 0 {
@@ -407,6 +425,22 @@
 			ids = append(ids, c.id)
 		}
 	}
+	return d.probeFurther(g, ids)
+}
+
+// probeFurther adds homes that are no candidates. They may hold the prefix
+// from a time at which the better homes were busy.
+func (d *decision) probeFurther(g *group, ids []proto.EndpointID) []proto.EndpointID {
+	depth := min(homeDepth, len(d.q.Blocks))
+	for _, index := range g.of(uint64(d.q.Blocks[depth-1])) {
+		if len(ids) >= maxProbes {
+			break
+		}
+		e := d.snap.endpoints[index]
+		if d.find(e) == nil && !e.leaving && e.standingAt(d.now) < member.Suspect {
+			ids = append(ids, e.id)
+		}
+	}
 	return ids
 }
 
--- a/core/route/recall.go
+++ b/core/route/recall.go
@@ -59,7 +59,8 @@
 }
 
 // put records h, in place of what is known of the same endpoint or, failing
-// that, of the oldest.
+// that, of the oldest. An absence does not displace the holder of a block,
+// which is worth more.
 func (e *recallEntry) put(h holder) {
 	place := &e.holders[0]
 	for i := range e.holders {
@@ -68,10 +69,13 @@
 			place = other
 			break
 		}
-		if other.at < place.at || other.tag == 0 {
+		if other.rank() < place.rank() || other.rank() == place.rank() && other.at < place.at {
 			place = other
 		}
 	}
+	if h.absent && place.rank() == rankHolds && place.num != h.num {
+		return
+	}
 	keepsPrediction := h.absent && place.num == h.num && place.tag == h.tag &&
 		place.predicted && h.at.Sub(place.at) < predictionLife
 	if !keepsPrediction {
@@ -79,6 +83,23 @@
 	}
 }
 
+// Ranks of what a holder says, the first to be replaced first.
+const (
+	rankFree = iota
+	rankAbsent
+	rankHolds
+)
+
+func (h *holder) rank() int {
+	switch {
+	case h.tag == 0:
+		return rankFree
+	case h.absent:
+		return rankAbsent
+	}
+	return rankHolds
+}
+
 // count adds one use and returns the uses in the current window.
 func (e *recallEntry) count(now proto.Instant) uint16 {
 	if now.Sub(e.window) >= useWindow {
