core/route: let work leave overloaded homes for all homes of its prefix

Cause: since no members are drawn at random, work stayed at the two candidate homes of a prefix until its spread grew. With a failure domain lost, Karoo's p99 was 4.238 s.

--- a/core/route/choose.go
+++ b/core/route/choose.go
@@ -71,6 +71,14 @@
 	}
 	d.evaluate()
 	best := d.best()
+	// Once waiting costs twice what computing the whole prompt does, all homes
+	// are tried. An earlier limit scatters prefixes, none leaves them at
+	// overloaded homes when a failure domain is lost.
+	if best >= 0 && d.list[best].wait > 2*d.view.prefill(d.q.PromptTokens) {
+		d.addAllHomes(g)
+		d.evaluate()
+		best = d.best()
+	}
 	reason := ""
 	if best < 0 {
 		d.fallback(g)
@@ -212,6 +220,20 @@
 	}
 }
 
+// addAllHomes adds the homes beyond the spread at homeDepth.
+func (d *decision) addAllHomes(g *group) {
+	depth := min(homeDepth, len(d.q.Blocks))
+	if depth == 0 {
+		return
+	}
+	for _, index := range g.of(uint64(d.q.Blocks[depth-1])) {
+		c := d.add(d.snap.endpoints[index])
+		if c != nil && c.home == 0 {
+			c.home, c.chance = depth, prior(depth)*standbyPrior
+		}
+	}
+}
+
 // addRandom adds members for their load.
 func (d *decision) addRandom(g *group, n int) {
 	for range n {
