--- a/app/cmd/kumquatsill/router.go
+++ b/app/cmd/kumquatsill/router.go
@@ -16,6 +16,9 @@
 	Internal string `long:"internal-listen" env:"KUMQUATSILL_INTERNAL_LISTEN" default:"127.0.0.1:8081" description:"ip:port for other routers, operators and metrics"`
 	LogAddr  string `long:"log-addr" env:"KUMQUATSILL_LOG_ADDR" description:"ip:port of the log service"`
 
+	Retention string `long:"log-retention" env:"KUMQUATSILL_LOG_RETENTION" default:"1h" description:"least time that the log service keeps a record"`
+	Records   string `long:"log-records" env:"KUMQUATSILL_LOG_RECORDS" default:"100000" description:"least number of records that the log service keeps of a stream"`
+
 	MaxBody     string `long:"max-body" env:"KUMQUATSILL_MAX_BODY" default:"8388608" description:"greatest size of a request body, in bytes"`
 	MaxAnswer   string `long:"max-answer" env:"KUMQUATSILL_MAX_ANSWER" default:"16777216" description:"greatest size of an answer or stream, in bytes"`
 	MaxInFlight string `long:"max-in-flight" env:"KUMQUATSILL_MAX_IN_FLIGHT" default:"4096" description:"greatest number of requests at once"`
@@ -50,7 +53,7 @@
 
 // Execute implements flags.Commander.
 func (f *routerFlags) Execute(args []string) error {
-	cfg, err := f.check(args)
+	cfg, retention, err := f.check(args)
 	if err != nil {
 		return err
 	}
@@ -60,7 +63,7 @@
 	if cfg.Internal, err = node.Listen(f.Internal, f.InternalTLS.Files()); err != nil {
 		return err
 	}
-	cfg.UseRouter(f.Name, proto.Domain(f.Domain))
+	cfg.UseRouter(f.Name, proto.Domain(f.Domain), retention)
 	r, err := node.NewRouter(*cfg)
 	if err != nil {
 		return err
@@ -68,7 +71,7 @@
 	return settings.RunUntilSignal(r)
 }
 
-func (f *routerFlags) check(args []string) (*node.RouterConfig, error) {
+func (f *routerFlags) check(args []string) (*node.RouterConfig, node.LogRetention, error) {
 	var c settings.Checker
 	c.NoArgs(args)
 	c.Name("name", f.Name)
@@ -88,6 +91,10 @@
 	limits.WriteTime = c.Duration("write-timeout", f.WriteTime)
 	limits.Timeout = c.Duration("timeout", f.Timeout)
 	limits.MaxTimeout = c.Duration("max-timeout", f.MaxTimeout)
+	retention := node.LogRetention{
+		For:     c.Duration("log-retention", f.Retention),
+		Records: c.Positive("log-records", f.Records),
+	}
 	return &node.RouterConfig{
 		LogAddr:      f.LogAddr,
 		Client:       f.InternalTLS.Files(),
@@ -96,5 +103,5 @@
 		DrainGrace:   c.Duration("drain-grace", f.DrainGrace),
 		DrainTimeout: c.Duration("drain-timeout", f.DrainTimeout),
 		Log:          settings.Logger(os.Stderr),
-	}, c.Err()
+	}, retention, c.Err()
 }
--- a/app/dev/dev.go
+++ b/app/dev/dev.go
@@ -192,7 +192,7 @@
 	if cfg.Internal, err = node.Listen(loopback, shell.TLSFiles{}); err != nil {
 		return err
 	}
-	cfg.UseRouter(fmt.Sprintf("router-%d", i+1), domain(i))
+	cfg.UseRouter(fmt.Sprintf("router-%d", i+1), domain(i), node.LogRetention{})
 	r, err := node.NewRouter(cfg)
 	if err != nil {
 		return err
@@ -258,7 +258,7 @@
 	env := proto.Envelope{
 		From: proto.Addr{Role: proto.RoleOperator, ID: string(id)},
 		To:   proto.RouterAddr(router),
-		Msg:  proto.NoteSubmit{ID: id, Note: body},
+		Msg:  proto.NoteSubmit{ID: id, Note: body, SubmittedWall: time.Now()},
 	}
 	var outcome proto.NoteOutcome
 	answered := false
--- a/app/e2e/e2e_test.go
+++ b/app/e2e/e2e_test.go
@@ -2,6 +2,7 @@
 package e2e_test
 
 import (
+	"encoding/json"
 	"fmt"
 	"io"
 	"net"
@@ -13,6 +14,9 @@
 	"syscall"
 	"testing"
 	"time"
+
+	"github.com/kumquatsill/kumquatsill/core/audit"
+	"github.com/kumquatsill/kumquatsill/core/proto"
 )
 
 func mustMatch(t *testing.T, got, want []string) {
@@ -224,6 +228,67 @@
 	if code := r.waitExit(t); code != 0 {
 		t.Errorf("exit code %d", code)
 	}
+	f.mustHaveAudited(r.start["id"], l.finished.Load())
+}
+
+// Guards against an order that runs twice, or whose repeat at another router
+// gets no answer.
+func TestOrderRunsOnce(t *testing.T) {
+	f := startFleet(t)
+	var first string
+	f.await("the first order", func() bool {
+		status, body, _ := f.order(f.routers[0], "once")
+		first = body
+		return status == http.StatusCreated
+	})
+	f.await("the recorded answer at the other router", func() bool {
+		status, body, replayed := f.order(f.routers[1], "once")
+		return status == http.StatusCreated && replayed && body == first
+	})
+	runs := 0
+	f.hosts[0].Do(func(proto.Instant) { runs = f.book.Runs("once") })
+	if runs != 1 {
+		t.Errorf("the order ran %d times", runs)
+	}
+}
+
+func (f *fleet) order(r *process, id string) (status int, body string, replayed bool) {
+	req, err := http.NewRequest(http.MethodPost, "http://"+r.start["callers"]+"/orders", strings.NewReader(`{"order":"`+id+`"}`))
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	req.Header.Set("Authorization", "Bearer "+key)
+	req.Header.Set("Idempotency-Key", id)
+	res, err := http.DefaultClient.Do(req)
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	defer func() { _ = res.Body.Close() }()
+	text, err := io.ReadAll(res.Body)
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	return res.StatusCode, string(text), res.Header.Get("Idempotency-Replayed") == "true"
+}
+
+// Guards against a shutdown that loses audit records.
+func (f *fleet) mustHaveAudited(router string, want int64) {
+	f.t.Helper()
+	var records []proto.Record
+	f.hosts[0].Do(func(proto.Instant) { records = f.log.Records(proto.StreamAudit) })
+	var got int64
+	for _, r := range records {
+		var batch audit.Batch
+		if err := json.Unmarshal(r.Body, &batch); err != nil {
+			f.t.Fatal(err)
+		}
+		if string(batch.Router) == router {
+			got += int64(len(batch.Entries))
+		}
+	}
+	if got != want {
+		f.t.Errorf("%d audit records of %s, want %d", got, router, want)
+	}
 }
 
 // Guards against an agent's shutdown that cuts requests.
--- a/app/e2e/harness_test.go
+++ b/app/e2e/harness_test.go
@@ -23,6 +23,7 @@
 	"github.com/kumquatsill/kumquatsill/core/proto"
 	"github.com/kumquatsill/kumquatsill/standin/engine"
 	"github.com/kumquatsill/kumquatsill/standin/logsvc"
+	"github.com/kumquatsill/kumquatsill/standin/orders"
 	"github.com/kumquatsill/kumquatsill/standin/serve"
 )
 
@@ -120,23 +121,26 @@
 	return p.cmd.ProcessState.ExitCode()
 }
 
-// fleet is two routers and three agents as processes, with stand-ins in the
+// fleet is two routers and four agents as processes, with stand-ins in the
 // test process. Engines 1 and 2 serve "assistant", engine 3 serves "fast".
 type fleet struct {
 	t       *testing.T
 	routers []*process
 	agents  []*process
 	hosts   []*serve.Host
+	log     *logsvc.Service
+	book    *orders.Book
 }
 
 func startFleet(t *testing.T) *fleet {
 	t.Helper()
-	f := &fleet{t: t}
-	logAddr := f.host(logsvc.New(logsvc.Config{Seed: 1}))
+	f := &fleet{t: t, log: logsvc.New(logsvc.Config{Seed: 1}), book: orders.NewBook()}
+	logAddr := f.host(f.log)
 	n := note.Note{Added: note.Items{
 		Accounts: []note.Account{{ID: "acme", Rate: 1_000_000, Burst: 100_000_000}},
 		Keys:     []note.Key{{Hash: note.HashKey(key), Account: "acme"}},
 		Models:   []note.Model{{Name: "assistant", Version: "v1"}, {Name: "fast", Version: "v1"}},
+		Routes:   []note.Route{{Method: http.MethodPost, Path: "/orders", Service: "orders"}},
 	}}
 	for i, model := range []string{"assistant", "assistant", "fast"} {
 		id := proto.EndpointID(fmt.Sprintf("e%d", i+1))
@@ -151,6 +155,11 @@
 			ID: id, Kind: note.KindEngine, Domain: "zone-a", Addr: p.start["internal"], Models: []string{model},
 		})
 	}
+	service := launch(t, "kumquatsill-agent", "--endpoint", "o1", "--listen", "127.0.0.1:0", "--engine-addr",
+		f.host(orders.New(orders.Config{Endpoint: "o1", Book: f.book})))
+	n.Added.Endpoints = append(n.Added.Endpoints, note.Endpoint{
+		ID: "o1", Kind: note.KindService, Domain: "zone-a", Addr: service.start["internal"], Service: "orders",
+	})
 	for _, name := range []string{"r1", "r2"} {
 		f.routers = append(f.routers, launch(t, "kumquatsill", "router", "--name", name, "--domain", "zone-a",
 			"--listen", "127.0.0.1:0", "--internal-listen", "127.0.0.1:0", "--log-addr", logAddr,
--- a/app/node/machines.go
+++ b/app/node/machines.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/hex"
 	"math/rand/v2"
+	"time"
 
 	"github.com/google/uuid"
 	"github.com/kumquatsill/kumquatsill/app/shell"
@@ -51,15 +52,23 @@
 	Silent       int64 `json:"silent"`
 }
 
+// LogRetention is the least that the log service keeps. Zero fields take the
+// defaults of the state machine.
+type LogRetention struct {
+	For     time.Duration
+	Records int64
+}
+
 // UseRouter fills a configuration with a new router machine. name stays the
 // same over restarts; the router's id does not.
-func (cfg *RouterConfig) UseRouter(name string, domain proto.Domain) {
+func (cfg *RouterConfig) UseRouter(name string, domain proto.Domain, log LogRetention) {
 	life := newIncarnation(name)
 	cfg.ID = proto.RouterID(life)
 	cfg.Checks = &check.Set{}
 	m := router.New(router.Config{
 		ID: cfg.ID, Domain: domain, Addr: cfg.Internal.Addr().String(),
 		Incarnation: life, Seed: rand.Uint64(), Checks: cfg.Checks,
+		Retention: log.For, RetainedRecords: proto.Offset(log.Records),
 	})
 	cfg.Machine = routerMachine{m}
 	cfg.Leave = m.Drain
--- a/app/node/router.go
+++ b/app/node/router.go
@@ -38,8 +38,6 @@
 	DrainTimeout time.Duration
 	// Leave tells the machine to hand over what it holds. It may be nil.
 	Leave func(now proto.Instant)
-	// Flushed reports that the machine has nothing left to write. It may be nil.
-	Flushed func() bool
 	// State is shown on /debug/state. It may be nil.
 	State func() any
 	Log   *slog.Logger
@@ -48,8 +46,13 @@
 // flushTimeout bounds the wait for the last records of a stopping router.
 const flushTimeout = 5 * time.Second
 
-// flushPoll is the time between two looks at whether a machine has flushed.
-const flushPoll = 20 * time.Millisecond
+const (
+	// flushPoll is the time between two looks at whether a machine has flushed.
+	flushPoll = 20 * time.Millisecond
+	// flushQuiet is the number of looks without an append in flight after
+	// which nothing more is expected. It is well above the pace of appends.
+	flushQuiet = 10
+)
 
 // Router is a router process.
 type Router struct {
@@ -141,15 +144,18 @@
 	return err
 }
 
+// waitFlushed waits for the last records, which a machine that leaves appends
+// at once.
 func (r *Router) waitFlushed() {
-	if r.cfg.Flushed == nil {
-		return
-	}
+	quiet := 0
 	for end := time.Now().Add(flushTimeout); time.Now().Before(end); time.Sleep(flushPoll) {
-		flushed := false
-		if !r.shell.Do(func(proto.Instant) { flushed = r.cfg.Flushed() }) || flushed {
+		quiet++
+		if r.shell.Appending() > 0 {
+			quiet = 0
+		}
+		if quiet >= flushQuiet {
 			return
 		}
 	}
-	r.cfg.Log.Warn("router stops with records that are not in the log", "id", r.cfg.ID)
+	r.cfg.Log.Warn("router stops with records that may not be in the log", "id", r.cfg.ID)
 }
--- a/app/shell/router.go
+++ b/app/shell/router.go
@@ -125,6 +125,9 @@
 	return len(r.callers)
 }
 
+// Appending returns the number of appends to the log that are in flight.
+func (r *Router) Appending() int64 { return r.log.appending.Load() }
+
 func (r *Router) deliver(env proto.Envelope) {
 	switch env.To.Role {
 	case proto.RoleCaller:
--- a/app/shell/server.go
+++ b/app/shell/server.go
@@ -32,6 +32,7 @@
 	}
 	agentKinds = []proto.Kind{
 		proto.Dispatch{}.Kind(), proto.Cancel{}.Kind(), proto.Probe{}.Kind(), proto.Order{}.Kind(),
+		proto.EndpointLeaving{}.Kind(),
 	}
 	agentAnswerKinds = []proto.Kind{
 		proto.Accepted{}.Kind(), proto.Chunk{}.Kind(), proto.Heartbeat{}.Kind(), proto.Finish{}.Kind(),
