--- a/app/e2e/e2e_test.go
+++ b/app/e2e/e2e_test.go
@@ -246,7 +246,7 @@
 		return status == http.StatusCreated && replayed && body == first
 	})
 	runs := 0
-	f.hosts[0].Do(func(proto.Instant) { runs = f.book.Runs("once") })
+	f.orders.Do(func(proto.Instant) { runs = f.book.Runs("once") })
 	if runs != 1 {
 		t.Errorf("the order ran %d times", runs)
 	}
--- a/app/e2e/harness_test.go
+++ b/app/e2e/harness_test.go
@@ -130,6 +130,8 @@
 	hosts   []*serve.Host
 	log     *logsvc.Service
 	book    *orders.Book
+	// orders is the host of the order service.
+	orders *serve.Host
 }
 
 func startFleet(t *testing.T) *fleet {
@@ -157,6 +159,7 @@
 	}
 	service := launch(t, "kumquatsill-agent", "--endpoint", "o1", "--listen", "127.0.0.1:0", "--engine-addr",
 		f.host(orders.New(orders.Config{Endpoint: "o1", Book: f.book})))
+	f.orders = f.hosts[len(f.hosts)-1]
 	n.Added.Endpoints = append(n.Added.Endpoints, note.Endpoint{
 		ID: "o1", Kind: note.KindService, Domain: "zone-a", Addr: service.start["internal"], Service: "orders",
 	})
