--- a/app/node/agent.go
+++ b/app/node/agent.go
@@ -28,6 +28,9 @@
 	EngineAddr string
 	// EngineClient verifies the engine. It may be zero.
 	EngineClient shell.TLSFiles
+	// DrainGrace is how long an agent without work still refuses new work
+	// before it stops listening, so that routers learn that it leaves.
+	DrainGrace time.Duration
 	// DrainTimeout bounds the wait for attempts in flight.
 	DrainTimeout time.Duration
 	// Leave tells the machine to take no new work. It may be nil.
@@ -102,6 +105,7 @@
 		a.shell.Do(a.cfg.Leave)
 	}
 	a.waitDrained()
+	time.Sleep(a.cfg.DrainGrace)
 	ctx, cancel := context.WithTimeout(context.Background(), a.cfg.DrainTimeout)
 	defer cancel()
 	err := errors.Join(shutdown(ctx, a.internal), a.shell.Stop(), a.t.Wait())
--- a/app/shell/metrics.go
+++ b/app/shell/metrics.go
@@ -10,7 +10,10 @@
 	Undeliverable *metrics.Counter
 	// PeerDropped counts messages to routers that were dropped because too many waited.
 	PeerDropped *metrics.Counter
+	// ConnLost counts connections that ended after a message was sent, ConnRefused
+	// messages that certainly had no effect.
 	ConnLost    *metrics.Counter
+	ConnRefused *metrics.Counter
 	ConnSilent  *metrics.Counter
 	LogFailed   *metrics.Counter
 	EngineDown  *metrics.Counter
@@ -23,6 +26,7 @@
 		Undeliverable: set.NewCounter("kumquatsill_transport_undeliverable_total"),
 		PeerDropped:   set.NewCounter("kumquatsill_transport_peer_dropped_total"),
 		ConnLost:      set.NewCounter("kumquatsill_transport_connections_lost_total"),
+		ConnRefused:   set.NewCounter("kumquatsill_transport_connections_refused_total"),
 		ConnSilent:    set.NewCounter("kumquatsill_transport_connections_silent_total"),
 		LogFailed:     set.NewCounter("kumquatsill_log_calls_failed_total"),
 		EngineDown:    set.NewCounter("kumquatsill_engine_down_total"),
--- a/app/shell/router.go
+++ b/app/shell/router.go
@@ -236,12 +236,16 @@
 	if silent {
 		r.metrics.ConnSilent.Inc()
 	}
-	r.metrics.ConnLost.Inc()
+	unsent := rejectedBefore(err)
+	if unsent {
+		r.metrics.ConnRefused.Inc()
+	} else {
+		r.metrics.ConnLost.Inc()
+	}
 	dispatch, ok := env.Msg.(proto.Dispatch)
 	if !ok {
 		return
 	}
-	unsent := rejectedBefore(err)
 	r.driver.Step(proto.Envelope{From: env.To, To: r.self, Msg: proto.ConnLost{Attempt: dispatch.Attempt, Unsent: unsent}})
 }
 
