--- a/app/api/problem.go
+++ b/app/api/problem.go
@@ -61,6 +61,7 @@
 	// 499 is the usual code for a caller that hung up.
 	proto.CauseCanceled:     {499, "The request was canceled."},
 	proto.CauseWrongVersion: {http.StatusConflict, "The model version is not the one asked for."},
+	proto.CauseSuspected:    {http.StatusServiceUnavailable, "The request is suspected of crashing endpoints and has to wait."},
 	proto.CauseLeaving:      {http.StatusServiceUnavailable, "The endpoint is leaving."},
 }
 
