node: find the addresses of other routers

Change: the adapter folds the config stream a second time and reads the registrations.

Conclusion: routers hear each other over real sockets.

--- a/app/e2e/e2e_test.go
+++ b/app/e2e/e2e_test.go
@@ -17,6 +17,7 @@
 
 	"github.com/kumquatsill/kumquatsill/core/audit"
 	"github.com/kumquatsill/kumquatsill/core/proto"
+	"github.com/kumquatsill/kumquatsill/standin/logsvc"
 )
 
 func mustMatch(t *testing.T, got, want []string) {
@@ -274,6 +275,37 @@
 	return res.StatusCode, string(text), res.Header.Get("Idempotency-Replayed") == "true"
 }
 
+// Guards against routers that cannot reach each other: without their word that
+// nobody reads the log, keyed requests would be refused a few seconds into an
+// outage.
+func TestLogOutage(t *testing.T) {
+	f := startFleet(t)
+	for _, r := range f.routers {
+		f.await("beats at "+r.start["id"], func() bool {
+			before := undeliverable(f.get(r, "/metrics"))
+			time.Sleep(time.Second)
+			return undeliverable(f.get(r, "/metrics")) == before
+		})
+	}
+	f.hosts[0].Do(func(proto.Instant) { f.log.SetOutage(logsvc.Silent) })
+	// Longer than a proof of freshness lasts without the word of a peer.
+	for end := time.Now().Add(10 * time.Second); time.Now().Before(end); {
+		for _, r := range f.routers {
+			s, err := request(r.start["callers"], generation("assistant", "outage", 100), "", key, nil)
+			if err != nil || !s.done {
+				t.Fatalf("%v, status %d, %s", err, s.status, s.body)
+			}
+		}
+	}
+}
+
+// undeliverable returns the line of the counter of messages without an address.
+func undeliverable(pages string) string {
+	_, rest, _ := strings.Cut(pages, "kumquatsill_transport_undeliverable_total ")
+	count, _, _ := strings.Cut(rest, "\n")
+	return count
+}
+
 // Guards against a shutdown that loses audit records.
 func (f *fleet) mustHaveAudited(router string, want int64) {
 	f.t.Helper()
--- a/app/node/machines.go
+++ b/app/node/machines.go
@@ -6,22 +6,12 @@
 	"time"
 
 	"github.com/google/uuid"
-	"github.com/kumquatsill/kumquatsill/app/shell"
 	"github.com/kumquatsill/kumquatsill/core/agent"
 	"github.com/kumquatsill/kumquatsill/core/check"
 	"github.com/kumquatsill/kumquatsill/core/proto"
 	"github.com/kumquatsill/kumquatsill/core/router"
 )
 
-// routerMachine adapts a router's state machine to the shell.
-type routerMachine struct{ *router.Router }
-
-// View implements shell.RouterMachine.
-func (m routerMachine) View() shell.View {
-	s := m.Snapshot()
-	return shell.View{Config: s.Config, Ready: s.Ready}
-}
-
 // newIncarnation names one life of a process.
 func newIncarnation(name string) proto.Incarnation {
 	id := uuid.New()
@@ -70,7 +60,7 @@
 		Incarnation: life, Seed: rand.Uint64(), Checks: cfg.Checks,
 		Retention: log.For, RetainedRecords: proto.Offset(log.Records),
 	})
-	cfg.Machine = routerMachine{m}
+	cfg.Machine = newRouterMachine(m)
 	cfg.Leave = m.Drain
 	cfg.State = func() any { return stateOf(cfg.ID, m) }
 }
