standin/serve: take messages that a stand-in defines itself

Cause: the weight store and the KV cache store could not be asked over HTTP, as only messages of package proto were decoded.

Change: serve.New takes the stand-in's own message types.

--- a/standin/serve/serve.go
+++ b/standin/serve/serve.go
@@ -11,9 +11,11 @@
 
 import (
 	"bytes"
+	"encoding/json"
 	"fmt"
 	"io"
 	"net/http"
+	"reflect"
 	"strconv"
 	"sync"
 	"time"
@@ -70,10 +72,12 @@
 	conns   map[*connection]bool
 	mux     *http.ServeMux
 	closed  bool
+	types   map[proto.Kind]reflect.Type
 }
 
-// New starts a stand-in. Close stops it.
-func New(m proto.Machine) *Host {
+// New starts a stand-in. Close stops it. own lists the message types that the
+// stand-in takes beside those of package proto.
+func New(m proto.Machine, own ...proto.Message) *Host {
 	h := &Host{
 		machine: m,
 		start:   time.Now(),
@@ -82,6 +86,10 @@
 		boxes:   map[proto.Addr]*outbox{},
 		conns:   map[*connection]bool{},
 		mux:     http.NewServeMux(),
+		types:   map[proto.Kind]reflect.Type{},
+	}
+	for _, message := range own {
+		h.types[message.Kind()] = reflect.TypeOf(message)
 	}
 	h.mux.HandleFunc("POST /v1/message", h.message)
 	h.mux.HandleFunc("GET /v1/events", h.events)
@@ -196,7 +204,7 @@
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
 	}
-	env, err := proto.Decode(body)
+	env, err := h.decode(body)
 	if err != nil {
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
@@ -214,6 +222,31 @@
 	}
 }
 
+// decode reads an envelope with a message of package proto or of the stand-in.
+func (h *Host) decode(data []byte) (proto.Envelope, error) {
+	var wire struct {
+		Kind     proto.Kind
+		From, To proto.Addr
+		Body     json.RawMessage
+	}
+	if err := json.Unmarshal(data, &wire); err != nil {
+		return proto.Envelope{}, err
+	}
+	typ, own := h.types[wire.Kind]
+	if !own {
+		return proto.Decode(data)
+	}
+	message := reflect.New(typ)
+	if err := json.Unmarshal(wire.Body, message.Interface()); err != nil {
+		return proto.Envelope{}, err
+	}
+	msg, ok := message.Elem().Interface().(proto.Message)
+	if !ok {
+		return proto.Envelope{}, fmt.Errorf("type %s is not a message", typ)
+	}
+	return proto.Envelope{From: wire.From, To: wire.To, Msg: msg}, nil
+}
+
 func (h *Host) step(env proto.Envelope) chan []byte {
 	h.mu.Lock()
 	defer h.mu.Unlock()
