--- a/core/exchange/exchange.go
+++ b/core/exchange/exchange.go
@@ -53,8 +53,11 @@
 	stepUntil proto.Instant
 	checkAt   proto.Instant
 
-	reserved   int64
-	rateReason string
+	reserved int64
+	// tokensUntil ends the wait for tokens, tokensPoll is the time to the next try.
+	tokensUntil proto.Instant
+	tokensPoll  time.Duration
+	rateReason  string
 	// probing lists the agents whose probe reply is awaited.
 	probing  []proto.EndpointID
 	attempt  attempt
