--- a/proof/cmd/measure/print.go
+++ b/proof/cmd/measure/print.go
@@ -11,7 +11,7 @@
 	"github.com/kumquatsill/kumquatsill/proof/measure"
 )
 
-var header = []string{"deployment", "condition", "policy", "hit rate", "wasted", "p50 s", "p95 s", "p99 s", "worst/median account", "probes", "wrongful", "refused", "requests"}
+var header = []string{"deployment", "condition", "policy", "hit rate", "wasted", "p50 s", "p95 s", "p99 s", "worst/median account", "probes", "wrongful", "affordable", "refused", "requests"}
 
 // cells returns a row in the order of header.
 func cells(r compare.Row) []string {
@@ -22,7 +22,7 @@
 		seconds(rep.FirstToken.P50), seconds(rep.FirstToken.P95), seconds(rep.FirstToken.P99),
 		fmt.Sprintf("%.2f", rep.Unfairness),
 		fmt.Sprintf("%.1f", r.Probes),
-		fmt.Sprint(rep.Wrongful), fmt.Sprint(rep.Refusals), fmt.Sprint(rep.Generations + rep.Calls),
+		fmt.Sprint(rep.Wrongful), fmt.Sprint(rep.Affordable), fmt.Sprint(rep.Refusals), fmt.Sprint(rep.Generations + rep.Calls),
 	}
 }
 
