--- a/core/exchange/exchange_test.go
+++ b/core/exchange/exchange_test.go
@@ -89,10 +89,12 @@
 
 var order = proto.CallerRequest{ID: "q", Key: "k", Class: proto.ClassCall, Method: "POST", Path: "/orders", Body: make([]byte, 400), IdempotencyKey: "i"}
 
-func (b *bench) start(req proto.CallerRequest) {
+func (b *bench) start(req proto.CallerRequest) { b.startWith(req, &b.places) }
+
+func (b *bench) startWith(req proto.CallerRequest, places route.Placer) {
 	deps := &exchange.Deps{
 		Self: self, Snapshot: func() *exchange.Snapshot { return &b.snap }, Limits: &b.limits,
-		Placement: &b.places, Budget: b.budget, Stats: &b.stats, Checks: &b.checks, Lives: exchange.NewLives(),
+		Placement: places, Budget: b.budget, Stats: &b.stats, Checks: &b.checks, Lives: exchange.NewLives(),
 	}
 	b.x = exchange.New(b.now, deps, req, 1)
 	b.collect()
