Serve again soon after all routers restart at the same time

Cause: after a restart of all routers every bucket waited for the old leases (6 s) and for the grants of the old holders (5 s), and refused requests inside the rate meanwhile. The state of suspects was not in the checkpoints, and core/configlog folded records of suspects in a form that nobody wrote.

--- a/core/configlog/checkpoint.go
+++ b/core/configlog/checkpoint.go
@@ -41,15 +41,15 @@
 
 // image is the JSON form of the state.
 type image struct {
-	AsOf        proto.Offset                    `json:"as_of"`
-	Config      *note.Config                    `json:"config"`
-	Leases      map[string]LeaseState           `json:"leases"`
-	Renewed     map[proto.RouterID]proto.Offset `json:"renewed"`
-	Routers     map[proto.RouterID]RouterState  `json:"routers"`
-	Suspects    map[Subject][]Crash             `json:"suspects"`
-	Quarantines map[Subject]QuarantineState     `json:"quarantines"`
-	History     []NoteOutcome                   `json:"history"`
-	Seen        map[string]origin               `json:"seen"`
+	AsOf      proto.Offset                    `json:"as_of"`
+	Config    *note.Config                    `json:"config"`
+	Leases    map[string]LeaseState           `json:"leases"`
+	Renewed   map[proto.RouterID]proto.Offset `json:"renewed"`
+	Routers   map[proto.RouterID]RouterState  `json:"routers"`
+	History   []NoteOutcome                   `json:"history"`
+	Seen      map[string]origin               `json:"seen"`
+	Removed   proto.Offset                    `json:"removed,omitempty"`
+	Extension json.RawMessage                 `json:"extension,omitempty"`
 }
 
 // Checkpoint encodes the state in parts. It fails while records are missing.
@@ -75,7 +75,14 @@
 func (s *State) encode() ([]byte, error) {
 	img := image{
 		AsOf: s.cur.ConfigOffset, Config: s.cur.Config, Leases: s.cur.Leases, Renewed: s.cur.renewed,
-		Routers: s.cur.Routers, Suspects: s.cur.Suspects, Quarantines: s.cur.Quarantines, Seen: s.seen,
+		Routers: s.cur.Routers, Seen: s.seen, Removed: s.cur.Removed,
+	}
+	if s.extension != nil {
+		data, err := s.extension.Export()
+		if err != nil {
+			return nil, Error.Wrap(err)
+		}
+		img.Extension = data
 	}
 	for _, out := range s.cur.History {
 		out.Errors = out.Errors[:min(len(out.Errors), checkpointErrors)]
@@ -153,6 +160,11 @@
 		return Error.New("records between the checkpoint at %d and offset %d are missing", img.AsOf, bufferStart)
 	}
 	buffer := s.buffer
+	if s.extension != nil && img.Extension != nil {
+		if err := s.extension.Import(img.Extension); err != nil {
+			return Error.Wrap(err)
+		}
+	}
 	s.replace(img)
 	if img.AsOf > next {
 		s.tail = tail{}
@@ -178,8 +190,8 @@
 	fresh.cur.Routers = orEmpty(img.Routers)
 	fresh.cur.renewed = orEmpty(img.Renewed)
 	fresh.seen = orEmpty(img.Seen)
-	fresh.cur.Suspects = orEmpty(img.Suspects)
-	fresh.cur.Quarantines = orEmpty(img.Quarantines)
+	fresh.cur.Removed = img.Removed
+	fresh.extension = s.extension
 	for id, r := range fresh.cur.Routers {
 		if r.Slot != NoSlot {
 			fresh.slots[r.Slot] = id
--- a/core/configlog/fold.go
+++ b/core/configlog/fold.go
@@ -2,9 +2,6 @@
 
 import (
 	"cmp"
-	"maps"
-	"slices"
-
 	"github.com/kumquatsill/kumquatsill/core/proto"
 )
 
@@ -59,6 +56,7 @@
 	next := LeaseState{Holder: l.Holder, Fence: at, TTL: l.TTL}
 	if cur.Released {
 		next.Balance = cur.Balance
+		next.Freed, next.FreedFrom = cur.Freed, cur.FreedFrom
 	}
 	s.putLease(at, l.Name, next)
 	return Applied, ""
@@ -77,10 +75,14 @@
 	s.cur.Routers = own(s.cur.Routers, &s.shared.routers)
 	if r.Gone {
 		s.removeRouter(r.Router)
+		if r.By != r.Router {
+			s.cur.Removed = at
+		}
 		return Applied, ""
 	}
 	for id, other := range s.cur.Routers {
 		if other.Addr == r.Addr && id != r.Router {
+			s.freeLeases(at, id)
 			s.removeRouter(id)
 		}
 	}
@@ -107,6 +109,19 @@
 	return Applied, detail
 }
 
+// freeLeases releases what a router held that has ended for certain, so that
+// nobody waits for the leases to expire.
+func (s *State) freeLeases(at proto.Offset, id proto.RouterID) {
+	for name, l := range s.cur.Leases {
+		if l.Holder != id || l.Released {
+			continue
+		}
+		l.Released, l.Balance = true, 0
+		l.Freed, l.FreedFrom = at, id
+		s.putLease(at, name, l)
+	}
+}
+
 func (s *State) removeRouter(id proto.RouterID) {
 	if r, ok := s.cur.Routers[id]; ok && r.Slot != NoSlot {
 		delete(s.slots, r.Slot)
@@ -117,68 +132,3 @@
 		delete(s.cur.renewed, id)
 	}
 }
-
-func (s *State) suspect(at proto.Offset, r Suspect) (Outcome, string) {
-	if r.Fingerprint == "" {
-		return Refused, "the suspect has no fingerprint"
-	}
-	subject := Subject{Account: r.Account, Fingerprint: r.Fingerprint}
-	s.cur.Suspects = own(s.cur.Suspects, &s.shared.suspects)
-	if r.Cleared {
-		delete(s.cur.Suspects, subject)
-		return Applied, ""
-	}
-	crashes := s.cur.Suspects[subject]
-	same := func(c Crash) bool { return c.Endpoint == r.Endpoint && c.Incarnation == r.Incarnation }
-	if slices.ContainsFunc(crashes, same) {
-		return Beaten, "the crash is recorded already"
-	}
-	if len(crashes) >= maxCrashes {
-		crashes = crashes[1:]
-	}
-	crash := Crash{Endpoint: r.Endpoint, Incarnation: r.Incarnation, Alone: r.Alone, Offset: at}
-	s.cur.Suspects[subject] = append(slices.Clip(crashes), crash)
-	if len(s.cur.Suspects) > maxSuspects {
-		s.forgetSuspects()
-	}
-	return Applied, ""
-}
-
-// forgetSuspects drops the half of the suspects that crashed longest ago.
-func (s *State) forgetSuspects() {
-	last := func(k Subject) proto.Offset {
-		crashes := s.cur.Suspects[k]
-		return crashes[len(crashes)-1].Offset
-	}
-	keys := slices.SortedFunc(maps.Keys(s.cur.Suspects), func(a, b Subject) int { return cmp.Compare(last(a), last(b)) })
-	for _, k := range keys[:len(keys)/2] {
-		delete(s.cur.Suspects, k)
-	}
-}
-
-func (s *State) quarantine(at proto.Offset, r Quarantine) (Outcome, string) {
-	if r.Fingerprint == "" || r.For <= 0 {
-		return Refused, "the quarantine is incomplete"
-	}
-	subject := Subject{Account: r.Account, Fingerprint: r.Fingerprint}
-	s.cur.Quarantines = own(s.cur.Quarantines, &s.shared.quarantines)
-	s.cur.Quarantines[subject] = QuarantineState{For: r.For, Reason: r.Reason, Offset: at}
-	return Applied, ""
-}
-
-func (s *State) quarantineRelease(_ proto.Offset, r QuarantineRelease) (Outcome, string) {
-	subject := Subject{Account: r.Account, Fingerprint: r.Fingerprint}
-	q, ok := s.cur.Quarantines[subject]
-	if !ok {
-		return Beaten, "there is no such quarantine"
-	}
-	if r.Operator == "" && r.Quarantined != q.Offset {
-		return Beaten, "a later quarantine is in force"
-	}
-	s.cur.Quarantines = own(s.cur.Quarantines, &s.shared.quarantines)
-	delete(s.cur.Quarantines, subject)
-	// The request starts afresh, else its next crash would count as a second.
-	s.cur.Suspects = own(s.cur.Suspects, &s.shared.suspects)
-	delete(s.cur.Suspects, subject)
-	return Applied, ""
-}
--- a/core/configlog/records.go
+++ b/core/configlog/records.go
@@ -1,6 +1,6 @@
 // Package configlog folds the config stream of the log into the state that
-// all nodes share: release notes, leases, registered routers, suspects and
-// quarantines. Folding uses the records and their order only, so that nodes
+// all nodes share: release notes, leases and registered routers, and what an
+// Extension adds. Folding uses the records and their order only, so that nodes
 // that read the same records have the same state.
 package configlog
 
@@ -17,13 +17,10 @@
 
 // Kinds of records of the config stream.
 const (
-	KindReleaseNote       proto.RecordKind = "release-note"
-	KindLease             proto.RecordKind = "lease"
-	KindRegistration      proto.RecordKind = "registration"
-	KindSuspect           proto.RecordKind = "suspect"
-	KindQuarantine        proto.RecordKind = "quarantine"
-	KindQuarantineRelease proto.RecordKind = "quarantine-release"
-	KindCheckpoint        proto.RecordKind = "checkpoint"
+	KindReleaseNote  proto.RecordKind = "release-note"
+	KindLease        proto.RecordKind = "lease"
+	KindRegistration proto.RecordKind = "registration"
+	KindCheckpoint   proto.RecordKind = "checkpoint"
 )
 
 // NoOffset stands for a lease that was never held.
@@ -85,35 +82,6 @@
 	// Slot is the static slot wanted, or NoSlot. The first claim in log order wins.
 	Slot int  `json:"slot"`
 	Gone bool `json:"gone,omitempty"`
-}
-
-// Suspect records that an endpoint crashed with a request in flight or, if
-// Cleared is set, that the request ran to its end alone.
-type Suspect struct {
-	Fingerprint proto.Fingerprint `json:"fingerprint"`
-	Account     proto.AccountID   `json:"account"`
-	Endpoint    proto.EndpointID  `json:"endpoint,omitempty"`
-	Incarnation proto.Incarnation `json:"incarnation,omitempty"`
-	Alone       bool              `json:"alone,omitempty"`
-	Cleared     bool              `json:"cleared,omitempty"`
-}
-
-// Quarantine refuses a fingerprint of an account everywhere.
-type Quarantine struct {
-	Fingerprint proto.Fingerprint `json:"fingerprint"`
-	Account     proto.AccountID   `json:"account"`
-	// For runs from the reading of the record on each node's own clock. The
-	// first node whose time is over records the release.
-	For    time.Duration `json:"for_ns"`
-	Reason string        `json:"reason,omitempty"`
-}
-
-// QuarantineRelease ends a quarantine, by an operator or since it expired.
-type QuarantineRelease struct {
-	Fingerprint proto.Fingerprint `json:"fingerprint"`
-	Account     proto.AccountID   `json:"account"`
-	// Quarantined is the offset of the quarantine that expired; a later one stays.
-	// An operator's release has Operator set and ends any.
-	Quarantined proto.Offset `json:"quarantined,omitempty"`
-	Operator    string       `json:"operator,omitempty"`
+	// By is the router that wrote the record. One that removes itself has drained.
+	By proto.RouterID `json:"by,omitempty"`
 }
--- a/core/configlog/snapshot.go
+++ b/core/configlog/snapshot.go
@@ -1,34 +1,12 @@
 package configlog
 
 import (
-	"strings"
 	"time"
 
 	"github.com/kumquatsill/kumquatsill/core/note"
 	"github.com/kumquatsill/kumquatsill/core/proto"
 )
 
-// Subject names a fingerprint of an account.
-type Subject struct {
-	Account     proto.AccountID   `json:"account"`
-	Fingerprint proto.Fingerprint `json:"fingerprint"`
-}
-
-// MarshalText lets a Subject be the key of a JSON object.
-func (s Subject) MarshalText() ([]byte, error) {
-	return []byte(string(s.Account) + "/" + string(s.Fingerprint)), nil
-}
-
-// UnmarshalText is the inverse of MarshalText. An account's name has no slash.
-func (s *Subject) UnmarshalText(text []byte) error {
-	account, fingerprint, ok := strings.Cut(string(text), "/")
-	if !ok {
-		return Error.New("subject %q has no fingerprint", text)
-	}
-	*s = Subject{Account: proto.AccountID(account), Fingerprint: proto.Fingerprint(fingerprint)}
-	return nil
-}
-
 // LeaseState is what the log says about a lease. Whether it has expired is
 // for each node to decide by its own clock.
 type LeaseState struct {
@@ -41,6 +19,11 @@
 	// Balance came with the release or hand-over before Fence; 0 after a takeover.
 	Balance  int64 `json:"balance,omitempty"`
 	Released bool  `json:"released,omitempty"`
+	// Freed is the offset at which the previous holder was replaced by another
+	// router at its address, and so was known to have ended; 0 if it was not.
+	Freed proto.Offset `json:"freed,omitempty"`
+	// FreedFrom is the holder that was replaced at Freed.
+	FreedFrom proto.RouterID `json:"freed_from,omitempty"`
 }
 
 // RouterState is a registered router.
@@ -55,21 +38,6 @@
 	SlotOffset proto.Offset `json:"slot_offset"`
 }
 
-// Crash is one crash of an endpoint with a suspect in flight.
-type Crash struct {
-	Endpoint    proto.EndpointID  `json:"endpoint"`
-	Incarnation proto.Incarnation `json:"incarnation"`
-	Alone       bool              `json:"alone,omitempty"`
-	Offset      proto.Offset      `json:"offset"`
-}
-
-// QuarantineState is a quarantine in force.
-type QuarantineState struct {
-	For    time.Duration `json:"for_ns"`
-	Reason string        `json:"reason,omitempty"`
-	Offset proto.Offset  `json:"offset"`
-}
-
 // NoteResult says what became of a note.
 type NoteResult string
 
@@ -106,13 +74,14 @@
 	// ConfigOffset is the offset of the next record to fold: all before are folded.
 	ConfigOffset proto.Offset
 	// Complete is unset while records are missing that retention removed.
-	Complete    bool
-	Leases      map[string]LeaseState
-	Routers     map[proto.RouterID]RouterState
-	Suspects    map[Subject][]Crash
-	Quarantines map[Subject]QuarantineState
+	Complete bool
+	Leases   map[string]LeaseState
+	Routers  map[proto.RouterID]RouterState
 	// History holds the latest notes, oldest first.
 	History []NoteOutcome
+	// Removed is the offset of the last record by which one router removed
+	// another, which may still run; 0 if there is none.
+	Removed proto.Offset
 	// Checkpoint is the offset up to which the newest checkpoint in the log
 	// holds the state, CheckpointAt the offset of its last part; NoOffset if none.
 	Checkpoint   proto.Offset
--- a/core/configlog/state.go
+++ b/core/configlog/state.go
@@ -19,10 +19,7 @@
 	maxHistory = 512
 	// maxOrigins bounds the processes whose record ids are remembered. At 54
 	// restarts a day it covers more than three months.
-	maxOrigins  = 8192
-	maxSuspects = 4096
-	// maxCrashes is the number of crashes kept per suspect; two decide.
-	maxCrashes = 8
+	maxOrigins = 8192
 	// maxBuffered bounds the records that wait for a checkpoint. A checkpoint
 	// is appended at once, so that few records lie between its state and itself.
 	maxBuffered = 8192
@@ -83,10 +80,28 @@
 	tail     tail
 	parts    assembly
 	counters Counters
+
+	extension Extension
 }
 
 // sections marks the maps of the state that a snapshot shares.
-type sections struct{ leases, routers, suspects, quarantines, renewed bool }
+type sections struct{ leases, routers, renewed bool }
+
+// Extension is further state that is folded from the config stream and kept
+// in its checkpoints.
+type Extension interface {
+	// Owns reports whether records of a kind belong to the extension.
+	Owns(kind proto.RecordKind) bool
+	// Fold applies a record. Each record comes once, in order.
+	Fold(rec proto.Record)
+	// Export returns the state for a checkpoint, Import replaces the state by
+	// that of a checkpoint.
+	Export() (json.RawMessage, error)
+	Import(data json.RawMessage) error
+}
+
+// Extend adds an extension. It is called before the first record is folded.
+func (s *State) Extend(e Extension) { s.extension = e }
 
 // NewState returns the state before the first record. checks may be nil.
 func NewState(checks *check.Set) *State {
@@ -97,8 +112,6 @@
 			Complete:     true,
 			Leases:       map[string]LeaseState{},
 			Routers:      map[proto.RouterID]RouterState{},
-			Suspects:     map[Subject][]Crash{},
-			Quarantines:  map[Subject]QuarantineState{},
 			Checkpoint:   NoOffset,
 			CheckpointAt: NoOffset,
 			renewed:      map[proto.RouterID]proto.Offset{},
@@ -114,7 +127,7 @@
 		snap := s.cur
 		snap.History = slices.Clip(snap.History)
 		s.snapshot = &snap
-		s.shared = sections{true, true, true, true, true}
+		s.shared = sections{true, true, true}
 	}
 	return s.snapshot
 }
@@ -228,15 +241,13 @@
 		return decoded(rec, s.lease)
 	case KindRegistration:
 		return decoded(rec, s.registration)
-	case KindSuspect:
-		return decoded(rec, s.suspect)
-	case KindQuarantine:
-		return decoded(rec, s.quarantine)
-	case KindQuarantineRelease:
-		return decoded(rec, s.quarantineRelease)
 	case KindCheckpoint:
 		return decoded(rec, s.checkpointPart)
 	}
+	if s.extension != nil && s.extension.Owns(rec.Kind) {
+		s.extension.Fold(rec)
+		return Result{Record: rec, Outcome: Applied}
+	}
 	return Result{Record: rec, Outcome: Refused, Detail: "unknown kind " + string(rec.Kind)}
 }
 
--- a/core/proto/peer.go
+++ b/core/proto/peer.go
@@ -17,6 +17,9 @@
 	LogReachable bool `json:"log_reachable"`
 	// Leaving is set while the sender drains.
 	Leaving bool `json:"leaving,omitempty"`
+	// GrantsFrom lists routers that are no longer registered and from which the
+	// sender had a grant that may not have run out.
+	GrantsFrom []RouterID `json:"grants_from,omitempty"`
 	// Crashes lists crashes that the sender has seen and not yet read back
 	// from the log, so that peers know the suspects during an outage as well.
 	Crashes []CrashSeen `json:"crashes,omitempty"`
--- a/core/router/control.go
+++ b/core/router/control.go
@@ -16,6 +16,7 @@
 	"github.com/kumquatsill/kumquatsill/core/proto"
 	"github.com/kumquatsill/kumquatsill/core/route"
 	"github.com/kumquatsill/kumquatsill/core/suspect"
+	"github.com/zeebo/errs"
 )
 
 const (
@@ -36,6 +37,9 @@
 	DefaultRetainedRecords = 100_000
 )
 
+// Error is the class of all errors of this package.
+var Error = errs.Class("router")
+
 // Config identifies a router.
 type Config struct {
 	ID     proto.RouterID
--- a/core/router/follow.go
+++ b/core/router/follow.go
@@ -20,9 +20,6 @@
 	case configlog.Stale, configlog.Missing, configlog.Buffered:
 		return false
 	}
-	if result.Outcome != configlog.Duplicate {
-		c.foldSuspect(now, result)
-	}
 	if result.Record.Kind == configlog.KindLease {
 		c.leases.observe(now, c.state.Snapshot())
 		c.onLeaseFolded(result)
@@ -170,7 +167,7 @@
 		if id == c.cfg.ID || !c.peers.silent(now, id, silentRouterAfter) {
 			continue
 		}
-		body := configlog.Registration{Router: id, Slot: configlog.NoSlot, Gone: true}
+		body := configlog.Registration{Router: id, Slot: configlog.NoSlot, Gone: true, By: c.cfg.ID}
 		if _, err := c.log.Append(now, proto.StreamConfig, configlog.KindRegistration, body); err != nil {
 			c.stats.AppendErrors++
 		}
--- a/core/router/limits.go
+++ b/core/router/limits.go
@@ -1,6 +1,8 @@
 package router
 
 import (
+	"slices"
+
 	"github.com/kumquatsill/kumquatsill/core/configlog"
 	"github.com/kumquatsill/kumquatsill/core/limit"
 	"github.com/kumquatsill/kumquatsill/core/proto"
@@ -12,6 +14,8 @@
 	wallet  *limit.Wallet
 	holders map[limit.Lease]*limit.Holder
 	order   []limit.Lease
+	// grantAt is when a router last granted tokens.
+	grantAt map[proto.RouterID]proto.Instant
 }
 
 func newLimits(cfg Config, ls *leases) *limits {
@@ -19,6 +23,7 @@
 		wallet:  limit.NewWallet(cfg.ID),
 		holders: map[limit.Lease]*limit.Holder{},
 		order:   bucketLeases(),
+		grantAt: map[proto.RouterID]proto.Instant{},
 	}
 	for _, b := range l.order {
 		l.holders[b] = limit.NewHolder(cfg.ID, b, ls.byName[bucketLease(b)])
@@ -75,6 +80,9 @@
 		}
 		return
 	}
+	if m, ok := in.Msg.(proto.GrantReply); ok {
+		l.onGrant(now, in.From, m)
+	}
 	l.wallet.Step(now, in)
 }
 
@@ -92,3 +100,73 @@
 	}
 	return out
 }
+
+// skipGrantWait lets buckets refill at once after a restart of all routers. A
+// new holder otherwise waits until the grants of the previous one have run
+// out. If that one was replaced at its address, it can give no more, and once
+// every router has said that it holds none of its grants there is nothing to
+// wait for.
+func (c *Control) skipGrantWait(now proto.Instant, state *configlog.Snapshot) {
+	if state.Removed != 0 {
+		return // a router that was removed by another may still run
+	}
+	for _, b := range c.limits.order {
+		l, ok := state.Lease(bucketLease(b))
+		if !ok || l.Freed == 0 || l.Holder != c.cfg.ID || !c.grantsEnded(now, state, l) {
+			continue
+		}
+		c.limits.holders[b].Adopt(now, emptyBalances(state, b))
+	}
+}
+
+// grantsEnded reports whether nobody holds a grant of a lease's former holder.
+func (c *Control) grantsEnded(now proto.Instant, state *configlog.Snapshot, l configlog.LeaseState) bool {
+	for id, r := range state.Routers {
+		if id == c.cfg.ID || r.Offset >= l.Freed {
+			continue
+		}
+		if !c.peers.hasNoGrants(id, l.FreedFrom, l.Freed) {
+			return false
+		}
+	}
+	return !c.limits.mayHoldGrant(now, l.FreedFrom)
+}
+
+// onGrant notes from whom this router has grants.
+func (l *limits) onGrant(now proto.Instant, from proto.Addr, m proto.GrantReply) {
+	if m.Tokens > 0 {
+		l.grantAt[proto.RouterID(from.ID)] = now
+	}
+}
+
+// mayHoldGrant reports whether a grant of a holder may not have run out.
+func (l *limits) mayHoldGrant(now proto.Instant, holder proto.RouterID) bool {
+	at, ok := l.grantAt[holder]
+	return ok && now.Sub(at) <= limit.GrantTTL
+}
+
+// grantsFromGone lists former routers of which this one may hold a grant.
+func (l *limits) grantsFromGone(now proto.Instant, registered map[proto.RouterID]configlog.RouterState) []proto.RouterID {
+	var gone []proto.RouterID
+	for id := range l.grantAt {
+		if !l.mayHoldGrant(now, id) {
+			delete(l.grantAt, id)
+			continue
+		}
+		if _, ok := registered[id]; !ok {
+			gone = append(gone, id)
+		}
+	}
+	slices.Sort(gone)
+	return gone
+}
+
+func emptyBalances(state *configlog.Snapshot, b limit.Lease) []limit.Balance {
+	var balances []limit.Balance
+	for id := range state.Config.Accounts {
+		if limit.Group(id) == b.Group {
+			balances = append(balances, limit.Balance{Account: id})
+		}
+	}
+	return balances
+}
--- a/core/router/peers.go
+++ b/core/router/peers.go
@@ -42,10 +42,12 @@
 	lastHeard map[proto.RouterID]proto.Instant
 	// offsets is how far each router says that it has read the config stream.
 	offsets map[proto.RouterID]proto.Offset
+	// grantsFrom is what each router's last beat said.
+	grantsFrom map[proto.RouterID][]proto.RouterID
 }
 
 func newPeers(self proto.RouterID, rng *rand.Rand) *peers {
-	return &peers{self: self, rng: rng, sent: map[uint64]proto.Instant{}, chosen: map[proto.RouterID]proto.Domain{}, lastHeard: map[proto.RouterID]proto.Instant{}, offsets: map[proto.RouterID]proto.Offset{}}
+	return &peers{self: self, rng: rng, sent: map[uint64]proto.Instant{}, chosen: map[proto.RouterID]proto.Domain{}, lastHeard: map[proto.RouterID]proto.Instant{}, offsets: map[proto.RouterID]proto.Offset{}, grantsFrom: map[proto.RouterID][]proto.RouterID{}}
 }
 
 // update takes in the registered routers.
@@ -57,6 +59,7 @@
 		}
 	}
 	maps.DeleteFunc(p.lastHeard, func(id proto.RouterID, _ proto.Instant) bool { return !p.isChosen(id) })
+	maps.DeleteFunc(p.grantsFrom, func(id proto.RouterID, _ []proto.RouterID) bool { return !p.isChosen(id) })
 	maps.DeleteFunc(p.offsets, func(id proto.RouterID, _ proto.Offset) bool { return !p.isChosen(id) })
 }
 
@@ -71,7 +74,17 @@
 		return
 	}
 	p.lastHeard[beat.Router] = now
-	p.offsets[beat.Router] = max(p.offsets[beat.Router], beat.Stamp.ConfigOffset)
+	if beat.Stamp.ConfigOffset < p.offsets[beat.Router] {
+		return // an older beat that came late
+	}
+	p.offsets[beat.Router] = beat.Stamp.ConfigOffset
+	p.grantsFrom[beat.Router] = beat.GrantsFrom
+}
+
+// hasNoGrants reports whether a router has said, after it read the config
+// stream beyond an offset, that it holds no grant of a former holder.
+func (p *peers) hasNoGrants(id, holder proto.RouterID, after proto.Offset) bool {
+	return p.offsets[id] > after && !slices.Contains(p.grantsFrom[id], holder)
 }
 
 // silent reports whether a chosen router was not heard for d.
--- a/core/router/publish.go
+++ b/core/router/publish.go
@@ -16,6 +16,7 @@
 	state := c.state.Snapshot()
 	c.applyState(now, state)
 	c.limits.setSlots(now, slotView(state, c.fresh.proof, c.isOutage(now)))
+	c.skipGrantWait(now, state)
 	quarantined, suspects := c.suspects.Snapshot(now)
 	c.suspectsChanged = false
 	next := &exchange.Snapshot{
@@ -94,6 +95,7 @@
 		LogReachable: c.logReachable(now),
 		Leaving:      c.draining,
 		Crashes:      c.suspects.Crashes(),
+		GrantsFrom:   c.limits.grantsFromGone(now, c.state.Snapshot().Routers),
 	}
 }
 
--- a/core/router/suspects.go
+++ b/core/router/suspects.go
@@ -1,6 +1,7 @@
 package router
 
 import (
+	"encoding/json"
 	"maps"
 	"time"
 
@@ -20,6 +21,7 @@
 		Life:       c.engineLife,
 		ReadByAll:  c.readByAll,
 	}, c.log, c.suspectRegister)
+	c.state.Extend(suspectFold{c})
 }
 
 // engineLife returns the last incarnation of an endpoint's engine.
@@ -39,14 +41,46 @@
 	return c.state.Next() > offset
 }
 
-// foldSuspect passes a folded record on to the register and the table.
-func (c *Control) foldSuspect(now proto.Instant, result configlog.Result) {
-	if key, ok := c.suspectRegister.Fold(now, result.Record); ok {
-		c.suspects.Folded(now, key, result.Record)
+// suspectFold folds the records of suspects as part of the config stream.
+type suspectFold struct{ c *Control }
+
+var _ configlog.Extension = suspectFold{}
+
+// Owns implements configlog.Extension.
+func (f suspectFold) Owns(kind proto.RecordKind) bool {
+	switch kind {
+	case suspect.KindSuspect, suspect.KindTrial, suspect.KindTrialEnd, suspect.KindQuarantine, suspect.KindRelease:
+		return true
+	}
+	return false
+}
+
+// Fold implements configlog.Extension.
+func (f suspectFold) Fold(rec proto.Record) {
+	c := f.c
+	if key, ok := c.suspectRegister.Fold(c.now, rec); ok {
+		c.suspects.Folded(c.now, key, rec)
 		c.suspectsChanged = true
 	}
 }
 
+// Export implements configlog.Extension.
+func (f suspectFold) Export() (json.RawMessage, error) {
+	data, err := json.Marshal(f.c.suspectRegister.Export())
+	return data, Error.Wrap(err)
+}
+
+// Import implements configlog.Extension.
+func (f suspectFold) Import(data json.RawMessage) error {
+	var entries []suspect.Entry
+	if err := json.Unmarshal(data, &entries); err != nil {
+		return Error.Wrap(err)
+	}
+	f.c.suspectRegister.Import(f.c.now, entries)
+	f.c.suspectsChanged = true
+	return nil
+}
+
 func (c *Control) quarantineTime() time.Duration {
 	return time.Duration(c.state.Snapshot().Config.Policy.Quarantine)
 }
--- a/proof/fleet/fleet.go
+++ b/proof/fleet/fleet.go
@@ -50,6 +50,8 @@
 	Engines map[proto.EndpointID]*engine.Engine
 	Agents  map[proto.EndpointID]*agent.Agent
 	Routers []*router.Router
+	// Drained holds the routers that ended by a graceful shutdown.
+	Drained map[proto.Addr]bool
 
 	cfg       Config
 	endpoints map[proto.EndpointID]note.Endpoint
@@ -67,6 +69,7 @@
 		Book:      orders.NewBook(),
 		Engines:   map[proto.EndpointID]*engine.Engine{},
 		Agents:    map[proto.EndpointID]*agent.Agent{},
+		Drained:   map[proto.Addr]bool{},
 		cfg:       cfg,
 		endpoints: map[proto.EndpointID]note.Endpoint{},
 	}
@@ -140,6 +143,7 @@
 		switch {
 		case !f.World.Alive(addr):
 		case r.Drained():
+			f.Drained[addr] = true
 			f.World.Crash(addr)
 		default:
 			f.World.After(drainPoll, wait)
--- a/proof/scenario/faults.go
+++ b/proof/scenario/faults.go
@@ -21,7 +21,7 @@
 		{"engine-crash", (*Run).crashEngine},
 		{"agent-crash", (*Run).crashAgent},
 		{"router-crash", (*Run).crashRouter},
-		{"router-herd-restart", (*Run).restartAllRouters},
+		{"router-herd-restart", (*Run).RestartAllRouters},
 		{"router-shutdown", (*Run).drainRouter},
 		{"events-lost", (*Run).loseEvents},
 		{"events-late", (*Run).delayEvents},
@@ -83,7 +83,8 @@
 	}
 }
 
-func (r *Run) restartAllRouters() {
+// RestartAllRouters crashes every router and starts each again a second later.
+func (r *Run) RestartAllRouters() {
 	r.event("all routers restart")
 	for i := range numRouters {
 		r.StopRouter(i)
--- a/proof/scenario/scenario.go
+++ b/proof/scenario/scenario.go
@@ -179,6 +179,9 @@
 	if !a.Done() && r.World.Alive(a.Router) {
 		r.fail(check.AnswerMatch, fmt.Sprintf("request %s has no end", a.Request.ID))
 	}
+	if !a.Done() && r.Fleet.Drained[a.Router] && a.Sent < r.Oracle.StoppingSince(a.Router) {
+		r.fail(check.GracefulStop, fmt.Sprintf("request %s was left without an end by a graceful shutdown", a.Request.ID))
+	}
 	if a.Extra > 0 {
 		r.fail(check.AnswerMatch, fmt.Sprintf("request %s got %d messages after its end", a.Request.ID, a.Extra))
 	}
