core/rollout: order models and versions under the rollout lease

Cause: nothing told engines to load the version of a note. Change: the holder of the rollout lease compares the note with what agents report and gives fenced orders, at most max_loads at once. Agents let runs of the old weights end first, answer orders that the engine will not answer any more, and refuse the model's requests meanwhile. Not there: plans for adapters and roles, and serving the old version until the new one is loaded.

--- a/core/agent/agent.go
+++ b/core/agent/agent.go
@@ -127,6 +127,7 @@
 	} else {
 		a.stepRouter(now, in.From, in.Msg)
 	}
+	a.passOrders(now)
 	a.schedule(now)
 }
 
@@ -146,7 +147,7 @@
 		a.onLeaving(m)
 	case proto.Order:
 		a.learn(m.Stamp)
-		a.onOrder(from, m)
+		a.onOrder(now, from, m)
 	case proto.ConnLost:
 		a.onConnLost(now, m.Attempt)
 	}
@@ -201,6 +202,7 @@
 		a.beat(now)
 	}
 	a.resyncIndex(now)
+	a.passOrders(now)
 	a.schedule(now)
 }
 
@@ -210,6 +212,13 @@
 	for _, j := range a.jobs {
 		wake = min(wake, j.expires)
 	}
+	for _, p := range a.gate.pending {
+		if p.sent {
+			wake = min(wake, p.until.Add(orderLife))
+		} else {
+			wake = min(wake, p.until)
+		}
+	}
 	if a.index.NeedList() && a.engine.up {
 		wake = min(wake, a.engine.listAt)
 	}
--- a/core/agent/dispatch.go
+++ b/core/agent/dispatch.go
@@ -36,7 +36,7 @@
 		return proto.CauseLeaving, proto.NotRun, true
 	case !a.engine.up:
 		return proto.CauseEndpointFailed, proto.NotRun, true
-	case d.Class == proto.ClassGenerate && a.engine.versions[d.Model] != d.Version:
+	case d.Class == proto.ClassGenerate && (a.engine.versions[d.Model] != d.Version || a.isChanging(d.Model)):
 		return proto.CauseWrongVersion, proto.NotRun, true
 	case d.ResumeAfter > 0 && !d.Sampling.Reproducible():
 		return proto.CauseNotResumable, proto.NotRun, true
--- a/core/agent/engine.go
+++ b/core/agent/engine.go
@@ -31,6 +31,7 @@
 		return
 	}
 	a.endRuns(now)
+	a.dropOrders()
 	a.engine = engineState{up: true, incarnation: m.Incarnation, versions: m.Versions, adapters: m.Adapters, batch: m.BatchSize}
 	if a.engine.batch <= 0 {
 		a.engine.batch = defaultBatch
@@ -43,6 +44,7 @@
 	a.engine.up = false
 	a.endRuns(now)
 	a.refuseQueued()
+	a.dropOrders()
 	a.index = prefix.New("")
 }
 
--- a/core/configlog/fold.go
+++ b/core/configlog/fold.go
@@ -53,7 +53,7 @@
 	if l.Prior != prior {
 		return Beaten, "the lease was touched at offset " + offsetText(prior)
 	}
-	next := LeaseState{Holder: l.Holder, Fence: at, TTL: l.TTL}
+	next := LeaseState{Holder: l.Holder, Fence: at, TTL: l.TTL, Clean: !held || cur.Released && cur.Freed == 0}
 	if cur.Released {
 		next.Balance = cur.Balance
 		next.Freed, next.FreedFrom = cur.Freed, cur.FreedFrom
--- a/core/configlog/snapshot.go
+++ b/core/configlog/snapshot.go
@@ -19,6 +19,8 @@
 	// Balance came with the release or hand-over before Fence; 0 after a takeover.
 	Balance  int64 `json:"balance,omitempty"`
 	Released bool  `json:"released,omitempty"`
+	// Clean is set if the previous holder gave the lease up, or there was none.
+	Clean bool `json:"clean,omitempty"`
 	// Freed is the offset at which the previous holder was replaced by another
 	// router at its address, and so was known to have ended; 0 if it was not.
 	Freed proto.Offset `json:"freed,omitempty"`
--- a/core/router/control.go
+++ b/core/router/control.go
@@ -14,6 +14,7 @@
 	"github.com/kumquatsill/kumquatsill/core/ledger"
 	"github.com/kumquatsill/kumquatsill/core/limit"
 	"github.com/kumquatsill/kumquatsill/core/proto"
+	"github.com/kumquatsill/kumquatsill/core/rollout"
 	"github.com/kumquatsill/kumquatsill/core/route"
 	"github.com/kumquatsill/kumquatsill/core/suspect"
 	"github.com/zeebo/errs"
@@ -88,6 +89,7 @@
 	limits          *limits
 	intents         *intent.Table
 	suspectRegister *suspect.Register
+	rollout         *rollout.Planner
 	suspects        *suspect.Table
 	// suspectsChanged asks for a new snapshot.
 	suspectsChanged bool
--- a/core/router/publish.go
+++ b/core/router/publish.go
@@ -65,6 +65,7 @@
 	c.updateIntents(state)
 	c.leases.observe(now, state)
 	c.limits.configure(now, state, c.stamp())
+	c.updateRollout(now, state)
 	c.peers.update(now, state.Routers)
 	c.fresh.forget(c.peers.chosen)
 }
--- /dev/null
+++ b/core/router/rollout.go
@@ -0,0 +1,33 @@
+package router
+
+import (
+	"github.com/kumquatsill/kumquatsill/core/configlog"
+	"github.com/kumquatsill/kumquatsill/core/proto"
+	"github.com/kumquatsill/kumquatsill/core/rollout"
+)
+
+// updateRollout tells the planner what is in force and whether this router
+// may give orders to engines.
+func (c *Control) updateRollout(now proto.Instant, state *configlog.Snapshot) {
+	c.rollout.Configure(now, state.Config, c.stamp())
+	c.holdRollout(now)
+}
+
+// holdRollout checks the lease by this router's own clock before each use.
+func (c *Control) holdRollout(now proto.Instant) {
+	fence, held := c.leases.byName[rolloutLease].Held(now)
+	state, _ := c.leases.byName[rolloutLease].State()
+	c.rollout.Hold(now, fence, held, state.Clean)
+}
+
+func (c *Control) tickRollout(now proto.Instant) {
+	c.holdRollout(now)
+	c.rollout.Tick(now)
+}
+
+func (c *Control) onProbeReply(now proto.Instant, m proto.ProbeReply) {
+	if m.Request == rollout.ProbeRequest {
+		c.rollout.Reported(now, m.Report)
+		c.deps.Lives.Observe(now, m.Report)
+	}
+}
--- a/core/router/router.go
+++ b/core/router/router.go
@@ -5,6 +5,7 @@
 
 	"github.com/kumquatsill/kumquatsill/core/exchange"
 	"github.com/kumquatsill/kumquatsill/core/proto"
+	"github.com/kumquatsill/kumquatsill/core/rollout"
 )
 
 // Router bundles the control machine and all exchanges of one router behind
@@ -121,7 +122,7 @@
 	case proto.IntentDecided:
 		return m.Request, true
 	case proto.ProbeReply:
-		return m.Request, true
+		return m.Request, m.Request != rollout.ProbeRequest
 	case proto.Accepted:
 		return m.Attempt.Request(), true
 	case proto.Chunk:
--- a/core/router/step.go
+++ b/core/router/step.go
@@ -7,6 +7,7 @@
 	"github.com/kumquatsill/kumquatsill/core/exchange"
 	"github.com/kumquatsill/kumquatsill/core/ledger"
 	"github.com/kumquatsill/kumquatsill/core/proto"
+	"github.com/kumquatsill/kumquatsill/core/rollout"
 	"github.com/kumquatsill/kumquatsill/core/route"
 )
 
@@ -36,6 +37,7 @@
 		cfg.Placement = route.NewView(route.ViewConfig{Domain: cfg.Domain, Seed: cfg.Seed})
 	}
 	c.leases = newLeases(cfg)
+	c.rollout = rollout.New(self)
 	c.limits = newLimits(cfg, c.leases)
 	c.deps = &exchange.Deps{
 		Self:      self,
@@ -78,6 +80,10 @@
 		c.onNoteSubmit(now, in.From, m)
 	case proto.GrantRequest, proto.GrantReply, proto.TokenRequest, proto.TokenReply:
 		c.limits.step(now, in)
+	case proto.ProbeReply:
+		c.onProbeReply(now, m)
+	case proto.OrderDone:
+		c.rollout.Done(now, m)
 	case proto.PromiseRequest:
 		c.onPromiseRequest(now, in.From, m)
 	case proto.PromiseReply:
@@ -128,6 +134,7 @@
 	c.suspects.Tick(now)
 	c.advanceLeases(now)
 	c.limits.tick(now)
+	c.tickRollout(now)
 	c.settle(now)
 }
 
@@ -137,7 +144,7 @@
 	if c.intents != nil {
 		wake = min(wake, c.intents.Wake())
 	}
-	return proto.Earliest(wake, c.suspects.Wake(c.now), c.leases.wakeAt, c.limits.wallet.Wake())
+	return proto.Earliest(wake, c.suspects.Wake(c.now), c.leases.wakeAt, c.limits.wallet.Wake(), c.rollout.Wake())
 }
 
 // settle takes in what the log client reports and passes its messages on.
@@ -158,6 +165,7 @@
 	}
 	c.Forward(c.suspects.Take())
 	c.Forward(c.limits.take())
+	c.Forward(c.rollout.Take())
 	if c.intents != nil {
 		c.Forward(c.intents.Take())
 	}
--- /dev/null
+++ b/proof/fleet/rollout_test.go
@@ -0,0 +1,55 @@
+package fleet_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/kumquatsill/kumquatsill/core/note"
+	"github.com/kumquatsill/kumquatsill/core/proto"
+	"github.com/kumquatsill/kumquatsill/proof/drive"
+	"github.com/kumquatsill/kumquatsill/proof/fleet"
+)
+
+// Guards against a note with a new model version that does not reach the
+// engines, that loads on more than two of them at once, or that two routers
+// roll out side by side.
+func TestNewVersionReachesAllEngines(t *testing.T) {
+	n := smallNote()
+	for _, id := range []proto.EndpointID{"e3", "e4", "e5"} {
+		n.Added.Endpoints = append(n.Added.Endpoints, note.Endpoint{
+			ID: id, Kind: note.KindEngine, Domain: "d0", Addr: "127.0.0.1:711" + string(id[1]), Models: []string{"assistant"},
+		})
+	}
+	loading := map[string]bool{}
+	most := 0
+	f := fleet.Start(fleet.Config{
+		Drive: drive.Config{Seed: 5, Observe: func(_ proto.Instant, e proto.Envelope) {
+			switch m := e.Msg.(type) {
+			case proto.EngineOrder:
+				loading[m.Order.ID] = true
+				most = max(most, len(loading))
+			case proto.EngineOrdered:
+				delete(loading, m.ID)
+			}
+		}},
+		Routers: 2, Domains: []proto.Domain{"d0", "d1"}, Note: n,
+	})
+	if !f.WaitReady(1) {
+		t.Fatal("the first note is not in force")
+	}
+	f.Submit(0, "second", note.Note{BasedOn: 1, Changed: note.Items{Models: []note.Model{{Name: "assistant", Version: "v2"}}}})
+	f.World.Run(30 * time.Second)
+	for id, e := range f.Engines {
+		if v := e.Versions()["assistant"]; v != "v2" {
+			t.Errorf("engine %s has version %q; note: %+v", id, v, f.Callers.Notes["second"])
+		}
+	}
+	if most != 2 {
+		t.Errorf("%d loads at once, want 2", most)
+	}
+	a := f.Callers.Send(f.RouterAddr(1), generation("q1"))
+	f.World.Run(20 * time.Second)
+	if a.Finish == nil || a.Chunks[0].Version != "v2" {
+		t.Errorf("answer %+v, refusal %+v, want one of version v2", a.Chunks, a.Refusal)
+	}
+}
