core/router: do the work of a changed fleet only when the fleet changed

Cause: each renewal of a lease made a router rank itself for 25 leases, rank its peers, sort the routers for the intent streams and hand all accounts to 24 bucket holders and the wallet again, although only the time of the lease had changed.

Change: ranks, peers and followers are computed when the registered routers differ, accounts are passed on when the configuration is another one, and holders when the map of holders differs.

The tests of core/limit, proof/fleet and proof/scenario pass with -race.

--- a/core/router/intents.go
+++ b/core/router/intents.go
@@ -24,10 +24,12 @@
 	}, c.log)
 }
 
-// updateIntents tells the table which routers are live.
-func (c *Control) updateIntents(state *configlog.Snapshot) {
+// updateIntents tells the table which routers are live, when it is new or they
+// changed.
+func (c *Control) updateIntents(state *configlog.Snapshot, routersChanged bool) {
+	hadTable := c.intents != nil
 	c.startIntents(state)
-	if c.intents == nil {
+	if c.intents == nil || hadTable && !routersChanged {
 		return
 	}
 	ids := slices.Sorted(maps.Keys(state.Routers))
--- a/core/router/leases.go
+++ b/core/router/leases.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"fmt"
+	"maps"
 	"slices"
 	"time"
 
@@ -37,6 +38,8 @@
 	// wakeAt is when a lease needs attention next.
 	wakeAt proto.Instant
 	call   uint64
+	// ranked are the routers from which the ranks were computed.
+	ranked map[proto.RouterID]configlog.RouterState
 }
 
 // ownLease is one lease with what this router does under it.
@@ -91,10 +94,10 @@
 
 // observe takes in the folded state.
 func (l *leases) observe(now proto.Instant, snap *configlog.Snapshot) {
+	l.rank(snap)
 	for _, name := range l.order {
 		o := l.byName[name]
 		o.Observe(now, snap)
-		o.rank = rankOf(l.self, name, snap)
 		state, known := snap.Lease(name)
 		if known && state.Touched != o.touched {
 			o.touched = state.Touched
@@ -106,6 +109,17 @@
 	}
 }
 
+// rank computes this router's ranks again if the routers changed.
+func (l *leases) rank(snap *configlog.Snapshot) {
+	if l.ranked != nil && maps.Equal(l.ranked, snap.Routers) {
+		return
+	}
+	l.ranked = snap.Routers
+	for _, name := range l.order {
+		l.byName[name].rank = rankOf(l.self, name, snap)
+	}
+}
+
 // rankOf orders the registered routers for a lease by hash, so that leases
 // spread over the routers and every router knows whose turn it is.
 func rankOf(self proto.RouterID, name string, snap *configlog.Snapshot) int {
--- a/core/router/limits.go
+++ b/core/router/limits.go
@@ -1,8 +1,11 @@
 package router
 
 import (
+	"maps"
+
 	"github.com/kumquatsill/kumquatsill/core/configlog"
 	"github.com/kumquatsill/kumquatsill/core/limit"
+	"github.com/kumquatsill/kumquatsill/core/note"
 	"github.com/kumquatsill/kumquatsill/core/proto"
 )
 
@@ -12,6 +15,9 @@
 	wallet  *limit.Wallet
 	holders map[limit.Lease]*limit.Holder
 	order   []limit.Lease
+	// config and assigned are what the parts were last given.
+	config   *note.Config
+	assigned map[limit.Lease]proto.RouterID
 }
 
 func newLimits(cfg Config, ls *leases) *limits {
@@ -36,17 +42,29 @@
 
 // configure takes in a new folded state.
 func (l *limits) configure(now proto.Instant, snap *configlog.Snapshot, stamp proto.Stamp) {
-	l.wallet.SetAccounts(now, snap.Config.Accounts)
+	if snap.Config != l.config {
+		l.config = snap.Config
+		l.setAccounts(now, snap.Config.Accounts)
+	}
 	l.wallet.SetStamp(stamp)
-	holders := map[limit.Lease]proto.RouterID{}
+	assigned := map[limit.Lease]proto.RouterID{}
 	for _, b := range l.order {
-		l.holders[b].SetAccounts(now, snap.Config.Accounts)
 		l.holders[b].SetStamp(stamp)
 		if state, ok := snap.Lease(bucketLease(b)); ok && !state.Released {
-			holders[b] = state.Holder
+			assigned[b] = state.Holder
 		}
 	}
-	l.wallet.SetHolders(holders)
+	if l.assigned == nil || !maps.Equal(assigned, l.assigned) {
+		l.assigned = assigned
+		l.wallet.SetHolders(assigned)
+	}
+}
+
+func (l *limits) setAccounts(now proto.Instant, accounts map[proto.AccountID]note.Account) {
+	l.wallet.SetAccounts(now, accounts)
+	for _, b := range l.order {
+		l.holders[b].SetAccounts(now, accounts)
+	}
 }
 
 // setSlots passes on who owns which static slot, and how fresh that is.
--- a/core/router/publish.go
+++ b/core/router/publish.go
@@ -60,12 +60,18 @@
 	if c.applied == state {
 		return
 	}
+	// Most records renew a lease and change neither the routers nor the
+	// configuration; with 320 routers the work below would otherwise take more
+	// of the processor than everything else.
+	routersChanged := c.applied == nil || !maps.Equal(c.applied.Routers, state.Routers)
 	c.applied = state
-	c.updateIntents(state)
+	c.updateIntents(state, routersChanged)
 	c.leases.observe(now, state)
 	c.limits.configure(now, state, c.stamp())
-	c.peers.update(now, state.Routers)
-	c.fresh.forget(c.peers.chosen)
+	if routersChanged {
+		c.peers.update(now, state.Routers)
+		c.fresh.forget(c.peers.chosen)
+	}
 }
 
 func (c *Control) stamp() proto.Stamp {
