core/lease: claim again after a claim that the log may have lost

Cause: a claim whose append ended without an outcome stayed doubtful until the lease changed in the log. After an outage in which the log was silent and lost the claims of all routers, nothing changed the lease any more, so that no router claimed it again and its part of every bucket gave no tokens.

Change: a doubtful claim no longer keeps the node from claiming on the same basis. The first of both records in the log wins, the other is beaten. A doubtful release or hand-over still blocks, since the lease may be given up.

Test: TestLostClaimIsRepeated, with the lost claim gone for good and appearing late.

--- a/core/lease/lease.go
+++ b/core/lease/lease.go
@@ -162,7 +162,7 @@
 // Next returns the record to append now, if any: a renewal or, if the node
 // wants the lease, a claim. The caller reports the append with Sent.
 func (l *Lease) Next(now proto.Instant, want bool) (configlog.Lease, bool) {
-	if !l.known || l.pending != nil || l.doubtful != nil {
+	if !l.known || l.isWaiting() {
 		return configlog.Lease{}, false
 	}
 	rec := configlog.Lease{Name: l.cfg.Name, Holder: l.cfg.Self, TTL: l.cfg.TTL}
@@ -182,6 +182,13 @@
 	return rec, true
 }
 
+// isWaiting reports whether the outcome of an earlier record has to be known
+// first. A doubtful claim does not count: it may never appear in the log, and
+// another one on the same basis is harmless, since the first of both wins.
+func (l *Lease) isWaiting() bool {
+	return l.pending != nil || l.doubtful != nil && l.doubtful.action != configlog.LeaseClaim
+}
+
 func (l *Lease) prior() proto.Offset {
 	if !l.exists {
 		return configlog.NoOffset
@@ -215,7 +222,7 @@
 // Wake returns when Next has to be asked again, or Never.
 func (l *Lease) Wake(want bool) proto.Instant {
 	switch {
-	case !l.known || l.pending != nil || l.doubtful != nil:
+	case !l.known || l.isWaiting():
 		return proto.Never
 	case l.isHolder():
 		return l.renewAt()
--- a/core/lease/lease_test.go
+++ b/core/lease/lease_test.go
@@ -297,3 +297,38 @@
 		t.Error("the new holder does not hold the lease")
 	}
 }
+
+// Guards against a lease that nobody claims again after the log was silent and
+// lost the claims of all routers, and against two holds from two claims if the
+// lost one appears late.
+func TestLostClaimIsRepeated(t *testing.T) {
+	for _, late := range []bool{false, true} {
+		w := &world{held: map[proto.RouterID]int{}}
+		w.nodes = []*node{w.start(1, 0)}
+		n := w.nodes[0]
+		w.read(n)
+		w.t = time.Second
+		first, ok := n.l.Next(n.now(w.t), true)
+		if !ok {
+			t.Fatal("no claim")
+		}
+		w.send(n, first, 0, true)
+		lost := n.calls[0].rec
+		n.calls = nil
+		n.l.Failed(lost.ID, false)
+		second, ok := n.l.Next(n.now(w.t), true)
+		if !ok || second.Action != configlog.LeaseClaim {
+			t.Fatalf("after a lost claim the node appends %+v, %v, want a claim", second, ok)
+		}
+		if late {
+			lost.Offset = proto.Offset(len(w.records))
+			w.records = append(w.records, lost)
+		}
+		w.send(n, second, 0, false)
+		w.run(time.Second, all)
+		state, _ := n.l.State()
+		if fence, held := n.l.Held(n.now(w.t)); !held || fence != state.Fence {
+			t.Errorf("late=%v: held=%v under %d, the log says %d", late, held, fence, state.Fence)
+		}
+	}
+}
