node: wait until accounts can spend, and leave in order

Cause: accounts start without tokens for some seconds after the first note, so the end-to-end tests and dev sent requests too early, and a load that got only refusals was waited for until the test timed out. A stopping router guessed from the pace of appends that it had left. The adapter folded the config stream a second time to find the addresses of other routers.

A router stops once Router.Drained holds, or after 5 s if the log is away. The second fold and the counter of appends are gone.

--- a/app/dev/dev.go
+++ b/app/dev/dev.go
@@ -64,7 +64,8 @@
 	agents  []*node.Agent
 	routers []*node.Router
 	targets []target
-	// OnReady, if set, is called once every router has the note.
+	// OnReady, if set, is called once every router has the note and the
+	// account can spend.
 	OnReady func()
 }
 
@@ -235,7 +236,7 @@
 
 func (d *Dev) waitReady() error {
 	for _, r := range d.routers {
-		for r.Revision() == 0 {
+		for r.Revision() == 0 || !r.Ready() || !r.Funded() {
 			select {
 			case <-time.After(submitRetry):
 			case <-d.t.Dying():
--- a/app/node/machines.go
+++ b/app/node/machines.go
@@ -24,6 +24,7 @@
 	Revision     proto.Revision `json:"revision"`
 	ConfigOffset proto.Offset   `json:"config_offset"`
 	Ready        bool           `json:"ready"`
+	Funded       bool           `json:"funded"`
 	Draining     bool           `json:"draining"`
 	InFlight     int            `json:"in_flight"`
 	Accounts     int            `json:"accounts"`
@@ -60,8 +61,9 @@
 		Incarnation: life, Seed: rand.Uint64(), Checks: cfg.Checks,
 		Retention: log.For, RetainedRecords: proto.Offset(log.Records),
 	})
-	cfg.Machine = newRouterMachine(m)
+	cfg.Machine = routerMachine{m}
 	cfg.Leave = m.Drain
+	cfg.Left = m.Drained
 	cfg.State = func() any { return stateOf(cfg.ID, m) }
 }
 
@@ -70,7 +72,7 @@
 	stats := m.Control().Deps().Stats
 	return routerState{
 		ID: id, Revision: s.Stamp.Revision, ConfigOffset: s.Stamp.ConfigOffset,
-		Ready: s.Ready, Draining: s.Draining, InFlight: m.InFlight(),
+		Ready: s.Ready, Funded: s.Funded, Draining: s.Draining, InFlight: m.InFlight(),
 		Accounts: len(s.Config.Accounts), Endpoints: len(s.Config.Endpoints), Quarantined: len(s.Quarantined),
 		Exchanges: exchangeState{
 			Late: stats.Late.Load(), Misdelivered: stats.Misdelivered.Load(), Repeated: stats.Repeated.Load(),
--- a/app/node/router.go
+++ b/app/node/router.go
@@ -38,6 +38,9 @@
 	DrainTimeout time.Duration
 	// Leave tells the machine to hand over what it holds. It may be nil.
 	Leave func(now proto.Instant)
+	// Left reports whether the machine has handed over everything since Leave.
+	// It is called in the machine's goroutine and may be nil.
+	Left func() bool
 	// State is shown on /debug/state. It may be nil.
 	State func() any
 	Log   *slog.Logger
@@ -46,13 +49,8 @@
 // flushTimeout bounds the wait for the last records of a stopping router.
 const flushTimeout = 5 * time.Second
 
-const (
-	// flushPoll is the time between two looks at whether a machine has flushed.
-	flushPoll = 20 * time.Millisecond
-	// flushQuiet is the number of looks without an append in flight after
-	// which nothing more is expected. It is well above the pace of appends.
-	flushQuiet = 10
-)
+// flushPoll is the time between two looks at whether a machine has left.
+const flushPoll = 20 * time.Millisecond
 
 // Router is a router process.
 type Router struct {
@@ -116,6 +114,9 @@
 // Ready reports whether the router serves warm.
 func (r *Router) Ready() bool { return r.shell.View().Ready }
 
+// Funded reports whether the accounts' buckets have had time to fill.
+func (r *Router) Funded() bool { return r.shell.View().Funded }
+
 // Revision returns the revision in force at this router.
 func (r *Router) Revision() proto.Revision { return r.shell.View().Config.Revision }
 
@@ -136,7 +137,7 @@
 	if r.cfg.Leave != nil {
 		r.shell.Do(r.cfg.Leave)
 	}
-	r.waitFlushed()
+	r.waitLeft()
 	ctx, cancelInternal := context.WithTimeout(context.Background(), flushTimeout)
 	defer cancelInternal()
 	err = errors.Join(err, shutdown(ctx, r.internal), r.shell.Stop(), r.t.Wait())
@@ -144,16 +145,15 @@
 	return err
 }
 
-// waitFlushed waits for the last records, which a machine that leaves appends
-// at once.
-func (r *Router) waitFlushed() {
-	quiet := 0
+// waitLeft waits until the log holds what the machine had to hand over, or
+// until flushTimeout if the log is away.
+func (r *Router) waitLeft() {
+	if r.cfg.Left == nil {
+		return
+	}
 	for end := time.Now().Add(flushTimeout); time.Now().Before(end); time.Sleep(flushPoll) {
-		quiet++
-		if r.shell.Appending() > 0 {
-			quiet = 0
-		}
-		if quiet >= flushQuiet {
+		left := false
+		if !r.shell.Do(func(proto.Instant) { left = r.cfg.Left() }) || left {
 			return
 		}
 	}
--- a/app/shell/logclient.go
+++ b/app/shell/logclient.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"net/http"
-	"sync/atomic"
 	"time"
 
 	"github.com/kumquatsill/kumquatsill/core/proto"
@@ -30,8 +29,6 @@
 	step    func(proto.Envelope) bool
 	slots   chan struct{}
 	metrics *Metrics
-	// appending counts the appends in flight.
-	appending atomic.Int64
 }
 
 // NewLogClient returns a client of the log service at addr.
@@ -58,7 +55,6 @@
 	select {
 	case l.slots <- struct{}{}:
 		l.t.Go(func() error {
-			defer l.countAppend(env.Msg)()
 			answer := l.call(env)
 			<-l.slots
 			l.step(proto.Envelope{From: proto.Log, To: env.From, Msg: answer})
@@ -74,15 +70,6 @@
 	}
 }
 
-// countAppend counts an append until the function returned is called.
-func (l *LogClient) countAppend(m proto.Message) (done func()) {
-	if _, ok := m.(proto.LogAppend); !ok {
-		return func() {}
-	}
-	l.appending.Add(1)
-	return func() { l.appending.Add(-1) }
-}
-
 func (l *LogClient) call(env proto.Envelope) proto.Message {
 	data, err := proto.Encode(env)
 	if err != nil {
--- a/app/shell/router.go
+++ b/app/shell/router.go
@@ -27,6 +27,8 @@
 	// Routers holds the "ip:port" of each known router.
 	Routers map[proto.RouterID]string
 	Ready   bool
+	// Funded is set once the accounts' buckets have had time to fill.
+	Funded bool
 }
 
 // RouterMachine is a router's state machine. View is safe for concurrent use.
@@ -125,9 +127,6 @@
 	return len(r.callers)
 }
 
-// Appending returns the number of appends to the log that are in flight.
-func (r *Router) Appending() int64 { return r.log.appending.Load() }
-
 func (r *Router) deliver(env proto.Envelope) {
 	switch env.To.Role {
 	case proto.RoleCaller:
--- a/core/exchange/snapshot.go
+++ b/core/exchange/snapshot.go
@@ -17,6 +17,12 @@
 	Ready bool
 	// Draining is set while the router shuts down.
 	Draining bool
+	// Funded is set once every bucket has had a holder for longer than new
+	// holders start empty, as far as this router has seen. Until then requests
+	// may be refused as rate-limited after a start of the whole fleet.
+	Funded bool
+	// Routers holds the "ip:port" of each registered router.
+	Routers map[proto.RouterID]string
 	// FreshUntil is when keyed traffic stops unless freshness is proved again.
 	FreshUntil proto.Instant
 	// Quarantined lists refused fingerprints by client account.
--- a/core/router/control.go
+++ b/core/router/control.go
@@ -67,9 +67,12 @@
 	state *configlog.State
 	// applied is the folded state that the parts were last given.
 	applied *configlog.Snapshot
-	fresh   *freshness
-	peers   *peers
-	notes   map[proto.RecordID]submission
+	// addrs are the addresses of the routers in applied. It is never changed
+	// once it is published.
+	addrs map[proto.RouterID]string
+	fresh *freshness
+	peers *peers
+	notes map[proto.RecordID]submission
 
 	deps     *exchange.Deps
 	snapshot atomic.Pointer[exchange.Snapshot]
--- a/core/router/limits.go
+++ b/core/router/limits.go
@@ -1,6 +1,8 @@
 package router
 
 import (
+	"time"
+
 	"github.com/kumquatsill/kumquatsill/core/configlog"
 	"github.com/kumquatsill/kumquatsill/core/limit"
 	"github.com/kumquatsill/kumquatsill/core/proto"
@@ -12,13 +14,27 @@
 	wallet  *limit.Wallet
 	holders map[limit.Lease]*limit.Holder
 	order   []limit.Lease
+	// held is since when this router has seen each bucket with its holder.
+	held map[limit.Lease]tenure
+}
+
+// tenure is one holder's time with a bucket.
+type tenure struct {
+	holder proto.RouterID
+	since  proto.Instant
 }
 
+// fundedAfter is the time with a holder after which a bucket counts as funded:
+// the wait of a new holder before refill (GrantTTL and a margin), and time for
+// the buckets to fill.
+const fundedAfter = limit.GrantTTL + time.Second
+
 func newLimits(cfg Config, ls *leases) *limits {
 	l := &limits{
 		wallet:  limit.NewWallet(cfg.ID),
 		holders: map[limit.Lease]*limit.Holder{},
 		order:   bucketLeases(),
+		held:    map[limit.Lease]tenure{},
 	}
 	for _, b := range l.order {
 		l.holders[b] = limit.NewHolder(cfg.ID, b, ls.byName[bucketLease(b)])
@@ -45,10 +61,31 @@
 		if state, ok := snap.Lease(bucketLease(b)); ok && !state.Released {
 			holders[b] = state.Holder
 		}
+		l.observeHolder(now, b, holders[b])
 	}
 	l.wallet.SetHolders(holders)
 }
 
+func (l *limits) observeHolder(now proto.Instant, b limit.Lease, holder proto.RouterID) {
+	switch {
+	case holder == "":
+		delete(l.held, b)
+	case l.held[b].holder != holder:
+		l.held[b] = tenure{holder: holder, since: now}
+	}
+}
+
+// isFunded reports whether every bucket had its holder for long enough to
+// have tokens.
+func (l *limits) isFunded(now proto.Instant) bool {
+	for _, b := range l.order {
+		if t, ok := l.held[b]; !ok || now.Sub(t.since) < fundedAfter {
+			return false
+		}
+	}
+	return true
+}
+
 // setSlots passes on who owns which static slot, and how fresh that is.
 func (l *limits) setSlots(now proto.Instant, view limit.SlotView) {
 	l.wallet.SetSlots(now, view)
--- a/core/router/publish.go
+++ b/core/router/publish.go
@@ -25,6 +25,8 @@
 		Draining:    c.draining,
 		Quarantined: quarantined,
 		Suspects:    suspects,
+		Funded:      c.limits.isFunded(now),
+		Routers:     c.addrs,
 		FreshUntil:  c.fresh.until(now, c.cfg.Domain, c.logReachable(now), c.peers.chosen),
 	}
 	if old == nil || old.Config != next.Config {
@@ -61,6 +63,7 @@
 		return
 	}
 	c.applied = state
+	c.addrs = routerAddrs(state)
 	c.updateIntents(state)
 	c.leases.observe(now, state)
 	c.limits.configure(now, state, c.stamp())
@@ -68,6 +71,14 @@
 	c.fresh.forget(c.peers.chosen)
 }
 
+func routerAddrs(state *configlog.Snapshot) map[proto.RouterID]string {
+	addrs := make(map[proto.RouterID]string, len(state.Routers))
+	for id, r := range state.Routers {
+		addrs[id] = r.Addr
+	}
+	return addrs
+}
+
 func (c *Control) stamp() proto.Stamp {
 	s := c.state.Snapshot()
 	return proto.Stamp{Revision: s.Revision, ConfigOffset: s.ConfigOffset}
