--- a/core/router/limits.go
+++ b/core/router/limits.go
@@ -3,6 +3,7 @@
 import (
 	"maps"
 	"slices"
+	"time"
 
 	"github.com/kumquatsill/kumquatsill/core/configlog"
 	"github.com/kumquatsill/kumquatsill/core/limit"
@@ -21,14 +22,28 @@
 	// config and assigned are what the parts were last given.
 	config   *note.Config
 	assigned map[limit.Lease]proto.RouterID
+	// held is since when this router has seen each bucket with its holder.
+	held map[limit.Lease]tenure
 }
 
+// tenure is one holder's time with a bucket.
+type tenure struct {
+	holder proto.RouterID
+	since  proto.Instant
+}
+
+// fundedAfter is the time with a holder after which a bucket counts as funded:
+// the wait of a new holder before refill (GrantTTL and a margin), and time for
+// the buckets to fill.
+const fundedAfter = limit.GrantTTL + time.Second
+
 func newLimits(cfg Config, ls *leases) *limits {
 	l := &limits{
 		wallet:  limit.NewWallet(cfg.ID),
 		holders: map[limit.Lease]*limit.Holder{},
 		order:   bucketLeases(),
 		grantAt: map[proto.RouterID]proto.Instant{},
+		held:    map[limit.Lease]tenure{},
 	}
 	for _, b := range l.order {
 		l.holders[b] = limit.NewHolder(cfg.ID, b, ls.byName[bucketLease(b)])
@@ -57,6 +72,7 @@
 		if state, ok := snap.Lease(bucketLease(b)); ok && !state.Released {
 			assigned[b] = state.Holder
 		}
+		l.observeHolder(now, b, assigned[b])
 	}
 	if l.assigned == nil || !maps.Equal(assigned, l.assigned) {
 		l.assigned = assigned
@@ -71,6 +87,26 @@
 	}
 }
 
+func (l *limits) observeHolder(now proto.Instant, b limit.Lease, holder proto.RouterID) {
+	switch {
+	case holder == "":
+		delete(l.held, b)
+	case l.held[b].holder != holder:
+		l.held[b] = tenure{holder: holder, since: now}
+	}
+}
+
+// isFunded reports whether every bucket had its holder for long enough to
+// have tokens.
+func (l *limits) isFunded(now proto.Instant) bool {
+	for _, b := range l.order {
+		if t, ok := l.held[b]; !ok || now.Sub(t.since) < fundedAfter {
+			return false
+		}
+	}
+	return true
+}
+
 // setSlots passes on who owns which static slot, and how fresh that is.
 func (l *limits) setSlots(now proto.Instant, view limit.SlotView) {
 	l.wallet.SetSlots(now, view)
--- a/core/router/publish.go
+++ b/core/router/publish.go
@@ -26,6 +26,8 @@
 		Draining:    c.draining,
 		Quarantined: quarantined,
 		Suspects:    suspects,
+		Funded:      c.limits.isFunded(now),
+		Routers:     c.addrs,
 		FreshUntil:  c.fresh.until(now, c.cfg.Domain, c.logReachable(now), c.peers.chosen),
 	}
 	if old == nil || old.Config != next.Config {
@@ -66,6 +68,7 @@
 	// of the processor than everything else.
 	routersChanged := c.applied == nil || !maps.Equal(c.applied.Routers, state.Routers)
 	c.applied = state
+	c.addrs = routerAddrs(state)
 	c.updateIntents(state, routersChanged)
 	c.leases.observe(now, state)
 	c.limits.configure(now, state, c.stamp())
@@ -76,6 +79,14 @@
 	}
 }
 
+func routerAddrs(state *configlog.Snapshot) map[proto.RouterID]string {
+	addrs := make(map[proto.RouterID]string, len(state.Routers))
+	for id, r := range state.Routers {
+		addrs[id] = r.Addr
+	}
+	return addrs
+}
+
 func (c *Control) stamp() proto.Stamp {
 	s := c.state.Snapshot()
 	return proto.Stamp{Revision: s.Revision, ConfigOffset: s.ConfigOffset}
