--- a/core/agent/agent.go
+++ b/core/agent/agent.go
@@ -130,6 +130,7 @@
 	} else {
 		a.stepRouter(now, in.From, in.Msg)
 	}
+	a.passOrders(now)
 	a.schedule(now)
 }
 
@@ -149,7 +150,7 @@
 		a.onLeaving(m)
 	case proto.Order:
 		a.learn(m.Stamp)
-		a.onOrder(from, m)
+		a.onOrder(now, from, m)
 	case proto.ConnLost:
 		a.onConnLost(now, m.Attempt)
 	}
@@ -204,6 +205,7 @@
 		a.beat(now)
 	}
 	a.resyncIndex(now)
+	a.passOrders(now)
 	a.schedule(now)
 }
 
@@ -213,6 +215,13 @@
 	for _, j := range a.jobs {
 		wake = min(wake, j.expires)
 	}
+	for _, p := range a.gate.pending {
+		if p.sent {
+			wake = min(wake, p.until.Add(orderLife))
+		} else {
+			wake = min(wake, p.until)
+		}
+	}
 	if a.index.NeedList() && a.engine.up {
 		wake = min(wake, a.engine.listAt)
 	}
--- a/core/router/control.go
+++ b/core/router/control.go
@@ -14,8 +14,10 @@
 	"github.com/kumquatsill/kumquatsill/core/ledger"
 	"github.com/kumquatsill/kumquatsill/core/limit"
 	"github.com/kumquatsill/kumquatsill/core/proto"
+	"github.com/kumquatsill/kumquatsill/core/rollout"
 	"github.com/kumquatsill/kumquatsill/core/route"
 	"github.com/kumquatsill/kumquatsill/core/suspect"
+	"github.com/zeebo/errs"
 )
 
 const (
@@ -36,6 +38,9 @@
 	DefaultRetainedRecords = 100_000
 )
 
+// Error is the class of all errors of this package.
+var Error = errs.Class("router")
+
 // Config identifies a router.
 type Config struct {
 	ID     proto.RouterID
@@ -67,9 +72,12 @@
 	state *configlog.State
 	// applied is the folded state that the parts were last given.
 	applied *configlog.Snapshot
-	fresh   *freshness
-	peers   *peers
-	notes   map[proto.RecordID]submission
+	// addrs are the addresses of the routers in applied. It is never changed
+	// once it is published.
+	addrs map[proto.RouterID]string
+	fresh *freshness
+	peers *peers
+	notes map[proto.RecordID]submission
 
 	deps     *exchange.Deps
 	snapshot atomic.Pointer[exchange.Snapshot]
@@ -84,6 +92,7 @@
 	limits          *limits
 	intents         *intent.Table
 	suspectRegister *suspect.Register
+	rollout         *rollout.Planner
 	suspects        *suspect.Table
 	// suspectsChanged asks for a new snapshot.
 	suspectsChanged bool
--- a/core/router/limits.go
+++ b/core/router/limits.go
@@ -1,8 +1,13 @@
 package router
 
 import (
+	"maps"
+	"slices"
+	"time"
+
 	"github.com/kumquatsill/kumquatsill/core/configlog"
 	"github.com/kumquatsill/kumquatsill/core/limit"
+	"github.com/kumquatsill/kumquatsill/core/note"
 	"github.com/kumquatsill/kumquatsill/core/proto"
 )
 
@@ -12,13 +17,33 @@
 	wallet  *limit.Wallet
 	holders map[limit.Lease]*limit.Holder
 	order   []limit.Lease
+	// grantAt is when a router last granted tokens.
+	grantAt map[proto.RouterID]proto.Instant
+	// config and assigned are what the parts were last given.
+	config   *note.Config
+	assigned map[limit.Lease]proto.RouterID
+	// held is since when this router has seen each bucket with its holder.
+	held map[limit.Lease]tenure
+}
+
+// tenure is one holder's time with a bucket.
+type tenure struct {
+	holder proto.RouterID
+	since  proto.Instant
 }
 
+// fundedAfter is the time with a holder after which a bucket counts as funded:
+// the wait of a new holder before refill (GrantTTL and a margin), and time for
+// the buckets to fill.
+const fundedAfter = limit.GrantTTL + time.Second
+
 func newLimits(cfg Config, ls *leases) *limits {
 	l := &limits{
 		wallet:  limit.NewWallet(cfg.ID),
 		holders: map[limit.Lease]*limit.Holder{},
 		order:   bucketLeases(),
+		grantAt: map[proto.RouterID]proto.Instant{},
+		held:    map[limit.Lease]tenure{},
 	}
 	for _, b := range l.order {
 		l.holders[b] = limit.NewHolder(cfg.ID, b, ls.byName[bucketLease(b)])
@@ -36,17 +61,50 @@
 
 // configure takes in a new folded state.
 func (l *limits) configure(now proto.Instant, snap *configlog.Snapshot, stamp proto.Stamp) {
-	l.wallet.SetAccounts(now, snap.Config.Accounts)
+	if snap.Config != l.config {
+		l.config = snap.Config
+		l.setAccounts(now, snap.Config.Accounts)
+	}
 	l.wallet.SetStamp(stamp)
-	holders := map[limit.Lease]proto.RouterID{}
+	assigned := map[limit.Lease]proto.RouterID{}
 	for _, b := range l.order {
-		l.holders[b].SetAccounts(now, snap.Config.Accounts)
 		l.holders[b].SetStamp(stamp)
 		if state, ok := snap.Lease(bucketLease(b)); ok && !state.Released {
-			holders[b] = state.Holder
+			assigned[b] = state.Holder
+		}
+		l.observeHolder(now, b, assigned[b])
+	}
+	if l.assigned == nil || !maps.Equal(assigned, l.assigned) {
+		l.assigned = assigned
+		l.wallet.SetHolders(assigned)
+	}
+}
+
+func (l *limits) setAccounts(now proto.Instant, accounts map[proto.AccountID]note.Account) {
+	l.wallet.SetAccounts(now, accounts)
+	for _, b := range l.order {
+		l.holders[b].SetAccounts(now, accounts)
+	}
+}
+
+func (l *limits) observeHolder(now proto.Instant, b limit.Lease, holder proto.RouterID) {
+	switch {
+	case holder == "":
+		delete(l.held, b)
+	case l.held[b].holder != holder:
+		l.held[b] = tenure{holder: holder, since: now}
+	}
+}
+
+// isFunded reports whether every bucket had its holder for long enough to
+// have tokens.
+func (l *limits) isFunded(now proto.Instant) bool {
+	for _, b := range l.order {
+		if t, ok := l.held[b]; !ok || now.Sub(t.since) < fundedAfter {
+			return false
 		}
 	}
-	l.wallet.SetHolders(holders)
+	return true
 }
 
 // setSlots passes on who owns which static slot, and how fresh that is.
@@ -75,6 +133,9 @@
 		}
 		return
 	}
+	if m, ok := in.Msg.(proto.GrantReply); ok {
+		l.onGrant(now, in.From, m)
+	}
 	l.wallet.Step(now, in)
 }
 
@@ -92,3 +153,73 @@
 	}
 	return out
 }
+
+// skipGrantWait lets buckets refill at once after a restart of all routers. A
+// new holder otherwise waits until the grants of the previous one have run
+// out. If that one was replaced at its address, it can give no more, and once
+// every router has said that it holds none of its grants there is nothing to
+// wait for.
+func (c *Control) skipGrantWait(now proto.Instant, state *configlog.Snapshot) {
+	if state.Removed != 0 {
+		return // a router that was removed by another may still run
+	}
+	for _, b := range c.limits.order {
+		l, ok := state.Lease(bucketLease(b))
+		if !ok || l.Freed == 0 || l.Holder != c.cfg.ID || !c.grantsEnded(now, state, l) {
+			continue
+		}
+		c.limits.holders[b].Adopt(now, emptyBalances(state, b))
+	}
+}
+
+// grantsEnded reports whether nobody holds a grant of a lease's former holder.
+func (c *Control) grantsEnded(now proto.Instant, state *configlog.Snapshot, l configlog.LeaseState) bool {
+	for id, r := range state.Routers {
+		if id == c.cfg.ID || r.Offset >= l.Freed {
+			continue
+		}
+		if !c.peers.hasNoGrants(id, l.FreedFrom, l.Freed) {
+			return false
+		}
+	}
+	return !c.limits.mayHoldGrant(now, l.FreedFrom)
+}
+
+// onGrant notes from whom this router has grants.
+func (l *limits) onGrant(now proto.Instant, from proto.Addr, m proto.GrantReply) {
+	if m.Tokens > 0 {
+		l.grantAt[proto.RouterID(from.ID)] = now
+	}
+}
+
+// mayHoldGrant reports whether a grant of a holder may not have run out.
+func (l *limits) mayHoldGrant(now proto.Instant, holder proto.RouterID) bool {
+	at, ok := l.grantAt[holder]
+	return ok && now.Sub(at) <= limit.GrantTTL
+}
+
+// grantsFromGone lists former routers of which this one may hold a grant.
+func (l *limits) grantsFromGone(now proto.Instant, registered map[proto.RouterID]configlog.RouterState) []proto.RouterID {
+	var gone []proto.RouterID
+	for id := range l.grantAt {
+		if !l.mayHoldGrant(now, id) {
+			delete(l.grantAt, id)
+			continue
+		}
+		if _, ok := registered[id]; !ok {
+			gone = append(gone, id)
+		}
+	}
+	slices.Sort(gone)
+	return gone
+}
+
+func emptyBalances(state *configlog.Snapshot, b limit.Lease) []limit.Balance {
+	var balances []limit.Balance
+	for id := range state.Config.Accounts {
+		if limit.Group(id) == b.Group {
+			balances = append(balances, limit.Balance{Account: id})
+		}
+	}
+	return balances
+}
--- a/core/router/publish.go
+++ b/core/router/publish.go
@@ -16,6 +16,7 @@
 	state := c.state.Snapshot()
 	c.applyState(now, state)
 	c.limits.setSlots(now, slotView(state, c.fresh.proof, c.isOutage(now)))
+	c.skipGrantWait(now, state)
 	quarantined, suspects := c.suspects.Snapshot(now)
 	c.suspectsChanged = false
 	next := &exchange.Snapshot{
@@ -25,6 +26,8 @@
 		Draining:    c.draining,
 		Quarantined: quarantined,
 		Suspects:    suspects,
+		Funded:      c.limits.isFunded(now),
+		Routers:     c.addrs,
 		FreshUntil:  c.fresh.until(now, c.cfg.Domain, c.logReachable(now), c.peers.chosen),
 	}
 	if old == nil || old.Config != next.Config {
@@ -60,12 +63,28 @@
 	if c.applied == state {
 		return
 	}
+	// Most records renew a lease and change neither the routers nor the
+	// configuration; with 320 routers the work below would otherwise take more
+	// of the processor than everything else.
+	routersChanged := c.applied == nil || !maps.Equal(c.applied.Routers, state.Routers)
 	c.applied = state
-	c.updateIntents(state)
+	c.addrs = routerAddrs(state)
+	c.updateIntents(state, routersChanged)
 	c.leases.observe(now, state)
 	c.limits.configure(now, state, c.stamp())
-	c.peers.update(now, state.Routers)
-	c.fresh.forget(c.peers.chosen)
+	c.updateRollout(now, state)
+	if routersChanged {
+		c.peers.update(now, state.Routers)
+		c.fresh.forget(c.peers.chosen)
+	}
+}
+
+func routerAddrs(state *configlog.Snapshot) map[proto.RouterID]string {
+	addrs := make(map[proto.RouterID]string, len(state.Routers))
+	for id, r := range state.Routers {
+		addrs[id] = r.Addr
+	}
+	return addrs
 }
 
 func (c *Control) stamp() proto.Stamp {
@@ -94,6 +113,7 @@
 		LogReachable: c.logReachable(now),
 		Leaving:      c.draining,
 		Crashes:      c.suspects.Crashes(),
+		GrantsFrom:   c.limits.grantsFromGone(now, c.state.Snapshot().Routers),
 	}
 }
 
