--- a/proof/compare/run.go
+++ b/proof/compare/run.go
@@ -7,6 +7,7 @@
 
 	"github.com/kumquatsill/kumquatsill/core/note"
 	"github.com/kumquatsill/kumquatsill/core/proto"
+	"github.com/kumquatsill/kumquatsill/core/rollout"
 	"github.com/kumquatsill/kumquatsill/core/route"
 	"github.com/kumquatsill/kumquatsill/proof/drive"
 	"github.com/kumquatsill/kumquatsill/proof/fleet"
@@ -33,7 +34,7 @@
 	Warm       bool
 	// Failed lists failed invariants.
 	Failed []string
-	// Probes counts the probes of agents, over the whole run.
+	// Probes counts the probes of agents for requests, over the whole run.
 	Probes int
 	// DoubleOrders counts orders that ran more than once.
 	DoubleOrders int
@@ -297,7 +298,7 @@
 
 // observe sees each message at its delivery, before the receiver does.
 func (r *run) observe(_ proto.Instant, e proto.Envelope) {
-	if _, ok := e.Msg.(proto.Probe); ok {
+	if m, ok := e.Msg.(proto.Probe); ok && m.Request != rollout.ProbeRequest {
 		r.probes++
 	}
 	m, ok := e.Msg.(proto.EngineRun)
