--- a/proof/cmd/measure/page.go
+++ b/proof/cmd/measure/page.go
@@ -13,7 +13,7 @@
 //go:embed page.html
 var pageText string
 
-var page = template.Must(template.New("page").Parse(pageText))
+var page = template.Must(template.New("page").Funcs(template.FuncMap{"figure": compare.Figure}).Parse(pageText))
 
 // pageData is what the template shows.
 type pageData struct {
--- a/proof/cmd/measure/print.go
+++ b/proof/cmd/measure/print.go
@@ -80,7 +80,7 @@
 		if !g.Met {
 			met = "**no**"
 		}
-		fmt.Fprintf(out, "| %s | %s | %s | %.3f | %s %.3f | %s |\n", g.Deployment, g.Condition, g.Name, g.Value, relation, g.Bound, met)
+		fmt.Fprintf(out, "| %s | %s | %s | %s | %s %s | %s |\n", g.Deployment, g.Condition, g.Name, compare.Figure(g.Value), relation, compare.Figure(g.Bound), met)
 	}
 	for _, line := range troubles(t) {
 		fmt.Fprintf(out, "\n- %s", line)
--- a/proof/compare/goals.go
+++ b/proof/compare/goals.go
@@ -159,5 +159,14 @@
 	if !g.Met {
 		state = "missed"
 	}
-	return fmt.Sprintf("%s, %s: %s: %.3f, bound %s %.3f: %s", g.Deployment, g.Condition, g.Name, g.Value, relation, g.Bound, state)
+	return fmt.Sprintf("%s, %s: %s: %s, bound %s %s: %s", g.Deployment, g.Condition, g.Name, Figure(g.Value), relation, Figure(g.Bound), state)
+}
+
+// Figure writes a value of a goal; "none" stands for the time to first token
+// of requests that got none.
+func Figure(v float64) string {
+	if v >= measure.Never.Seconds() {
+		return "none"
+	}
+	return fmt.Sprintf("%.3f", v)
 }
