--- a/proof/compare/run.go
+++ b/proof/compare/run.go
@@ -51,7 +51,9 @@
 	engineIDs []proto.EndpointID
 	loads     loads
 	// waiting maps the id of the message in flight to its request.
-	waiting     map[proto.RequestID]*pending
+	waiting map[proto.RequestID]*pending
+	// open counts the requests that have not ended.
+	open        int
 	resends     int
 	probes      int
 	restarted   string
@@ -97,7 +99,8 @@
 	r.schedule(s.Condition)
 	r.reportLoads()
 	r.nextArrival()
-	w.Run(s.Length + drain)
+	w.Run(s.Length)
+	w.RunUntil(drain, func() bool { return r.open == 0 })
 	r.firstTokens()
 	result := Result{Recorder: r.recorder, Failed: failed, Probes: r.probes, DoubleOrders: r.fleet.Book.Doubles()}
 	if s.Condition == RestartOne {
@@ -191,6 +194,7 @@
 		sent.Router = string(r.fleet.RouterID(via))
 	}
 	r.recorder.Add(sent)
+	r.open++
 	r.send(p)
 }
 
@@ -279,6 +283,7 @@
 		return
 	}
 	delete(r.waiting, a.Request.ID)
+	r.open--
 	r.takeFirst(p, a)
 	if a.Finish != nil {
 		r.recorder.Add(measure.Answered{At: r.now(), Request: p.base, Usage: a.Finish.Usage})
