core/router: answer operators' queries and count a repeated submission once

Cause: the id of a submission did not reach the log, so that a lost answer could not be looked up, and a note that was sent again was a second note. Operators had no way to ask a router for its configuration, history, state or for one request.

Change: a submission's id is the id of its log record; folding ignores a second copy, and any router answers a known id from the history. New typed messages ask for the history, the configuration, the state of the fleet and one request, which is searched for in the audit stream if the router does not remember it, and lift a quarantine. Operators may address a router without its id.

--- a/app/shell/server.go
+++ b/app/shell/server.go
@@ -28,7 +28,11 @@
 		proto.GrantRequest{}.Kind(), proto.GrantReply{}.Kind(),
 		proto.TokenRequest{}.Kind(), proto.TokenReply{}.Kind(),
 		proto.IntentForward{}.Kind(), proto.CallerFinish{}.Kind(), proto.CallerRefusal{}.Kind(),
-		proto.HostList{}.Kind(), proto.NoteSubmit{}.Kind(),
+		proto.HostList{}.Kind(),
+	}
+	operatorKinds = []proto.Kind{
+		proto.NoteSubmit{}.Kind(), proto.HistoryQuery{}.Kind(), proto.ConfigQuery{}.Kind(),
+		proto.StatusQuery{}.Kind(), proto.ExplainQuery{}.Kind(), proto.QuarantineLift{}.Kind(),
 	}
 	agentKinds = []proto.Kind{
 		proto.Dispatch{}.Kind(), proto.Cancel{}.Kind(), proto.Probe{}.Kind(), proto.Order{}.Kind(),
@@ -74,6 +78,26 @@
 		return topic{peer, "note", string(m.ID)}, false
 	case proto.NoteOutcome:
 		return topic{peer, "note", string(m.ID)}, true
+	case proto.HistoryQuery:
+		return topic{peer, "history", m.ID}, false
+	case proto.HistoryReply:
+		return topic{peer, "history", m.ID}, true
+	case proto.ConfigQuery:
+		return topic{peer, "config", m.ID}, false
+	case proto.ConfigReply:
+		return topic{peer, "config", m.ID}, true
+	case proto.StatusQuery:
+		return topic{peer, "status", m.ID}, false
+	case proto.StatusReply:
+		return topic{peer, "status", m.ID}, true
+	case proto.ExplainQuery:
+		return topic{peer, "explain", m.ID}, false
+	case proto.ExplainReply:
+		return topic{peer, "explain", m.ID}, true
+	case proto.QuarantineLift:
+		return topic{peer, "lift", string(m.ID)}, false
+	case proto.QuarantineLifted:
+		return topic{peer, "lift", string(m.ID)}, true
 	}
 	return topic{}, false
 }
@@ -92,7 +116,7 @@
 
 // NewInbound returns the handler for the machine at address self.
 func NewInbound(self proto.Addr, metrics *Metrics, step func(proto.Envelope) bool) *Inbound {
-	accepted := routerKinds
+	accepted := slices.Concat(routerKinds, operatorKinds)
 	if self.Role == proto.RoleAgent {
 		accepted = agentKinds
 	}
@@ -134,6 +158,10 @@
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
 	}
+	if env.From.Role == proto.RoleOperator && env.To == (proto.Addr{Role: h.self.Role}) {
+		// Operators know a router by its address only.
+		env.To = h.self
+	}
 	if status, problem := h.verify(env); problem != "" {
 		h.metrics.Misdelivered.Inc()
 		http.Error(w, problem, status)
@@ -160,10 +188,11 @@
 }
 
 func fromAllowed(env proto.Envelope) bool {
-	switch env.Msg.(type) {
-	case proto.NoteSubmit:
+	kind := env.Msg.Kind()
+	switch {
+	case slices.Contains(operatorKinds, kind):
 		return env.From.Role == proto.RoleOperator
-	case proto.HostList:
+	case kind == proto.HostList{}.Kind():
 		return env.From.Role == proto.RoleHosts
 	}
 	return env.From.Role == proto.RoleRouter
--- a/core/exchange/lives.go
+++ b/core/exchange/lives.go
@@ -18,6 +18,8 @@
 	Agent  proto.Incarnation
 	Engine proto.Incarnation
 	Seen   proto.Instant
+	// Report is the whole report.
+	Report proto.Report
 }
 
 // NewLives returns an empty Lives.
@@ -30,7 +32,7 @@
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.last[r.Endpoint] = Life{Agent: r.Life, Engine: r.Incarnation, Seen: now}
+	l.last[r.Endpoint] = Life{Agent: r.Life, Engine: r.Incarnation, Seen: now, Report: r}
 }
 
 // Of returns the last life of an endpoint, and false before the first report.
--- a/core/ledger/client.go
+++ b/core/ledger/client.go
@@ -150,6 +150,15 @@
 // encode or is too large, and when too much is queued. Otherwise exactly one
 // of EventConfirmed, EventAbsent, EventRefused and EventUnknown follows.
 func (c *Client) Append(now proto.Instant, name string, kind proto.RecordKind, body any) (proto.RecordID, error) {
+	return c.AppendAs(now, c.newID(), name, kind, body)
+}
+
+// AppendAs is Append under an id that the caller has chosen. It fails as well
+// while an append with this id has not ended.
+func (c *Client) AppendAs(now proto.Instant, id proto.RecordID, name string, kind proto.RecordKind, body any) (proto.RecordID, error) {
+	if c.pending[id] != nil {
+		return "", Error.New("an append with the id %s is under way", id)
+	}
 	data, err := json.Marshal(body)
 	if err != nil {
 		return "", Error.Wrap(err)
@@ -162,7 +171,6 @@
 		return "", Error.New("%d appends with %d bytes wait for the log, no more are taken", len(c.pending), c.bytes)
 	}
 	s := c.stream(name)
-	id := c.newID()
 	e := &entry{rec: proto.Record{ID: id, Kind: kind, Body: data}, stream: s, deadline: proto.Never}
 	c.pending[id] = e
 	c.bytes += len(data)
--- a/core/proto/kinds.go
+++ b/core/proto/kinds.go
@@ -62,6 +62,16 @@
 	RequestEnded{},
 	NoteSubmit{},
 	NoteOutcome{},
+	HistoryQuery{},
+	HistoryReply{},
+	ConfigQuery{},
+	ConfigReply{},
+	StatusQuery{},
+	StatusReply{},
+	ExplainQuery{},
+	ExplainReply{},
+	QuarantineLift{},
+	QuarantineLifted{},
 )
 
 // Kind implements Message.
@@ -243,3 +253,33 @@
 
 // Kind implements Message.
 func (NoteOutcome) Kind() Kind { return "NoteOutcome" }
+
+// Kind implements Message.
+func (HistoryQuery) Kind() Kind { return "HistoryQuery" }
+
+// Kind implements Message.
+func (HistoryReply) Kind() Kind { return "HistoryReply" }
+
+// Kind implements Message.
+func (ConfigQuery) Kind() Kind { return "ConfigQuery" }
+
+// Kind implements Message.
+func (ConfigReply) Kind() Kind { return "ConfigReply" }
+
+// Kind implements Message.
+func (StatusQuery) Kind() Kind { return "StatusQuery" }
+
+// Kind implements Message.
+func (StatusReply) Kind() Kind { return "StatusReply" }
+
+// Kind implements Message.
+func (ExplainQuery) Kind() Kind { return "ExplainQuery" }
+
+// Kind implements Message.
+func (ExplainReply) Kind() Kind { return "ExplainReply" }
+
+// Kind implements Message.
+func (QuarantineLift) Kind() Kind { return "QuarantineLift" }
+
+// Kind implements Message.
+func (QuarantineLifted) Kind() Kind { return "QuarantineLifted" }
--- a/core/router/control.go
+++ b/core/router/control.go
@@ -67,7 +67,7 @@
 	applied *configlog.Snapshot
 	fresh   *freshness
 	peers   *peers
-	notes   map[proto.RecordID]submission
+	notes   map[proto.RecordID]*submission
 
 	deps     *exchange.Deps
 	snapshot atomic.Pointer[exchange.Snapshot]
@@ -84,6 +84,8 @@
 	audit           auditor
 	// recentRequests answers operators who ask about one request.
 	recentRequests *recentRequests
+	// searches look for requests in the audit stream.
+	searches searches
 	// now is the time of the last input.
 	now        proto.Instant
 	workAt     proto.Instant
@@ -96,10 +98,3 @@
 type Stats struct {
 	Checkpoints, CheckpointErrors, AppendErrors, BadReplies, AuditErrors int64
 }
-
-// submission is a release note whose outcome an operator waits for.
-type submission struct {
-	id    proto.RecordID
-	from  proto.Addr
-	until proto.Instant
-}
--- a/core/router/follow.go
+++ b/core/router/follow.go
@@ -4,8 +4,6 @@
 	"time"
 
 	"github.com/kumquatsill/kumquatsill/core/configlog"
-	"github.com/kumquatsill/kumquatsill/core/ledger"
-	"github.com/kumquatsill/kumquatsill/core/note"
 	"github.com/kumquatsill/kumquatsill/core/proto"
 )
 
@@ -26,6 +24,7 @@
 	if result.Note != nil {
 		c.answerNote(*result.Note)
 	}
+	c.operatorRecord(result)
 	return true
 }
 
@@ -51,71 +50,6 @@
 	c.checkpointer.Appended(now, snap)
 }
 
-func (c *Control) onNoteSubmit(now proto.Instant, from proto.Addr, m proto.NoteSubmit) {
-	n, err := note.Parse(m.Note)
-	if err != nil {
-		c.Send(from, proto.NoteOutcome{ID: m.ID, Status: proto.NoteRefused, Detail: err.Error()})
-		return
-	}
-	body := configlog.ReleaseNote{Note: n, Router: c.cfg.ID, SubmittedWall: m.SubmittedWall}
-	id, err := c.log.Append(now, proto.StreamConfig, configlog.KindReleaseNote, body)
-	if err != nil {
-		c.Send(from, proto.NoteOutcome{ID: m.ID, Status: proto.NoteRefused, Detail: err.Error()})
-		return
-	}
-	c.notes[id] = submission{id: m.ID, from: from, until: now.Add(noteTimeout)}
-}
-
-// answerNote tells the operator what became of a note, once this router has
-// folded it.
-func (c *Control) answerNote(o configlog.NoteOutcome) {
-	out := proto.NoteOutcome{Revision: o.Revision}
-	switch o.Result {
-	case configlog.NoteAccepted:
-		out.Status = proto.NoteAccepted
-	case configlog.NoteBeaten:
-		out.Status = proto.NoteBeaten
-	default:
-		out.Status = proto.NoteRefused
-	}
-	for _, e := range o.Errors {
-		out.Problems = append(out.Problems, proto.NoteProblem{Field: e.Field, Problem: e.Problem})
-	}
-	c.endSubmission(o.ID, out)
-}
-
-func (c *Control) endSubmission(record proto.RecordID, out proto.NoteOutcome) {
-	s, ok := c.notes[record]
-	if !ok {
-		return
-	}
-	delete(c.notes, record)
-	out.ID = s.id
-	c.Send(s.from, out)
-}
-
-// noteFailed answers a submission that the log did not take for certain.
-func (c *Control) noteFailed(e ledger.Event) {
-	out := proto.NoteOutcome{Status: proto.NoteUnknown, Detail: "the log did not say whether it holds the note; look into the history"}
-	switch e.Kind {
-	case ledger.EventRefused:
-		out.Status, out.Detail = proto.NoteRefused, e.Detail
-	case ledger.EventAbsent:
-		if e.Final {
-			out.Status, out.Detail = proto.NoteRefused, "the log did not take the note"
-		}
-	}
-	c.endSubmission(e.ID, out)
-}
-
-func (c *Control) expireNotes(now proto.Instant) {
-	for id, s := range c.notes {
-		if now >= s.until {
-			c.log.Abandon(id)
-		}
-	}
-}
-
 // register announces this router in the log, and again when the log has lost
 // it or gave its slot to another.
 func (c *Control) register(now proto.Instant) {
--- /dev/null
+++ b/core/router/operator.go
@@ -0,0 +1,396 @@
+package router
+
+import (
+	"cmp"
+	"encoding/json"
+	"errors"
+	"maps"
+	"regexp"
+	"slices"
+
+	"github.com/kumquatsill/kumquatsill/core/check"
+	"github.com/kumquatsill/kumquatsill/core/configlog"
+	"github.com/kumquatsill/kumquatsill/core/ledger"
+	"github.com/kumquatsill/kumquatsill/core/note"
+	"github.com/kumquatsill/kumquatsill/core/proto"
+	"github.com/kumquatsill/kumquatsill/core/suspect"
+)
+
+// operatorID is the form of ids that operators choose for log records. The
+// ids of routers have a dot, so that the two cannot be equal.
+var operatorID = regexp.MustCompile(`^[A-Za-z0-9_-]{1,64}$`)
+
+const operatorIDProblem = "the id must be 1 to 64 letters, digits, dashes or underscores"
+
+// submission is a note or a lift of a quarantine whose outcome operators wait for.
+type submission struct {
+	// from are the operators; one that sends again may come from another address.
+	from  []proto.Addr
+	until proto.Instant
+	lift  bool
+}
+
+func (s *submission) wait(from proto.Addr) {
+	if !slices.Contains(s.from, from) {
+		s.from = append(s.from, from)
+	}
+}
+
+func (c *Control) onNoteSubmit(now proto.Instant, from proto.Addr, m proto.NoteSubmit) {
+	refuse := func(out proto.NoteOutcome) {
+		out.ID, out.Status = m.ID, proto.NoteRefused
+		out.Revision = c.state.Snapshot().Revision
+		c.Send(from, out)
+	}
+	if !operatorID.MatchString(string(m.ID)) {
+		refuse(proto.NoteOutcome{Problems: []proto.NoteProblem{{Field: "id", Problem: operatorIDProblem}}})
+		return
+	}
+	if c.isSubmitted(from, m.ID) {
+		return
+	}
+	n, err := note.Parse(m.Note)
+	if err != nil {
+		refuse(parseOutcome(err))
+		return
+	}
+	body := configlog.ReleaseNote{Note: n, Router: c.cfg.ID, SubmittedWall: m.SubmittedWall}
+	if err := c.submit(now, from, m.ID, configlog.KindReleaseNote, body, false); err != nil {
+		refuse(proto.NoteOutcome{Detail: err.Error()})
+	}
+}
+
+func parseOutcome(err error) proto.NoteOutcome {
+	var fields *note.CheckError
+	if errors.As(err, &fields) {
+		return proto.NoteOutcome{Problems: problems(fields.Fields)}
+	}
+	return proto.NoteOutcome{Problems: []proto.NoteProblem{{Field: "note", Problem: err.Error()}}}
+}
+
+func problems(errs []note.FieldError) []proto.NoteProblem {
+	var out []proto.NoteProblem
+	for _, e := range errs {
+		out = append(out, proto.NoteProblem{Field: e.Field, Problem: e.Problem})
+	}
+	return out
+}
+
+// isSubmitted answers a submission whose id is known, or adds the operator to
+// those that wait for it.
+func (c *Control) isSubmitted(from proto.Addr, id proto.RecordID) bool {
+	if s := c.notes[id]; s != nil {
+		s.wait(from)
+		return true
+	}
+	old, ok := c.state.Snapshot().Note(id)
+	if ok {
+		out := noteOutcome(old)
+		out.ID = id
+		c.Send(from, out)
+	}
+	return ok
+}
+
+// submit appends a record under the operator's id. The same id through
+// another router makes a second copy of the record, which folding ignores.
+func (c *Control) submit(now proto.Instant, from proto.Addr, id proto.RecordID, kind proto.RecordKind, body any, lift bool) error {
+	if _, err := c.log.AppendAs(now, id, proto.StreamConfig, kind, body); err != nil {
+		return err
+	}
+	c.notes[id] = &submission{from: []proto.Addr{from}, until: now.Add(noteTimeout), lift: lift}
+	return nil
+}
+
+// operatorRecord answers operators whose record was folded without a note
+// outcome: a lift, or the second copy of a note.
+func (c *Control) operatorRecord(result configlog.Result) {
+	id := result.Record.ID
+	s := c.notes[id]
+	switch {
+	case s == nil:
+	case s.lift:
+		c.endSubmission(id, proto.NoteOutcome{Status: proto.NoteAccepted})
+	case result.Outcome == configlog.Duplicate:
+		if !c.answerFromHistory(id) {
+			c.endSubmission(id, proto.NoteOutcome{
+				Status: proto.NoteUnknown, Detail: "the id was used before, and its outcome is no longer in the history",
+			})
+		}
+	}
+}
+
+func (c *Control) answerFromHistory(id proto.RecordID) bool {
+	old, ok := c.state.Snapshot().Note(id)
+	if ok {
+		c.answerNote(old)
+	}
+	return ok
+}
+
+// answerNote tells the operators what became of a note, once this router has
+// folded it.
+func (c *Control) answerNote(o configlog.NoteOutcome) { c.endSubmission(o.ID, noteOutcome(o)) }
+
+func noteOutcome(o configlog.NoteOutcome) proto.NoteOutcome {
+	return proto.NoteOutcome{Status: noteStatus(o.Result), Revision: o.Revision, Problems: problems(o.Errors)}
+}
+
+func noteStatus(r configlog.NoteResult) proto.NoteStatus {
+	switch r {
+	case configlog.NoteAccepted:
+		return proto.NoteAccepted
+	case configlog.NoteBeaten:
+		return proto.NoteBeaten
+	}
+	return proto.NoteRefused
+}
+
+func (c *Control) endSubmission(id proto.RecordID, out proto.NoteOutcome) {
+	s := c.notes[id]
+	if s == nil {
+		return
+	}
+	delete(c.notes, id)
+	out.ID = id
+	for _, from := range s.from {
+		if s.lift {
+			c.Send(from, proto.QuarantineLifted{ID: id, Status: liftStatus(out.Status), Detail: out.Detail})
+		} else {
+			c.Send(from, out)
+		}
+	}
+}
+
+func liftStatus(s proto.NoteStatus) proto.LiftStatus {
+	switch s {
+	case proto.NoteAccepted:
+		return proto.LiftDone
+	case proto.NoteRefused:
+		return proto.LiftRefused
+	}
+	return proto.LiftUnknown
+}
+
+// noteFailed answers a submission that the log did not take for certain.
+func (c *Control) noteFailed(e ledger.Event) {
+	out := proto.NoteOutcome{Status: proto.NoteUnknown, Detail: "the log did not say whether it holds the record; look it up by its id"}
+	switch e.Kind {
+	case ledger.EventRefused:
+		out.Status, out.Detail = proto.NoteRefused, e.Detail
+	case ledger.EventAbsent:
+		if e.Final {
+			out.Status, out.Detail = proto.NoteRefused, "the log did not take the record"
+		}
+	}
+	c.endSubmission(e.ID, out)
+}
+
+// expireNotes ends submissions after their time. One whose record came with
+// a checkpoint from a peer was not folded here, but is in the history.
+func (c *Control) expireNotes(now proto.Instant) {
+	for _, id := range slices.Sorted(maps.Keys(c.notes)) {
+		until := c.notes[id].until
+		if c.answerFromHistory(id) || now < until {
+			continue
+		}
+		c.log.Abandon(id)
+		if now < until.Add(housekeepingInterval) {
+			continue // the log client may tell more
+		}
+		// The record is in the log, but this router cannot read it.
+		c.endSubmission(id, proto.NoteOutcome{
+			Status: proto.NoteUnknown, Detail: "the router could not read the log in time; look the record up by its id",
+		})
+	}
+}
+
+// onOperator answers an operator's query or order.
+func (c *Control) onOperator(now proto.Instant, in proto.Envelope) {
+	switch m := in.Msg.(type) {
+	case proto.HistoryQuery:
+		c.Send(in.From, c.history(now, m))
+	case proto.ConfigQuery:
+		c.onConfigQuery(now, in.From, m)
+	case proto.StatusQuery:
+		c.Send(in.From, c.status(now, m.ID))
+	case proto.ExplainQuery:
+		c.onExplain(now, in.From, m)
+	case proto.QuarantineLift:
+		c.onLift(now, in.From, m)
+	}
+}
+
+func (c *Control) history(now proto.Instant, m proto.HistoryQuery) proto.HistoryReply {
+	out := proto.HistoryReply{ID: m.ID, Entries: []proto.NoteEntry{}, Freshness: c.freshnessOf(now)}
+	for _, o := range c.state.Snapshot().History {
+		if m.Note != "" && o.ID != m.Note {
+			continue
+		}
+		out.Entries = append(out.Entries, proto.NoteEntry{
+			ID: o.ID, Offset: o.Offset, Status: noteStatus(o.Result), Revision: o.Revision, BasedOn: o.BasedOn,
+			Author: o.Author, Reason: o.Reason, Problems: problems(o.Errors), ProblemCount: o.ErrorCount,
+			Router: o.Router, SubmittedWall: o.SubmittedWall,
+		})
+	}
+	if m.Max > 0 && len(out.Entries) > m.Max {
+		out.Entries = out.Entries[len(out.Entries)-m.Max:]
+	}
+	s := c.notes[m.Note]
+	out.Waiting = s != nil && !s.lift
+	return out
+}
+
+func (c *Control) onConfigQuery(now proto.Instant, from proto.Addr, m proto.ConfigQuery) {
+	data, err := json.Marshal(c.state.Snapshot().Config)
+	if err != nil {
+		panic("router: the configuration does not encode: " + err.Error()) // it was decoded from JSON
+	}
+	c.Send(from, proto.ConfigReply{ID: m.ID, Config: data, Freshness: c.freshnessOf(now)})
+}
+
+func (c *Control) freshnessOf(now proto.Instant) proto.Freshness {
+	reachable := c.logReachable(now)
+	until := c.fresh.until(now, c.cfg.Domain, reachable, c.peers.chosen)
+	return proto.Freshness{
+		Stamp: c.stamp(), Router: c.cfg.ID, Ready: c.ready, Draining: c.draining,
+		ProofAge: c.fresh.age(now), FreshFor: max(0, until.Sub(now)), LogReachable: reachable,
+		GeneralOutage: !reachable && c.fresh.isGeneralOutage(now, c.cfg.Domain, c.peers.chosen),
+	}
+}
+
+func (c *Control) status(now proto.Instant, id string) proto.StatusReply {
+	snap := c.state.Snapshot()
+	return proto.StatusReply{
+		ID: id, Freshness: c.freshnessOf(now), Routers: c.routerStatus(now, snap), Leases: leaseStatus(snap),
+		Endpoints: c.endpointStatus(now, snap.Config), Suspects: c.suspectStatus(), Counters: c.counters(),
+	}
+}
+
+func (c *Control) routerStatus(now proto.Instant, snap *configlog.Snapshot) []proto.RouterStatus {
+	out := []proto.RouterStatus{}
+	for _, id := range slices.Sorted(maps.Keys(snap.Routers)) {
+		r := snap.Routers[id]
+		s := proto.RouterStatus{Router: id, Addr: r.Addr, Domain: r.Domain, Slot: r.Slot, HeardAge: proto.NotHeard}
+		if w, ok := c.fresh.witnesses[id]; ok {
+			s.HeardAge, s.LogReachable = now.Sub(w.at), w.reachable
+		}
+		if id == c.cfg.ID {
+			s.Self, s.HeardAge, s.LogReachable = true, 0, c.logReachable(now)
+		}
+		out = append(out, s)
+	}
+	return out
+}
+
+func leaseStatus(snap *configlog.Snapshot) []proto.LeaseStatus {
+	out := []proto.LeaseStatus{}
+	for _, name := range slices.Sorted(maps.Keys(snap.Leases)) {
+		l, _ := snap.Lease(name)
+		out = append(out, proto.LeaseStatus{
+			Name: name, Holder: l.Holder, Fence: l.Fence, Touched: l.Touched, TTL: l.TTL, Balance: l.Balance, Released: l.Released,
+		})
+	}
+	return out
+}
+
+func (c *Control) endpointStatus(now proto.Instant, cfg *note.Config) []proto.EndpointStatus {
+	out := []proto.EndpointStatus{}
+	for _, id := range slices.Sorted(maps.Keys(cfg.Endpoints)) {
+		e := cfg.Endpoints[id]
+		s := proto.EndpointStatus{
+			Endpoint: id, Kind: string(e.Kind), Domain: e.Domain, Addr: e.Addr, Leaving: e.Leaving, ReportAge: proto.NotHeard,
+		}
+		if life, ok := c.deps.Lives.Of(id); ok {
+			s.ReportAge, s.Report = now.Sub(life.Seen), life.Report
+		}
+		out = append(out, s)
+	}
+	return out
+}
+
+func (c *Control) suspectStatus() []proto.SuspectStatus {
+	out := []proto.SuspectStatus{}
+	for _, e := range c.suspectRegister.Export() {
+		s := proto.SuspectStatus{Account: e.Account, Fingerprint: e.Fingerprint, Quarantined: e.Quarantined, Since: e.Since}
+		for _, crash := range e.Crashes {
+			s.Endpoints = append(s.Endpoints, crash.Endpoint)
+		}
+		out = append(out, s)
+	}
+	return out
+}
+
+func (c *Control) counters() []proto.Counter {
+	folded, log, x, trail := c.state.Counters(), c.log.Counters(), c.deps.Stats, c.audit.trail.Stats()
+	out := []proto.Counter{
+		{Name: "audit_confirmed", Value: trail.Confirmed},
+		{Name: "audit_dropped", Value: trail.Dropped},
+		{Name: "audit_errors", Value: c.stats.AuditErrors},
+		{Name: "audit_held", Value: int64(trail.Held)},
+		{Name: "config_beaten", Value: folded.Beaten},
+		{Name: "config_duplicates", Value: folded.Duplicates},
+		{Name: "config_refused", Value: folded.Refused},
+		{Name: "config_stale", Value: folded.Stale},
+		{Name: "control_append_errors", Value: c.stats.AppendErrors},
+		{Name: "control_bad_replies", Value: c.stats.BadReplies},
+		{Name: "control_checkpoint_errors", Value: c.stats.CheckpointErrors},
+		{Name: "control_checkpoints", Value: c.stats.Checkpoints},
+		{Name: "exchange_gaps", Value: x.Gaps.Load()},
+		{Name: "exchange_late", Value: x.Late.Load()},
+		{Name: "exchange_misdelivered", Value: x.Misdelivered.Load()},
+		{Name: "exchange_reattached", Value: x.Reattached.Load()},
+		{Name: "exchange_repeated", Value: x.Repeated.Load()},
+		{Name: "exchange_retries", Value: x.Retries.Load()},
+		{Name: "exchange_silent", Value: x.Silent.Load()},
+		{Name: "log_appends", Value: log.Appends},
+		{Name: "log_failures", Value: log.Failures},
+		{Name: "log_lookups", Value: log.Lookups},
+		{Name: "log_malformed", Value: log.Malformed},
+		{Name: "log_reappends", Value: log.Reappends},
+		{Name: "log_timeouts", Value: log.Timeouts},
+		{Name: "log_unknown", Value: log.Unknown},
+	}
+	if c.cfg.Checks == nil {
+		return out
+	}
+	for _, inv := range check.All {
+		out = append(out, proto.Counter{Name: "failed_" + string(inv), Value: c.cfg.Checks.Counts(inv).Failed})
+	}
+	return out
+}
+
+func (c *Control) onLift(now proto.Instant, from proto.Addr, m proto.QuarantineLift) {
+	answer := func(status proto.LiftStatus, detail string) {
+		c.Send(from, proto.QuarantineLifted{ID: m.ID, Status: status, Detail: detail})
+	}
+	if !operatorID.MatchString(string(m.ID)) {
+		answer(proto.LiftRefused, operatorIDProblem)
+		return
+	}
+	if s := c.notes[m.ID]; s != nil {
+		s.wait(from)
+		return
+	}
+	key := suspect.Key{Account: m.Account, Fingerprint: m.Fingerprint}
+	if _, ok := c.suspectRegister.Get(key); !ok {
+		answer(proto.LiftAbsent, "the fingerprint is neither quarantined nor suspect for this account")
+		return
+	}
+	body := suspect.Release{Key: key, By: cmp.Or(m.Operator, "operator")}
+	if err := c.submit(now, from, m.ID, suspect.KindRelease, body, true); err != nil {
+		answer(proto.LiftRefused, err.Error())
+	}
+}
+
+func (c *Control) onExplain(now proto.Instant, from proto.Addr, m proto.ExplainQuery) {
+	if m.Request == "" {
+		c.Send(from, proto.ExplainReply{ID: m.ID, Detail: "the query names no request"})
+		return
+	}
+	if ended, ok := c.recentRequests.find(m.Request); ok {
+		c.Send(from, proto.ExplainReply{ID: m.ID, Request: &ended, Source: proto.ExplainedByRouter, Router: c.cfg.ID})
+		return
+	}
+	c.search(now, from, m)
+}
--- a/core/router/recent.go
+++ b/core/router/recent.go
@@ -1,6 +1,10 @@
 package router
 
-import "github.com/kumquatsill/kumquatsill/core/proto"
+import (
+	"strings"
+
+	"github.com/kumquatsill/kumquatsill/core/proto"
+)
 
 // maxRecentRequests bounds the ended requests that a router can explain
 // without the audit stream.
@@ -32,10 +36,23 @@
 	r.next = (r.next + 1) % maxRecentRequests
 }
 
+// find returns a request by the router's id or, the latest one, by the caller's.
 func (r *recentRequests) find(id proto.RequestID) (proto.RequestEnded, bool) {
-	i, ok := r.byID[id]
-	if !ok {
-		return proto.RequestEnded{}, false
+	if i, ok := r.byID[id]; ok {
+		return r.ring[i], true
+	}
+	for n := range r.ring {
+		// The newest entry is the one before next.
+		m := r.ring[(r.next-1-n+2*len(r.ring))%len(r.ring)]
+		if matchesRequest(m.Request, id) {
+			return m, true
+		}
 	}
-	return r.ring[i], true
+	return proto.RequestEnded{}, false
+}
+
+// matchesRequest reports whether a caller or operator means the request. The
+// API appends "~" and a unique part to an id that a caller chose.
+func matchesRequest(id, asked proto.RequestID) bool {
+	return id == asked || strings.HasPrefix(string(id), string(asked)+"~")
 }
--- a/core/router/step.go
+++ b/core/router/step.go
@@ -31,7 +31,7 @@
 		state:  configlog.NewState(cfg.Checks),
 		fresh:  newFreshness(),
 		peers:  newPeers(cfg.ID, rng),
-		notes:  map[proto.RecordID]submission{},
+		notes:  map[proto.RecordID]*submission{},
 		audit:  newAuditor(cfg),
 
 		recentRequests: newRecentRequests(),
@@ -82,7 +82,9 @@
 	c.now = now
 	switch m := in.Msg.(type) {
 	case proto.LogAppended, proto.LogRecords, proto.LogFailed:
-		c.log.Step(now, in)
+		if !c.onSearchAnswer(now, in) {
+			c.log.Step(now, in)
+		}
 	case proto.PeerBeat:
 		c.onBeat(now, in.From, m)
 	case proto.PeerBeatReply:
@@ -93,6 +95,8 @@
 		c.onStateReply(now, m)
 	case proto.NoteSubmit:
 		c.onNoteSubmit(now, in.From, m)
+	case proto.HistoryQuery, proto.ConfigQuery, proto.StatusQuery, proto.ExplainQuery, proto.QuarantineLift:
+		c.onOperator(now, in)
 	case proto.IntentWanted:
 		c.onIntentWanted(now, m)
 	case proto.OutcomeKnown:
@@ -137,12 +141,13 @@
 		c.intents.Tick(now)
 	}
 	c.suspects.Tick(now)
+	c.tickSearches(now)
 	c.settle(now)
 }
 
 // Wake implements proto.Machine.
 func (c *Control) Wake() proto.Instant {
-	wake := proto.Earliest(c.log.Wake(), c.peers.beatAt, c.workAt)
+	wake := proto.Earliest(c.log.Wake(), c.peers.beatAt, c.workAt, c.searches.wake())
 	if c.intents != nil {
 		wake = min(wake, c.intents.Wake())
 	}
--- a/proof/fleet/callers.go
+++ b/proof/fleet/callers.go
@@ -38,6 +38,8 @@
 	world   *drive.World
 	Answers map[proto.RequestID]*Answer
 	Notes   map[proto.RecordID]proto.NoteOutcome
+	// Replies holds the last answer to each operator by the id of its address.
+	Replies map[string]proto.Message
 	// OnEnd, if set, is called at the end of each request.
 	OnEnd func(a *Answer)
 	order []proto.RequestID
@@ -45,7 +47,7 @@
 }
 
 func newCallers(w *drive.World) *Callers {
-	return &Callers{world: w, Answers: map[proto.RequestID]*Answer{}, Notes: map[proto.RecordID]proto.NoteOutcome{}}
+	return &Callers{world: w, Answers: map[proto.RequestID]*Answer{}, Notes: map[proto.RecordID]proto.NoteOutcome{}, Replies: map[string]proto.Message{}}
 }
 
 // Send sends a request through a router.
@@ -74,6 +76,9 @@
 
 // Step implements proto.Machine.
 func (c *Callers) Step(now proto.Instant, in proto.Envelope) {
+	if in.To.Role == proto.RoleOperator {
+		c.Replies[in.To.ID] = in.Msg
+	}
 	if o, ok := in.Msg.(proto.NoteOutcome); ok {
 		c.Notes[o.ID] = o
 		return
--- /dev/null
+++ b/proof/fleet/operator_test.go
@@ -0,0 +1,225 @@
+package fleet_test
+
+import (
+	"encoding/json"
+	"testing"
+	"time"
+
+	"github.com/kumquatsill/kumquatsill/core/configlog"
+	"github.com/kumquatsill/kumquatsill/core/note"
+	"github.com/kumquatsill/kumquatsill/core/proto"
+	"github.com/kumquatsill/kumquatsill/core/suspect"
+	"github.com/kumquatsill/kumquatsill/proof/fleet"
+	"github.com/kumquatsill/kumquatsill/standin/logsvc"
+)
+
+// ask sends an operator's message through router i and returns the answer.
+func ask[R proto.Message](t *testing.T, f *fleet.Fleet, i int, id string, m proto.Message) R {
+	t.Helper()
+	delete(f.Callers.Replies, id)
+	f.World.Inject(proto.Envelope{From: proto.Addr{Role: proto.RoleOperator, ID: id}, To: f.RouterAddr(i), Msg: m})
+	if !f.World.RunUntil(time.Minute, func() bool { return f.Callers.Replies[id] != nil }) {
+		t.Fatalf("router %d did not answer %s", i, m.Kind())
+	}
+	reply, ok := f.Callers.Replies[id].(R)
+	if !ok {
+		t.Fatalf("router %d answered %s with %s", i, m.Kind(), f.Callers.Replies[id].Kind())
+	}
+	return reply
+}
+
+func submission(t *testing.T, id proto.RecordID, n note.Note) proto.NoteSubmit {
+	t.Helper()
+	body, err := json.Marshal(n)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return proto.NoteSubmit{ID: id, Note: body}
+}
+
+func accountNote(base proto.Revision, id proto.AccountID) note.Note {
+	return note.Note{BasedOn: base, Added: note.Items{Accounts: []note.Account{{ID: id, Rate: 10, Burst: 100}}}}
+}
+
+// Guards against a submission that is sent again, through the same or another
+// router, being a second note or getting another answer.
+func TestNoteSubmittedAgainCountsOnce(t *testing.T) {
+	f := startSmall(t, 3)
+	m := submission(t, "again", accountNote(1, "beta"))
+	first := f.Callers
+	// Both copies reach the log before either router has read one.
+	for i := range 2 {
+		f.World.Inject(proto.Envelope{From: proto.Addr{Role: proto.RoleOperator, ID: "op"}, To: f.RouterAddr(i), Msg: m})
+	}
+	f.World.RunUntil(time.Minute, func() bool { return first.Replies["op"] != nil && f.Ready(2) })
+	f.World.Run(5 * time.Second)
+	for i := range 2 {
+		out := ask[proto.NoteOutcome](t, f, i, "late", m)
+		if out.Status != proto.NoteAccepted || out.Revision != 2 {
+			t.Errorf("router %d: %+v, want accepted as revision 2", i, out)
+		}
+		got := ask[proto.HistoryReply](t, f, i, "status", proto.HistoryQuery{ID: "h", Note: "again"})
+		if len(got.Entries) != 1 || got.Entries[0].Status != proto.NoteAccepted || got.Freshness.Stamp.Revision != 2 {
+			t.Errorf("router %d: history %+v, want one accepted entry", i, got)
+		}
+	}
+	copies := 0
+	for _, r := range f.Log.Records(proto.StreamConfig) {
+		if r.ID == "again" && r.Kind == configlog.KindReleaseNote {
+			copies++
+		}
+	}
+	if copies != 2 {
+		t.Errorf("%d copies in the log, want 2, else the test shows nothing", copies)
+	}
+}
+
+// Guards against a lost answer whose note cannot be looked up: the router
+// that took the note dies before it answers.
+func TestNoteOfLostRouterIsFoundThroughAnother(t *testing.T) {
+	f := startSmall(t, 4)
+	f.World.Inject(proto.Envelope{
+		From: proto.Addr{Role: proto.RoleOperator, ID: "op"}, To: f.RouterAddr(0), Msg: submission(t, "lost", accountNote(1, "beta")),
+	})
+	f.World.RunUntil(time.Minute, func() bool { return f.Routers[1].Snapshot().Config.Revision == 2 })
+	f.StopRouter(0)
+	got := ask[proto.HistoryReply](t, f, 1, "op2", proto.HistoryQuery{ID: "h", Note: "lost"})
+	if len(got.Entries) != 1 || got.Entries[0].Status != proto.NoteAccepted || got.Entries[0].Router != f.RouterID(0) {
+		t.Errorf("history %+v, want the note that router 0 took", got.Entries)
+	}
+}
+
+// Guards against two accepted notes on one base, and a loser that is not told
+// which revision beat it.
+func TestRacingNotes(t *testing.T) {
+	f := startSmall(t, 5)
+	for i, id := range []proto.RecordID{"race-a", "race-b"} {
+		f.Submit(i, id, accountNote(1, proto.AccountID(id)))
+	}
+	f.World.RunUntil(time.Minute, func() bool { return len(f.Callers.Notes) == 3 })
+	a, b := f.Callers.Notes["race-a"], f.Callers.Notes["race-b"]
+	if a.Status == proto.NoteBeaten {
+		a, b = b, a
+	}
+	if a.Status != proto.NoteAccepted || b.Status != proto.NoteBeaten || a.Revision != 2 || b.Revision != 2 {
+		t.Errorf("outcomes %+v and %+v, want accepted and beaten at revision 2", a, b)
+	}
+}
+
+// Guards against a refused note that reports only its first error, and ids
+// that could be taken for a router's record.
+func TestBadNotesAreRefusedWithEveryField(t *testing.T) {
+	f := startSmall(t, 6)
+	bad := note.Note{BasedOn: 1, Added: note.Items{
+		Accounts: []note.Account{{ID: "x y", Rate: 0, Burst: -1}}, Keys: []note.Key{{Hash: "short", Account: "nobody"}},
+	}}
+	out := ask[proto.NoteOutcome](t, f, 0, "op", submission(t, "bad", bad))
+	fields := map[string]bool{}
+	for _, p := range out.Problems {
+		fields[p.Field] = true
+	}
+	for _, want := range []string{"added.accounts[0].id", "added.accounts[0].rate", "added.accounts[0].burst", "added.keys[0].hash", "added.keys[0].account"} {
+		if !fields[want] {
+			t.Errorf("no problem with %s in %+v", want, out)
+		}
+	}
+	dotted := ask[proto.NoteOutcome](t, f, 0, "op", submission(t, proto.RecordID(f.RouterID(1))+".9999", accountNote(1, "beta")))
+	if dotted.Status != proto.NoteRefused || len(dotted.Problems) != 1 || dotted.Problems[0].Field != "id" {
+		t.Errorf("an id of a router's form: %+v, want refused", dotted)
+	}
+}
+
+// Guards against a note that the log could not take being reported as
+// anything but unknown or refused, and against an operator who gets no answer.
+func TestNoteDuringLogOutage(t *testing.T) {
+	f := startSmall(t, 7)
+	f.Log.SetOutage(logsvc.Silent)
+	out := ask[proto.NoteOutcome](t, f, 0, "op", submission(t, "dark", accountNote(1, "beta")))
+	if out.Status != proto.NoteUnknown {
+		t.Errorf("%+v, want unknown", out)
+	}
+	status := ask[proto.StatusReply](t, f, 0, "op", proto.StatusQuery{ID: "s"})
+	if status.Freshness.LogReachable || !status.Freshness.GeneralOutage {
+		t.Errorf("freshness %+v, want an unreachable log in a general outage", status.Freshness)
+	}
+	explained := ask[proto.ExplainReply](t, f, 0, "op", proto.ExplainQuery{ID: "e", Request: "none"})
+	if !explained.Incomplete {
+		t.Errorf("%+v, want incomplete, since the audit stream cannot be read", explained)
+	}
+	f.Log.SetOutage(logsvc.Working)
+	f.World.Run(5 * time.Second)
+	again := ask[proto.NoteOutcome](t, f, 1, "op", submission(t, "dark", accountNote(1, "beta")))
+	if again.Status != proto.NoteAccepted || again.Revision != 2 {
+		t.Errorf("after the outage %+v, want accepted as revision 2", again)
+	}
+}
+
+// Guards against a request that only the router that served it can explain,
+// and against an unknown request that is not reported as such.
+func TestExplainThroughAnyRouter(t *testing.T) {
+	f := startSmall(t, 8)
+	for _, id := range []proto.RequestID{"mine~1", "mine~2"} {
+		f.Callers.Send(f.RouterAddr(1), generation(id))
+	}
+	f.World.Run(20 * time.Second)
+	for i, source := range []proto.ExplainSource{proto.ExplainedByAudit, proto.ExplainedByRouter} {
+		for _, asked := range []proto.RequestID{"mine~1", "mine"} {
+			got := ask[proto.ExplainReply](t, f, i, "op", proto.ExplainQuery{ID: "e", Request: asked})
+			if got.Request == nil || got.Source != source || got.Router != f.RouterID(1) {
+				t.Errorf("router %d on %q: %+v, want the request from %s", i, asked, got, source)
+				continue
+			}
+			if r := got.Request; r.Revision != 1 || r.Verdict != proto.Ran || len(r.Attempts) != 1 || r.Attempts[0].Reason == "" {
+				t.Errorf("router %d on %q: %+v, want the attempt with its reason", i, asked, *r)
+			}
+		}
+	}
+	none := ask[proto.ExplainReply](t, f, 0, "op", proto.ExplainQuery{ID: "e", Request: "none"})
+	if none.Request != nil || none.Incomplete {
+		t.Errorf("unknown request: %+v, want a complete search without a result", none)
+	}
+}
+
+// Guards against a search that stops at the newest records, skips some or
+// reads on for ever where retention cuts the stream.
+func TestExplainSearchesTheWholeStream(t *testing.T) {
+	f := startSmall(t, 9)
+	f.Callers.Send(f.RouterAddr(1), generation("old"))
+	f.World.Run(20 * time.Second)
+	for range 100 {
+		f.Log.Seed(proto.StreamAudit, proto.Record{Kind: "other", Body: json.RawMessage("{}")})
+	}
+	if got := ask[proto.ExplainReply](t, f, 0, "op", proto.ExplainQuery{ID: "e", Request: "old"}); got.Request == nil {
+		t.Errorf("%+v, want the request from before the newest 100 records", got)
+	}
+}
+
+// Guards against a quarantine that an operator cannot end, or that a status
+// does not show.
+func TestQuarantineIsListedAndLifted(t *testing.T) {
+	f := startSmall(t, 10)
+	subject := suspect.Key{Account: "acme", Fingerprint: "f00d"}
+	body, err := json.Marshal(suspect.Quarantine{Key: subject})
+	if err != nil {
+		t.Fatal(err)
+	}
+	f.Log.Seed(proto.StreamConfig, proto.Record{ID: "q.1", Kind: suspect.KindQuarantine, Body: body})
+	f.World.Run(5 * time.Second)
+	listed := ask[proto.StatusReply](t, f, 0, "op", proto.StatusQuery{ID: "s"})
+	if len(listed.Suspects) != 1 || !listed.Suspects[0].Quarantined || len(listed.Routers) != 2 || len(listed.Endpoints) != 2 {
+		t.Fatalf("status %+v, want one quarantine, two routers, two endpoints", listed)
+	}
+	lift := proto.QuarantineLift{ID: "lift-1", Account: "acme", Fingerprint: "f00d", Operator: "ann"}
+	if out := ask[proto.QuarantineLifted](t, f, 0, "op", lift); out.Status != proto.LiftDone {
+		t.Errorf("%+v, want released", out)
+	}
+	f.World.Run(5 * time.Second)
+	for i := range 2 {
+		if s := f.Routers[i].Snapshot(); len(s.Quarantined) != 0 {
+			t.Errorf("router %d still refuses %v", i, s.Quarantined)
+		}
+	}
+	if out := ask[proto.QuarantineLifted](t, f, 1, "op", proto.QuarantineLift{ID: "lift-2", Account: "acme", Fingerprint: "f00d"}); out.Status != proto.LiftAbsent {
+		t.Errorf("second release: %+v, want absent", out)
+	}
+}
