--- /dev/null
+++ b/app/auditlog/read.go
@@ -0,0 +1,125 @@
+// Package auditlog reads the audit stream of the log service, keeps it in
+// files and verifies it.
+package auditlog
+
+import (
+	"context"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/kumquatsill/kumquatsill/app/shell"
+	"github.com/kumquatsill/kumquatsill/core/proto"
+	"github.com/zeebo/errs"
+)
+
+// Error is the class of all errors of this package.
+var Error = errs.Class("auditlog")
+
+const (
+	// readRecords is the number of records of one read, about 2 MB when full.
+	readRecords = 32
+	// headOffset is beyond any head: a read there brings only the bounds.
+	headOffset proto.Offset = 1 << 62
+	// maxFailures is the number of failed reads in a row after which the log
+	// counts as unreachable, retryPause the time between them.
+	maxFailures = 5
+	retryPause  = 500 * time.Millisecond
+)
+
+// Bounds are the offsets that a stream holds: from First up to Head, without Head.
+type Bounds struct {
+	First proto.Offset `json:"first"`
+	Head  proto.Offset `json:"head"`
+}
+
+// Source yields the records of an audit stream in order. record is called
+// for each; its error ends the reading.
+type Source interface {
+	Bounds(ctx context.Context) (Bounds, error)
+	Read(ctx context.Context, b Bounds, record func(proto.Record) error) error
+}
+
+// Log reads the audit stream from the log service.
+type Log struct {
+	client  *shell.LogClient
+	answers chan proto.Envelope
+	calls   uint64
+}
+
+// NewLog returns a reader of the log service at addr. Close must follow.
+func NewLog(client *shell.Client, addr string) *Log {
+	l := &Log{answers: make(chan proto.Envelope, 1)}
+	l.client = shell.NewLogClient(client, addr, shell.NewMetrics(metrics.NewSet()), func(env proto.Envelope) bool {
+		l.answers <- env
+		return true
+	})
+	return l
+}
+
+// Close ends the reader. No read may be under way.
+func (l *Log) Close() error { return l.client.Stop() }
+
+// Bounds implements Source.
+func (l *Log) Bounds(ctx context.Context) (Bounds, error) {
+	m, err := l.read(ctx, headOffset, 1)
+	return Bounds{First: m.First, Head: m.Head}, err
+}
+
+// Read implements Source. It fails if the log drops records before they are
+// read, so that no hole goes unnoticed.
+func (l *Log) Read(ctx context.Context, b Bounds, record func(proto.Record) error) error {
+	for next := b.First; next < b.Head; {
+		m, err := l.read(ctx, next, readRecords)
+		if err != nil {
+			return err
+		}
+		if m.First > next {
+			return Error.New("the log dropped offsets %d to %d while they were read; try again", next, m.First-1)
+		}
+		if len(m.Records) == 0 {
+			return Error.New("the log has no record at offset %d, although its head is %d", next, m.Head)
+		}
+		for _, rec := range m.Records {
+			if rec.Offset != next {
+				return Error.New("the log sent offset %d in place of %d", rec.Offset, next)
+			}
+			if next >= b.Head {
+				break
+			}
+			if err := record(rec); err != nil {
+				return err
+			}
+			next++
+		}
+	}
+	return nil
+}
+
+// UnreachableError tells that the log service did not answer.
+type UnreachableError struct{ Detail string }
+
+// Error implements error.
+func (e *UnreachableError) Error() string { return "the log service did not answer: " + e.Detail }
+
+func (l *Log) read(ctx context.Context, from proto.Offset, limit int) (proto.LogRecords, error) {
+	detail := ""
+	for range maxFailures {
+		l.calls++
+		l.client.Send(proto.Envelope{
+			From: proto.Addr{Role: proto.RoleOperator}, To: proto.Log,
+			Msg: proto.LogRead{Call: l.calls, Stream: proto.StreamAudit, From: from, Max: limit},
+		})
+		switch m := (<-l.answers).Msg.(type) {
+		case proto.LogRecords:
+			return m, nil
+		case proto.LogFailed:
+			detail = m.Detail
+		}
+		select {
+		case <-time.After(retryPause):
+		case <-ctx.Done():
+			return proto.LogRecords{}, &UnreachableError{Detail: detail}
+		}
+	}
+	return proto.LogRecords{}, &UnreachableError{Detail: detail}
+}
--- a/app/cmd/kumquatsill/main.go
+++ b/app/cmd/kumquatsill/main.go
@@ -8,13 +8,23 @@
 )
 
 // commands lists the subcommands; each is defined in its own file.
-func commands() []settings.Command {
+func commands(s streams) []settings.Command {
 	return []settings.Command{
 		routerCommand(),
 		devCommand(),
+		noteCommand(s),
+		keyCommand(s),
+		statusCommand(s),
+		explainCommand(s),
+		quarantineCommand(s),
+		auditCommand(s),
 	}
 }
 
+func run(s streams, args []string) int {
+	return settings.Run("kumquatsill", commands(s), args, s.out, s.err)
+}
+
 func main() {
-	os.Exit(settings.Run("kumquatsill", commands(), os.Args[1:], os.Stdout, os.Stderr))
+	os.Exit(run(streams{in: os.Stdin, out: os.Stdout, err: os.Stderr}, os.Args[1:]))
 }
--- /dev/null
+++ b/app/cmd/kumquatsill/operator.go
@@ -0,0 +1,158 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"os"
+	"strconv"
+	"strings"
+	"text/tabwriter"
+	"time"
+
+	"github.com/kumquatsill/kumquatsill/app/operator"
+	"github.com/kumquatsill/kumquatsill/app/settings"
+	"github.com/kumquatsill/kumquatsill/app/shell"
+	"github.com/kumquatsill/kumquatsill/core/proto"
+)
+
+// exitCodes is the part of the help text on exit codes.
+const exitCodes = `
+
+Exit codes: 0 success, 1 other failure, 2 bad settings, arguments or input, 3 refused, 4 beaten by another note, 5 router or log unreachable or outcome unknown, 6 verification found faults, 7 not found.`
+
+// streams are the input and outputs of a command.
+type streams struct {
+	in       io.Reader
+	out, err io.Writer
+}
+
+// printer writes what a command found.
+type printer struct {
+	JSON bool `long:"json" description:"print JSON for scripts"`
+	streams
+}
+
+// show prints value as JSON, or else as text.
+func (p *printer) show(value any, text func(w io.Writer)) error {
+	if p.JSON {
+		return p.encode(value)
+	}
+	text(p.out)
+	return nil
+}
+
+func (p *printer) encode(value any) error {
+	out := json.NewEncoder(p.out)
+	out.SetIndent("", "  ")
+	return out.Encode(value)
+}
+
+// table writes aligned rows; each row is the cells of one line.
+func table(w io.Writer, rows ...[]string) {
+	out := tabwriter.NewWriter(w, 0, 8, 2, ' ', 0)
+	for _, row := range rows {
+		for i := range row {
+			row[i] = visible(row[i])
+		}
+		_, _ = fmt.Fprintln(out, strings.Join(row, "\t"))
+	}
+	_ = out.Flush()
+}
+
+// visible keeps text from the network from steering a terminal or a table.
+func visible(text string) string {
+	quoted := strconv.Quote(text)
+	return strings.ReplaceAll(quoted[1:len(quoted)-1], `\"`, `"`)
+}
+
+func number[N ~int | ~int64](n N) string { return strconv.FormatInt(int64(n), 10) }
+
+// age formats a time since something, which never happened if it is negative.
+func age(d time.Duration) string {
+	if d < 0 {
+		return "never"
+	}
+	return d.Round(time.Millisecond).String()
+}
+
+func yesNo(b bool) string {
+	if b {
+		return "yes"
+	}
+	return "no"
+}
+
+// routerFlag says which routers a command asks.
+type routerFlag struct {
+	Routers []string     `long:"router" env:"KUMQUATSILL_ROUTER" env-delim:"," default:"127.0.0.1:8081" value-name:"IP:PORT" description:"internal listener of a router; give several to ask the next when one does not answer"`
+	Timeout string       `long:"timeout" default:"30s" description:"longest wait for the answer"`
+	TLS     settings.TLS `group:"Mutual TLS to routers" namespace:"internal-tls" env-namespace:"KUMQUATSILL_INTERNAL_TLS"`
+}
+
+func (f *routerFlag) check(c *settings.Checker) {
+	for _, addr := range f.Routers {
+		c.Address("router", addr)
+	}
+	c.Duration("timeout", f.Timeout)
+	c.Mutual("internal-tls", f.TLS)
+}
+
+// ask sends a message to the routers of the flags, which were checked.
+func ask[R proto.Message](f *routerFlag, m proto.Message) (R, error) {
+	var none R
+	config, err := shell.ClientTLS(f.TLS.Files())
+	if err != nil {
+		return none, &settings.CodedError{Code: settings.ExitUsage, Err: err}
+	}
+	timeout, err := time.ParseDuration(f.Timeout)
+	if err != nil {
+		return none, err
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), timeout)
+	defer cancel()
+	client := operator.New(shell.NewClient(config), f.Routers)
+	defer client.Close()
+	reply, err := operator.Ask[R](ctx, client, m)
+	return reply, coded(err)
+}
+
+// coded gives errors of Ask their exit codes.
+func coded(err error) error {
+	var lost *operator.UnreachableError
+	var status *shell.StatusError
+	switch {
+	case errors.As(err, &lost):
+		return &settings.CodedError{Code: settings.ExitUnreachable, Err: err}
+	case errors.As(err, &status):
+		return &settings.CodedError{Code: settings.ExitRefused, Err: err}
+	}
+	return err
+}
+
+// readInput reads a file, or standard input for "-".
+func (s streams) readInput(name string) ([]byte, error) {
+	var data []byte
+	var err error
+	if name == "-" {
+		data, err = io.ReadAll(s.in)
+	} else {
+		data, err = os.ReadFile(name)
+	}
+	if err != nil {
+		return nil, &settings.CodedError{Code: settings.ExitUsage, Err: err}
+	}
+	return data, nil
+}
+
+// warnStale tells on the error output what limits the truth of an answer.
+func (s streams) warnStale(f proto.Freshness) {
+	switch {
+	case !f.Ready:
+		_, _ = fmt.Fprintf(s.err, "warning: router %s has not read the whole log yet\n", visible(string(f.Router)))
+	case !f.LogReachable:
+		_, _ = fmt.Fprintf(s.err, "warning: router %s cannot read the log; its state was last complete %s ago\n", visible(string(f.Router)), age(f.ProofAge))
+	}
+}
--- /dev/null
+++ b/app/cmd/kumquatsill/operator_test.go
@@ -0,0 +1,302 @@
+package main
+
+import (
+	"bytes"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"log/slog"
+	"net/http"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/kumquatsill/kumquatsill/app/dev"
+	"github.com/kumquatsill/kumquatsill/app/operator"
+	"github.com/kumquatsill/kumquatsill/app/settings"
+	"github.com/kumquatsill/kumquatsill/app/shell"
+	"github.com/kumquatsill/kumquatsill/core/note"
+	"github.com/kumquatsill/kumquatsill/core/proto"
+)
+
+// hangGuard ends a test that waits for something that does not come.
+const hangGuard = 2 * time.Minute
+
+// deadAddr is an address at which nothing listens: port 1 is reserved.
+const deadAddr = "127.0.0.1:1"
+
+// startFleet starts a fleet with two routers in this process.
+func startFleet(t *testing.T) *dev.Dev {
+	t.Helper()
+	d, err := dev.New(dev.Config{Listen: "127.0.0.1:0", Routers: 2, Engines: 2, Seed: 1, Log: slog.New(slog.DiscardHandler)})
+	if err != nil {
+		t.Fatal(err)
+	}
+	ready := make(chan struct{})
+	d.OnReady = func() { close(ready) }
+	d.Start()
+	t.Cleanup(func() {
+		if err := d.Drain(); err != nil {
+			t.Errorf("drain: %v", err)
+		}
+	})
+	select {
+	case <-ready:
+	case <-d.Failed():
+		t.Fatal(d.Err())
+	case <-time.After(hangGuard):
+		t.Fatal("the fleet is not ready")
+	}
+	return d
+}
+
+// result is what a command left behind.
+type result struct {
+	code     int
+	out, err string
+}
+
+func cli(input string, args ...string) result {
+	var out, errs bytes.Buffer
+	code := run(streams{in: strings.NewReader(input), out: &out, err: &errs}, args)
+	return result{code, out.String(), errs.String()}
+}
+
+func (r result) want(t *testing.T, code int, parts ...string) result {
+	t.Helper()
+	if r.code != code {
+		t.Errorf("exit code %d, want %d\n%s%s", r.code, code, r.out, r.err)
+	}
+	for _, part := range parts {
+		if !strings.Contains(r.out+r.err, part) {
+			t.Errorf("no %q in the output:\n%s%s", part, r.out, r.err)
+		}
+	}
+	return r
+}
+
+func decodeOutput[T any](t *testing.T, r result) T {
+	t.Helper()
+	var value T
+	if err := json.Unmarshal([]byte(r.out), &value); err != nil {
+		t.Fatalf("%v in:\n%s%s", err, r.out, r.err)
+	}
+	return value
+}
+
+func accountJSON(base int, id string) string {
+	return fmt.Sprintf(`{"based_on":%d,"author":"ann","reason":"more","added":{"accounts":[{"id":%q,"rate":10,"burst":100}]}}`, base, id)
+}
+
+func write(t *testing.T, name, content string) string {
+	t.Helper()
+	path := filepath.Join(t.TempDir(), name)
+	if err := os.WriteFile(path, []byte(content), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	return path
+}
+
+// call sends a request of the example account and returns the status.
+func call(t *testing.T, d *dev.Dev, key, id string) int {
+	t.Helper()
+	body := `{"model":"assistant","max_tokens":3,"messages":[{"role":"user","content":"Hello"}]}`
+	req, err := http.NewRequest(http.MethodPost, "http://"+d.Callers()+"/v1/chat/completions", strings.NewReader(body))
+	if err != nil {
+		t.Fatal(err)
+	}
+	req.Header.Set("Authorization", "Bearer "+key)
+	req.Header.Set("X-Request-Id", id)
+	res, err := http.DefaultClient.Do(req)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = res.Body.Close() }()
+	if _, err := io.Copy(io.Discard, res.Body); err != nil {
+		t.Fatal(err)
+	}
+	return res.StatusCode
+}
+
+// eventually repeats a command until it ends with the code.
+func eventually(t *testing.T, code int, args ...string) result {
+	t.Helper()
+	for end := time.Now().Add(hangGuard); ; time.Sleep(100 * time.Millisecond) {
+		if r := cli("", args...); r.code == code || time.Now().After(end) {
+			return r.want(t, code)
+		}
+	}
+}
+
+// Guards against a note that takes no effect, that counts twice when it is
+// sent again, or that another router cannot look up, compare or explain.
+func TestNoteCommands(t *testing.T) {
+	d := startFleet(t)
+	first, second := d.Operators()[0], d.Operators()[1]
+	cli(accountJSON(1, "beta"), "note", "submit", "-", "--id", "change-1", "--router", first).want(t, settings.ExitOK, "accepted, revision 2")
+	eventually(t, settings.ExitOK, "note", "status", "change-1", "--router", second).want(t, settings.ExitOK, "change-1", "accepted", "ann")
+	cli(accountJSON(1, "beta"), "note", "submit", "-", "--id", "change-1", "--router", deadAddr, "--router", second).want(t, settings.ExitOK, "accepted, revision 2")
+	cli("", "note", "history", "--router", second).want(t, settings.ExitOK, "dev-note", "change-1")
+
+	base := cli("", "note", "show", "--json", "--router", first)
+	if got := decodeOutput[note.Config](t, base); got.Revision != 2 || got.Accounts["beta"].Rate != 10 {
+		t.Errorf("configuration in force: %+v", got)
+	}
+	file := write(t, "base.json", base.out)
+	cli(accountJSON(2, "gamma"), "note", "check", "-", "--base", file).want(t, settings.ExitOK, "can become revision 3")
+	cli(accountJSON(1, "gamma"), "note", "check", "-", "--base", file).want(t, settings.ExitBeaten, "based_on", "revision 2")
+	cli(accountJSON(2, "beta"), "note", "check", "-", "--router", first).want(t, settings.ExitRefused, "added.accounts[0]", "present already")
+	cli(accountJSON(2, "gamma"), "note", "submit", "-", "--router", first).want(t, settings.ExitOK, "revision 3")
+	diff := decodeOutput[note.Note](t, cli("", "note", "diff", file, "--json", "--router", first))
+	if diff.BasedOn != 2 || len(diff.Added.Accounts) != 1 || diff.Added.Accounts[0].ID != "gamma" {
+		t.Errorf("difference %+v, want the account gamma on revision 2", diff)
+	}
+	cli("", "note", "diff", file, "--router", first).want(t, settings.ExitOK, "from revision 2 to revision 3", "gamma")
+	cli("", "note", "show", "--router", first).want(t, settings.ExitOK, "revision 3", "engine-1", "/orders", "tail weight")
+}
+
+// Guards against two operators who both believe that their note is in force,
+// and a loser who is not told which note beat it.
+func TestRacingOperators(t *testing.T) {
+	d := startFleet(t)
+	var wg sync.WaitGroup
+	results := make([]result, 2)
+	for i, addr := range d.Operators() {
+		wg.Go(func() {
+			results[i] = cli(accountJSON(1, fmt.Sprintf("racer-%d", i)), "note", "submit", "-", "--id", fmt.Sprintf("race-%d", i), "--router", addr)
+		})
+	}
+	wg.Wait()
+	winner := 0
+	if results[1].code == settings.ExitOK {
+		winner = 1
+	}
+	results[winner].want(t, settings.ExitOK, "accepted, revision 2")
+	results[1-winner].want(t, settings.ExitBeaten, "beaten", "revision 2 is note race-"+fmt.Sprint(winner))
+	cli("", "note", "status", fmt.Sprintf("race-%d", 1-winner), "--router", d.Operators()[0]).want(t, settings.ExitBeaten)
+}
+
+// Guards against bad input that is accepted, that is answered by its first
+// fault only, or whose exit code a script cannot tell apart.
+func TestBadInput(t *testing.T) {
+	d := startFleet(t)
+	router := d.Operators()[0]
+	bad := `{"based_on":1,"added":{"accounts":[{"id":"x y","rate":0,"burst":-1}],"keys":[{"hash":"short","account":"nobody"}]}}`
+	fields := []string{"added.accounts[0].id", "added.accounts[0].rate", "added.accounts[0].burst", "added.keys[0].hash", "added.keys[0].account"}
+	cli(bad, "note", "submit", "-", "--router", router).want(t, settings.ExitRefused, fields...)
+	cli(bad, "note", "check", "-", "--router", router).want(t, settings.ExitRefused, fields...)
+	cli(accountJSON(1, "beta"), "note", "submit", "-", "--id", "a.1", "--router", router).want(t, settings.ExitRefused, "id must be")
+	cli(`{"based_on":1,"bogus":1}`, "note", "submit", "-", "--router", router).want(t, settings.ExitUsage, "bogus")
+	cli(`{"based_on":`, "note", "check", "-", "--empty-base").want(t, settings.ExitUsage, "JSON")
+	cli("", "note", "check", filepath.Join(t.TempDir(), "none"), "--empty-base").want(t, settings.ExitUsage)
+	cli("", "note", "submit").want(t, settings.ExitUsage, "FILE is missing")
+	cli("", "note", "show", "--router", "nowhere", "--timeout", "soon").want(t, settings.ExitUsage, "--router", "--timeout")
+	cli("", "note", "show", "surplus", "--router", router).want(t, settings.ExitUsage, "surplus")
+	cli("", "note", "example", "other").want(t, settings.ExitUsage, "pompas")
+	cli("", "note", "history", "--max", "0").want(t, settings.ExitUsage, "--max")
+	cli("", "note", "bogus").want(t, settings.ExitUsage)
+	cli("", "key", "create", "--account", "a b", "--based-on", "-1").want(t, settings.ExitUsage, "--account", "--based-on")
+	cli("", "note", "status", "none", "--router", router).want(t, settings.ExitNotFound)
+	cli("", "explain", "none", "--router", router).want(t, settings.ExitNotFound, "neither")
+	cli("", "quarantine", "release", "example", "none", "--router", router).want(t, settings.ExitNotFound)
+}
+
+// Guards against an unreachable router or log that is reported as success or
+// as a refusal, and against a submission of which the operator is not told
+// whether it was sent.
+func TestUnreachable(t *testing.T) {
+	for _, args := range [][]string{
+		{"note", "show"}, {"note", "history"}, {"note", "status", "x"}, {"status"}, {"explain", "x"},
+		{"quarantine", "list"}, {"quarantine", "release", "a", "f"},
+	} {
+		cli("", append(args, "--router", deadAddr)...).want(t, settings.ExitUnreachable, deadAddr)
+	}
+	cli(accountJSON(0, "a"), "note", "submit", "-", "--router", deadAddr).want(t, settings.ExitUnreachable, "was not sent")
+	cli("", "audit", "verify", "--log-addr", deadAddr).want(t, settings.ExitUnreachable)
+	file := filepath.Join(t.TempDir(), "audit.jsonl")
+	cli("", "audit", "export", "--output", file, "--log-addr", deadAddr).want(t, settings.ExitUnreachable)
+	if left, err := os.ReadDir(filepath.Dir(file)); err != nil || len(left) > 0 {
+		t.Errorf("a failed export left %v, %v", left, err)
+	}
+}
+
+// Guards against a created key that does not admit, a hash that is not that
+// of the secret, and secrets that repeat.
+func TestKeyCreate(t *testing.T) {
+	d := startFleet(t)
+	args := []string{"key", "create", "--account", "example", "--based-on", "1", "--json"}
+	key, other := decodeOutput[newKey](t, cli("", args...)), decodeOutput[newKey](t, cli("", args...))
+	if key.Secret == other.Secret || len(key.Secret) < 40 || key.Hash != note.HashKey(key.Secret) {
+		t.Errorf("keys %+v and %+v", key, other)
+	}
+	fragment, err := json.Marshal(key.Note)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if strings.Contains(string(fragment), key.Secret) {
+		t.Error("the note holds the secret")
+	}
+	if status := call(t, d, key.Secret, "early"); status != http.StatusUnauthorized {
+		t.Errorf("status %d before the note, want 401", status)
+	}
+	cli(string(fragment), "note", "submit", "-", "--router", d.Operators()[0]).want(t, settings.ExitOK, "revision 2")
+	if status := call(t, d, key.Secret, "late"); status != http.StatusOK {
+		t.Errorf("status %d after the note, want 200", status)
+	}
+}
+
+// Guards against a request that not every router can explain, and against a
+// status that lacks a part of the fleet.
+func TestExplainAndStatus(t *testing.T) {
+	d := startFleet(t)
+	if status := call(t, d, d.Key(), "refill-1"); status != http.StatusOK {
+		t.Fatalf("status %d", status)
+	}
+	eventually(t, settings.ExitOK, "explain", "refill-1", "--router", d.Operators()[0]).want(t, settings.ExitOK, "memory of the router", "engine-", "ran")
+	other := eventually(t, settings.ExitOK, "explain", "refill-1", "--json", "--router", d.Operators()[1])
+	got := decodeOutput[proto.ExplainReply](t, other)
+	if got.Source != proto.ExplainedByAudit || got.Request.Revision != 1 || len(got.Request.Attempts) != 1 || got.Request.Attempts[0].Reason == "" {
+		t.Errorf("the other router explains %+v", got)
+	}
+	status := decodeOutput[proto.StatusReply](t, cli("", "status", "--json", "--router", d.Operators()[0]))
+	reported := 0
+	for _, e := range status.Endpoints {
+		if e.ReportAge >= 0 && e.Report.Incarnation != "" {
+			reported++
+		}
+	}
+	if len(status.Endpoints) != 3 || reported == 0 || !status.Freshness.Ready || !status.Freshness.LogReachable {
+		t.Errorf("status %+v", status)
+	}
+	page := readPage(t)
+	for _, c := range status.Counters {
+		if name := c.Name; !strings.Contains(page, "`"+name+"`") && !strings.HasPrefix(name, "failed_") {
+			t.Errorf("docs/operations.md does not name the counter %s", name)
+		}
+	}
+	cli("", "status", "--router", d.Operators()[0]).want(t, settings.ExitOK, "routers (", "endpoints (3)", "counters (")
+	cli("", "quarantine", "list", "--router", d.Operators()[0]).want(t, settings.ExitOK, "no fingerprint")
+}
+
+// Guards against operators' messages that a caller can send, and messages
+// that reach a router from a party that is no operator.
+func TestOperatorsHaveTheirOwnListener(t *testing.T) {
+	d := startFleet(t)
+	client := shell.NewClient(nil)
+	defer client.Close()
+	query := proto.ConfigQuery{ID: "q"}
+	_, err := operator.Ask[proto.ConfigReply](t.Context(), operator.New(client, []string{d.Callers()}), query)
+	var status *shell.StatusError
+	if !errors.As(err, &status) || status.Status/100 != 4 {
+		t.Errorf("the callers' listener answers operators with %v", err)
+	}
+	env := proto.Envelope{From: proto.RouterAddr("r"), To: proto.Addr{Role: proto.RoleRouter}, Msg: query}
+	err = client.PostEnvelope(t.Context(), d.Operators()[0], env, func(proto.Envelope) { t.Error("a router got an operator's answer") })
+	if !errors.As(err, &status) {
+		t.Errorf("a query from a router: %v, want a refusal", err)
+	}
+}
--- /dev/null
+++ b/app/cmd/kumquatsill/status.go
@@ -0,0 +1,271 @@
+package main
+
+import (
+	"fmt"
+	"io"
+	"strings"
+	"time"
+
+	"github.com/kumquatsill/kumquatsill/app/operator"
+	"github.com/kumquatsill/kumquatsill/app/settings"
+	"github.com/kumquatsill/kumquatsill/core/proto"
+)
+
+func statusCommand(s streams) settings.Command {
+	return settings.Command{
+		Name: "status", Short: "Show the state of the fleet as one router sees it", Data: &statusFlags{printer: printer{streams: s}},
+		Long: `Show the routers, leases, endpoints, quarantines and counters that one router knows, and how fresh its state is. Reports of endpoints are those that this router itself has got.
+
+Examples:
+  kumquatsill status --router 10.0.0.1:8081
+  kumquatsill status --json` + exitCodes,
+	}
+}
+
+type statusFlags struct {
+	printer
+	routerFlag
+}
+
+// Execute implements flags.Commander.
+func (f *statusFlags) Execute(args []string) error {
+	reply, err := f.fetch(args)
+	if err != nil {
+		return err
+	}
+	return f.show(reply, func(w io.Writer) { showStatus(w, reply) })
+}
+
+func (f *statusFlags) fetch(args []string) (proto.StatusReply, error) {
+	var c settings.Checker
+	c.NoArgs(args)
+	f.check(&c)
+	if err := c.Err(); err != nil {
+		return proto.StatusReply{}, err
+	}
+	reply, err := ask[proto.StatusReply](&f.routerFlag, proto.StatusQuery{ID: operator.NewID()})
+	if err == nil {
+		f.warnStale(reply.Freshness)
+	}
+	return reply, err
+}
+
+func showStatus(w io.Writer, r proto.StatusReply) {
+	f := r.Freshness
+	table(w,
+		[]string{"router", string(f.Router)},
+		[]string{"revision", number(f.Stamp.Revision)},
+		[]string{"config offset", number(f.Stamp.ConfigOffset)},
+		[]string{"ready", yesNo(f.Ready)},
+		[]string{"draining", yesNo(f.Draining)},
+		[]string{"log reachable", yesNo(f.LogReachable)},
+		[]string{"general outage", yesNo(f.GeneralOutage)},
+		[]string{"age of last complete state", age(f.ProofAge)},
+		[]string{"keyed traffic for", age(f.FreshFor)},
+	)
+	section(w, "routers", []string{"ROUTER", "DOMAIN", "ADDR", "SLOT", "HEARD AGE", "LOG REACHABLE"}, rowsOf(r.Routers, routerRow))
+	section(w, "leases", []string{"LEASE", "HOLDER", "FENCE", "TOUCHED", "TTL", "BALANCE", "RELEASED"}, rowsOf(r.Leases, func(l proto.LeaseStatus) []string {
+		return []string{l.Name, string(l.Holder), number(l.Fence), number(l.Touched), l.TTL.String(), number(l.Balance), yesNo(l.Released)}
+	}))
+	section(w, "endpoints", []string{"ENDPOINT", "KIND", "DOMAIN", "ADDR", "REPORT AGE", "RUNNING", "QUEUED", "QUEUED TOKENS", "STATE", "INCARNATION"}, rowsOf(r.Endpoints, endpointRow))
+	showSuspects(w, r.Suspects)
+	section(w, "counters", []string{"COUNTER", "VALUE"}, rowsOf(r.Counters, func(c proto.Counter) []string {
+		return []string{c.Name, number(c.Value)}
+	}))
+}
+
+func routerRow(r proto.RouterStatus) []string {
+	heard := age(r.HeardAge)
+	if r.Self {
+		heard = "self"
+	}
+	reachable := yesNo(r.LogReachable)
+	if r.HeardAge < 0 {
+		reachable = "unknown"
+	}
+	slot := number(r.Slot)
+	if r.Slot < 0 {
+		slot = "none"
+	}
+	return []string{string(r.Router), string(r.Domain), r.Addr, slot, heard, reachable}
+}
+
+func endpointRow(e proto.EndpointStatus) []string {
+	var state []string
+	if e.Leaving || e.Report.Leaving {
+		state = append(state, "leaving")
+	}
+	if e.Report.Down {
+		state = append(state, "down")
+	}
+	return []string{
+		string(e.Endpoint), e.Kind, string(e.Domain), e.Addr, age(e.ReportAge), number(e.Report.Running), number(e.Report.Queued),
+		number(e.Report.QueuedTokens), strings.Join(state, " "), string(e.Report.Incarnation),
+	}
+}
+
+func showSuspects(w io.Writer, suspects []proto.SuspectStatus) {
+	section(w, "quarantines and suspects", []string{"ACCOUNT", "FINGERPRINT", "STATE", "CRASHED", "SINCE OFFSET"}, rowsOf(suspects, func(s proto.SuspectStatus) []string {
+		state := "suspect"
+		if s.Quarantined {
+			state = "quarantined"
+		}
+		var crashed []string
+		for _, id := range s.Endpoints {
+			crashed = append(crashed, string(id))
+		}
+		return []string{string(s.Account), string(s.Fingerprint), state, strings.Join(crashed, " "), number(s.Since)}
+	}))
+}
+
+func explainCommand(s streams) settings.Command {
+	return settings.Command{
+		Name: "explain", Short: "Tell what became of a request", Data: &explainFlags{printer: printer{streams: s}},
+		Long: `Tell where a request ran and why, under which revision, what was tried, and with which verdict it ended. Any router can explain any request whose audit record the log still retains; records reach the log within seconds. REQUEST-ID is the Kumquatsill-Request-Id of the answer, or the caller's X-Request-Id, which finds the latest request with it.
+
+Examples:
+  kumquatsill explain 0197f0c2-5f0e-7c1a-9a51-1f6f0c7d2b11
+  kumquatsill explain refill-4711 --json` + exitCodes,
+	}
+}
+
+type explainFlags struct {
+	printer
+	routerFlag
+	Args struct {
+		Request string `positional-arg-name:"REQUEST-ID" description:"id of the request"`
+	} `positional-args:"yes"`
+}
+
+// Execute implements flags.Commander.
+func (f *explainFlags) Execute(args []string) error {
+	var c settings.Checker
+	c.NoArgs(args)
+	f.check(&c)
+	if f.Args.Request == "" {
+		c.Argument("REQUEST-ID", "is missing")
+	}
+	if err := c.Err(); err != nil {
+		return err
+	}
+	reply, err := ask[proto.ExplainReply](&f.routerFlag, proto.ExplainQuery{ID: operator.NewID(), Request: proto.RequestID(f.Args.Request)})
+	switch {
+	case err != nil:
+		return err
+	case reply.Request == nil && reply.Incomplete:
+		return settings.Exit(settings.ExitUnreachable, "%s", visible(reply.Detail))
+	case reply.Request == nil:
+		return settings.Exit(settings.ExitNotFound, "%s", visible(reply.Detail))
+	}
+	return f.show(reply, func(w io.Writer) { showRequest(w, reply) })
+}
+
+func showRequest(w io.Writer, reply proto.ExplainReply) {
+	r := reply.Request
+	source := "memory of the router"
+	if reply.Source == proto.ExplainedByAudit {
+		source = fmt.Sprintf("audit stream, offset %d, entry %d", reply.Offset, reply.Index)
+	}
+	table(w,
+		[]string{"request", string(r.Request)},
+		[]string{"account", string(r.Account)},
+		[]string{"path", r.Path},
+		[]string{"model", strings.TrimSpace(r.Model + " " + r.Version)},
+		[]string{"router", string(reply.Router)},
+		[]string{"revision", number(r.Revision)},
+		[]string{"arrived", r.Arrived.UTC().Format(time.RFC3339Nano)},
+		[]string{"rate", r.Rate},
+		[]string{"verdict", r.Verdict.String()},
+		[]string{"cause", string(r.Cause)},
+		[]string{"tokens", fmt.Sprintf("%d prompt, %d cached, %d completion", r.Usage.PromptTokens, r.Usage.CachedTokens, r.Usage.CompletionTokens)},
+		[]string{"first token", r.FirstToken.String()},
+		[]string{"total", r.Total.String()},
+		[]string{"source", source},
+	)
+	section(w, "attempts", []string{"ATTEMPT", "ENDPOINT", "WHY", "CAUSE", "VERDICT"}, rowsOf(r.Attempts, func(a proto.AttemptSummary) []string {
+		return []string{string(a.Attempt), string(a.Endpoint), a.Reason, string(a.Cause), a.Verdict.String()}
+	}))
+}
+
+func quarantineCommand(s streams) settings.Command {
+	p := printer{streams: s}
+	return settings.Command{
+		Name: "quarantine", Short: "List and release requests that crash endpoints",
+		Long: `A request whose fingerprint crashed two endpoints is refused everywhere until the quarantine expires or is released. After one crash it is a suspect and runs alone.
+
+Examples:
+  kumquatsill quarantine list
+  kumquatsill quarantine release pompas-retail 9f86d081884c7d65` + exitCodes,
+		Sub: []settings.Command{
+			{Name: "list", Short: "List quarantines and suspects", Data: &quarantineList{statusFlags{printer: p}}, Long: `List the fingerprints that are quarantined or suspect.
+
+Examples:
+  kumquatsill quarantine list --json` + exitCodes},
+			{Name: "release", Short: "Release a quarantine or suspicion", Data: &quarantineRelease{printer: p}, Long: `Release a fingerprint everywhere, through the log. Its next crash counts as the first.
+
+Examples:
+  kumquatsill quarantine release pompas-retail 9f86d081884c7d65 --operator ann` + exitCodes},
+		},
+	}
+}
+
+type quarantineList struct{ statusFlags }
+
+// Execute implements flags.Commander.
+func (f *quarantineList) Execute(args []string) error {
+	reply, err := f.fetch(args)
+	if err != nil {
+		return err
+	}
+	return f.show(reply.Suspects, func(w io.Writer) {
+		if len(reply.Suspects) == 0 {
+			_, _ = fmt.Fprintln(w, "no fingerprint is quarantined or suspect")
+		}
+		showSuspects(w, reply.Suspects)
+	})
+}
+
+type quarantineRelease struct {
+	Operator string `long:"operator" env:"USER" description:"name that the log records"`
+	printer
+	routerFlag
+	Args struct {
+		Account     string `positional-arg-name:"ACCOUNT" description:"client account"`
+		Fingerprint string `positional-arg-name:"FINGERPRINT" description:"fingerprint, as listed"`
+	} `positional-args:"yes"`
+}
+
+// Execute implements flags.Commander.
+func (f *quarantineRelease) Execute(args []string) error {
+	var c settings.Checker
+	c.NoArgs(args)
+	f.check(&c)
+	if f.Args.Account == "" {
+		c.Argument("ACCOUNT", "is missing")
+	}
+	if f.Args.Fingerprint == "" {
+		c.Argument("FINGERPRINT", "is missing")
+	}
+	if err := c.Err(); err != nil {
+		return err
+	}
+	reply, err := ask[proto.QuarantineLifted](&f.routerFlag, proto.QuarantineLift{
+		ID: proto.RecordID(operator.NewID()), Account: proto.AccountID(f.Args.Account),
+		Fingerprint: proto.Fingerprint(f.Args.Fingerprint), Operator: f.Operator,
+	})
+	if err != nil {
+		return err
+	}
+	if err := f.show(reply, func(w io.Writer) { _, _ = fmt.Fprintln(w, reply.Status) }); err != nil {
+		return err
+	}
+	switch reply.Status {
+	case proto.LiftDone:
+		return nil
+	case proto.LiftAbsent:
+		return settings.Exit(settings.ExitNotFound, "%s", visible(reply.Detail))
+	case proto.LiftRefused:
+		return settings.Exit(settings.ExitRefused, "%s", visible(reply.Detail))
+	}
+	return settings.Exit(settings.ExitUnreachable, "%s", visible(reply.Detail))
+}
--- a/app/dev/dev.go
+++ b/app/dev/dev.go
@@ -279,9 +279,25 @@
 	for _, t := range d.targets {
 		text += fmt.Sprintf("router %s: callers http://%s, operators http://%s\n", t.id, t.callers, t.internal)
 	}
+	text += fmt.Sprintf("log service: %s\n", d.logAddr)
 	return text + fmt.Sprintf("\nStream an answer:\n\n  curl -N http://%s/v1/chat/completions -H 'Authorization: Bearer %s' -H 'Content-Type: application/json' -d '{\"model\":%q,\"stream\":true,\"temperature\":0,\"max_tokens\":24,\"messages\":[{\"role\":\"user\",\"content\":\"Hello\"}]}'\n\n", d.targets[0].callers, d.key, model)
 }
 
+// Operators returns the "ip:port" of each router's listener for operators.
+func (d *Dev) Operators() []string {
+	var addrs []string
+	for _, t := range d.targets {
+		addrs = append(addrs, t.internal)
+	}
+	return addrs
+}
+
+// Callers returns the "ip:port" of the first router's listener for callers.
+func (d *Dev) Callers() string { return d.targets[0].callers }
+
+// LogAddr returns the "ip:port" of the log service.
+func (d *Dev) LogAddr() string { return d.logAddr }
+
 // Key returns the key of the example account.
 func (d *Dev) Key() string { return d.key }
 
--- a/app/settings/run.go
+++ b/app/settings/run.go
@@ -18,25 +18,52 @@
 	Version bool `long:"version" description:"print the version and exit"`
 }
 
-// Command is one subcommand. Data carries its flags and implements flags.Commander.
+// Command is one subcommand. Data carries its flags and implements
+// flags.Commander, unless the command has subcommands of its own.
 type Command struct {
 	Name  string
 	Short string
 	Long  string
-	Data  flags.Commander
+	Data  any
+	Sub   []Command
 }
 
-// Run parses the arguments, runs the command and returns the exit code.
-func Run(program string, commands []Command, args []string, stdout, stderr io.Writer) int {
-	var global Global
+// adder is a parser or a command.
+type adder interface {
+	AddCommand(name, short, long string, data any) (*flags.Command, error)
+}
+
+func (c Command) addTo(parent adder) error {
+	data := c.Data
+	if data == nil {
+		data = &struct{}{}
+	}
+	added, err := parent.AddCommand(c.Name, c.Short, c.Long, data)
+	for _, sub := range c.Sub {
+		if err == nil {
+			err = sub.addTo(added)
+		}
+	}
+	return err
+}
+
+// Parser returns the parser of a program with subcommands.
+func Parser(program string, commands []Command, global *Global) (*flags.Parser, error) {
 	parser := flags.NewNamedParser(program, flags.HelpFlag|flags.PassDoubleDash)
 	parser.SubcommandsOptional = true
-	_, err := parser.AddGroup("Options", "", &global)
+	_, err := parser.AddGroup("Options", "", global)
 	for _, c := range commands {
 		if err == nil {
-			_, err = parser.AddCommand(c.Name, c.Short, c.Long, c.Data)
+			err = c.addTo(parser)
 		}
 	}
+	return parser, err
+}
+
+// Run parses the arguments, runs the command and returns the exit code.
+func Run(program string, commands []Command, args []string, stdout, stderr io.Writer) int {
+	var global Global
+	parser, err := Parser(program, commands, &global)
 	if err != nil {
 		return report(err, stdout, stderr)
 	}
@@ -53,16 +80,22 @@
 	return ExitOK
 }
 
-// RunSingle is Run for a program without subcommands. execute gets the
-// positional arguments.
-func RunSingle(program, long string, data any, execute func(args []string) error, args []string, stdout, stderr io.Writer) int {
-	var global Global
+// SingleParser returns the parser of a program without subcommands.
+func SingleParser(program, long string, data any, global *Global) (*flags.Parser, error) {
 	parser := flags.NewNamedParser(program, flags.HelpFlag|flags.PassDoubleDash)
 	parser.LongDescription = long
-	_, err := parser.AddGroup("Options", "", &global)
+	_, err := parser.AddGroup("Options", "", global)
 	if err == nil {
 		_, err = parser.AddGroup("Settings", "", data)
 	}
+	return parser, err
+}
+
+// RunSingle is Run for a program without subcommands. execute gets the
+// positional arguments.
+func RunSingle(program, long string, data any, execute func(args []string) error, args []string, stdout, stderr io.Writer) int {
+	var global Global
+	parser, err := SingleParser(program, long, data, &global)
 	var rest []string
 	if err == nil {
 		rest, err = parser.ParseArgs(args)
@@ -90,10 +123,23 @@
 		_, _ = fmt.Fprintln(stderr, usage.Message)
 		return ExitUsage
 	}
-	_, _ = fmt.Fprintln(stderr, err)
+	if text := err.Error(); text != "" {
+		_, _ = fmt.Fprintln(stderr, text)
+	}
+	return ExitCode(err)
+}
+
+// ExitCode returns the exit code that an error of a command stands for.
+func ExitCode(err error) int {
 	var bad *Error
-	if errors.As(err, &bad) {
+	var coded *CodedError
+	switch {
+	case err == nil:
+		return ExitOK
+	case errors.As(err, &bad):
 		return ExitUsage
+	case errors.As(err, &coded):
+		return coded.Code
 	}
 	return ExitFailure
 }
--- a/app/settings/settings.go
+++ b/app/settings/settings.go
@@ -18,10 +18,38 @@
 const (
 	ExitOK      = 0
 	ExitFailure = 1
-	// ExitUsage stands for bad settings.
+	// ExitUsage stands for bad settings, arguments and input files.
 	ExitUsage = 2
+	// ExitRefused means that a router refused what was asked, for good.
+	ExitRefused = 3
+	// ExitBeaten means that another note took effect on the same base.
+	ExitBeaten = 4
+	// ExitUnreachable means that a router or the log did not answer, so that
+	// the outcome may be unknown.
+	ExitUnreachable = 5
+	// ExitUnverified means that a verification found faults.
+	ExitUnverified = 6
+	// ExitNotFound means that what was asked for is not there.
+	ExitNotFound = 7
 )
 
+// CodedError is an error with an exit code of its own.
+type CodedError struct {
+	Code int
+	Err  error
+}
+
+// Error implements error.
+func (e *CodedError) Error() string { return e.Err.Error() }
+
+// Unwrap returns the cause.
+func (e *CodedError) Unwrap() error { return e.Err }
+
+// Exit returns an error that ends the program with a code.
+func Exit(code int, format string, args ...any) error {
+	return &CodedError{Code: code, Err: fmt.Errorf(format, args...)}
+}
+
 // Error lists all settings that are wrong.
 type Error struct{ Problems []string }
 
@@ -44,6 +72,11 @@
 	c.problems = append(c.problems, "--"+flag+" "+fmt.Sprintf(format, args...))
 }
 
+// Argument adds a problem of a positional argument.
+func (c *Checker) Argument(name, format string, args ...any) {
+	c.problems = append(c.problems, "argument "+name+" "+fmt.Sprintf(format, args...))
+}
+
 // NoArgs refuses positional arguments.
 func (c *Checker) NoArgs(args []string) {
 	for _, a := range args {
--- a/core/audit/verify.go
+++ b/core/audit/verify.go
@@ -47,10 +47,21 @@
 // Verify checks batches in log order. truncated is set when the log no longer
 // holds its beginning, so that chains may start in the middle.
 func Verify(batches []Batch, truncated bool) Report {
-	v := verifier{chains: map[proto.Incarnation]*chainState{}, truncated: truncated}
+	v := NewVerifier(truncated)
 	for _, b := range batches {
-		v.batch(b)
+		v.Add(b)
 	}
+	return v.Report()
+}
+
+// NewVerifier returns a verifier for batches that come one by one, with
+// truncated as for Verify.
+func NewVerifier(truncated bool) *Verifier {
+	return &Verifier{chains: map[proto.Incarnation]*chainState{}, truncated: truncated}
+}
+
+// Report returns the outcome so far.
+func (v *Verifier) Report() Report {
 	slices.SortStableFunc(v.report.Faults, func(a, b Fault) int {
 		return cmp.Or(cmp.Compare(a.Chain, b.Chain), cmp.Compare(a.Index, b.Index))
 	})
@@ -64,13 +75,15 @@
 	hashes map[int64]string
 }
 
-type verifier struct {
+// Verifier checks batches in log order.
+type Verifier struct {
 	chains    map[proto.Incarnation]*chainState
 	truncated bool
 	report    Report
 }
 
-func (v *verifier) batch(b Batch) {
+// Add checks the next batch.
+func (v *Verifier) Add(b Batch) {
 	for _, e := range b.Entries {
 		v.entry(b.Chain, e)
 	}
@@ -79,7 +92,7 @@
 	}
 }
 
-func (v *verifier) entry(chain proto.Incarnation, e Entry) {
+func (v *Verifier) entry(chain proto.Incarnation, e Entry) {
 	if sum, err := e.sum(chain); err != nil || sum != e.Hash {
 		v.fault(chain, e.Index, FaultAltered, "the hash does not match the content")
 	}
@@ -98,7 +111,7 @@
 	v.report.Dropped += e.Dropped
 }
 
-func (v *verifier) begin(chain proto.Incarnation, e Entry) *chainState {
+func (v *Verifier) begin(chain proto.Incarnation, e Entry) *chainState {
 	c := &chainState{hashes: map[int64]string{}}
 	v.chains[chain] = c
 	if e.Index == 1 {
@@ -111,7 +124,7 @@
 	return c
 }
 
-func (v *verifier) follow(c *chainState, chain proto.Incarnation, e Entry) {
+func (v *Verifier) follow(c *chainState, chain proto.Incarnation, e Entry) {
 	switch {
 	case e.Index <= c.index:
 		v.fault(chain, e.Index, FaultReordered, fmt.Sprintf("it comes after entry %d", c.index))
@@ -126,6 +139,6 @@
 	}
 }
 
-func (v *verifier) fault(chain proto.Incarnation, index int64, kind FaultKind, detail string) {
+func (v *Verifier) fault(chain proto.Incarnation, index int64, kind FaultKind, detail string) {
 	v.report.Faults = append(v.report.Faults, Fault{Chain: chain, Index: index, Kind: kind, Detail: detail})
 }
