--- a/app/cmd/kumquatsill/docs_test.go
+++ b/app/cmd/kumquatsill/docs_test.go
@@ -48,6 +48,21 @@
 	return out
 }
 
+// flagRows returns the flags that the page names for a command, with those of
+// the shared tables to which its section points.
+func flagRows(page, name string) []string {
+	heading := "### `" + name + "`"
+	out := rows(page, heading, 3)
+	_, section, _ := strings.Cut(page, "\n"+heading+"\n")
+	section, _, _ = strings.Cut(section, "\n#")
+	for _, shared := range []string{"Router flags", "Log flags"} {
+		if strings.Contains(section, "["+strings.ToLower(shared)+"]") {
+			out = append(out, rows(page, "### "+shared, 3)...)
+		}
+	}
+	return out
+}
+
 // options returns the flags of a group as rows: flag, environment variable, default.
 func options(groups []*flags.Group) []string {
 	code := func(s string) string {
@@ -101,7 +116,7 @@
 			}
 			walk(name, c.Commands())
 			if len(c.Commands()) == 0 {
-				compare(t, name, rows(page, "### `"+name+"`", 3), options(c.Groups()))
+				compare(t, name, flagRows(page, name), options([]*flags.Group{c.Group}))
 			}
 		}
 	}
--- a/app/cmd/kumquatsill/operator_test.go
+++ b/app/cmd/kumquatsill/operator_test.go
@@ -199,7 +199,7 @@
 	cli("", "note", "example", "other").want(t, settings.ExitUsage, "pompas")
 	cli("", "note", "history", "--max", "0").want(t, settings.ExitUsage, "--max")
 	cli("", "note", "bogus").want(t, settings.ExitUsage)
-	cli("", "key", "create", "--account", "a b", "--based-on", "-1").want(t, settings.ExitUsage, "--account", "--based-on")
+	cli("", "key", "create", "--account", "a b", "--based-on=-1").want(t, settings.ExitUsage, "--account", "--based-on")
 	cli("", "note", "status", "none", "--router", router).want(t, settings.ExitNotFound)
 	cli("", "explain", "none", "--router", router).want(t, settings.ExitNotFound, "neither")
 	cli("", "quarantine", "release", "example", "none", "--router", router).want(t, settings.ExitNotFound)
