app/node: wait for the audit trail when a router drains; record decisions

Cause: a router that drained did not wait for its last audit batch, so that up to 5 s of records were lost on each graceful stop, and the warning about it could not appear. The bound on remembered record ids did not count operators.

Conclusion: the test that drains a router finds the request that ended last in the log.

--- a/app/auditlog/file.go
+++ b/app/auditlog/file.go
@@ -96,6 +96,9 @@
 	if h.Format != fileFormat {
 		return Bounds{}, &FormatError{Detail: "the header does not name the format " + fileFormat}
 	}
+	if h.First < 0 || h.Head < h.First {
+		return Bounds{}, &FormatError{Detail: "the offsets in the header make no sense"}
+	}
 	return h.Bounds, nil
 }
 
--- /dev/null
+++ b/app/auditlog/memory_test.go
@@ -0,0 +1,36 @@
+package auditlog_test
+
+import (
+	"context"
+	"encoding/json"
+	"testing"
+
+	"github.com/kumquatsill/kumquatsill/app/auditlog"
+	"github.com/kumquatsill/kumquatsill/core/audit"
+	"github.com/kumquatsill/kumquatsill/core/proto"
+)
+
+// memory is a Source of batches.
+type memory struct{ records []proto.Record }
+
+func (m *memory) add(t testing.TB, batch audit.Batch) {
+	t.Helper()
+	body, err := json.Marshal(batch)
+	if err != nil {
+		t.Fatal(err)
+	}
+	m.records = append(m.records, proto.Record{Kind: audit.KindBatch, Offset: proto.Offset(len(m.records)), Body: body})
+}
+
+func (m *memory) Bounds(context.Context) (auditlog.Bounds, error) {
+	return auditlog.Bounds{Head: proto.Offset(len(m.records))}, nil
+}
+
+func (m *memory) Read(_ context.Context, _ auditlog.Bounds, record func(proto.Record) error) error {
+	for _, rec := range m.records {
+		if err := record(rec); err != nil {
+			return err
+		}
+	}
+	return nil
+}
--- a/app/cmd/kumquatsill/operator_test.go
+++ b/app/cmd/kumquatsill/operator_test.go
@@ -15,12 +15,14 @@
 	"testing"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	"github.com/kumquatsill/kumquatsill/app/dev"
 	"github.com/kumquatsill/kumquatsill/app/operator"
 	"github.com/kumquatsill/kumquatsill/app/settings"
 	"github.com/kumquatsill/kumquatsill/app/shell"
 	"github.com/kumquatsill/kumquatsill/core/note"
 	"github.com/kumquatsill/kumquatsill/core/proto"
+	"github.com/kumquatsill/kumquatsill/core/suspect"
 )
 
 // hangGuard ends a test that waits for something that does not come.
@@ -282,6 +284,33 @@
 	cli("", "quarantine", "list", "--router", d.Operators()[0]).want(t, settings.ExitOK, "no fingerprint")
 }
 
+// Guards against a quarantine that the commands do not show or cannot end.
+func TestQuarantineCommands(t *testing.T) {
+	d := startFleet(t)
+	body, err := json.Marshal(suspect.Quarantine{Key: suspect.Key{Account: "example", Fingerprint: "f00d"}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	answer := make(chan proto.Message, 1)
+	log := shell.NewLogClient(shell.NewClient(nil), d.LogAddr(), shell.NewMetrics(metrics.NewSet()), func(env proto.Envelope) bool {
+		answer <- env.Msg
+		return true
+	})
+	log.Send(proto.Envelope{From: proto.Addr{Role: proto.RoleOperator}, To: proto.Log, Msg: proto.LogAppend{
+		Call: 1, Stream: proto.StreamConfig, Records: []proto.Record{{ID: "test.1", Kind: suspect.KindQuarantine, Body: body}},
+	}})
+	if got, ok := (<-answer).(proto.LogAppended); !ok {
+		t.Fatalf("append: %+v", got)
+	}
+	if err := log.Stop(); err != nil {
+		t.Fatal(err)
+	}
+	release := []string{"quarantine", "release", "example", "f00d", "--operator", "ann", "--router", d.Operators()[0]}
+	eventually(t, settings.ExitOK, release...).want(t, settings.ExitOK, "released")
+	cli("", release...).want(t, settings.ExitNotFound, "neither quarantined nor suspect")
+	cli("", "quarantine", "list", "--router", d.Operators()[0]).want(t, settings.ExitOK, "no fingerprint")
+}
+
 // Guards against operators' messages that a caller can send, and messages
 // that reach a router from a party that is no operator.
 func TestOperatorsHaveTheirOwnListener(t *testing.T) {
--- a/app/node/machines.go
+++ b/app/node/machines.go
@@ -63,6 +63,7 @@
 	})
 	cfg.Machine = routerMachine{m}
 	cfg.Leave = m.Drain
+	cfg.Flushed = m.Flushed
 	cfg.State = func() any { return stateOf(cfg.ID, m) }
 }
 
--- a/core/configlog/state.go
+++ b/core/configlog/state.go
@@ -17,8 +17,9 @@
 
 const (
 	maxHistory = 512
-	// maxOrigins bounds the processes whose record ids are remembered. At 54
-	// restarts a day it covers more than three months.
+	// maxOrigins bounds the processes whose record ids are remembered. An
+	// operator's submission counts as a process of its own. At 1,300
+	// submissions and 54 restarts a day it covers at least three days.
 	maxOrigins  = 8192
 	maxSuspects = 4096
 	// maxCrashes is the number of crashes kept per suspect; two decide.
--- a/core/router/trail.go
+++ b/core/router/trail.go
@@ -63,3 +63,8 @@
 	}
 	c.audit.trail.Retry()
 }
+
+// Flushed reports whether the log has taken all that this router wrote.
+func (r *Router) Flushed() bool {
+	return r.control.audit.trail.Empty() && r.control.log.Pending() == 0
+}
--- a/proof/fleet/operator_test.go
+++ b/proof/fleet/operator_test.go
@@ -223,3 +223,22 @@
 		t.Errorf("second release: %+v, want absent", out)
 	}
 }
+
+// Guards against a graceful stop that loses the audit records of the last
+// seconds, or that reports them as written before the log has them.
+func TestDrainFlushesTheAuditTrail(t *testing.T) {
+	f := startSmall(t, 11)
+	ended := f.Callers.Send(f.RouterAddr(0), generation("last"))
+	f.World.RunUntil(time.Minute, ended.Done)
+	if f.Routers[0].Flushed() {
+		t.Error("flushed before the record can be in the log")
+	}
+	f.Routers[0].Drain(f.World.Now())
+	if !f.World.RunUntil(5*time.Second, f.Routers[0].Flushed) {
+		t.Fatal("the records are not in the log after 5 s")
+	}
+	f.StopRouter(0)
+	if got := ask[proto.ExplainReply](t, f, 1, "op", proto.ExplainQuery{ID: "e", Request: "last"}); got.Request == nil {
+		t.Errorf("%+v, want the request that ended last", got)
+	}
+}
