core/router: refuse another note under an id that counts already

Cause: a note under the id of an earlier one was answered with the fate of the earlier one, so that an operator who reused an id believed that the new note was in force.

Change: the history keeps a digest of each note; a submission or a second record whose content differs is refused, also when two routers race. A lift of a quarantine under an id that is taken is refused as well.

--- a/core/configlog/snapshot.go
+++ b/core/configlog/snapshot.go
@@ -91,6 +91,9 @@
 	BasedOn  proto.Revision `json:"based_on"`
 	Author   string         `json:"author,omitempty"`
 	Reason   string         `json:"reason,omitempty"`
+	// Digest identifies the note's content, see note.Digest. It is empty for a
+	// note that did not decode.
+	Digest string `json:"digest,omitempty"`
 	// Errors lists what is wrong with a refused note. Entries that went
 	// through a checkpoint keep the first 20; ErrorCount is the full number.
 	Errors        []note.FieldError `json:"errors,omitempty"`
--- a/core/configlog/state.go
+++ b/core/configlog/state.go
@@ -282,6 +282,7 @@
 	return NoteOutcome{
 		ID: rec.ID, Offset: rec.Offset, Result: result, Revision: s.cur.Revision, BasedOn: body.Note.BasedOn,
 		Author: body.Note.Author, Reason: body.Note.Reason, Router: body.Router, SubmittedWall: body.SubmittedWall,
+		Digest: note.Digest(body.Note),
 	}
 }
 
--- a/core/note/parse.go
+++ b/core/note/parse.go
@@ -27,6 +27,16 @@
 	return proto.KeyHash(hex.EncodeToString(sum[:]))
 }
 
+// Digest identifies the content of a note, however its JSON form was written.
+func Digest(n Note) string {
+	data, err := json.Marshal(n)
+	if err != nil {
+		return "" // only a weight that is no number has no JSON form, and JSON cannot carry one
+	}
+	sum := sha256.Sum256(data)
+	return hex.EncodeToString(sum[:16])
+}
+
 // Parse reads the JSON form of a note. It fails on oversized input, unknown
 // or repeated fields, wrong types and anything after the note. An error about
 // one field is a *CheckError.
--- a/core/router/operator.go
+++ b/core/router/operator.go
@@ -28,6 +28,9 @@
 	from  []proto.Addr
 	until proto.Instant
 	lift  bool
+	// digest is that of the note, subject what a lift releases.
+	digest  string
+	subject suspect.Key
 }
 
 func (s *submission) wait(from proto.Addr) {
@@ -46,18 +49,20 @@
 		refuse(proto.NoteOutcome{Problems: []proto.NoteProblem{{Field: "id", Problem: operatorIDProblem}}})
 		return
 	}
-	if c.isSubmitted(from, m.ID) {
-		return
-	}
 	n, err := note.Parse(m.Note)
 	if err != nil {
 		refuse(parseOutcome(err))
 		return
 	}
+	if c.isSubmitted(from, m.ID, note.Digest(n)) {
+		return
+	}
 	body := configlog.ReleaseNote{Note: n, Router: c.cfg.ID, SubmittedWall: m.SubmittedWall}
-	if err := c.submit(now, from, m.ID, configlog.KindReleaseNote, body, false); err != nil {
+	if err := c.submit(now, from, m.ID, configlog.KindReleaseNote, body); err != nil {
 		refuse(proto.NoteOutcome{Detail: err.Error()})
+		return
 	}
+	c.notes[m.ID].digest = note.Digest(n)
 }
 
 func parseOutcome(err error) proto.NoteOutcome {
@@ -76,29 +81,47 @@
 	return out
 }
 
+// idInUse refuses another note under an id that counts already.
+var idInUse = proto.NoteOutcome{
+	Status:   proto.NoteRefused,
+	Problems: []proto.NoteProblem{{Field: "id", Problem: "belongs to another note that was submitted before"}},
+}
+
 // isSubmitted answers a submission whose id is known, or adds the operator to
 // those that wait for it.
-func (c *Control) isSubmitted(from proto.Addr, id proto.RecordID) bool {
-	if s := c.notes[id]; s != nil {
+func (c *Control) isSubmitted(from proto.Addr, id proto.RecordID, digest string) bool {
+	old, known := c.state.Snapshot().Note(id)
+	out := noteOutcome(old)
+	s := c.notes[id]
+	switch {
+	case s != nil && s.digest == digest:
 		s.wait(from)
 		return true
+	case s == nil && !known:
+		return false
+	case s != nil || isOther(old, digest):
+		out = idInUse
+		out.Revision = c.state.Snapshot().Revision
 	}
-	old, ok := c.state.Snapshot().Note(id)
-	if ok {
-		out := noteOutcome(old)
-		out.ID = id
-		c.Send(from, out)
-	}
-	return ok
+	out.ID = id
+	c.Send(from, out)
+	return true
+}
+
+// isOther reports whether a note of the history is known to have another content.
+func isOther(old configlog.NoteOutcome, digest string) bool {
+	return old.Digest != "" && old.Digest != digest
 }
 
 // submit appends a record under the operator's id. The same id through
 // another router makes a second copy of the record, which folding ignores.
-func (c *Control) submit(now proto.Instant, from proto.Addr, id proto.RecordID, kind proto.RecordKind, body any, lift bool) error {
+func (c *Control) submit(now proto.Instant, from proto.Addr, id proto.RecordID, kind proto.RecordKind, body any) error {
 	if _, err := c.log.AppendAs(now, id, proto.StreamConfig, kind, body); err != nil {
 		return err
 	}
-	c.notes[id] = &submission{from: []proto.Addr{from}, until: now.Add(noteTimeout), lift: lift}
+	c.notes[id] = &submission{
+		from: []proto.Addr{from}, until: now.Add(noteTimeout), lift: kind == suspect.KindRelease,
+	}
 	return nil
 }
 
@@ -110,7 +133,7 @@
 	switch {
 	case s == nil:
 	case s.lift:
-		c.endSubmission(id, proto.NoteOutcome{Status: proto.NoteAccepted})
+		c.endSubmission(id, c.liftOutcome(s.subject))
 	case result.Outcome == configlog.Duplicate:
 		if !c.answerFromHistory(id) {
 			c.endSubmission(id, proto.NoteOutcome{
@@ -120,17 +143,35 @@
 	}
 }
 
+// liftOutcome tells whether the record of a lift, or an earlier one with its
+// id, has released the fingerprint.
+func (c *Control) liftOutcome(subject suspect.Key) proto.NoteOutcome {
+	if _, held := c.suspectRegister.Get(subject); held {
+		return proto.NoteOutcome{Status: proto.NoteRefused, Detail: "the id was used before for something else, or the fingerprint is held again"}
+	}
+	return proto.NoteOutcome{Status: proto.NoteAccepted}
+}
+
 func (c *Control) answerFromHistory(id proto.RecordID) bool {
 	old, ok := c.state.Snapshot().Note(id)
-	if ok {
-		c.answerNote(old)
+	if s := c.notes[id]; !ok || s != nil && s.lift {
+		return false
 	}
-	return ok
+	c.answerNote(old)
+	return true
 }
 
 // answerNote tells the operators what became of a note, once this router has
-// folded it.
-func (c *Control) answerNote(o configlog.NoteOutcome) { c.endSubmission(o.ID, noteOutcome(o)) }
+// folded it. The record may be another note that came under the same id
+// through another router.
+func (c *Control) answerNote(o configlog.NoteOutcome) {
+	out := noteOutcome(o)
+	if s := c.notes[o.ID]; s != nil && isOther(o, s.digest) {
+		out = idInUse
+		out.Revision = o.Revision
+	}
+	c.endSubmission(o.ID, out)
+}
 
 func noteOutcome(o configlog.NoteOutcome) proto.NoteOutcome {
 	return proto.NoteOutcome{Status: noteStatus(o.Result), Revision: o.Revision, Problems: problems(o.Errors)}
@@ -368,19 +409,25 @@
 		answer(proto.LiftRefused, operatorIDProblem)
 		return
 	}
-	if s := c.notes[m.ID]; s != nil {
+	key := suspect.Key{Account: m.Account, Fingerprint: m.Fingerprint}
+	if s := c.notes[m.ID]; s != nil && s.lift && s.subject == key {
 		s.wait(from)
 		return
 	}
-	key := suspect.Key{Account: m.Account, Fingerprint: m.Fingerprint}
+	if _, ok := c.state.Snapshot().Note(m.ID); ok || c.notes[m.ID] != nil {
+		answer(proto.LiftRefused, "the id belongs to another order or note")
+		return
+	}
 	if _, ok := c.suspectRegister.Get(key); !ok {
 		answer(proto.LiftAbsent, "the fingerprint is neither quarantined nor suspect for this account")
 		return
 	}
 	body := suspect.Release{Key: key, By: cmp.Or(m.Operator, "operator")}
-	if err := c.submit(now, from, m.ID, suspect.KindRelease, body, true); err != nil {
+	if err := c.submit(now, from, m.ID, suspect.KindRelease, body); err != nil {
 		answer(proto.LiftRefused, err.Error())
+		return
 	}
+	c.notes[m.ID].subject = key
 }
 
 func (c *Control) onExplain(now proto.Instant, from proto.Addr, m proto.ExplainQuery) {
--- a/proof/fleet/operator_test.go
+++ b/proof/fleet/operator_test.go
@@ -74,6 +74,34 @@
 	}
 }
 
+// Guards against a note that is reported as accepted, although its id belongs
+// to another note and it never takes effect.
+func TestIDOfAnotherNoteIsRefused(t *testing.T) {
+	f := startSmall(t, 12)
+	// The two copies race through two routers; the second one in the log loses.
+	for i, account := range []proto.AccountID{"beta", "gamma"} {
+		f.World.Inject(proto.Envelope{
+			From: proto.Addr{Role: proto.RoleOperator, ID: string(account)}, To: f.RouterAddr(i),
+			Msg: submission(t, "same", accountNote(1, account)),
+		})
+	}
+	f.World.RunUntil(time.Minute, func() bool {
+		return f.Callers.Replies["beta"] != nil && f.Callers.Replies["gamma"] != nil && f.Ready(2)
+	})
+	for i, account := range []proto.AccountID{"beta", "gamma"} {
+		_, inForce := f.Routers[i].Snapshot().Config.Accounts[account]
+		want := proto.NoteRefused
+		if inForce {
+			want = proto.NoteAccepted
+		}
+		first, _ := f.Callers.Replies[string(account)].(proto.NoteOutcome)
+		again := ask[proto.NoteOutcome](t, f, 1-i, "op", submission(t, "same", accountNote(1, account)))
+		if first.Status != want || again.Status != want {
+			t.Errorf("account %s in force: %v; first answer %+v, later %+v", account, inForce, first, again)
+		}
+	}
+}
+
 // Guards against a lost answer whose note cannot be looked up: the router
 // that took the note dies before it answers.
 func TestNoteOfLostRouterIsFoundThroughAnother(t *testing.T) {
@@ -209,6 +237,10 @@
 	if len(listed.Suspects) != 1 || !listed.Suspects[0].Quarantined || len(listed.Routers) != 2 || len(listed.Endpoints) != 2 {
 		t.Fatalf("status %+v, want one quarantine, two routers, two endpoints", listed)
 	}
+	used := proto.QuarantineLift{ID: "first", Account: "acme", Fingerprint: "f00d"}
+	if out := ask[proto.QuarantineLifted](t, f, 0, "op", used); out.Status != proto.LiftRefused {
+		t.Errorf("under the id of a note: %+v, want refused", out)
+	}
 	lift := proto.QuarantineLift{ID: "lift-1", Account: "acme", Fingerprint: "f00d", Operator: "ann"}
 	if out := ask[proto.QuarantineLifted](t, f, 0, "op", lift); out.Status != proto.LiftDone {
 		t.Errorf("%+v, want released", out)
