--- a/standin/logsvc/logsvc.go
+++ b/standin/logsvc/logsvc.go
@@ -90,6 +90,15 @@
 	return s.append(name, []proto.Record{r})
 }
 
+// Retain drops all but the newest records of a stream, as retention does.
+func (s *Service) Retain(name string, records int) {
+	st := s.stream(name)
+	n := max(0, len(st.records)-records)
+	st.first += proto.Offset(n)
+	st.records = st.records[n:]
+	st.times = st.times[n:]
+}
+
 func (s *Service) stream(name string) *stream {
 	st := s.streams[name]
 	if st == nil {
