core/audit: close the chain of a router that drains

Cause: nothing closed a chain, so that verification could not find a missing end, not even of routers that stopped gracefully.

Change: a draining router closes its chain. The closing batch names the last entry, and a batch without entries closes a chain of which all is written. Verification reports entries that are missing before the end.

Conclusion: a cut end of a closed chain is found in all orders of adding, closing, sending, retrying and confirming that the test goes through.

--- a/core/audit/audit_test.go
+++ b/core/audit/audit_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 
 	"github.com/kumquatsill/kumquatsill/core/proto"
@@ -114,3 +115,58 @@
 		t.Errorf("after Retry: %+v, want the same entries", second)
 	}
 }
+
+// Guards against a chain whose end is not marked, or is marked before the
+// last entry, so that a cut end passes verification.
+func TestClosedChainEndsWithItsLastEntry(t *testing.T) {
+	add := func(t *testing.T, trail *Trail) {
+		t.Helper()
+		if err := trail.Add(proto.RequestEnded{Request: "q"}); err != nil {
+			t.Fatal(err)
+		}
+	}
+	// Steps: a adds an entry, c closes, n takes the next batch, v confirms it, r retries it.
+	for name, steps := range map[string]string{
+		"entries wait":               "aacnv",
+		"nothing waits":              "aanvcnv",
+		"closed while a batch waits": "aancvnv",
+		"end sent again":             "aanvcnrnv",
+		"entry while the end waits":  "aanvcnavnv",
+		"entry after the end":        "aanvcnvanv",
+	} {
+		t.Run(name, func(t *testing.T) {
+			trail := NewTrail("life", "r1")
+			var log []Batch
+			for _, step := range steps {
+				switch step {
+				case 'a':
+					add(t, trail)
+				case 'c':
+					if err := trail.Close(); err != nil {
+						t.Fatal(err)
+					}
+				case 'n':
+					b, ok := trail.Next()
+					if !ok || trail.Empty() {
+						t.Fatalf("no batch, or empty, after %d batches", len(log))
+					}
+					log = append(log, b)
+				case 'v':
+					trail.Confirm()
+				case 'r':
+					trail.Retry()
+				}
+			}
+			if !trail.Empty() {
+				t.Error("not empty at the end")
+			}
+			if r := Verify(log, false); !r.OK() || r.Closed != 1 {
+				t.Errorf("%+v, want one closed chain", r)
+			}
+			cut := slices.DeleteFunc(slices.Clone(log), func(b Batch) bool { return len(b.Entries) > 0 && !b.Closed })
+			if r := Verify(cut, false); len(cut) < len(log) && r.OK() {
+				t.Errorf("without the batches before the end: %+v, want a fault", r)
+			}
+		})
+	}
+}
--- a/core/audit/record.go
+++ b/core/audit/record.go
@@ -40,6 +40,8 @@
 	Entries []Entry           `json:"entries"`
 	// Closed is set on the last batch of a router that shut down gracefully.
 	Closed bool `json:"closed,omitempty"`
+	// Last is the index of the chain's last entry, if Closed is set.
+	Last int64 `json:"last,omitempty"`
 }
 
 // sum returns the hash of an entry, which covers everything but the hash itself.
--- a/core/audit/trail.go
+++ b/core/audit/trail.go
@@ -23,7 +23,11 @@
 	held    []Entry
 	sent    int
 	dropped int64
+	// closed is set by Close, marking while a batch that says so is under way,
+	// and marked once the log holds it.
 	closed  bool
+	marked  bool
+	marking bool
 	stats   Stats
 }
 
@@ -72,6 +76,7 @@
 	}
 	e.Hash = hash
 	t.index, t.prev = e.Index, hash
+	t.marked = false
 	t.held = append(t.held, e)
 	return nil
 }
@@ -79,18 +84,27 @@
 // Next returns the next batch to append, or false while one is under way or
 // nothing waits. Confirm or Retry must follow.
 func (t *Trail) Next() (Batch, bool) {
-	if t.sent > 0 || len(t.held) == 0 {
+	if t.sent > 0 || t.marking || t.Empty() {
 		return Batch{}, false
 	}
+	if len(t.held) == 0 {
+		t.marking = true
+		return Batch{Chain: t.chain, Router: t.router, Entries: []Entry{}, Closed: true, Last: t.index}, true
+	}
 	t.sent = min(len(t.held), maxBatch)
 	b := Batch{Chain: t.chain, Router: t.router, Entries: t.held[:t.sent:t.sent]}
-	b.Closed = t.closed && t.sent == len(t.held)
+	if t.closed && t.sent == len(t.held) {
+		b.Closed, b.Last = true, t.index
+		t.marking = true
+	}
 	return b, true
 }
 
 // Confirm drops the batch that the log has taken.
 func (t *Trail) Confirm() {
 	t.stats.Confirmed += int64(t.sent)
+	t.marked = t.marking && t.sent == len(t.held)
+	t.marking = false
 	t.held = append([]Entry(nil), t.held[t.sent:]...)
 	t.sent = 0
 }
@@ -98,16 +112,20 @@
 // Retry makes Next return the same entries again, after an append that did
 // not take effect or whose effect is unknown. A doubled batch is harmless:
 // verification takes equal entries once.
-func (t *Trail) Retry() { t.sent = 0 }
+func (t *Trail) Retry() { t.sent, t.marking = 0, false }
 
-// Close marks the end of the chain. Dropped requests are recorded first.
+// Close marks the end of the chain. Dropped requests are recorded first. A
+// request that is added afterwards makes for another end.
 func (t *Trail) Close() error {
 	t.closed = true
 	return t.recordGap()
 }
 
-// Empty reports whether the log has confirmed everything.
-func (t *Trail) Empty() bool { return len(t.held) == 0 }
+// Empty reports whether the log has confirmed everything, also the end of a
+// chain that was closed.
+func (t *Trail) Empty() bool {
+	return len(t.held) == 0 && (!t.closed || t.marked || t.index == 0)
+}
 
 // Stats returns the counters.
 func (t *Trail) Stats() Stats {
--- a/core/audit/verify.go
+++ b/core/audit/verify.go
@@ -72,6 +72,7 @@
 type chainState struct {
 	index  int64
 	hash   string
+	closed bool
 	hashes map[int64]string
 }
 
@@ -88,7 +89,28 @@
 		v.entry(b.Chain, e)
 	}
 	if b.Closed {
+		v.end(b)
+	}
+}
+
+// end checks that all entries of a closed chain are there.
+func (v *Verifier) end(b Batch) {
+	c := v.chains[b.Chain]
+	if c == nil && v.truncated {
+		// Retention has passed all entries of the chain.
 		v.report.Closed++
+		return
+	}
+	if c == nil {
+		c = &chainState{hashes: map[int64]string{}}
+		v.chains[b.Chain] = c
+	}
+	if !c.closed {
+		c.closed = true
+		v.report.Closed++
+	}
+	if c.index < b.Last {
+		v.fault(b.Chain, b.Last, FaultMissing, fmt.Sprintf("entries %d to %d are missing at the end", c.index+1, b.Last))
 	}
 }
 
--- a/core/router/step.go
+++ b/core/router/step.go
@@ -74,6 +74,7 @@
 // Drain makes the router refuse new requests; those in flight go on.
 func (c *Control) Drain(now proto.Instant) {
 	c.draining = true
+	c.closeAudit()
 	c.publish(now)
 }
 
--- a/core/router/trail.go
+++ b/core/router/trail.go
@@ -31,6 +31,13 @@
 	}
 }
 
+// closeAudit marks the end of the chain.
+func (c *Control) closeAudit() {
+	if err := c.audit.trail.Close(); err != nil {
+		c.stats.AuditErrors++
+	}
+}
+
 // appendAudit sends the next batch, at once while the router drains.
 func (c *Control) appendAudit(now proto.Instant) {
 	if c.audit.batch != "" || (now < c.audit.at && !c.draining) {
--- a/proof/fleet/operator_test.go
+++ b/proof/fleet/operator_test.go
@@ -5,6 +5,7 @@
 	"testing"
 	"time"
 
+	"github.com/kumquatsill/kumquatsill/core/audit"
 	"github.com/kumquatsill/kumquatsill/core/configlog"
 	"github.com/kumquatsill/kumquatsill/core/note"
 	"github.com/kumquatsill/kumquatsill/core/proto"
@@ -296,6 +297,17 @@
 	if !f.World.RunUntil(5*time.Second, f.Routers[0].Flushed) {
 		t.Fatal("the records are not in the log after 5 s")
 	}
+	var batches []audit.Batch
+	for _, rec := range f.Log.Records(proto.StreamAudit) {
+		var b audit.Batch
+		if err := json.Unmarshal(rec.Body, &b); err != nil {
+			t.Fatal(err)
+		}
+		batches = append(batches, b)
+	}
+	if r := audit.Verify(batches, false); !r.OK() || r.Closed != 1 {
+		t.Errorf("%+v, want a closed chain", r)
+	}
 	f.StopRouter(0)
 	if got := ask[proto.ExplainReply](t, f, 1, "op", proto.ExplainQuery{ID: "e", Request: "last"}); got.Request == nil {
 		t.Errorf("%+v, want the request that ended last", got)
