--- a/app/shell/router.go
+++ b/app/shell/router.go
@@ -125,6 +125,9 @@
 	return len(r.callers)
 }
 
+// Appending returns the number of appends to the log that are in flight.
+func (r *Router) Appending() int64 { return r.log.appending.Load() }
+
 func (r *Router) deliver(env proto.Envelope) {
 	switch env.To.Role {
 	case proto.RoleCaller:
@@ -233,12 +236,16 @@
 	if silent {
 		r.metrics.ConnSilent.Inc()
 	}
-	r.metrics.ConnLost.Inc()
+	unsent := rejectedBefore(err)
+	if unsent {
+		r.metrics.ConnRefused.Inc()
+	} else {
+		r.metrics.ConnLost.Inc()
+	}
 	dispatch, ok := env.Msg.(proto.Dispatch)
 	if !ok {
 		return
 	}
-	unsent := rejectedBefore(err)
 	r.driver.Step(proto.Envelope{From: env.To, To: r.self, Msg: proto.ConnLost{Attempt: dispatch.Attempt, Unsent: unsent}})
 }
 
--- a/core/router/search.go
+++ b/core/router/search.go
@@ -40,6 +40,8 @@
 	// at low. bounded is unset until the head is known.
 	low, next, high proto.Offset
 	bounded         bool
+	// found is the newest match in the window so far.
+	found *proto.ExplainReply
 }
 
 // searches are the searches under way.
@@ -120,11 +122,15 @@
 	if !x.bounded {
 		x.bounded = true
 		x.low = m.Head
-	} else if !c.scan(x, m) {
+	} else if !x.scan(m) {
 		return
 	}
 	// Offsets below First have expired since the window was chosen.
 	x.next = max(x.next, m.First)
+	if x.next >= x.high && x.found != nil {
+		c.endSearch(x, *x.found)
+		return
+	}
 	if x.next >= x.high {
 		x.high = x.low
 		x.low = max(m.First, x.high-searchWindow)
@@ -138,8 +144,8 @@
 }
 
 // scan looks through the records of one answer. It reports false if the
-// search has ended or the answer does not continue the window.
-func (c *Control) scan(x *search, m proto.LogRecords) bool {
+// answer does not continue the window.
+func (x *search) scan(m proto.LogRecords) bool {
 	if len(m.Records) > 0 && m.Records[0].Offset > max(x.next, m.First) {
 		return false
 	}
@@ -148,8 +154,7 @@
 			continue
 		}
 		if reply, ok := findInBatch(rec, x.query.Request); ok {
-			c.endSearch(x, reply)
-			return false
+			x.found = &reply
 		}
 	}
 	if n := len(m.Records); n > 0 {
--- a/core/router/trail.go
+++ b/core/router/trail.go
@@ -31,13 +31,6 @@
 	}
 }
 
-// closeAudit marks the end of the chain.
-func (c *Control) closeAudit() {
-	if err := c.audit.trail.Close(); err != nil {
-		c.stats.AuditErrors++
-	}
-}
-
 // appendAudit sends the next batch, at once while the router drains.
 func (c *Control) appendAudit(now proto.Instant) {
 	if c.audit.batch != "" || (now < c.audit.at && !c.draining) {
@@ -70,8 +63,3 @@
 	}
 	c.audit.trail.Retry()
 }
-
-// Flushed reports whether the log has taken all that this router wrote.
-func (r *Router) Flushed() bool {
-	return r.control.audit.trail.Empty() && r.control.log.Pending() == 0
-}
