--- a/app/cmd/kumquatsill/status.go
+++ b/app/cmd/kumquatsill/status.go
@@ -56,7 +56,7 @@
 		[]string{"router", string(f.Router)},
 		[]string{"revision", number(f.Stamp.Revision)},
 		[]string{"config offset", number(f.Stamp.ConfigOffset)},
-		[]string{"ready", yesNo(f.Ready)},
+		[]string{"configuration read", yesNo(f.Ready)},
 		[]string{"draining", yesNo(f.Draining)},
 		[]string{"log reachable", yesNo(f.LogReachable)},
 		[]string{"general outage", yesNo(f.GeneralOutage)},
--- a/core/proto/operator.go
+++ b/core/proto/operator.go
@@ -99,10 +99,12 @@
 
 // Freshness says how far a router's answer can be relied on.
 type Freshness struct {
-	Stamp    Stamp    `json:"stamp"`
-	Router   RouterID `json:"router"`
-	Ready    bool     `json:"ready"`
-	Draining bool     `json:"draining,omitempty"`
+	Stamp  Stamp    `json:"stamp"`
+	Router RouterID `json:"router"`
+	// Ready is set once the config stream was read to its head. The router may
+	// not serve yet: it reads the intent streams after that.
+	Ready    bool `json:"ready"`
+	Draining bool `json:"draining,omitempty"`
 	// ProofAge is the time since the folded state was known to hold all that
 	// the log held; -1 before the first such moment.
 	ProofAge time.Duration `json:"proof_age_ns"`
