--- /dev/null
+++ b/proof/compare/compare_test.go
@@ -0,0 +1,76 @@
+package compare_test
+
+import (
+	"reflect"
+	"testing"
+	"time"
+
+	"github.com/kumquatsill/kumquatsill/proof/compare"
+	"github.com/kumquatsill/kumquatsill/proof/measure"
+	"github.com/kumquatsill/kumquatsill/proof/workload"
+)
+
+// check runs a plan and fails on each goal that it misses.
+func check(t *testing.T, plan compare.Plan, goals int) {
+	t.Helper()
+	plan.Seed, plan.Parallel, plan.Length = 1, 4, 40*time.Second
+	table, err := compare.Measure(plan)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if len(table.Goals) != goals {
+		t.Errorf("%d goals were checked, want %d", len(table.Goals), goals)
+	}
+	for _, g := range table.Goals {
+		t.Log(g)
+		if !g.Met {
+			t.Errorf("missed: %s", g)
+		}
+	}
+	for _, r := range table.Rows {
+		if len(r.Failed) > 0 || r.DoubleOrders > 0 || r.Report.Unfinished > 0 {
+			t.Errorf("%s, %s, %s: failed invariants %v, %d orders ran twice, %d requests without an end",
+				r.Deployment, r.Condition, r.Policy, r.Failed, r.DoubleOrders, r.Report.Unfinished)
+		}
+	}
+}
+
+// Guards against a change to the policy, the agents or the stand-ins after
+// which the policy is no longer ahead of its baselines. The bounds are those
+// of the design page, section 11.
+func TestAheadOfBaselines(t *testing.T) {
+	t.Parallel()
+	check(t, compare.Plan{
+		Policies:   append(compare.Baselines(), compare.View),
+		Conditions: []compare.Condition{compare.Calm, compare.Crash},
+	}, 13)
+}
+
+// Guards against a policy that falls further behind the oracle than the
+// design page allows. Several seeds are pooled, as the p99 of one short run
+// rests on 5 requests.
+func TestCloseToOracle(t *testing.T) {
+	t.Parallel()
+	check(t, compare.Plan{
+		Policies:   []compare.Policy{compare.View, compare.Oracle},
+		Conditions: []compare.Condition{compare.Calm},
+		Seeds:      4,
+	}, 4)
+}
+
+// Guards against figures that a seed does not reproduce.
+func TestDeterminism(t *testing.T) {
+	t.Parallel()
+	s := compare.Settings{Deployment: workload.Karoo(), Condition: compare.Restart, Policy: compare.View, Seed: 7, Length: 30 * time.Second}
+	var reports [2]measure.Report
+	for i := range reports {
+		result, err := compare.Run(s)
+		if err != nil {
+			t.Fatal(err)
+		}
+		reports[i] = measure.NewReport(result.Recorder)
+	}
+	if !reflect.DeepEqual(reports[0], reports[1]) {
+		t.Errorf("two runs of one seed differ: %+v, %+v", reports[0], reports[1])
+	}
+}
--- a/standin/engine/engine.go
+++ b/standin/engine/engine.go
@@ -177,16 +177,18 @@
 
 // Held returns how many leading blocks the cache holds.
 func (e *Engine) Held(blocks []proto.BlockHash) int {
-	held := map[proto.BlockHash]bool{}
-	for _, b := range e.Cached() {
-		held[b] = true
+	if e.life == nil {
+		return 0
 	}
-	for i, b := range blocks {
-		if !held[b] {
-			return i
-		}
+	return e.life.cache.Holds(blocks)
+}
+
+// Backlog returns the time until the prompt work that the engine has taken is done.
+func (e *Engine) Backlog(now proto.Instant) time.Duration {
+	if e.life == nil {
+		return 0
 	}
-	return len(blocks)
+	return max(0, e.life.prefillFree.Sub(now))
 }
 
 // Import implements Peer.
