--- a/proof/scenario/scenario.go
+++ b/proof/scenario/scenario.go
@@ -186,3 +186,6 @@
 		r.fail(check.AnswerMatch, fmt.Sprintf("request %s got %d messages after its end", a.Request.ID, a.Extra))
 	}
 }
+
+// Key returns the key of an account.
+func (r *Run) Key(account int) proto.KeyHash { return r.keys[r.accounts[account].ID] }
