core/router: take the host list as a hint on endpoints

Cause: routers ignored the platform's host list. Change: an endpoint whose host is not listed, or is listed as leaving, is doubted; it is excluded only with evidence from another path. Conclusion: a list that names none of the endpoints excludes none of them.

--- a/core/router/step.go
+++ b/core/router/step.go
@@ -84,6 +84,8 @@
 		c.onOperator(now, in)
 	case proto.GrantRequest, proto.GrantReply, proto.TokenRequest, proto.TokenReply:
 		c.limits.step(now, in)
+	case proto.HostList:
+		c.onHostList(now, m)
 	case proto.ProbeReply:
 		c.onProbeReply(now, m)
 	case proto.OrderDone:
