app: run a router's requests in several threads

Cause: one goroutine stepped the control machine and all requests of a router, so a burst of tokens held up beats, leases and grants, and one processor bounded the router.

Change: app/driver holds the goroutine of one machine, formerly in app/shell, with messages between machines that never block and a nudge for an early tick. app/worker runs the control machine in one such goroutine and the exchanges, by a hash of the request's id, in 2 to 8 others. Wallet.OnUrgent ticks the control machine at once. Requests in flight are counted until the control machine has seen their end, so that a drain loses no audit record. router.New and router.Router are unchanged; router.NewControl and Control.OnUrgent are new. shell.RouterMachine is gone.

--- a/app/shell/driver.go
+++ b/app/driver/driver.go
@@ -1,17 +1,14 @@
-// Package shell connects state machines without I/O to clocks and sockets.
-package shell
+// Package driver runs state machines without I/O, each in a goroutine of its own.
+package driver
 
 import (
+	"sync"
 	"time"
 
 	"github.com/kumquatsill/kumquatsill/core/proto"
-	"github.com/zeebo/errs"
 	"gopkg.in/tomb.v2"
 )
 
-// Error is the class of all errors of this package.
-var Error = errs.Class("shell")
-
 // inboxSize is the number of messages that may wait for a machine before
 // senders block.
 const inboxSize = 4096
@@ -26,19 +23,27 @@
 	deliver func(proto.Envelope)
 	inbox   chan proto.Envelope
 	calls   chan func(proto.Instant)
-	start   time.Time
+	nudged  chan struct{}
+
+	mu sync.Mutex
+	// posted holds messages of other machines in this process. Its size is not
+	// bounded, as two machines that wait for each other would never go on.
+	posted []proto.Envelope
+	// postedReady holds a token while posted is not empty.
+	postedReady chan struct{}
 }
 
-// NewDriver returns a driver that is not yet running. deliver is called in
-// the driver's goroutine for each output; it must not block and must not
-// call Step or Do.
-func NewDriver(m proto.Machine, deliver func(proto.Envelope)) *Driver {
+// New returns a driver that is not yet running. deliver is called in the
+// driver's goroutine for each output; it must not block and must not call
+// Step or Do of this driver.
+func New(m proto.Machine, deliver func(proto.Envelope)) *Driver {
 	return &Driver{
-		machine: m,
-		deliver: deliver,
-		inbox:   make(chan proto.Envelope, inboxSize),
-		calls:   make(chan func(proto.Instant)),
-		start:   time.Now(),
+		machine:     m,
+		deliver:     deliver,
+		inbox:       make(chan proto.Envelope, inboxSize),
+		calls:       make(chan func(proto.Instant)),
+		nudged:      make(chan struct{}, 1),
+		postedReady: make(chan struct{}, 1),
 	}
 }
 
@@ -51,10 +56,8 @@
 	return d.t.Wait()
 }
 
-// Now returns the time on the machine's clock.
-func (d *Driver) Now() proto.Instant { return proto.Instant(time.Since(d.start)) }
-
-// Step hands a message to the machine. It reports false if the driver has stopped.
+// Step hands a message to the machine and blocks while too many wait. It
+// reports false if the driver has stopped.
 func (d *Driver) Step(env proto.Envelope) bool {
 	select {
 	case d.inbox <- env:
@@ -64,6 +67,25 @@
 	}
 }
 
+// Post hands a message to the machine and never blocks. It is for machines
+// that drive each other.
+func (d *Driver) Post(env proto.Envelope) {
+	d.mu.Lock()
+	d.posted = append(d.posted, env)
+	d.mu.Unlock()
+	notify(d.postedReady)
+}
+
+// Nudge has the machine's Tick called without delay. It never blocks.
+func (d *Driver) Nudge() { notify(d.nudged) }
+
+func notify(c chan struct{}) {
+	select {
+	case c <- struct{}{}:
+	default:
+	}
+}
+
 // Do runs f in the machine's goroutine and waits for its end. It reports
 // false if the driver has stopped.
 func (d *Driver) Do(f func(now proto.Instant)) bool {
@@ -87,12 +109,16 @@
 	for {
 		select {
 		case env := <-d.inbox:
-			d.machine.Step(d.Now(), env)
+			d.machine.Step(Now(), env)
 			d.drainInbox()
+		case <-d.postedReady:
+			d.stepPosted()
 		case f := <-d.calls:
-			f(d.Now())
+			f(Now())
+		case <-d.nudged:
+			d.machine.Tick(Now())
 		case <-timer.C:
-			d.machine.Tick(d.Now())
+			d.machine.Tick(Now())
 		case <-d.t.Dying():
 			return nil
 		}
@@ -105,13 +131,23 @@
 	for range batchSize {
 		select {
 		case env := <-d.inbox:
-			d.machine.Step(d.Now(), env)
+			d.machine.Step(Now(), env)
 		default:
 			return
 		}
 	}
 }
 
+func (d *Driver) stepPosted() {
+	d.mu.Lock()
+	posted := d.posted
+	d.posted = nil
+	d.mu.Unlock()
+	for _, env := range posted {
+		d.machine.Step(Now(), env)
+	}
+}
+
 func (d *Driver) flush() {
 	for _, env := range d.machine.Take() {
 		d.deliver(env)
@@ -124,5 +160,5 @@
 		timer.Stop()
 		return
 	}
-	timer.Reset(max(0, wake.Sub(d.Now())))
+	timer.Reset(max(0, wake.Sub(Now())))
 }
--- a/app/node/machines.go
+++ b/app/node/machines.go
@@ -56,23 +56,19 @@
 	life := newIncarnation(name)
 	cfg.ID = proto.RouterID(life)
 	cfg.Checks = &check.Set{}
-	m := router.New(router.Config{
+	cfg.Control = router.NewControl(router.Config{
 		ID: cfg.ID, Domain: domain, Addr: cfg.Internal.Addr().String(),
 		Incarnation: life, Seed: rand.Uint64(), Checks: cfg.Checks,
 		Retention: log.For, RetainedRecords: proto.Offset(log.Records),
 	})
-	cfg.Machine = routerMachine{m}
-	cfg.Leave = m.Drain
-	cfg.Left = m.Drained
-	cfg.State = func() any { return stateOf(cfg.ID, m) }
 }
 
-func stateOf(id proto.RouterID, m *router.Router) routerState {
-	s := m.Snapshot()
-	stats := m.Control().Deps().Stats
+func stateOf(id proto.RouterID, c *router.Control, inFlight int) routerState {
+	s := c.Snapshot()
+	stats := c.Deps().Stats
 	return routerState{
 		ID: id, Revision: s.Stamp.Revision, ConfigOffset: s.Stamp.ConfigOffset,
-		Ready: s.Ready, Funded: s.Funded, Draining: s.Draining, InFlight: m.InFlight(),
+		Ready: s.Ready, Funded: s.Funded, Draining: s.Draining, InFlight: inFlight,
 		Accounts: len(s.Config.Accounts), Endpoints: len(s.Config.Endpoints), Quarantined: len(s.Quarantined),
 		Exchanges: exchangeState{
 			Late: stats.Late.Load(), Misdelivered: stats.Misdelivered.Load(), Repeated: stats.Repeated.Load(),
--- a/app/node/router.go
+++ b/app/node/router.go
@@ -13,6 +13,7 @@
 	"github.com/kumquatsill/kumquatsill/app/shell"
 	"github.com/kumquatsill/kumquatsill/core/check"
 	"github.com/kumquatsill/kumquatsill/core/proto"
+	"github.com/kumquatsill/kumquatsill/core/router"
 	"github.com/uptrace/bunrouter"
 	"gopkg.in/tomb.v2"
 )
@@ -20,7 +21,7 @@
 // RouterConfig sets up a router process.
 type RouterConfig struct {
 	ID      proto.RouterID
-	Machine shell.RouterMachine
+	Control *router.Control
 	Checks  *check.Set
 	// Callers and Internal are the open listeners.
 	Callers  net.Listener
@@ -36,14 +37,7 @@
 	DrainGrace time.Duration
 	// DrainTimeout bounds the wait for requests in flight.
 	DrainTimeout time.Duration
-	// Leave tells the machine to hand over what it holds. It may be nil.
-	Leave func(now proto.Instant)
-	// Left reports whether the machine has handed over everything since Leave.
-	// It is called in the machine's goroutine and may be nil.
-	Left func() bool
-	// State is shown on /debug/state. It may be nil.
-	State func() any
-	Log   *slog.Logger
+	Log          *slog.Logger
 }
 
 // flushTimeout bounds the wait for the last records of a stopping router.
@@ -74,7 +68,7 @@
 	}
 	set := metrics.NewSet()
 	r := &Router{cfg: cfg}
-	r.shell = shell.NewRouter(cfg.ID, cfg.Machine, shell.NewClient(client), shell.NewClient(logClient), cfg.LogAddr, shell.NewMetrics(set))
+	r.shell = shell.NewRouter(cfg.ID, cfg.Control, shell.NewClient(client), shell.NewClient(logClient), cfg.LogAddr, shell.NewMetrics(set))
 	r.api = api.New(r.shell, cfg.Limits, api.NewMetrics(set))
 	r.callers = &http.Server{Handler: r.api}
 	r.api.Configure(r.callers)
@@ -88,11 +82,7 @@
 }
 
 func (r *Router) state() any {
-	var state any
-	if r.cfg.State != nil {
-		r.shell.Do(func(proto.Instant) { state = r.cfg.State() })
-	}
-	return state
+	return stateOf(r.cfg.ID, r.cfg.Control, r.shell.Machine().InFlight())
 }
 
 // Start starts the machine and both servers.
@@ -134,9 +124,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), r.cfg.DrainTimeout)
 	defer cancel()
 	err := shutdown(ctx, r.callers)
-	if r.cfg.Leave != nil {
-		r.shell.Do(r.cfg.Leave)
-	}
+	r.shell.Do(r.shell.Machine().Drain)
 	r.waitLeft()
 	ctx, cancelInternal := context.WithTimeout(context.Background(), flushTimeout)
 	defer cancelInternal()
@@ -148,12 +136,9 @@
 // waitLeft waits until the log holds what the machine had to hand over, or
 // until flushTimeout if the log is away.
 func (r *Router) waitLeft() {
-	if r.cfg.Left == nil {
-		return
-	}
 	for end := time.Now().Add(flushTimeout); time.Now().Before(end); time.Sleep(flushPoll) {
 		left := false
-		if !r.shell.Do(func(proto.Instant) { left = r.cfg.Left() }) || left {
+		if !r.shell.Do(func(proto.Instant) { left = r.shell.Machine().Drained() }) || left {
 			return
 		}
 	}
--- a/app/shell/agent.go
+++ b/app/shell/agent.go
@@ -3,12 +3,13 @@
 import (
 	"errors"
 
+	"github.com/kumquatsill/kumquatsill/app/driver"
 	"github.com/kumquatsill/kumquatsill/core/proto"
 )
 
 // Agent runs an agent's machine over the network.
 type Agent struct {
-	driver  *Driver
+	driver  *driver.Driver
 	engine  *EngineClient
 	inbound *Inbound
 	metrics *Metrics
@@ -17,7 +18,7 @@
 // NewAgent returns an agent shell that is not yet running.
 func NewAgent(endpoint proto.EndpointID, m proto.Machine, client *Client, engineAddr string, metrics *Metrics) *Agent {
 	a := &Agent{metrics: metrics}
-	a.driver = NewDriver(m, a.deliver)
+	a.driver = driver.New(m, a.deliver)
 	a.inbound = NewInbound(proto.AgentAddr(endpoint), metrics, a.driver.Step)
 	a.engine = NewEngineClient(client, engineAddr, endpoint, metrics, a.driver.Step)
 	return a
--- a/app/shell/router.go
+++ b/app/shell/router.go
@@ -3,12 +3,16 @@
 import (
 	"context"
 	"errors"
+	"math/rand/v2"
+	"runtime"
 	"slices"
 	"sync"
 	"time"
 
+	"github.com/kumquatsill/kumquatsill/app/worker"
 	"github.com/kumquatsill/kumquatsill/core/note"
 	"github.com/kumquatsill/kumquatsill/core/proto"
+	"github.com/kumquatsill/kumquatsill/core/router"
 	"gopkg.in/tomb.v2"
 )
 
@@ -31,18 +35,14 @@
 	Funded bool
 }
 
-// RouterMachine is a router's state machine. View is safe for concurrent use.
-type RouterMachine interface {
-	proto.Machine
-	View() View
-}
+// workers is the number of goroutines that step requests.
+var workers = max(2, min(8, runtime.GOMAXPROCS(0)))
 
-// Router runs a router's machine over the network.
+// Router runs a router's machines over the network.
 type Router struct {
 	t       tomb.Tomb
 	self    proto.Addr
-	machine RouterMachine
-	driver  *Driver
+	machine *worker.Router
 	client  *Client
 	log     *LogClient
 	inbound *Inbound
@@ -55,19 +55,18 @@
 }
 
 // NewRouter returns a router shell that is not yet running.
-func NewRouter(id proto.RouterID, m RouterMachine, client, logClient *Client, logAddr string, metrics *Metrics) *Router {
+func NewRouter(id proto.RouterID, control *router.Control, client, logClient *Client, logAddr string, metrics *Metrics) *Router {
 	r := &Router{
 		self:     proto.RouterAddr(id),
-		machine:  m,
 		client:   client,
 		metrics:  metrics,
 		peers:    make(chan struct{}, maxPeerMessages),
 		callers:  map[proto.RequestID]*Mailbox{},
 		attempts: map[proto.AttemptID]context.CancelFunc{},
 	}
-	r.driver = NewDriver(m, r.deliver)
-	r.inbound = NewInbound(r.self, metrics, r.driver.Step)
-	r.log = NewLogClient(logClient, logAddr, metrics, r.driver.Step)
+	r.machine = worker.New(control, workers, rand.Uint64(), r.deliver)
+	r.inbound = NewInbound(r.self, metrics, r.machine.Step)
+	r.log = NewLogClient(logClient, logAddr, metrics, r.machine.Step)
 	return r
 }
 
@@ -77,13 +76,13 @@
 		<-r.t.Dying()
 		return nil
 	})
-	r.driver.Start()
+	r.machine.Start()
 }
 
 // Stop ends the machine and all connections. Requests in flight are cut;
 // callers drain first.
 func (r *Router) Stop() error {
-	err := r.driver.Stop()
+	err := r.machine.Stop()
 	r.t.Kill(nil)
 	err = errors.Join(err, r.t.Wait(), r.log.Stop())
 	r.client.Close()
@@ -94,10 +93,16 @@
 func (r *Router) Inbound() *Inbound { return r.inbound }
 
 // View returns the state in force.
-func (r *Router) View() View { return r.machine.View() }
+func (r *Router) View() View {
+	s := r.machine.Snapshot()
+	return View{Config: s.Config, Routers: s.Routers, Ready: s.Ready, Funded: s.Funded}
+}
+
+// Machine returns the machines that run.
+func (r *Router) Machine() *worker.Router { return r.machine }
 
-// Do runs f in the machine's goroutine.
-func (r *Router) Do(f func(now proto.Instant)) bool { return r.driver.Do(f) }
+// Do runs f in the control machine's goroutine.
+func (r *Router) Do(f func(now proto.Instant)) bool { return r.machine.Do(f) }
 
 // Submit hands a request to the machine. What is for the caller goes to the
 // mailbox; the caller must call Leave at the end.
@@ -106,7 +111,7 @@
 	r.mu.Lock()
 	r.callers[req.ID] = box
 	r.mu.Unlock()
-	ok := r.driver.Step(proto.Envelope{From: proto.CallerAddr(req.ID), To: r.self, Msg: req})
+	ok := r.machine.Step(proto.Envelope{From: proto.CallerAddr(req.ID), To: r.self, Msg: req})
 	return box, ok
 }
 
@@ -116,7 +121,7 @@
 	delete(r.callers, id)
 	r.mu.Unlock()
 	if gone {
-		r.driver.Step(proto.Envelope{From: proto.CallerAddr(id), To: r.self, Msg: proto.CallerGone{Request: id}})
+		r.machine.Step(proto.Envelope{From: proto.CallerAddr(id), To: r.self, Msg: proto.CallerGone{Request: id}})
 	}
 }
 
@@ -161,7 +166,7 @@
 	if !r.t.Alive() {
 		return
 	}
-	endpoint, ok := r.machine.View().Config.Endpoints[proto.EndpointID(env.To.ID)]
+	endpoint, ok := r.View().Config.Endpoints[proto.EndpointID(env.To.ID)]
 	if !ok {
 		r.metrics.Undeliverable.Inc()
 		r.t.Go(func() error {
@@ -194,7 +199,7 @@
 			return
 		}
 		ended = ended || last
-		r.driver.Step(in)
+		r.machine.Step(in)
 	})
 	if err == nil && !ended {
 		return &LostError{Err: Error.New("the response ended before the attempt")}
@@ -245,11 +250,11 @@
 	if !ok {
 		return
 	}
-	r.driver.Step(proto.Envelope{From: env.To, To: r.self, Msg: proto.ConnLost{Attempt: dispatch.Attempt, Unsent: unsent}})
+	r.machine.Step(proto.Envelope{From: env.To, To: r.self, Msg: proto.ConnLost{Attempt: dispatch.Attempt, Unsent: unsent}})
 }
 
 func (r *Router) toRouter(env proto.Envelope) {
-	addr := r.machine.View().Routers[proto.RouterID(env.To.ID)]
+	addr := r.View().Routers[proto.RouterID(env.To.ID)]
 	if addr == "" || !r.t.Alive() {
 		r.metrics.Undeliverable.Inc()
 		return
--- /dev/null
+++ b/app/worker/shard.go
@@ -0,0 +1,164 @@
+// Package worker runs one router's machines in several goroutines: the control
+// machine in one, and the exchanges of requests, by a hash of the request's
+// id, in a fixed number of others.
+package worker
+
+import (
+	"container/heap"
+
+	"github.com/kumquatsill/kumquatsill/core/exchange"
+	"github.com/kumquatsill/kumquatsill/core/proto"
+	"github.com/kumquatsill/kumquatsill/core/router"
+)
+
+// shard holds the exchanges of one worker. It implements proto.Machine.
+type shard struct {
+	control *router.Control
+	// opened is called before each exchange that is opened.
+	opened func()
+	seed   uint64
+	count  uint64
+	open   map[proto.RequestID]*entry
+	timers timers
+	out    []proto.Envelope
+}
+
+// entry is one exchange.
+type entry struct {
+	id proto.RequestID
+	x  *exchange.Exchange
+	// origin is the router that handed the request over, if one did.
+	origin proto.Addr
+	// wake is the earliest timer that is set for the exchange.
+	wake proto.Instant
+}
+
+func newShard(control *router.Control, seed uint64, opened func()) *shard {
+	return &shard{control: control, opened: opened, seed: seed, open: map[proto.RequestID]*entry{}}
+}
+
+// Step implements proto.Machine.
+func (s *shard) Step(now proto.Instant, in proto.Envelope) {
+	switch m := in.Msg.(type) {
+	case proto.CallerRequest:
+		s.start(now, m, proto.Addr{})
+	case proto.IntentForward:
+		s.start(now, m.Request, in.From)
+	default:
+		s.route(now, in)
+	}
+}
+
+func (s *shard) start(now proto.Instant, req proto.CallerRequest, origin proto.Addr) {
+	if s.open[req.ID] != nil {
+		return
+	}
+	s.opened()
+	s.count++
+	e := &entry{id: req.ID, origin: origin, wake: proto.Never, x: s.control.Open(now, req, s.seed+s.count)}
+	s.open[req.ID] = e
+	s.collect(e)
+}
+
+func (s *shard) route(now proto.Instant, in proto.Envelope) {
+	id, _ := router.RequestOf(in.Msg)
+	e := s.open[id]
+	if e == nil {
+		s.late(in)
+		return
+	}
+	e.x.Step(now, in)
+	s.collect(e)
+}
+
+// late counts a message to a request that has ended, and gives back a trial
+// that it can no longer use.
+func (s *shard) late(in proto.Envelope) {
+	s.control.Deps().Stats.Late.Add(1)
+	if unused, ok := router.UnusedTrial(in.Msg); ok {
+		self := s.control.Self()
+		s.out = append(s.out, proto.Envelope{From: self, To: self, Msg: unused})
+	}
+}
+
+// collect takes the outputs of an exchange, and forgets it at its end.
+func (s *shard) collect(e *entry) {
+	out := e.x.Take()
+	if e.origin != (proto.Addr{}) {
+		router.Redirect(out, e.origin)
+	}
+	s.out = append(s.out, out...)
+	if e.x.Done() {
+		delete(s.open, e.id)
+		return
+	}
+	s.setTimer(e)
+}
+
+// setTimer sets a timer unless an earlier one is set: when that one fires, the
+// next is set from what the exchange needs then.
+func (s *shard) setTimer(e *entry) {
+	if wake := e.x.Wake(); wake < e.wake {
+		e.wake = wake
+		heap.Push(&s.timers, timer{at: wake, entry: e})
+	}
+}
+
+// Tick implements proto.Machine.
+func (s *shard) Tick(now proto.Instant) {
+	for len(s.timers) > 0 && s.timers[0].at <= now {
+		fired, _ := heap.Pop(&s.timers).(timer)
+		e := fired.entry
+		if s.open[e.id] != e || fired.at != e.wake {
+			continue
+		}
+		e.wake = proto.Never
+		if e.x.Wake() <= now {
+			e.x.Tick(now)
+		}
+		s.collect(e)
+	}
+}
+
+// Wake implements proto.Machine.
+func (s *shard) Wake() proto.Instant {
+	if len(s.timers) == 0 {
+		return proto.Never
+	}
+	return s.timers[0].at
+}
+
+// Take implements proto.Machine.
+func (s *shard) Take() []proto.Envelope {
+	out := s.out
+	s.out = nil
+	return out
+}
+
+type timer struct {
+	at    proto.Instant
+	entry *entry
+}
+
+// timers is a heap.Interface, earliest first.
+type timers []timer
+
+func (t timers) Len() int           { return len(t) }
+func (t timers) Less(i, j int) bool { return t[i].at < t[j].at }
+func (t timers) Swap(i, j int)      { t[i], t[j] = t[j], t[i] }
+
+// Push implements heap.Interface.
+func (t *timers) Push(x any) {
+	if added, ok := x.(timer); ok {
+		*t = append(*t, added)
+	}
+}
+
+// Pop implements heap.Interface.
+func (t *timers) Pop() any {
+	old := *t
+	last := old[len(old)-1]
+	old[len(old)-1] = timer{}
+	*t = old[:len(old)-1]
+	return last
+}
--- a/core/router/limits.go
+++ b/core/router/limits.go
@@ -129,3 +129,8 @@
 	}
 	return out
 }
+
+// OnUrgent sets what the request path calls when the control machine should
+// be ticked without delay. It must be set before the first request; a driver
+// with one thread needs none, as Wake says the same.
+func (c *Control) OnUrgent(f func()) { c.limits.wallet.OnUrgent = f }
--- a/core/router/router.go
+++ b/core/router/router.go
@@ -21,7 +21,7 @@
 
 // New returns a router without state: it reads the log before it serves.
 func New(cfg Config) *Router {
-	return &Router{control: newControl(cfg), exchanges: map[proto.RequestID]*exchange.Exchange{}, forwarded: map[proto.RequestID]proto.Addr{}}
+	return &Router{control: NewControl(cfg), exchanges: map[proto.RequestID]*exchange.Exchange{}, forwarded: map[proto.RequestID]proto.Addr{}}
 }
 
 // Control returns the control machine. It is not safe for concurrent use,
--- a/core/router/step.go
+++ b/core/router/step.go
@@ -10,7 +10,9 @@
 	"github.com/kumquatsill/kumquatsill/core/route"
 )
 
-func newControl(cfg Config) *Control {
+// NewControl returns a control machine without state, for a driver that runs
+// exchanges in threads of their own.
+func NewControl(cfg Config) *Control {
 	rng := rand.New(rand.NewPCG(cfg.Seed, 1))
 	self := proto.RouterAddr(cfg.ID)
 	c := &Control{
