docs, proof/capacity: capacity of each role at the target size

Cause: nothing showed what the roles cost at 320 routers, 600 endpoints and 1,200 accounts, or whether the bounds of the design hold there.

Change: proof/capacity measures one router, one agent and fleets of whole routers in virtual time and runs Go benchmarks at three sizes each; the command proof/cmd/capacity prints the tables as text, JSON or Markdown, from a run, from saved JSON or from the output of go test. docs/CAPACITY.md has the tables, the failure arithmetic and the changes that would close the gaps; docs/capacity.json is the run behind it.

--- /dev/null
+++ b/proof/capacity/agent.go
@@ -0,0 +1,90 @@
+package capacity
+
+import (
+	"time"
+
+	"github.com/kumquatsill/kumquatsill/core/agent"
+	"github.com/kumquatsill/kumquatsill/core/proto"
+)
+
+// AgentLoad is the work of one agent.
+type AgentLoad struct {
+	// Blocks is the size of the engine's cache, Events its cache events per second.
+	Blocks int
+	Events float64
+}
+
+// BaseAgent is the load from which one size at a time is changed.
+func BaseAgent() AgentLoad { return AgentLoad{Blocks: 10_000, Events: 20} }
+
+// AgentCost is what one agent takes.
+type AgentCost struct {
+	// CPU is a share of a core in per cent, with the decoding of events.
+	CPU       float64
+	HeapBytes float64
+	// Local is the traffic between the engine and its agent on one host.
+	Local Traffic
+}
+
+const (
+	agentBatches = 10
+	agentMeasure = 60 * time.Second
+)
+
+// MeasureAgent feeds an agent with the cache events of its engine. Each event
+// adds a block and evicts one.
+func MeasureAgent(load AgentLoad) (AgentCost, error) {
+	before := heap()
+	a := agent.New(agent.Config{Endpoint: "engine-1", Incarnation: "agent-life-1", Seed: 1})
+	engine, self := proto.EngineAddr("engine-1"), proto.AgentAddr("engine-1")
+	step := func(now proto.Instant, m proto.Message) {
+		a.Step(now, proto.Envelope{From: engine, To: self, Msg: m})
+		a.Take()
+	}
+	step(0, proto.EngineUp{Incarnation: "engine-life-1", Versions: map[string]string{modelName(0): "v1"}, BatchSize: 8})
+	blocks := make([]proto.BlockHash, load.Blocks)
+	for i := range blocks {
+		blocks[i] = blockHash(uint64(i))
+	}
+	step(0, proto.CacheList{Incarnation: "engine-life-1", AsOf: 1, Blocks: blocks})
+	blocks = nil
+	var cost AgentCost
+	var spent time.Duration
+	seq, due := uint64(1), 0.0
+	for now := proto.Instant(0); now < proto.Instant(0).Add(agentMeasure); now = now.Add(time.Second / agentBatches) {
+		due += load.Events / agentBatches
+		batch := proto.CacheEvents{Incarnation: "engine-life-1"}
+		for ; due >= 1; due-- {
+			seq++
+			batch.Events = append(batch.Events, proto.CacheEvent{
+				Seq: seq, Added: []proto.BlockHash{blockHash(uint64(load.Blocks) + seq)}, Evicted: []proto.BlockHash{blockHash(seq - 2)},
+			})
+		}
+		if len(batch.Events) == 0 {
+			continue
+		}
+		line, err := proto.Encode(proto.Envelope{From: engine, To: self, Msg: batch})
+		if err != nil {
+			return AgentCost{}, Error.Wrap(err)
+		}
+		cost.Local.add(len(line))
+		start := time.Now()
+		in, err := proto.Decode(line)
+		if err != nil {
+			return AgentCost{}, Error.Wrap(err)
+		}
+		step(now, in.Msg)
+		if a.Wake() <= now {
+			a.Tick(now)
+			a.Take()
+		}
+		spent += time.Since(start)
+	}
+	cost.CPU = 100 * spent.Seconds() / agentMeasure.Seconds()
+	cost.Local = cost.Local.perSecond(agentMeasure)
+	cost.HeapBytes = heap() - before
+	if stale := a.Stats().StaleEvents; stale != 0 {
+		return AgentCost{}, Error.New("the agent dropped %d events", stale)
+	}
+	return cost, nil
+}
--- /dev/null
+++ b/proof/capacity/fleet.go
@@ -0,0 +1,234 @@
+package capacity
+
+import (
+	"encoding/json"
+	"fmt"
+	"strings"
+	"time"
+
+	"github.com/kumquatsill/kumquatsill/core/configlog"
+	"github.com/kumquatsill/kumquatsill/core/note"
+	"github.com/kumquatsill/kumquatsill/core/proto"
+	"github.com/kumquatsill/kumquatsill/proof/drive"
+	"github.com/kumquatsill/kumquatsill/proof/fleet"
+	"github.com/kumquatsill/kumquatsill/standin/logsvc"
+)
+
+// FleetCost is what a fleet of whole routers appends to the log.
+type FleetCost struct {
+	// Start counts the appends to the config stream until every router is
+	// ready, Renewals the appends per second afterwards without traffic.
+	Start, Renewals float64
+	// Audit is appends per second while each router serves a request a second.
+	Audit float64
+	// Call is appends to the intent streams per call that may not be repeated.
+	Call float64
+	// Restart is records of the config stream, other than renewals, for one
+	// router that is replaced without a graceful shutdown.
+	Restart float64
+	// NoteSeconds is the longest of three times from the submission of a note
+	// until every router has it in force.
+	NoteSeconds float64
+}
+
+const (
+	fleetPeriod = 60 * time.Second
+	fleetCalls  = 40
+	restartTime = 2 * time.Minute
+)
+
+func callNote() note.Note {
+	n := fleetNote(Sizes{Endpoints: 4, Accounts: 5, Models: 1})
+	n.Added.Endpoints = append(n.Added.Endpoints, note.Endpoint{
+		ID: "orders-1", Kind: note.KindService, Domain: "domain-0", Addr: "10.1.9.1:8090", Service: "orders",
+	})
+	n.Added.Routes = []note.Route{{Method: "POST", Path: "/orders", Service: "orders"}}
+	return n
+}
+
+func fleetDomains() []proto.Domain {
+	return []proto.Domain{"domain-0", "domain-1", "domain-2", "domain-3"}
+}
+
+func startFleet(routers int, fate func(proto.Instant, proto.Envelope) drive.Fate) (*fleet.Fleet, error) {
+	f := fleet.Start(fleet.Config{
+		Drive:   drive.Config{Seed: 1, Fate: fate},
+		Routers: routers,
+		Domains: fleetDomains(),
+		Note:    callNote(),
+		Log:     logsvc.Config{AppendsPerSecond: 100_000},
+	})
+	if !f.WaitReady(1) {
+		return nil, Error.New("a fleet of %d routers is not ready after a minute", routers)
+	}
+	return f, nil
+}
+
+// MeasureFleet counts the appends of a fleet of whole routers.
+func MeasureFleet(routers int) (FleetCost, error) {
+	f, err := startFleet(routers, nil)
+	if err != nil {
+		return FleetCost{}, err
+	}
+	var c FleetCost
+	c.Start = float64(f.Log.Appends[proto.StreamConfig])
+	f.World.Run(fleetPeriod)
+	c.Renewals = float64(f.Log.Appends[proto.StreamConfig]) - c.Start
+	c.Renewals /= fleetPeriod.Seconds()
+	if c.NoteSeconds, err = measureNotes(f); err != nil {
+		return FleetCost{}, err
+	}
+	c.Audit = measureAudit(f, routers)
+	if c.Call, err = measureCalls(f, routers); err != nil {
+		return FleetCost{}, err
+	}
+	c.Restart, err = measureRestart(f, routers-1)
+	return c, err
+}
+
+func measureRestart(f *fleet.Fleet, router int) (float64, error) {
+	before := len(f.Log.Records(proto.StreamConfig))
+	f.StopRouter(router)
+	f.StartRouter(router)
+	f.World.Run(restartTime)
+	n := 0.0
+	for _, r := range f.Log.Records(proto.StreamConfig)[before:] {
+		var body configlog.Lease
+		if r.Kind == configlog.KindLease {
+			if err := json.Unmarshal(r.Body, &body); err != nil {
+				return 0, Error.Wrap(err)
+			}
+		}
+		if body.Action != configlog.LeaseRenew {
+			n++
+		}
+	}
+	return n, nil
+}
+
+func measureNotes(f *fleet.Fleet) (float64, error) {
+	longest := 0.0
+	for i := range 3 {
+		n := note.Note{BasedOn: proto.Revision(i + 1)}
+		n.Changed.Accounts = []note.Account{{ID: accountID(1), Rate: int64(100_000 + i), Burst: 1_000_000}}
+		start := f.World.Now()
+		f.Submit(0, proto.RecordID(fmt.Sprintf("note-%d", i)), n)
+		if !f.World.RunUntil(10*time.Second, func() bool { return f.Ready(proto.Revision(i + 2)) }) {
+			return 0, Error.New("a note is not in force after 10 s")
+		}
+		longest = max(longest, f.World.Now().Sub(start).Seconds())
+	}
+	return longest, nil
+}
+
+func measureAudit(f *fleet.Fleet, routers int) float64 {
+	before := f.Log.Appends[proto.StreamAudit]
+	for second := range int(fleetPeriod.Seconds()) {
+		for i := range routers {
+			f.Callers.Send(f.RouterAddr(i), fleetRequest(fmt.Sprintf("g-%d-%d", second, i), i))
+		}
+		f.World.Run(time.Second)
+	}
+	return float64(f.Log.Appends[proto.StreamAudit]-before) / fleetPeriod.Seconds()
+}
+
+func fleetRequest(id string, account int) proto.CallerRequest {
+	return proto.CallerRequest{
+		ID: proto.RequestID(id), Key: keyOf(account % 5), Class: proto.ClassGenerate, Method: "POST", Path: "/v1/completions",
+		Model: modelName(0), Stream: true, Body: []byte(`{"prompt":"hello"}`), MaxTokens: 2, PromptTokens: 100, Timeout: 30 * time.Second,
+	}
+}
+
+func measureCalls(f *fleet.Fleet, routers int) (float64, error) {
+	count := func() float64 {
+		sum := 0
+		for stream, n := range f.Log.Appends {
+			if strings.HasPrefix(stream, proto.StreamIntentPrefix) {
+				sum += n
+			}
+		}
+		return float64(sum)
+	}
+	before := count()
+	var answers []*fleet.Answer
+	for i := range fleetCalls {
+		id := fmt.Sprintf("c-%d", i)
+		answers = append(answers, f.Callers.Send(f.RouterAddr(i%routers), proto.CallerRequest{
+			ID: proto.RequestID(id), Key: keyOf(i % 5), Class: proto.ClassCall, Method: "POST", Path: "/orders",
+			Body: []byte(`{"order":"` + id + `"}`), IdempotencyKey: id, Timeout: 30 * time.Second,
+		}))
+		f.World.Run(500 * time.Millisecond)
+	}
+	f.World.Run(10 * time.Second)
+	for _, a := range answers {
+		if a.Finish == nil {
+			return 0, Error.New("a call was not answered: %+v", a.Refusal)
+		}
+	}
+	return (count() - before) / fleetCalls, nil
+}
+
+// PartitionCost is what a partition between two regions does, of which only
+// the first reaches the log.
+type PartitionCost struct {
+	Routers int `json:"routers"`
+	// Serving is the number of routers in the region without the log that still
+	// admit keyed traffic after the partition has lasted Seconds.
+	Serving    int     `json:"serving"`
+	RegionSize int     `json:"region_size"`
+	Seconds    float64 `json:"seconds"`
+	// SlotsBefore and SlotsAfter count the static slots that the log gives to
+	// routers of the region without the log.
+	SlotsBefore int `json:"slots_before"`
+	SlotsAfter  int `json:"slots_after"`
+}
+
+const partitionTime = 2 * time.Minute
+
+// MeasurePartition parts the domains 0 and 1, which reach the log, from the
+// domains 2 and 3, which do not.
+func MeasurePartition(routers int) (PartitionCost, error) {
+	parted := false
+	region := map[proto.Addr]int{}
+	fate := func(_ proto.Instant, e proto.Envelope) drive.Fate {
+		return drive.Fate{Drop: parted && region[e.From] != region[e.To]}
+	}
+	f, err := startFleet(routers, fate)
+	if err != nil {
+		return PartitionCost{}, err
+	}
+	c := PartitionCost{Routers: routers, Seconds: partitionTime.Seconds()}
+	away := map[proto.RouterID]bool{}
+	for i := range routers {
+		if i%len(fleetDomains()) >= 2 {
+			region[f.RouterAddr(i)] = 1
+			away[f.RouterID(i)] = true
+			c.RegionSize++
+		}
+	}
+	c.SlotsBefore = slotsOf(f, away)
+	parted = true
+	f.World.Run(partitionTime)
+	for i := range routers {
+		if away[f.RouterID(i)] && f.Routers[i].Snapshot().FreshUntil > f.World.Now() {
+			c.Serving++
+		}
+	}
+	c.SlotsAfter = slotsOf(f, away)
+	return c, nil
+}
+
+// slotsOf counts the static slots that the log gives to the named routers.
+func slotsOf(f *fleet.Fleet, owners map[proto.RouterID]bool) int {
+	state := configlog.NewState(nil)
+	for _, r := range f.Log.Records(proto.StreamConfig) {
+		state.Fold(r)
+	}
+	n := 0
+	for id, r := range state.Snapshot().Routers {
+		if owners[id] && r.Slot != configlog.NoSlot {
+			n++
+		}
+	}
+	return n
+}
--- /dev/null
+++ b/proof/capacity/parse.go
@@ -0,0 +1,90 @@
+package capacity
+
+import (
+	"bufio"
+	"encoding/json"
+	"io"
+	"regexp"
+	"slices"
+	"strconv"
+	"strings"
+)
+
+// benchLine matches the name of a sub-benchmark of BenchmarkCapacity, with the
+// number of processors that go test appends.
+var benchLine = regexp.MustCompile(`^BenchmarkCapacity/([a-z-]+)/(\d+)(?:-\d+)?$`)
+
+// ParseBench reads the output of go test -bench Capacity and returns the
+// series of all benchmarks. It fails if one is missing or malformed. Of
+// several runs of one benchmark the last counts.
+func ParseBench(in io.Reader) ([]Series, error) {
+	found := map[benchPoint]float64{}
+	scan := bufio.NewScanner(in)
+	for scan.Scan() {
+		fields := strings.Fields(scan.Text())
+		if len(fields) == 0 {
+			continue
+		}
+		name := benchLine.FindStringSubmatch(fields[0])
+		if name == nil {
+			continue
+		}
+		if err := parseFigures(found, name, fields); err != nil {
+			return nil, err
+		}
+	}
+	if err := scan.Err(); err != nil {
+		return nil, Error.Wrap(err)
+	}
+	return benchSeries(found)
+}
+
+func parseFigures(found map[benchPoint]float64, name, fields []string) error {
+	size, err := strconv.Atoi(name[2])
+	if err != nil {
+		return Error.New("benchmark %s: size %q: %v", name[1], name[2], err)
+	}
+	if len(fields) < 4 || len(fields)%2 != 0 {
+		return Error.New("benchmark %s/%d: the line has no pairs of figure and unit", name[1], size)
+	}
+	for pair := range slices.Chunk(fields[2:], 2) {
+		v, err := strconv.ParseFloat(pair[0], 64)
+		if err != nil {
+			return Error.New("benchmark %s/%d: figure %q: %v", name[1], size, pair[0], err)
+		}
+		found[benchPoint{name[1], size, pair[1]}] = v
+	}
+	return nil
+}
+
+// Replace puts series in the place of those of the same id. It fails on one
+// that the results do not have.
+func (r *Results) Replace(series []Series) error {
+	for _, s := range series {
+		i := slices.IndexFunc(r.Series, func(old Series) bool { return old.ID == s.ID })
+		if i < 0 {
+			return Error.New("the saved results have no series %q", s.ID)
+		}
+		r.Series[i] = s
+	}
+	return r.Validate()
+}
+
+// ReadJSON reads saved results. It fails on unknown fields and on results
+// from which the tables cannot be made.
+func ReadJSON(in io.Reader) (Results, error) {
+	var r Results
+	dec := json.NewDecoder(in)
+	dec.DisallowUnknownFields()
+	if err := dec.Decode(&r); err != nil {
+		return Results{}, Error.Wrap(err)
+	}
+	return r, r.Validate()
+}
+
+// WriteJSON saves results.
+func WriteJSON(out io.Writer, r Results) error {
+	enc := json.NewEncoder(out)
+	enc.SetIndent("", " ")
+	return Error.Wrap(enc.Encode(r))
+}
--- /dev/null
+++ b/proof/capacity/render.go
@@ -0,0 +1,183 @@
+package capacity
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"strings"
+	"text/tabwriter"
+)
+
+// Table is a table of the page.
+type Table struct {
+	Title  string     `json:"title"`
+	Header []string   `json:"header"`
+	Rows   [][]string `json:"rows"`
+}
+
+// Tables returns all tables of the page.
+func (r Results) Tables() ([]Table, error) {
+	rows, err := r.Rows()
+	if err != nil {
+		return nil, err
+	}
+	b := &book{results: r}
+	tables := []Table{r.machine(), boundTable(rows), b.compareTable(), r.trafficTable(), b.appendTable(), r.partitionTable()}
+	for _, role := range Roles() {
+		if t := r.slopeTable(role); len(t.Rows) > 0 {
+			tables = append(tables, t)
+		}
+	}
+	return tables, b.err
+}
+
+func (r Results) machine() Table {
+	return Table{"Measurement", []string{"date", "cores", "Go"}, [][]string{{r.Date, fmt.Sprint(r.Cores), r.GoVersion}}}
+}
+
+func boundTable(rows []Row) Table {
+	t := Table{Title: "Roles and bounds at the target size", Header: []string{"role", "bound", "value", "limit", "margin", "basis", "from"}}
+	for _, r := range rows {
+		value := "-"
+		if r.Basis == Measured || r.Basis == Computed {
+			value = figure(r.Value)
+		}
+		t.Rows = append(t.Rows, []string{string(r.Role), string(r.Bound), value, figure(r.Limit) + " " + r.Unit, r.Margin(), string(r.Basis), r.From})
+	}
+	return t
+}
+
+// compareTable sets the sum of slopes against one direct measurement.
+func (b *book) compareTable() Table {
+	t := Table{Title: "Entry router at the target size, by slopes and measured directly", Header: []string{"quantity", "unit", "by slopes", "measured"}}
+	for _, q := range quantities() {
+		t.Rows = append(t.Rows, []string{q.name, q.unit, figure(b.router(q.id)), figure(q.of(b.results.Target))})
+	}
+	return t
+}
+
+func (r Results) trafficTable() Table {
+	t := Table{Title: "Traffic of one router at the target size", Header: []string{"kind", "messages/s", "JSON B/s", "with framing B/s"}}
+	n := r.Target
+	for _, k := range []struct {
+		name string
+		of   Traffic
+	}{
+		{"beats to peers and answers", n.Beats}, {"grant requests", n.Grants}, {"config stream", n.Config}, {"audit stream", n.Audit},
+		{"intent streams", n.Intents}, {"other control", n.Other}, {"all control", n.Control()},
+		{"answers of holders (at the holders)", n.Replies}, {"probes (ride on requests)", n.Riding},
+	} {
+		t.Rows = append(t.Rows, []string{k.name, figure(k.of.Messages), figure(k.of.Bytes), figure(k.of.framed())})
+	}
+	return t
+}
+
+func (b *book) appendTable() Table {
+	t := Table{Title: "Log appends of the fleet at the target size", Header: []string{"stream", "cause", "appends/s", "basis", "from"}}
+	for _, a := range b.appendRates() {
+		value := figure(a.PerSecond)
+		if a.Basis == Unknown {
+			value = "-"
+		}
+		t.Rows = append(t.Rows, []string{a.Stream, a.Cause, value, string(a.Basis), a.From})
+	}
+	t.Rows = append(t.Rows, []string{"all", "sum of the known", figure(b.appends()), string(Computed), ""})
+	return t
+}
+
+func (r Results) partitionTable() Table {
+	t := Table{Title: "Two regions parted, the log in the first", Header: []string{"routers", "in the second region", "of these still serving", "after s", "their slots before", "their slots after"}}
+	for _, p := range r.Partitions {
+		t.Rows = append(t.Rows, []string{
+			fmt.Sprint(p.Routers), fmt.Sprint(p.RegionSize), fmt.Sprint(p.Serving), figure(p.Seconds), fmt.Sprint(p.SlotsBefore), fmt.Sprint(p.SlotsAfter),
+		})
+	}
+	return t
+}
+
+func (r Results) slopeTable(role Role) Table {
+	t := Table{Title: "Slopes: " + string(role), Header: []string{"quantity", "unit", "size", "measured", "slope", "at the target, by slope", "used", "mechanism", "command"}}
+	for _, s := range r.Series {
+		if s.Role != role {
+			continue
+		}
+		var points []string
+		for _, p := range s.Points {
+			points = append(points, figure(p.Size)+": "+figure(p.Value))
+		}
+		t.Rows = append(t.Rows, []string{
+			s.Quantity, s.Unit, s.SizeName, strings.Join(points, ", "), figure(s.Line().Slope), figure(s.Extrapolated()), figure(s.AtTarget()), s.Mechanism, "`" + s.Command + "`",
+		})
+	}
+	return t
+}
+
+// figure prints three significant digits, without an exponent from 0.0001 to
+// a billion.
+func figure(v float64) string {
+	switch {
+	case v == 0:
+		return "0"
+	case v >= 1000 || v <= -1000:
+		return fmt.Sprintf("%.0f", v)
+	}
+	return fmt.Sprintf("%.3g", v)
+}
+
+// WriteMarkdown writes the tables as they are on the page.
+func WriteMarkdown(out io.Writer, tables []Table) error {
+	var b strings.Builder
+	for i, t := range tables {
+		if i > 0 {
+			b.WriteString("\n")
+		}
+		fmt.Fprintf(&b, "### %s\n\n", t.Title)
+		fmt.Fprintf(&b, "| %s |\n", strings.Join(t.Header, " | "))
+		b.WriteString("|" + strings.Repeat(" --- |", len(t.Header)) + "\n")
+		for _, row := range t.Rows {
+			fmt.Fprintf(&b, "| %s |\n", strings.Join(row, " | "))
+		}
+	}
+	_, err := io.WriteString(out, b.String())
+	return Error.Wrap(err)
+}
+
+// WriteText writes the tables for a terminal.
+func WriteText(out io.Writer, tables []Table) error {
+	w := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
+	for _, t := range tables {
+		fmt.Fprintf(w, "%s\n%s\n", t.Title, strings.Join(t.Header, "\t"))
+		for _, row := range t.Rows {
+			fmt.Fprintln(w, strings.Join(row, "\t"))
+		}
+		fmt.Fprintln(w)
+	}
+	return Error.Wrap(w.Flush())
+}
+
+// WriteTablesJSON writes the tables for scripts.
+func WriteTablesJSON(out io.Writer, tables []Table) error {
+	enc := json.NewEncoder(out)
+	enc.SetIndent("", " ")
+	return Error.Wrap(enc.Encode(tables))
+}
+
+// Markers of the tables on the page.
+const (
+	pageBegin = "<!-- begin of the tables of go run ./proof/cmd/capacity -->\n"
+	pageEnd   = "<!-- end of the tables -->\n"
+)
+
+// ReplaceTables returns the page with its tables replaced.
+func ReplaceTables(page string, tables []Table) (string, error) {
+	head, rest, hasBegin := strings.Cut(page, pageBegin)
+	_, tail, hasEnd := strings.Cut(rest, pageEnd)
+	if !hasBegin || !hasEnd {
+		return "", Error.New("the page lacks the markers of the tables")
+	}
+	var b strings.Builder
+	if err := WriteMarkdown(&b, tables); err != nil {
+		return "", err
+	}
+	return head + pageBegin + b.String() + pageEnd + tail, nil
+}
