core/exchange: look again at the key before a message is handled

Cause: the key of an open stream is looked at again on a tick only.

Change: a message to an exchange does the check that is due before it is handled.

Test: a key that is withdrawn during a pause, in TestFailures; it fails without the change.

--- a/core/exchange/exchange.go
+++ b/core/exchange/exchange.go
@@ -137,6 +137,10 @@
 		}
 		return
 	}
+	// After a pause, messages may come before the tick that is due.
+	if x.recheck(now); x.Done() {
+		return
+	}
 	switch m := in.Msg.(type) {
 	case proto.CallerGone:
 		x.onGone(now, m)
@@ -182,11 +186,7 @@
 		x.abort(now, proto.CauseDeadline, "the deadline passed")
 		return
 	}
-	if !now.Before(x.checkAt) {
-		x.checkAt = now.Add(recheckInterval)
-		x.recheckKey(now)
-		x.recall(now)
-	}
+	x.recheck(now)
 	if x.inFlight() && x.trial.at != 0 && !now.Before(x.trial.ends) {
 		x.abort(now, proto.CauseDeadline, "the trial of the request took too long")
 	}
@@ -196,6 +196,18 @@
 	x.onStepTimeout(now)
 }
 
+// recheck looks again, when it is due, at what may have changed since admission.
+func (x *Exchange) recheck(now proto.Instant) {
+	if now.Before(x.checkAt) {
+		return
+	}
+	x.checkAt = now.Add(recheckInterval)
+	x.recheckKey(now)
+	if !x.Done() {
+		x.recall(now)
+	}
+}
+
 func (x *Exchange) onStepTimeout(now proto.Instant) {
 	switch x.step {
 	case StepProbe, StepBackoff:
--- a/core/exchange/exchange_test.go
+++ b/core/exchange/exchange_test.go
@@ -271,6 +271,12 @@
 			b.snap.Config.Keys = nil
 			b.wait(time.Second)
 		}, cause: proto.CauseKeyWithdrawn, verdict: proto.MayHaveRun, tokens: 101, chunks: 1},
+		"key withdrawn while the router is paused": {req: sampled, do: func(b *bench) {
+			b.chunk(1)
+			b.snap.Config.Keys = nil
+			b.now = b.now.Add(10 * time.Second)
+			b.chunk(2)
+		}, cause: proto.CauseKeyWithdrawn, verdict: proto.MayHaveRun, tokens: 101, chunks: 1},
 		"stale router": {req: sampled, prepare: func(b *bench) { b.snap.FreshUntil = b.now }, cause: proto.CauseStale, verdict: proto.NotRun},
 		"rate":         {req: sampled, prepare: func(b *bench) { b.limits.refuse = true }, cause: proto.CauseRateLimited, verdict: proto.NotRun},
 		"no endpoint":  {req: sampled, prepare: func(b *bench) { b.places.endpoints = nil }, cause: proto.CauseNoEndpoint, verdict: proto.NotRun},
