core/agent, core/exchange: refuse adapters that are not there

Cause: a request for an adapter that the model does not have, or that the engine has not loaded, was dispatched and run. Change: the router refuses the first, the agent the second, both as not run; parameters that nothing read are gone from the agent. Conclusion: the agent's test of crossed dispatches covers the case.

--- a/core/agent/agent.go
+++ b/core/agent/agent.go
@@ -141,7 +141,7 @@
 		a.onDispatch(now, from, m)
 	case proto.Cancel:
 		a.learn(m.Stamp)
-		a.onCancel(now, m.Attempt)
+		a.onCancel(m.Attempt)
 	case proto.Probe:
 		a.learn(m.Stamp)
 		a.Send(from, proto.ProbeReply{Stamp: a.stamp, Request: m.Request, Report: a.report(m.Blocks)})
@@ -161,13 +161,13 @@
 	case proto.EngineUp:
 		a.onEngineUp(now, m)
 	case proto.EngineDown:
-		a.onEngineDown(now)
+		a.onEngineDown()
 	case proto.EngineToken:
 		a.onToken(now, m)
 	case proto.EngineDone:
 		a.onDone(now, m)
 	case proto.EngineFailed:
-		a.onFailed(now, m)
+		a.onFailed(m)
 	case proto.CacheEvents:
 		a.index.Events(m)
 		a.resyncIndex(now)
--- a/core/agent/agent_test.go
+++ b/core/agent/agent_test.go
@@ -105,14 +105,17 @@
 	crossed.Endpoint = "e2"
 	older := generate("r#1")
 	older.Version = "v0"
-	for cause, d := range map[proto.Cause]proto.Dispatch{
-		proto.CauseCrossed: crossed, proto.CauseWrongVersion: older,
-	} {
+	adapter := generate("s#1")
+	adapter.Adapter = "unknown"
+	for _, c := range []struct {
+		dispatch proto.Dispatch
+		cause    proto.Cause
+	}{{crossed, proto.CauseCrossed}, {older, proto.CauseWrongVersion}, {adapter, proto.CauseWrongVersion}} {
 		a := newAgent(t)
-		a.Step(second, proto.Envelope{From: routerA, Msg: d})
+		a.Step(second, proto.Envelope{From: routerA, Msg: c.dispatch})
 		refused := sent[proto.AttemptRefused](a)
-		if len(refused) != 1 || refused[0].Cause != cause || refused[0].Verdict != proto.NotRun {
-			t.Errorf("refusals %+v, want one with cause %s", refused, cause)
+		if len(refused) != 1 || refused[0].Cause != c.cause || refused[0].Verdict != proto.NotRun {
+			t.Errorf("refusals %+v, want one with cause %s", refused, c.cause)
 		}
 	}
 }
--- a/core/agent/dispatch.go
+++ b/core/agent/dispatch.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 
 	"github.com/kumquatsill/kumquatsill/core/check"
 	"github.com/kumquatsill/kumquatsill/core/proto"
@@ -36,7 +37,7 @@
 		return proto.CauseLeaving, proto.NotRun, true
 	case !a.engine.up:
 		return proto.CauseEndpointFailed, proto.NotRun, true
-	case d.Class == proto.ClassGenerate && (a.engine.versions[d.Model] != d.Version || a.isChanging(d.Model)):
+	case d.Class == proto.ClassGenerate && !a.serves(d):
 		return proto.CauseWrongVersion, proto.NotRun, true
 	case d.ResumeAfter > 0 && !d.Sampling.Reproducible():
 		return proto.CauseNotResumable, proto.NotRun, true
@@ -46,6 +47,14 @@
 	return "", 0, false
 }
 
+// serves reports whether the engine holds the weights of a generation.
+func (a *Agent) serves(d proto.Dispatch) bool {
+	if a.engine.versions[d.Model] != d.Version || a.isChanging(d.Model) {
+		return false
+	}
+	return d.Adapter == "" || slices.Contains(a.engine.adapters, d.Adapter)
+}
+
 // admitIntent lets an intent through once. An intent that was accepted before
 // and did not end as not run may have run.
 func (a *Agent) admitIntent(d proto.Dispatch) (proto.Cause, proto.Verdict, bool) {
@@ -181,7 +190,7 @@
 	}
 }
 
-func (a *Agent) onCancel(now proto.Instant, id proto.AttemptID) {
+func (a *Agent) onCancel(id proto.AttemptID) {
 	j := a.jobs[id]
 	if j == nil {
 		a.closed.add(id)
@@ -194,7 +203,7 @@
 		j.router = proto.Addr{}
 		return
 	}
-	a.drop(now, j)
+	a.drop(j)
 }
 
 // cancellable reports whether a started job may be stopped half-way: a plain
@@ -202,7 +211,7 @@
 func (a *Agent) cancellable(j *job) bool { return j.dispatch.Class == proto.ClassGenerate }
 
 // drop ends a job that nobody wants any more.
-func (a *Agent) drop(now proto.Instant, j *job) {
+func (a *Agent) drop(j *job) {
 	if j.started {
 		a.Send(proto.EngineAddr(a.cfg.Endpoint), proto.EngineCancel{Attempt: j.run})
 		a.stop(j)
@@ -241,9 +250,9 @@
 			a.remove(j)
 		case j.started && j.attached():
 			a.Send(proto.EngineAddr(a.cfg.Endpoint), proto.EngineCancel{Attempt: j.run})
-			a.endBroken(now, j, proto.CauseDeadline, proto.MayHaveRun, false)
+			a.endBroken(j, proto.CauseDeadline, proto.MayHaveRun, false)
 		default:
-			a.drop(now, j)
+			a.drop(j)
 		}
 	}
 }
--- a/core/agent/engine.go
+++ b/core/agent/engine.go
@@ -30,7 +30,7 @@
 		a.engine.adapters = m.Adapters
 		return
 	}
-	a.endRuns(now)
+	a.endRuns()
 	a.dropOrders()
 	a.engine = engineState{up: true, incarnation: m.Incarnation, versions: m.Versions, adapters: m.Adapters, batch: m.BatchSize}
 	if a.engine.batch <= 0 {
@@ -40,22 +40,22 @@
 	a.resyncIndex(now)
 }
 
-func (a *Agent) onEngineDown(now proto.Instant) {
+func (a *Agent) onEngineDown() {
 	a.engine.up = false
-	a.endRuns(now)
+	a.endRuns()
 	a.refuseQueued()
 	a.dropOrders()
 	a.index = prefix.New("")
 }
 
 // endRuns ends what was running when the engine died.
-func (a *Agent) endRuns(now proto.Instant) {
+func (a *Agent) endRuns() {
 	for _, j := range a.sortedJobs() {
 		if !j.started || j.ended {
 			continue
 		}
 		a.stats.Crashed++
-		a.endBroken(now, j, proto.CauseEndpointFailed, proto.MayHaveRun, true)
+		a.endBroken(j, proto.CauseEndpointFailed, proto.MayHaveRun, true)
 	}
 }
 
@@ -70,7 +70,7 @@
 }
 
 // endBroken ends a started job without an answer.
-func (a *Agent) endBroken(_ proto.Instant, j *job, cause proto.Cause, verdict proto.Verdict, crashed bool) {
+func (a *Agent) endBroken(j *job, cause proto.Cause, verdict proto.Verdict, crashed bool) {
 	a.stop(j)
 	j.ended = true
 	a.closed.add(j.attempt)
@@ -169,7 +169,7 @@
 		return
 	}
 	if m.Seq != j.last+1 {
-		a.onBrokenRun(now, j, m.Seq)
+		a.onBrokenRun(j, m.Seq)
 		return
 	}
 	j.last = m.Seq
@@ -182,13 +182,13 @@
 
 // onBrokenRun handles output that is out of order: a repeat is dropped, a gap
 // ends the run, so that no stream with a hole goes on.
-func (a *Agent) onBrokenRun(now proto.Instant, j *job, seq proto.Seq) {
+func (a *Agent) onBrokenRun(j *job, seq proto.Seq) {
 	if seq <= j.last {
 		a.stats.StaleEvents++
 		return
 	}
 	a.Send(proto.EngineAddr(a.cfg.Endpoint), proto.EngineCancel{Attempt: j.run})
-	a.endBroken(now, j, proto.CauseStreamBroken, proto.MayHaveRun, false)
+	a.endBroken(j, proto.CauseStreamBroken, proto.MayHaveRun, false)
 }
 
 func (a *Agent) onDone(now proto.Instant, m proto.EngineDone) {
@@ -198,7 +198,7 @@
 		return
 	}
 	if j.dispatch.Class == proto.ClassGenerate && m.LastSeq != j.last {
-		a.endBroken(now, j, proto.CauseStreamBroken, proto.MayHaveRun, false)
+		a.endBroken(j, proto.CauseStreamBroken, proto.MayHaveRun, false)
 		return
 	}
 	a.stop(j)
@@ -219,7 +219,7 @@
 	a.Send(j.router, f)
 }
 
-func (a *Agent) onFailed(now proto.Instant, m proto.EngineFailed) {
+func (a *Agent) onFailed(m proto.EngineFailed) {
 	j := a.runs[m.Attempt]
 	if j == nil {
 		a.stats.StaleEvents++
@@ -229,7 +229,7 @@
 		a.stop(j)
 		a.forgetStarted(j.dispatch)
 	}
-	a.endBroken(now, j, m.Cause, m.Verdict, m.Crashed)
+	a.endBroken(j, m.Cause, m.Verdict, m.Crashed)
 }
 
 // forgetStarted allows an intent again that the service says it did not run.
--- a/core/exchange/admit.go
+++ b/core/exchange/admit.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"strings"
 	"time"
 
@@ -71,6 +72,10 @@
 		x.refuse(now, proto.CauseUnknownModel, fmt.Sprintf("model %q is not served", x.req.Model), proto.NotRun, 0)
 		return false
 	}
+	if x.req.Adapter != "" && !slices.Contains(m.Adapters, x.req.Adapter) {
+		x.refuse(now, proto.CauseUnknownModel, fmt.Sprintf("model %q has no adapter %q", m.Name, x.req.Adapter), proto.NotRun, 0)
+		return false
+	}
 	x.idempotent = true
 	x.query = route.Query{
 		Class:        proto.ClassGenerate,
