--- a/core/configlog/state.go
+++ b/core/configlog/state.go
@@ -17,8 +17,9 @@
 
 const (
 	maxHistory = 512
-	// maxOrigins bounds the processes whose record ids are remembered. At 54
-	// restarts a day it covers more than three months.
+	// maxOrigins bounds the processes whose record ids are remembered. An
+	// operator's submission counts as a process of its own. At 1,300
+	// submissions and 54 restarts a day it covers at least three days.
 	maxOrigins = 8192
 	// maxBuffered bounds the records that wait for a checkpoint. A checkpoint
 	// is appended at once, so that few records lie between its state and itself.
@@ -292,6 +293,7 @@
 	return NoteOutcome{
 		ID: rec.ID, Offset: rec.Offset, Result: result, Revision: s.cur.Revision, BasedOn: body.Note.BasedOn,
 		Author: body.Note.Author, Reason: body.Note.Reason, Router: body.Router, SubmittedWall: body.SubmittedWall,
+		Digest: note.Digest(body.Note),
 	}
 }
 
--- a/core/router/step.go
+++ b/core/router/step.go
@@ -11,7 +11,9 @@
 	"github.com/kumquatsill/kumquatsill/core/route"
 )
 
-func newControl(cfg Config) *Control {
+// NewControl returns a control machine without state, for a driver that runs
+// exchanges in threads of their own.
+func NewControl(cfg Config) *Control {
 	rng := rand.New(rand.NewPCG(cfg.Seed, 1))
 	self := proto.RouterAddr(cfg.ID)
 	c := &Control{
@@ -22,7 +24,7 @@
 		state:  configlog.NewState(cfg.Checks),
 		fresh:  newFreshness(),
 		peers:  newPeers(cfg.ID, rng),
-		notes:  map[proto.RecordID]submission{},
+		notes:  map[proto.RecordID]*submission{},
 		audit:  newAuditor(cfg),
 
 		recentRequests: newRecentRequests(),
@@ -67,7 +69,9 @@
 	c.now = now
 	switch m := in.Msg.(type) {
 	case proto.LogAppended, proto.LogRecords, proto.LogFailed:
-		c.log.Step(now, in)
+		if !c.onSearchAnswer(now, in) {
+			c.log.Step(now, in)
+		}
 	case proto.PeerBeat:
 		c.onBeat(now, in.From, m)
 	case proto.PeerBeatReply:
@@ -78,8 +82,12 @@
 		c.onStateReply(now, m)
 	case proto.NoteSubmit:
 		c.onNoteSubmit(now, in.From, m)
+	case proto.HistoryQuery, proto.ConfigQuery, proto.StatusQuery, proto.ExplainQuery, proto.QuarantineLift:
+		c.onOperator(now, in)
 	case proto.GrantRequest, proto.GrantReply, proto.TokenRequest, proto.TokenReply:
 		c.limits.step(now, in)
+	case proto.HostList:
+		c.onHostList(now, m)
 	case proto.ProbeReply:
 		c.onProbeReply(now, m)
 	case proto.OrderDone:
@@ -132,6 +140,7 @@
 		c.intents.Tick(now)
 	}
 	c.suspects.Tick(now)
+	c.tickSearches(now)
 	c.advanceLeases(now)
 	c.limits.tick(now)
 	c.tickRollout(now)
@@ -140,7 +149,7 @@
 
 // Wake implements proto.Machine.
 func (c *Control) Wake() proto.Instant {
-	wake := proto.Earliest(c.log.Wake(), c.peers.beatAt, c.workAt)
+	wake := proto.Earliest(c.log.Wake(), c.peers.beatAt, c.workAt, c.searches.wake())
 	if c.intents != nil {
 		wake = min(wake, c.intents.Wake())
 	}
