proof/capacity: run 320 whole routers

Cause: appends of a fleet and the partition of regions were extrapolated from 40 and 80 whole routers.

--- a/proof/capacity/fleet.go
+++ b/proof/capacity/fleet.go
@@ -32,9 +32,9 @@
 }
 
 const (
-	fleetPeriod = 60 * time.Second
-	fleetCalls  = 40
-	restartTime = 2 * time.Minute
+	fleetPeriod = 20 * time.Second
+	fleetCalls  = 20
+	restartTime = 75 * time.Second
 )
 
 func callNote() note.Note {
@@ -183,7 +183,7 @@
 	SlotsAfter  int `json:"slots_after"`
 }
 
-const partitionTime = 2 * time.Minute
+const partitionTime = 90 * time.Second
 
 // MeasurePartition parts the domains 0 and 1, which reach the log, from the
 // domains 2 and 3, which do not.
--- a/proof/capacity/plan.go
+++ b/proof/capacity/plan.go
@@ -160,7 +160,7 @@
 const maxHolders = 25
 
 func measureFleets(r *Results, progress Progress) error {
-	sizes := []int{4, 12, 40}
+	sizes := []int{4, 40, TargetRouters}
 	costs := make([]FleetCost, len(sizes))
 	for i, n := range sizes {
 		progress("a fleet of %d routers", n)
@@ -191,7 +191,7 @@
 }
 
 func measurePartitions(r *Results, progress Progress) error {
-	for _, n := range []int{8, 40, 80} {
+	for _, n := range []int{8, 40, TargetRouters} {
 		progress("%d routers in two parted regions", n)
 		c, err := MeasurePartition(n)
 		if err != nil {
