core/router: conclude nothing about a fleet from a sample of it

Cause: measured with 40 and 320 whole routers of which half lose the log and the other half, 15 of 20 and 94 of 160 went on admitting keyed traffic for 90 s, as a majority of the 16 peers that they hear was on their own side; the others took them off the register, and with them their static slots. Change: a general outage is concluded only by a router that exchanges beats with every registered one, and silent routers are removed only if they are at most a quarter of the peers, or one. Before: both tests fail. After: they pass; fleets of up to 17 routers behave as before. Not measured again at 40 and 320 routers.

--- a/core/router/follow.go
+++ b/core/router/follow.go
@@ -97,10 +97,11 @@
 		return
 	}
 	c.removeAt = now.Add(removeInterval + time.Duration(c.rng.Int64N(int64(removeInterval))))
-	for id := range c.state.Snapshot().Routers {
-		if id == c.cfg.ID || !c.peers.silent(now, id, silentRouterAfter) {
-			continue
-		}
+	silent := c.peers.allSilent(now, silentRouterAfter)
+	if len(silent) > max(1, len(c.peers.chosen)/4) {
+		return // a partition, in which those behind it may go on serving
+	}
+	for _, id := range silent {
 		body := configlog.Registration{Router: id, Slot: configlog.NoSlot, Gone: true, By: c.cfg.ID}
 		if _, err := c.log.Append(now, proto.StreamConfig, configlog.KindRegistration, body); err != nil {
 			c.stats.AppendErrors++
--- a/core/router/freshness.go
+++ b/core/router/freshness.go
@@ -55,14 +55,14 @@
 	}
 }
 
-// until returns when keyed traffic must stop. peers are the routers whose
-// word counts, without this one.
-func (f *freshness) until(now proto.Instant, domain proto.Domain, logReachable bool, peers map[proto.RouterID]proto.Domain) proto.Instant {
+// until returns when keyed traffic must stop. outage is set in a general
+// outage of the log.
+func (f *freshness) until(now proto.Instant, outage bool) proto.Instant {
 	if !f.proven {
 		return 0
 	}
 	limit := f.proof.Add(freshFor)
-	if !logReachable && f.isGeneralOutage(now, domain, peers) {
+	if outage {
 		return max(limit, now.Add(outageExtension))
 	}
 	return limit
--- a/core/router/operator.go
+++ b/core/router/operator.go
@@ -292,11 +292,11 @@
 
 func (c *Control) freshnessOf(now proto.Instant) proto.Freshness {
 	reachable := c.logReachable(now)
-	until := c.fresh.until(now, c.cfg.Domain, reachable, c.peers.chosen)
+	until := c.fresh.until(now, c.isOutage(now))
 	return proto.Freshness{
 		Stamp: c.stamp(), Router: c.cfg.ID, Ready: c.ready, Draining: c.draining,
 		ProofAge: c.fresh.age(now), FreshFor: max(0, until.Sub(now)), LogReachable: reachable,
-		GeneralOutage: !reachable && c.fresh.isGeneralOutage(now, c.cfg.Domain, c.peers.chosen),
+		GeneralOutage: c.isOutage(now),
 	}
 }
 
--- a/core/router/peers.go
+++ b/core/router/peers.go
@@ -87,10 +87,15 @@
 	return p.offsets[id] > after && !slices.Contains(p.grantsFrom[id], holder)
 }
 
-// silent reports whether a chosen router was not heard for d.
-func (p *peers) silent(now proto.Instant, id proto.RouterID, d time.Duration) bool {
-	at, ok := p.lastHeard[id]
-	return ok && now.Sub(at) > d
+// allSilent returns the chosen routers that were not heard for d.
+func (p *peers) allSilent(now proto.Instant, d time.Duration) []proto.RouterID {
+	var silent []proto.RouterID
+	for _, id := range p.order() {
+		if now.Sub(p.lastHeard[id]) > d {
+			silent = append(silent, id)
+		}
+	}
+	return silent
 }
 
 // choose picks the routers to talk to: all of them, or those that come first
--- /dev/null
+++ b/core/router/peers_test.go
@@ -0,0 +1,93 @@
+package router
+
+import (
+	"encoding/json"
+	"fmt"
+	"maps"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/kumquatsill/kumquatsill/core/configlog"
+	"github.com/kumquatsill/kumquatsill/core/proto"
+)
+
+// register returns n registered routers besides "self".
+func register(n int) map[proto.RouterID]configlog.RouterState {
+	known := map[proto.RouterID]configlog.RouterState{"self": {Router: "self"}}
+	for i := range n {
+		id := proto.RouterID(fmt.Sprintf("r%d", i))
+		known[id] = configlog.RouterState{Router: id}
+	}
+	return known
+}
+
+// Guards against routers behind a partition that are taken off the register,
+// and with them their static slots, although they may go on serving.
+func TestManySilentRoutersAreNotRemoved(t *testing.T) {
+	for _, c := range []struct {
+		routers, silent, removed int
+	}{{2, 1, 1}, {2, 2, 0}, {8, 2, 2}, {8, 3, 0}} {
+		ctl := New(Config{ID: "self", Addr: "127.0.0.1:1", Incarnation: "self"}).Control()
+		ctl.peers = newPeers("self", rand.New(rand.NewPCG(1, 1)))
+		ctl.peers.update(0, register(c.routers))
+		now := proto.Instant(2 * time.Minute)
+		for i := c.silent; i < c.routers; i++ {
+			ctl.peers.heard(now, proto.PeerBeat{Router: proto.RouterID(fmt.Sprintf("r%d", i))})
+		}
+		readHead(ctl, now)
+		ctl.removeSilent(now)
+		if got := ctl.log.Pending(); got != c.removed {
+			t.Errorf("%d of %d routers are silent: %d removed, want %d", c.silent, c.routers, got, c.removed)
+		}
+	}
+}
+
+// readHead lets the control machine read an empty log at now.
+func readHead(c *Control, now proto.Instant) {
+	c.log.Tick(now)
+	for _, e := range c.log.Take() {
+		if m, ok := e.Msg.(proto.LogRead); ok {
+			c.log.Step(now, proto.Envelope{From: proto.Log, To: c.Self(), Msg: proto.LogRecords{Call: m.Call, Stream: m.Stream}})
+		}
+	}
+	c.ready = true
+}
+
+// Guards against a router that takes the silence of the log for a general
+// outage on the word of a sample of the routers: in a fleet of two parted
+// regions the sample may be all on one side.
+func TestNoOutageOnTheWordOfASample(t *testing.T) {
+	for _, c := range []struct {
+		routers int
+		outage  bool
+	}{{2, true}, {maxBeatPeers, true}, {maxBeatPeers + 1, false}} {
+		ctl := New(Config{ID: "self", Addr: "127.0.0.1:1", Incarnation: "self"}).Control()
+		known := register(c.routers)
+		fold(t, ctl, known)
+		ctl.peers.update(0, known)
+		now := proto.Instant(time.Minute)
+		for id := range ctl.peers.chosen {
+			ctl.fresh.witnesses[id] = witness{at: now}
+		}
+		if got := ctl.isOutage(now); got != c.outage {
+			t.Errorf("%d other routers cannot read the log: outage %v, want %v", c.routers, got, c.outage)
+		}
+	}
+}
+
+// fold registers routers in the folded state of a control machine.
+func fold(t *testing.T, c *Control, known map[proto.RouterID]configlog.RouterState) {
+	t.Helper()
+	for i, id := range slices.Sorted(maps.Keys(known)) {
+		body, err := json.Marshal(configlog.Registration{Router: id, Addr: fmt.Sprintf("127.0.0.1:%d", i+1), Slot: configlog.NoSlot})
+		if err != nil {
+			t.Fatal(err)
+		}
+		rec := proto.Record{ID: proto.RecordID(id) + ".1", Kind: configlog.KindRegistration, Offset: proto.Offset(i), Body: body}
+		if res := c.state.Fold(rec); res.Outcome != configlog.Applied {
+			t.Fatal(res)
+		}
+	}
+}
--- a/core/router/publish.go
+++ b/core/router/publish.go
@@ -28,7 +28,7 @@
 		Suspects:    suspects,
 		Funded:      c.limits.isFunded(now),
 		Routers:     c.addrs,
-		FreshUntil:  c.fresh.until(now, c.cfg.Domain, c.logReachable(now), c.peers.chosen),
+		FreshUntil:  c.fresh.until(now, c.isOutage(now)),
 	}
 	if old == nil || old.Config != next.Config {
 		c.deps.Placement.Configure(now, next.Config)
@@ -92,9 +92,20 @@
 	return proto.Stamp{Revision: s.Revision, ConfigOffset: s.ConfigOffset}
 }
 
+// hearsAll reports whether this router exchanges beats with every registered
+// one. Otherwise it cannot know what a majority of them says: in a fleet of two
+// parted regions the majority of a sample may all be on one side.
+func (c *Control) hearsAll() bool {
+	others := len(c.state.Snapshot().Routers)
+	if _, registered := c.state.Snapshot().Routers[c.cfg.ID]; registered {
+		others--
+	}
+	return len(c.peers.chosen) == others
+}
+
 // isOutage reports whether no router can read the log, as far as can be told.
 func (c *Control) isOutage(now proto.Instant) bool {
-	return !c.logReachable(now) && c.fresh.isGeneralOutage(now, c.cfg.Domain, c.peers.chosen)
+	return !c.logReachable(now) && c.hearsAll() && c.fresh.isGeneralOutage(now, c.cfg.Domain, c.peers.chosen)
 }
 
 // logReachable reports whether this router itself read the head lately.
