--- a/proof/capacity/rows.go
+++ b/proof/capacity/rows.go
@@ -148,8 +148,8 @@
 }
 
 func (b *book) rolloutRows() {
-	b.add(RoleRollout, BoundProcessor, Unknown, 0, "core/rollout is not written; its lease is among the renewals")
-	b.add(RoleRollout, BoundMemory, Unknown, 0, "core/rollout is not written")
+	b.add(RoleRollout, BoundProcessor, Unknown, 0, "core/rollout is not measured; its lease is among the renewals")
+	b.add(RoleRollout, BoundMemory, Unknown, 0, "core/rollout is not measured")
 	b.add(RoleRollout, BoundControl, Unknown, 0, "orders and their answers are not sent yet")
 	b.add(RoleRollout, BoundNotes, Unknown, 0, "a note that changes a version is in force as any other; the loads that follow are not measured")
 	b.add(RoleRollout, BoundAppends, Computed, 1/renewEvery.Seconds(), "renewal of one lease, if its holder has no other")
