--- a/proof/drive/world.go
+++ b/proof/drive/world.go
@@ -31,6 +31,10 @@
 	Latency func(from, to proto.Addr) time.Duration
 	// Fate, if set, decides on each message that is sent.
 	Fate func(now proto.Instant, e proto.Envelope) Fate
+	// Alter, if set, replaces each message that is sent, to break a mechanism.
+	Alter func(e proto.Envelope) proto.Envelope
+	// Sent, if set, sees each message when its sender produces it.
+	Sent func(now proto.Instant, e proto.Envelope)
 	// Observe, if set, sees each message at its delivery.
 	Observe func(now proto.Instant, e proto.Envelope)
 }
@@ -140,6 +144,13 @@
 // Inject sends a message as if its sender had produced it now.
 func (w *World) Inject(e proto.Envelope) { w.send(e) }
 
+// Misdeliver brings a copy of a message to another node. The sender's own
+// connections stay as they are.
+func (w *World) Misdeliver(e proto.Envelope, to proto.Addr) {
+	e.To = to
+	w.push(event{at: w.now.Add(w.cfg.Latency(e.From, to)), envelope: e, stray: true})
+}
+
 // After runs f at a later time.
 func (w *World) After(d time.Duration, f func()) {
 	w.push(event{at: w.now.Add(d), call: f})
@@ -232,7 +243,9 @@
 		w.drain(m)
 		return
 	}
-	w.refuse(e.envelope)
+	if !e.stray {
+		w.refuse(e.envelope)
+	}
 }
 
 func (w *World) observe(e proto.Envelope) {
@@ -242,16 +255,20 @@
 	}
 }
 
-// refuse answers a dispatch to a node that does not run as the kernel of its
-// host would: the connection is refused before a byte is sent.
+// refuse answers work for a node that does not run as the kernel of its host
+// would: the connection is refused before a byte is sent.
 func (w *World) refuse(e proto.Envelope) {
-	d, ok := e.Msg.(proto.Dispatch)
-	if !ok {
+	var answer proto.Message
+	switch m := e.Msg.(type) {
+	case proto.Dispatch:
+		delete(w.open, m.Attempt)
+		answer = proto.ConnLost{Attempt: m.Attempt, Unsent: true}
+	case proto.EngineCall:
+		answer = proto.EngineFailed{Attempt: m.Attempt, Cause: proto.CauseEndpointFailed, Verdict: proto.NotRun}
+	default:
 		return
 	}
-	delete(w.open, d.Attempt)
-	lost := proto.ConnLost{Attempt: d.Attempt, Unsent: true}
-	w.post(proto.Envelope{From: e.To, To: e.From, Msg: lost}, w.cfg.Latency(e.To, e.From))
+	w.post(proto.Envelope{From: e.To, To: e.From, Msg: answer}, w.cfg.Latency(e.To, e.From))
 }
 
 // collect sends what a node produced and schedules its next tick.
@@ -278,7 +295,13 @@
 }
 
 func (w *World) send(e proto.Envelope) {
+	if w.cfg.Alter != nil {
+		e = w.cfg.Alter(e)
+	}
 	w.track(e)
+	if w.cfg.Sent != nil {
+		w.cfg.Sent(w.now, e)
+	}
 	var fate Fate
 	if w.cfg.Fate != nil {
 		fate = w.cfg.Fate(w.now, e)
--- a/proof/fleet/fleet.go
+++ b/proof/fleet/fleet.go
@@ -210,8 +210,10 @@
 	})
 }
 
-// Ready reports whether every running router serves at least a revision.
+// Ready reports whether every running router, and at least one, serves at
+// least a revision.
 func (f *Fleet) Ready(revision proto.Revision) bool {
+	running := 0
 	for i, r := range f.Routers {
 		if !f.World.Alive(f.RouterAddr(i)) {
 			continue
@@ -220,8 +222,9 @@
 		if !s.Ready || s.Config.Revision < revision {
 			return false
 		}
+		running++
 	}
-	return true
+	return running > 0
 }
 
 // warmUp is the time after which buckets and static slots are in use.
--- a/proof/oracle/content.go
+++ b/proof/oracle/content.go
@@ -33,7 +33,22 @@
 		o.fail(check.KeySecrecy, false, "message to %v does not encode: %v", e.To, err)
 		return
 	}
+	body := bodyOf(e.Msg)
 	for key := range o.keys {
-		o.fail(check.KeySecrecy, !bytes.Contains(data, []byte(key)), "a %s to %v carries a caller's key", e.Msg.Kind(), e.To)
+		clean := !bytes.Contains(data, []byte(key)) && !bytes.Contains(body, []byte(key))
+		o.fail(check.KeySecrecy, clean, "a %s to %v carries a caller's key", e.Msg.Kind(), e.To)
 	}
 }
+
+// bodyOf returns the body of a message, which its encoding hides as base64.
+func bodyOf(m proto.Message) []byte {
+	switch m := m.(type) {
+	case proto.Dispatch:
+		return m.Body
+	case proto.EngineRun:
+		return m.Body
+	case proto.EngineCall:
+		return m.Body
+	}
+	return nil
+}
--- a/proof/oracle/oracle.go
+++ b/proof/oracle/oracle.go
@@ -36,6 +36,23 @@
 	accepted  map[proto.Revision]proto.Instant
 	seen      map[proto.RouterID]proto.Revision
 	stopping  map[proto.Addr]proto.Instant
+	// endpointsUntil is the end of the last fault of an endpoint or of the
+	// connections to it.
+	endpointsUntil proto.Instant
+	// warm holds the routers that were found ready after a restart.
+	warm map[proto.Addr]bool
+	// resumes holds the attempts that ask for the rest of a stream, and
+	// working what each endpoint has taken on.
+	resumes map[proto.AttemptID]bool
+	working map[work]bool
+	// Wrongful counts refusals of requests inside their account's rate.
+	Wrongful int
+}
+
+// work is one request at one endpoint.
+type work struct {
+	endpoint proto.EndpointID
+	request  proto.RequestID
 }
 
 // request is what the oracle knows of one request.
@@ -68,6 +85,9 @@
 		accepted:  map[proto.Revision]proto.Instant{},
 		seen:      map[proto.RouterID]proto.Revision{},
 		stopping:  map[proto.Addr]proto.Instant{},
+		warm:      map[proto.Addr]bool{},
+		resumes:   map[proto.AttemptID]bool{},
+		working:   map[work]bool{},
 	}
 }
 
@@ -80,6 +100,12 @@
 // Stopping tells that a router began a graceful shutdown at that time.
 func (o *Oracle) Stopping(router proto.Addr, at proto.Instant) { o.stopping[router] = at }
 
+// EndpointFault tells that endpoints, or connections to them, may fail until
+// then. A request that fails for it is not cut by a shutdown.
+func (o *Oracle) EndpointFault(until proto.Instant) {
+	o.endpointsUntil = max(o.endpointsUntil, until)
+}
+
 // Observe sees a message at its delivery.
 func (o *Oracle) Observe(now proto.Instant, e proto.Envelope) {
 	o.checkSecrecy(e)
@@ -93,7 +119,7 @@
 	case proto.CallerRefusal:
 		o.onRefusal(now, e.To, m)
 	case proto.Dispatch:
-		o.onDispatch(now, m)
+		o.onDispatch(m)
 	case proto.EngineRun:
 		o.onRun(m)
 	case proto.EngineCall:
@@ -151,6 +177,9 @@
 	}
 	r.ended = true
 	o.checkWithdrawn(now, r)
+	if at, ok := o.stopping[r.router]; ok && r.arrived < at {
+		o.fail(check.GracefulStop, true, "")
+	}
 }
 
 func (o *Oracle) onRefusal(now proto.Instant, to proto.Addr, m proto.CallerRefusal) {
@@ -159,17 +188,20 @@
 		return
 	}
 	r.ended = true
+	o.countWrongful(now, r, m)
+	o.fail(check.WarmRestart, m.Cause != proto.CauseNotReady || !o.warm[r.router], "request %s: %v was ready and refuses as not ready", m.Request, r.router)
 	if m.Verdict == proto.NotRun {
 		r.refused = true
 		o.fail(check.TrueNotRun, r.runs == 0, "request %s is refused as not run (%s) and ran %d times", m.Request, m.Cause, r.runs)
 	}
 	if at, ok := o.stopping[r.router]; ok && r.arrived < at {
-		o.fail(check.GracefulStop, m.Cause != proto.CauseShuttingDown && m.Cause != proto.CauseEndpointFailed,
+		excused := m.Cause == proto.CauseEndpointFailed && r.arrived <= o.endpointsUntil
+		o.fail(check.GracefulStop, m.Cause != proto.CauseShuttingDown && (m.Cause != proto.CauseEndpointFailed || excused),
 			"request %s was cut by the shutdown of %v: %s", m.Request, r.router, m.Cause)
 	}
 }
 
-func (o *Oracle) onDispatch(now proto.Instant, m proto.Dispatch) {
+func (o *Oracle) onDispatch(m proto.Dispatch) {
 	r := o.requests[m.Attempt.Request()]
 	if r == nil {
 		return
@@ -178,9 +210,6 @@
 		o.fail(check.AccountBinding, o.keys[r.msg.Key] == m.Account, "request %s runs for account %q, its key belongs to %q",
 			r.msg.ID, m.Account, o.keys[r.msg.Key])
 	}
-	if at, ok := o.leaving[m.Endpoint]; ok && m.ResumeAfter == 0 {
-		o.fail(check.Drain, now <= at.Add(drainWithin+slack), "endpoint %s got attempt %s %v after it began to leave", m.Endpoint, m.Attempt, now.Sub(at))
-	}
 }
 
 // onRun counts a run. Resumed streams and retries run again, and a run after
--- /dev/null
+++ b/proof/oracle/watch.go
@@ -0,0 +1,102 @@
+package oracle
+
+import (
+	"github.com/kumquatsill/kumquatsill/core/check"
+	"github.com/kumquatsill/kumquatsill/core/exchange"
+	"github.com/kumquatsill/kumquatsill/core/note"
+	"github.com/kumquatsill/kumquatsill/core/proto"
+)
+
+// Configured takes in what a note changed at the time of its acceptance.
+func (o *Oracle) Configured(now proto.Instant, old, next *note.Config) {
+	for hash, k := range next.Keys {
+		o.keys[hash] = k.Account
+		delete(o.withdrawn, hash)
+	}
+	for hash := range old.Keys {
+		if _, ok := next.Keys[hash]; !ok {
+			o.Withdrawn(hash, now)
+		}
+	}
+	for id, a := range next.Accounts {
+		if old.Accounts[id] != a {
+			o.SetAccount(now, a)
+		}
+	}
+	for id, e := range next.Endpoints {
+		switch {
+		case !e.Leaving:
+			delete(o.leaving, id)
+		case !old.Endpoints[id].Leaving:
+			o.Leaving(id, now)
+		}
+	}
+}
+
+// Restarted looks at a router at the time by which it must be ready.
+func (o *Oracle) Restarted(router proto.Addr, s *exchange.Snapshot) {
+	o.fail(check.WarmRestart, s.Ready, "%v is not ready in time after its start", router)
+	o.warm[router] = s.Ready
+}
+
+// Sent sees a message when its sender produces it. An endpoint takes on work
+// when its agent accepts an attempt. A dispatch that the agent refuses, as one
+// that was under way for long, is no work.
+func (o *Oracle) Sent(now proto.Instant, e proto.Envelope) {
+	switch m := e.Msg.(type) {
+	case proto.Dispatch:
+		if m.ResumeAfter > 0 {
+			o.resumes[m.Attempt] = true
+		}
+	case proto.Accepted:
+		o.onAccepted(now, proto.EndpointID(e.From.ID), m)
+	}
+}
+
+func (o *Oracle) onAccepted(now proto.Instant, endpoint proto.EndpointID, m proto.Accepted) {
+	w := work{endpoint: endpoint, request: m.Attempt.Request()}
+	known := o.working[w] || o.resumes[m.Attempt]
+	o.working[w] = true
+	at, leaving := o.leaving[endpoint]
+	late := leaving && !known && now > at.Add(drainWithin)
+	o.fail(check.Drain, !late, "endpoint %s took attempt %s %v after it began to leave", endpoint, m.Attempt, now.Sub(at))
+}
+
+// Ended tells whether a request came to an end by the end of the run, for one
+// whose router did not crash.
+func (o *Oracle) Ended(id proto.RequestID, done bool) {
+	r := o.requests[id]
+	if r == nil {
+		return
+	}
+	if at, ok := o.stopping[r.router]; ok && r.arrived < at {
+		o.fail(check.GracefulStop, done, "request %s was lost by the shutdown of %v", id, r.router)
+	}
+}
+
+// countWrongful counts a refusal of a request that its account could afford
+// and whose key is in force.
+func (o *Oracle) countWrongful(now proto.Instant, r *request, m proto.CallerRefusal) {
+	if _, withdrawn := o.withdrawn[r.msg.Key]; withdrawn {
+		return
+	}
+	account, ok := o.keys[r.msg.Key]
+	if !ok || !o.Inside(now, account, tokens(r.msg)) {
+		return
+	}
+	switch m.Cause {
+	case proto.CauseRateLimited, proto.CauseNotReady, proto.CauseStale, proto.CauseNoEndpoint,
+		proto.CauseOverload, proto.CauseLogUnavailable, proto.CauseUnknownKey:
+		o.Wrongful++
+	}
+}
+
+// bytesPerToken is what plain calls are charged by.
+const bytesPerToken = 4
+
+func tokens(m proto.CallerRequest) int64 {
+	if m.Class == proto.ClassCall {
+		return max(1, int64(len(m.Body))/bytesPerToken)
+	}
+	return m.PromptTokens + m.MaxTokens
+}
--- a/proof/scenario/faults.go
+++ b/proof/scenario/faults.go
@@ -37,25 +37,79 @@
 		{"messages-doubled", (*Run).doubleMessages},
 		{"router-cut-off-from-log", (*Run).cutRouterFromLog},
 		{"router-isolated", (*Run).isolateRouter},
+		{"lease-holder-paused", (*Run).pauseLeaseHolder},
+		{"messages-misdelivered", (*Run).misdeliver},
+		{"hot-prefix-shift", (*Run).shiftHotPrefixes},
+		{"key-withdrawn", (*Run).withdrawKey},
+		{"endpoint-leaves", (*Run).letEndpointLeave},
+		{"operators-race", (*Run).raceOperators},
+		{"crashing-request", (*Run).sendCrashing},
+		{"host-gone-still-listed", (*Run).loseHost},
+		{"fencing-ignored", (*Run).orderWithOldFence},
+		{"clock-offset", (*Run).moveClock},
+		{"wall-clock-step", (*Run).stepWallClock},
+		{"failure-domain-lost", (*Run).loseDomain},
 	}
 }
 
 const (
 	// faultTime is how long a fault of the network or the log lasts.
 	faultTime = 15 * time.Second
+	// reconnectAfter is when callers of a crashed router connect to another.
+	reconnectAfter = 300 * time.Millisecond
+	// maxLogDelay is the greatest delay of a slow log's answers. A reader may
+	// need two of them to learn of a note; see TestDrainWithSlowLog for 2 s.
+	maxLogDelay = 1400 * time.Millisecond
+	// maxPause is the longest pause of a router, several times to live of a lease.
+	maxPause = 20 * time.Second
 	// drainTime is longer than any request.
 	drainTime = time.Minute
 )
 
-func (r *Run) pickRouter() int { return r.World.Rand().IntN(numRouters) }
+// Target is what faults hit instead of parties picked at random.
+type Target struct {
+	Router   int
+	Endpoint proto.EndpointID
+	Account  int
+}
+
+func (r *Run) pickRouter() int {
+	if r.Target != nil {
+		return r.Target.Router
+	}
+	return r.World.Rand().IntN(len(r.Routers))
+}
+
+func (r *Run) pickAccount() int {
+	if r.Target != nil {
+		return r.Target.Account
+	}
+	return r.World.Rand().IntN(len(r.accounts))
+}
 
 func (r *Run) crashEngine() {
-	id := EngineID(r.World.Rand().IntN(numEngines))
-	r.event("engine %s crashes", id)
-	r.Engines[id].Crash(r.now())
+	r.Oracle.EndpointFault(r.now().Add(0))
+	id := r.pickEndpoint()
+	r.event("engine or service %s crashes", id)
+	e := r.Engines[id]
+	if e == nil {
+		r.World.Crash(proto.EngineAddr(id))
+		r.World.After(time.Second, func() { r.StartEngine(id) })
+		return
+	}
+	before := e.Counts.Crashes
+	r.World.Call(proto.EngineAddr(id), e.Crash)
+	r.crashes += e.Counts.Crashes - before
 }
 
 func (r *Run) pickEndpoint() proto.EndpointID {
+	if r.Target != nil {
+		return r.Target.Endpoint
+	}
+	return r.anyEndpoint()
+}
+
+func (r *Run) anyEndpoint() proto.EndpointID {
 	n := r.World.Rand().IntN(numEngines + numServices)
 	if n < numEngines {
 		return EngineID(n)
@@ -64,6 +118,7 @@
 }
 
 func (r *Run) crashAgent() {
+	r.Oracle.EndpointFault(r.now().Add(0))
 	id := r.pickEndpoint()
 	r.event("agent %s crashes", id)
 	r.World.Crash(proto.AgentAddr(id))
@@ -73,21 +128,41 @@
 func (r *Run) crashRouter() {
 	i := r.pickRouter()
 	r.event("router %d crashes", i)
+	r.CrashRouter(i, 2*time.Second)
+}
+
+// CrashRouter crashes router i and starts it again later.
+func (r *Run) CrashRouter(i int, restartAfter time.Duration) {
+	addr := r.RouterAddr(i)
+	r.crashed[addr] = true
 	r.StopRouter(i)
-	r.World.After(2*time.Second, func() { r.restartRouter(i) })
+	if r.settings.Resume {
+		r.World.After(reconnectAfter, func() { r.resumeAll(addr) })
+	}
+	r.World.After(restartAfter, func() { r.restartRouter(i) })
+}
+
+// resumeAll continues the streams that a router's crash broke.
+func (r *Run) resumeAll(router proto.Addr) {
+	for _, a := range r.Callers.All() {
+		if a.Router == router {
+			r.ResumeElsewhere(a)
+		}
+	}
 }
 
 func (r *Run) restartRouter(i int) {
-	if !r.World.Alive(r.RouterAddr(i)) {
-		r.StartRouter(i)
+	if r.World.Alive(r.RouterAddr(i)) {
+		return
 	}
+	r.StartRouter(i)
+	r.watchRestart(i)
 }
 
 func (r *Run) restartAllRouters() {
 	r.event("all routers restart")
-	for i := range numRouters {
-		r.StopRouter(i)
-		r.World.After(time.Second, func() { r.restartRouter(i) })
+	for i := range r.Routers {
+		r.CrashRouter(i, time.Second)
 	}
 }
 
@@ -97,6 +172,12 @@
 	if !r.World.Alive(r.RouterAddr(i)) {
 		return
 	}
+	r.DrainAndReplace(i)
+}
+
+// DrainAndReplace shuts router i down gracefully and starts another one in
+// its place later.
+func (r *Run) DrainAndReplace(i int) {
 	r.event("router %d shuts down", i)
 	r.Oracle.Stopping(r.RouterAddr(i), r.now())
 	r.DrainRouter(i)
@@ -136,28 +217,36 @@
 }
 
 func (r *Run) logDown() {
+	r.disturb(faultTime)
 	r.event("the log refuses")
 	r.Log.SetOutage(logsvc.Refusing)
 	r.World.After(faultTime, func() { r.Log.SetOutage(logsvc.Working) })
 }
 
 func (r *Run) logSilent() {
+	r.disturb(2 * faultTime)
 	r.event("the log is silent")
 	r.Log.SetOutage(logsvc.Silent)
 	r.World.After(2*faultTime, func() { r.Log.SetOutage(logsvc.Working) })
 }
 
 func (r *Run) logSlow() {
+	r.disturb(faultTime)
+	if r.now() < r.slowUntil {
+		return // twice the delay is the case of TestNoteInForceWithSlowLog
+	}
+	r.slowUntil = r.now().Add(faultTime)
 	r.event("the log is slow")
 	r.During(faultTime, func(e proto.Envelope) drive.Fate {
 		if e.From.Role != proto.RoleLog {
 			return drive.Fate{}
 		}
-		return drive.Fate{Delay: time.Duration(r.World.Rand().Int64N(int64(2 * time.Second)))}
+		return drive.Fate{Delay: time.Duration(r.World.Rand().Int64N(int64(maxLogDelay)))}
 	})
 }
 
 func (r *Run) loseAppendAnswers() {
+	r.disturb(faultTime)
 	r.event("answers of appends are lost")
 	r.During(faultTime, func(e proto.Envelope) drive.Fate {
 		_, ok := e.Msg.(proto.LogAppended)
@@ -166,12 +255,17 @@
 }
 
 func (r *Run) pauseRouter() {
+	r.reportsLate = true
+	r.Oracle.EndpointFault(r.now().Add(maxPause))
+	r.disturb(maxPause)
 	i := r.pickRouter()
 	r.event("router %d pauses", i)
-	r.World.Freeze(r.RouterAddr(i), time.Duration(r.World.Rand().Int64N(int64(20*time.Second))))
+	r.World.Freeze(r.RouterAddr(i), time.Duration(r.World.Rand().Int64N(int64(maxPause))))
 }
 
 func (r *Run) pauseAgent() {
+	r.reportsLate = true
+	r.Oracle.EndpointFault(r.now().Add(faultTime))
 	id := r.pickEndpoint()
 	r.event("agent %s pauses", id)
 	r.World.Freeze(proto.AgentAddr(id), time.Duration(r.World.Rand().Int64N(int64(10*time.Second))))
@@ -180,6 +274,8 @@
 // silenceConnection loses everything on the attempts that are open now
 // between one router and one agent; new attempts work.
 func (r *Run) silenceConnection() {
+	r.reportsLate = true
+	r.Oracle.EndpointFault(r.now().Add(faultTime))
 	i, id := r.pickRouter(), r.pickEndpoint()
 	router, agent := r.RouterAddr(i), proto.AgentAddr(id)
 	r.event("connections between router %d and agent %s go silent", i, id)
@@ -222,7 +318,9 @@
 }
 
 func (r *Run) delayMessages() {
+	r.Oracle.EndpointFault(r.now().Add(faultTime))
 	r.event("messages are late")
+	r.reportsLate = true
 	r.During(faultTime, func(e proto.Envelope) drive.Fate {
 		if !isInternal(e) || r.World.Rand().IntN(10) != 0 {
 			return drive.Fate{}
@@ -242,6 +340,7 @@
 }
 
 func (r *Run) cutRouterFromLog() {
+	r.disturb(faultTime)
 	router := r.RouterAddr(r.pickRouter())
 	r.event("%v is cut off from the log", router)
 	r.During(faultTime, func(e proto.Envelope) drive.Fate {
@@ -250,6 +349,7 @@
 }
 
 func (r *Run) isolateRouter() {
+	r.disturb(faultTime)
 	router := r.RouterAddr(r.pickRouter())
 	r.event("%v is isolated from the log and the other routers", router)
 	isPeer := func(a proto.Addr) bool { return a == proto.Log || a.Role == proto.RoleRouter }
--- a/proof/scenario/load.go
+++ b/proof/scenario/load.go
@@ -11,6 +11,8 @@
 const (
 	requestTimeout = 40 * time.Second
 	maxTokens      = 8
+	// longTokens makes a stream last some seconds, so that faults hit it.
+	longTokens = 200
 )
 
 // Generation returns a streamed generation with a prefix that others share.
@@ -21,8 +23,8 @@
 		ID: id, Key: r.keys[r.accounts[account].ID], Class: proto.ClassGenerate,
 		Method: "POST", Path: "/v1/completions", Model: "assistant", Stream: true,
 		Body:      []byte(fmt.Sprintf(`{"prompt":"%d/%s"}`, prefix, id)),
-		MaxTokens: maxTokens, PromptTokens: 6500, Timeout: requestTimeout,
-		Pieces: []uint64{1, prefix, uint64(r.requests) << 32},
+		MaxTokens: maxTokens, PromptTokens: 6500, Timeout: r.settings.RequestTimeout,
+		Pieces: []uint64{1, r.prefixBase + prefix, uint64(r.requests) << 32},
 	}
 	if r.World.Rand().IntN(4) == 0 {
 		req.Sampling.Temperature = 0.7
@@ -36,7 +38,7 @@
 	return proto.CallerRequest{
 		ID: proto.RequestID(fmt.Sprintf("o%d", r.requests)), Key: r.keys[r.accounts[account].ID], Class: proto.ClassCall,
 		Method: "POST", Path: "/orders", Body: []byte(fmt.Sprintf(`{"order":%q}`, key)),
-		IdempotencyKey: key, Timeout: requestTimeout,
+		IdempotencyKey: key, ArrivedWall: r.wall.Add(r.now().Sub(0)), Timeout: r.settings.RequestTimeout,
 	}
 }
 
@@ -45,7 +47,7 @@
 	r.requests++
 	return proto.CallerRequest{
 		ID: proto.RequestID(fmt.Sprintf("s%d", r.requests)), Key: r.keys[r.accounts[account].ID], Class: proto.ClassCall,
-		Method: "GET", Path: "/orders/1", Timeout: requestTimeout,
+		Method: "GET", Path: "/orders/1", Timeout: r.settings.RequestTimeout,
 	}
 }
 
@@ -58,7 +60,7 @@
 func (r *Run) randomRequest() {
 	rng := r.World.Rand()
 	account := rng.IntN(len(r.accounts))
-	via := rng.IntN(numRouters)
+	via := rng.IntN(len(r.Routers))
 	switch rng.IntN(6) {
 	case 0, 1:
 		key := fmt.Sprintf("key-%d", r.requests)
@@ -67,14 +69,31 @@
 			again := r.Order(account, key)
 			again.Body = []byte(fmt.Sprintf(`{"order":%q}`, key))
 			delay := time.Duration(rng.Int64N(int64(10 * time.Second)))
-			r.World.After(delay, func() { r.Send(r.World.Rand().IntN(numRouters), again) })
+			r.World.After(delay, func() { r.Send(r.World.Rand().IntN(len(r.Routers)), again) })
 		}
 	case 2:
 		r.Send(via, r.Query(account))
 	default:
-		a := r.Send(via, r.Generation(account, uint64(rng.IntN(5))))
+		req := r.Generation(account, uint64(rng.IntN(5)))
+		if rng.IntN(4) == 0 {
+			req.MaxTokens = longTokens
+		}
+		a := r.Send(via, req)
 		if rng.IntN(10) == 0 {
 			r.World.After(time.Duration(rng.Int64N(int64(2*time.Second))), func() { r.Callers.HangUp(a.Request.ID) })
 		}
 	}
 }
+
+// CalmRequest sends one small request of each kind in turn.
+func (r *Run) CalmRequest() {
+	via, account := r.requests%len(r.Routers), r.requests%2
+	switch r.requests % 4 {
+	case 0:
+		r.Send(via, r.Order(account, fmt.Sprintf("calm-%d", r.requests)))
+	case 1:
+		r.Send(via, r.Query(account))
+	default:
+		r.Send(via, r.Generation(account, uint64(r.requests%3)))
+	}
+}
--- /dev/null
+++ b/proof/scenario/more_faults.go
@@ -0,0 +1,237 @@
+package scenario
+
+import (
+	"fmt"
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/kumquatsill/kumquatsill/core/note"
+	"github.com/kumquatsill/kumquatsill/core/proto"
+	"github.com/kumquatsill/kumquatsill/proof/drive"
+	"github.com/kumquatsill/kumquatsill/proof/fleet"
+)
+
+const (
+	// CrashText in a prompt crashes each engine that runs it.
+	CrashText = "crash-the-engine"
+	// maxResends is how often a caller sends a crashing request again.
+	maxResends = 4
+	// maxLosses is the number of engines that one request may crash.
+	maxLosses = 2
+	// leaveTime is how long an endpoint stays away.
+	leaveTime = 20 * time.Second
+	// wallStep is above the age at which an idempotency key is too old.
+	wallStep = -2 * time.Hour
+)
+
+// pauseLeaseHolder pauses a router for longer than its leases live.
+func (r *Run) pauseLeaseHolder() {
+	r.reportsLate = true
+	r.Oracle.EndpointFault(r.now().Add(maxPause))
+	r.disturb(maxPause)
+	i := r.pickRouter()
+	r.event("router %d pauses beyond its leases", i)
+	r.World.Freeze(r.RouterAddr(i), maxPause)
+}
+
+// misdeliver brings copies of messages to other nodes of the same role.
+func (r *Run) misdeliver() {
+	r.event("messages are misdelivered")
+	r.During(faultTime, func(e proto.Envelope) drive.Fate {
+		if !isInternal(e) || r.World.Rand().IntN(8) != 0 {
+			return drive.Fate{}
+		}
+		wrong := proto.AgentAddr(r.anyEndpoint())
+		if e.To.Role == proto.RoleRouter {
+			wrong = r.RouterAddr(r.World.Rand().IntN(len(r.Routers)))
+		}
+		if wrong != e.To {
+			r.World.Misdeliver(e, wrong)
+		}
+		return drive.Fate{}
+	})
+}
+
+func (r *Run) shiftHotPrefixes() {
+	r.event("the hot prefixes shift")
+	r.prefixBase += 1000
+}
+
+// withdrawKey withdraws the key of an account and gives it a new one.
+func (r *Run) withdrawKey() {
+	a := r.accounts[r.pickAccount()].ID
+	old := r.keys[a]
+	r.event("the key of %s is withdrawn", a)
+	r.keyCount++
+	next := proto.KeyHash(fmt.Sprintf("%064x", 1000+r.keyCount))
+	r.Note(r.World.Rand().IntN(len(r.Routers)), note.Note{
+		Added:     note.Items{Keys: []note.Key{{Hash: next, Account: a}}},
+		Withdrawn: note.Withdrawn{Keys: []proto.KeyHash{old}},
+	})
+}
+
+// letEndpointLeave submits a note that lets an endpoint leave, and later one
+// that brings it back.
+func (r *Run) letEndpointLeave() {
+	id := r.pickEndpoint()
+	r.event("endpoint %s leaves by note", id)
+	r.setLeaving(id, true)
+	r.World.After(leaveTime, func() { r.setLeaving(id, false) })
+}
+
+func (r *Run) setLeaving(id proto.EndpointID, leaving bool) {
+	e, ok := r.truth.Snapshot().Config.Endpoints[id]
+	if !ok || e.Leaving == leaving {
+		return
+	}
+	e.Leaving = leaving
+	r.Note(r.World.Rand().IntN(len(r.Routers)), note.Note{Changed: note.Items{Endpoints: []note.Endpoint{e}}})
+}
+
+// raceOperators submits different notes on one revision through all routers.
+func (r *Run) raceOperators() {
+	r.event("operators race")
+	for i := range r.Routers {
+		r.RaiseRate(i, i%len(r.accounts))
+	}
+}
+
+// RaiseRate submits a note that raises an account's limits through router i.
+func (r *Run) RaiseRate(i, account int) {
+	a, ok := r.truth.Snapshot().Config.Accounts[r.accounts[account].ID]
+	if !ok {
+		return
+	}
+	a.Rate += 1000
+	a.Burst += 10_000
+	r.Note(i, note.Note{Changed: note.Items{Accounts: []note.Account{a}}})
+}
+
+// sendCrashing sends a request that crashes its engine, and sends it again
+// through the routers in turn after each refusal.
+func (r *Run) sendCrashing() {
+	r.event("a request that crashes its engine is sent")
+	r.resend(r.pickRouter(), r.CrashingRequest(r.pickAccount()), maxResends)
+}
+
+// CrashingRequest returns a request that crashes each engine that runs it.
+func (r *Run) CrashingRequest(account int) proto.CallerRequest {
+	req := r.Generation(account, uint64(r.requests))
+	req.Body = []byte(fmt.Sprintf(`{"prompt":"%s %d"}`, CrashText, r.requests))
+	req.Sampling = proto.Sampling{}
+	r.crashing++
+	return req
+}
+
+func (r *Run) resend(via int, req proto.CallerRequest, left int) {
+	r.Oracle.EndpointFault(r.now().Add(r.settings.RequestTimeout))
+	a := r.Send(via, req)
+	r.onEnd[req.ID] = func() {
+		if left == 0 || a.Refusal == nil {
+			return
+		}
+		r.requests++
+		again := req
+		again.ID = proto.RequestID(fmt.Sprintf("c%d", r.requests))
+		r.World.After(time.Second, func() { r.resend((via+1)%len(r.Routers), again, left-1) })
+	}
+}
+
+// loseHost takes an agent and its engine away without a trace for a while,
+// as when a host dies that is still listed.
+func (r *Run) loseHost() {
+	id := r.pickEndpoint()
+	r.event("the host of %s is gone", id)
+	r.loseEndpoint(id)
+}
+
+func (r *Run) loseEndpoint(id proto.EndpointID) {
+	r.Oracle.EndpointFault(r.now().Add(faultTime))
+	agent := proto.AgentAddr(id)
+	r.World.Crash(agent)
+	r.World.Crash(proto.EngineAddr(id))
+	r.During(faultTime, func(e proto.Envelope) drive.Fate { return drive.Fate{Drop: e.To == agent} })
+	r.World.After(faultTime, func() {
+		if !r.World.Alive(agent) {
+			r.StartEngine(id)
+			r.StartAgent(id)
+		}
+	})
+}
+
+// loseDomain takes a whole failure domain away.
+func (r *Run) loseDomain() {
+	domain := r.RouterDomain(r.pickRouter())
+	r.event("failure domain %s is lost", domain)
+	for i := range r.Routers {
+		if r.RouterDomain(i) == domain && r.World.Alive(r.RouterAddr(i)) {
+			r.CrashRouter(i, faultTime)
+		}
+	}
+	endpoints := r.truth.Snapshot().Config.Endpoints
+	for _, id := range slices.Sorted(maps.Keys(endpoints)) {
+		if endpoints[id].Domain == domain {
+			r.loseEndpoint(id)
+		}
+	}
+}
+
+// orderWithOldFence gives an engine that ignores fencing numbers an order of
+// the present lease and then, as a paused holder would, one of an older one.
+func (r *Run) orderWithOldFence() {
+	id := EngineID(1)
+	r.event("a holder with an old fencing number gives %s orders", id)
+	agent := proto.AgentAddr(id)
+	order := proto.Order{Fence: 2, Action: proto.OrderLoad, Endpoint: id, Model: "assistant"}
+	order.Version = r.version()
+	r.orders++
+	order.ID = fmt.Sprintf("order-%d", r.orders)
+	r.World.Inject(proto.Envelope{From: r.RouterAddr(r.pickRouter()), To: agent, Msg: order})
+	r.orders++
+	order.ID, order.Fence, order.Version = fmt.Sprintf("order-%d", r.orders), 1, "stale"
+	from := r.RouterAddr(r.pickRouter())
+	r.World.After(time.Second, func() { r.World.Inject(proto.Envelope{From: from, To: agent, Msg: order}) })
+}
+
+// moveClock restarts a router on a host whose clock has another origin.
+func (r *Run) moveClock() {
+	i := r.pickRouter()
+	r.event("router %d restarts with another clock", i)
+	r.clockOffset = time.Duration(r.World.Rand().Int64N(int64(72 * time.Hour)))
+	r.CrashRouter(i, time.Second)
+}
+
+// stepWallClock makes the wall clock of arrivals jump.
+func (r *Run) stepWallClock() {
+	r.event("the wall clock steps")
+	r.wall = r.wall.Add(wallStep)
+}
+
+func (r *Run) version() string {
+	if m, ok := r.truth.Snapshot().Config.Models["assistant"]; ok {
+		return m.Version
+	}
+	return "v1"
+}
+
+// ResumeElsewhere continues a broken stream through another running router,
+// as a caller with Last-Event-ID does. It reports whether it could.
+func (r *Run) ResumeElsewhere(a *fleet.Answer) (*fleet.Answer, bool) {
+	req := a.Request
+	if a.Done() || len(a.Chunks) == 0 || !req.Sampling.Reproducible() || req.Resume != nil {
+		return nil, false
+	}
+	last := a.Chunks[len(a.Chunks)-1]
+	for i := range r.Routers {
+		if r.RouterAddr(i) == a.Router || !r.World.Alive(r.RouterAddr(i)) {
+			continue
+		}
+		r.requests++
+		req.ID = proto.RequestID(fmt.Sprintf("r%d", r.requests))
+		req.Resume = &proto.ResumePoint{Request: a.Request.ID, Version: last.Version, After: last.Seq}
+		r.Resumed++
+		return r.Send(i, req), true
+	}
+	return nil, false
+}
--- /dev/null
+++ b/proof/scenario/notes.go
@@ -0,0 +1,50 @@
+package scenario
+
+import (
+	"fmt"
+	"maps"
+	"slices"
+
+	"github.com/kumquatsill/kumquatsill/core/note"
+	"github.com/kumquatsill/kumquatsill/core/proto"
+)
+
+// Note submits a note on the revision at the head of the log.
+func (r *Run) Note(via int, n note.Note) {
+	r.notes++
+	n.BasedOn = r.truth.Snapshot().Config.Revision
+	r.Submit(via, proto.RecordID(fmt.Sprintf("note-%d", r.notes)), n)
+}
+
+// SubmitFirst submits the first note again, for an operator who got no answer.
+func (r *Run) SubmitFirst(via int) {
+	r.notes++
+	r.Submit(via, proto.RecordID(fmt.Sprintf("first-%d", r.notes)), r.first)
+}
+
+// Revision returns the newest revision in the log.
+func (r *Run) Revision() proto.Revision { return r.truth.Snapshot().Config.Revision }
+
+// onAppend follows the config stream and tells the oracle what is accepted.
+func (r *Run) onAppend(now proto.Instant, stream string, rec proto.Record) {
+	if stream != proto.StreamConfig {
+		return
+	}
+	old := r.truth.Snapshot().Config
+	r.truth.Fold(rec)
+	if next := r.truth.Snapshot().Config; next.Revision > old.Revision {
+		r.Oracle.Accepted(next.Revision, now)
+		r.Oracle.Configured(now, old, next)
+		r.adoptKeys(next)
+	}
+}
+
+// adoptKeys makes accounts use a key that is in force.
+func (r *Run) adoptKeys(next *note.Config) {
+	for _, hash := range slices.Sorted(maps.Keys(next.Keys)) {
+		k := next.Keys[hash]
+		if _, ok := next.Keys[r.keys[k.Account]]; !ok {
+			r.keys[k.Account] = hash
+		}
+	}
+}
--- a/proof/scenario/scenario.go
+++ b/proof/scenario/scenario.go
@@ -4,28 +4,42 @@
 
 import (
 	"fmt"
+	"slices"
 	"time"
 
 	"github.com/kumquatsill/kumquatsill/core/check"
+	"github.com/kumquatsill/kumquatsill/core/configlog"
 	"github.com/kumquatsill/kumquatsill/core/limit"
 	"github.com/kumquatsill/kumquatsill/core/note"
 	"github.com/kumquatsill/kumquatsill/core/proto"
 	"github.com/kumquatsill/kumquatsill/proof/drive"
 	"github.com/kumquatsill/kumquatsill/proof/fleet"
 	"github.com/kumquatsill/kumquatsill/proof/oracle"
+	"github.com/kumquatsill/kumquatsill/standin/engine"
 	"github.com/kumquatsill/kumquatsill/standin/logsvc"
 )
 
 const (
-	numRouters  = 3
-	numEngines  = 4
-	numServices = 2
+	defaultRouters = 3
+	numEngines     = 4
+	numServices    = 2
 	// quietTime is how long a run goes on after the last fault and request,
 	// so that everything comes to its end: longer than any timeout.
 	quietTime = 3 * time.Minute
 	pollEvery = 100 * time.Millisecond
+	// warmWithin is the time in which a restarted router must be ready.
+	warmWithin = 2 * time.Second
 )
 
+// EngineLosses names the bound on engines lost to one request.
+const EngineLosses check.Invariant = "engine-losses"
+
+// StaleOrder names the rule that no engine takes an order with an old fencing number.
+const StaleOrder check.Invariant = "stale-order"
+
+// Recovery names the rule that every router serves again at the end of a run.
+const Recovery check.Invariant = "recovery"
+
 // Domains are the failure domains of a run.
 var Domains = []proto.Domain{"d0", "d1", "d2"}
 
@@ -36,19 +50,57 @@
 	At        proto.Instant
 }
 
+// Settings describe a run. Zero fields take defaults.
+type Settings struct {
+	Seed    uint64
+	Routers int
+	// Quiet is how long the run goes on after the last fault and request.
+	Quiet time.Duration
+	// RequestTimeout is the deadline of each request.
+	RequestTimeout time.Duration
+	// Resume makes callers of a crashed router continue their streams elsewhere.
+	Resume bool
+	// Alter, if set, changes messages on their way, to break a mechanism.
+	Alter func(e proto.Envelope) proto.Envelope
+	// WrapLimiter, if set, is put between the router's limiter and the oracle.
+	WrapLimiter func(limit.Limiter) limit.Limiter
+}
+
 // Run is one run of a fleet.
 type Run struct {
 	*fleet.Fleet
 	Oracle   *oracle.Oracle
 	Failures []Failure
+	// Target, if set, is what faults hit.
+	Target *Target
+	// Resumed counts streams that were continued through another router.
+	Resumed int
+	// Events lists what was done, for a failing seed.
+	Events []string
+	// Sent, if set, sees each message when it is sent.
+	Sent func(e proto.Envelope)
 
-	seed     uint64
+	settings Settings
+	first    note.Note
 	accounts []note.Account
 	keys     map[proto.AccountID]proto.KeyHash
 	fates    []fateRule
-	requests int
-	// Log of what was done, for a failing seed.
-	Events []string
+	onEnd    map[proto.RequestID]func()
+	// truth is the state as of the log's head.
+	truth *configlog.State
+	// crashed holds the router lives that ended in a crash.
+	crashed   map[proto.Addr]bool
+	disturbed proto.Instant
+	slowUntil proto.Instant
+	// reportsLate is set once reports of crashes may come after their attempt
+	// was given up; see TestEngineLossesWithLateReports.
+	reportsLate bool
+	// clockOffset is that of the nodes which start from now on.
+	clockOffset time.Duration
+	wall        time.Time
+	prefixBase  uint64
+
+	requests, keyCount, notes, orders, crashing, crashes int
 }
 
 // fateRule decides on messages until it ends.
@@ -57,38 +109,71 @@
 	rule  func(e proto.Envelope) drive.Fate
 }
 
-// Start builds a fleet for a seed and waits until it serves.
-func Start(seed uint64) (*Run, error) {
-	r := &Run{seed: seed, keys: map[proto.AccountID]proto.KeyHash{}}
-	checks := &check.Set{OnFail: r.fail}
-	first := r.firstNote()
-	owners := map[proto.KeyHash]proto.AccountID{}
-	for _, k := range first.Added.Keys {
-		owners[k.Hash] = k.Account
-	}
-	r.Oracle = oracle.New(checks, owners)
+// Begin builds a fleet and submits the first note, without waiting for it.
+func Begin(s Settings) *Run {
+	if s.Routers == 0 {
+		s.Routers = defaultRouters
+	}
+	if s.Quiet == 0 {
+		s.Quiet = quietTime
+	}
+	if s.RequestTimeout == 0 {
+		s.RequestTimeout = requestTimeout
+	}
+	r := &Run{
+		settings: s,
+		keys:     map[proto.AccountID]proto.KeyHash{},
+		onEnd:    map[proto.RequestID]func(){},
+		crashed:  map[proto.Addr]bool{},
+		truth:    configlog.NewState(nil),
+		wall:     time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC),
+	}
+	checks := &check.Set{OnFail: r.Fail}
+	r.first = r.firstNote()
+	r.Oracle = oracle.New(checks, map[proto.KeyHash]proto.AccountID{})
 	r.Fleet = fleet.Start(fleet.Config{
-		Drive:       drive.Config{Seed: seed, Fate: r.fate, Observe: r.Oracle.Observe},
-		Routers:     numRouters,
+		Drive:       drive.Config{Seed: s.Seed, Fate: r.fate, Observe: r.Oracle.Observe, Sent: r.sent, Alter: s.Alter},
+		Routers:     s.Routers,
 		Domains:     Domains,
-		Note:        first,
-		Log:         logsvc.Config{Seed: seed},
+		Note:        r.first,
+		Log:         logsvc.Config{Seed: s.Seed, OnAppend: r.onAppend},
 		Checks:      checks,
-		WrapLimiter: func(l limit.Limiter) limit.Limiter { return r.Oracle.Watch(l, r.now) },
+		Engine:      engine.Config{CrashOn: CrashText},
+		WrapLimiter: r.wrapLimiter,
+		ClockOffset: func(proto.Addr) time.Duration { return r.clockOffset },
 	})
-	for _, a := range r.accounts {
-		r.Oracle.SetAccount(0, a)
+	r.Callers.OnEnd = func(a *fleet.Answer) {
+		if f := r.onEnd[a.Request.ID]; f != nil {
+			f()
+		}
 	}
+	r.poll()
+	return r
+}
+
+// Start builds a fleet for a seed and waits until it serves.
+func Start(seed uint64) (*Run, error) { return StartWith(Settings{Seed: seed}) }
+
+// StartWith builds a fleet and waits until it serves.
+func StartWith(s Settings) (*Run, error) {
+	r := Begin(s)
 	if !r.WaitReady(1) {
-		return nil, fmt.Errorf("seed %d: the first note is not in force: %+v", seed, r.Callers.Notes)
+		return nil, fmt.Errorf("seed %d: the first note is not in force: %+v", s.Seed, r.Callers.Notes)
 	}
-	r.poll()
 	return r, nil
 }
 
+func (r *Run) wrapLimiter(l limit.Limiter) limit.Limiter {
+	if r.settings.WrapLimiter != nil {
+		l = r.settings.WrapLimiter(l)
+	}
+	return r.Oracle.Watch(l, r.now)
+}
+
 func (r *Run) now() proto.Instant { return r.World.Now() }
 
-func (r *Run) fail(inv check.Invariant, detail string) {
+// Fail records a check that failed.
+func (r *Run) Fail(inv check.Invariant, detail string) {
 	r.Failures = append(r.Failures, Failure{Invariant: inv, Detail: detail, At: r.now()})
 }
 
@@ -131,13 +216,21 @@
 // poll looks at all routers again and again.
 func (r *Run) poll() {
 	for i, router := range r.Routers {
-		if r.World.Alive(r.RouterAddr(i)) {
-			r.Oracle.Router(r.now(), r.now(), r.RouterID(i), router.Snapshot())
-		}
+		addr := r.RouterAddr(i)
+		r.World.Call(addr, func(local proto.Instant) {
+			r.Oracle.Router(r.now(), local, r.RouterID(i), router.Snapshot())
+		})
 	}
 	r.World.After(pollEvery, r.poll)
 }
 
+func (r *Run) sent(now proto.Instant, e proto.Envelope) {
+	r.Oracle.Sent(now, e)
+	if r.Sent != nil {
+		r.Sent(e)
+	}
+}
+
 // fate applies the rules in force to a message.
 func (r *Run) fate(now proto.Instant, e proto.Envelope) drive.Fate {
 	var total drive.Fate
@@ -158,28 +251,97 @@
 	r.fates = append(r.fates, fateRule{until: r.now().Add(d), rule: rule})
 }
 
+// disturb notes that routers may be unable to read the log for a while.
+func (r *Run) disturb(d time.Duration) {
+	r.disturbed = max(r.disturbed, r.now().Add(d))
+}
+
+// watchRestart requires that a router which starts while the log is well is
+// ready in time.
+func (r *Run) watchRestart(i int) {
+	id := r.RouterID(i)
+	if r.now() < r.disturbed {
+		return
+	}
+	r.World.After(warmWithin, func() {
+		if r.RouterID(i) == id && r.World.Alive(r.RouterAddr(i)) && r.now() >= r.disturbed {
+			r.Oracle.Restarted(r.RouterAddr(i), r.Routers[i].Snapshot())
+		}
+	})
+}
+
 func (r *Run) event(format string, args ...any) {
 	r.Events = append(r.Events, fmt.Sprintf("%8.3fs ", r.now().Sub(0).Seconds())+fmt.Sprintf(format, args...))
 }
 
 // Finish lets everything come to its end and applies the checks that need that.
 func (r *Run) Finish() {
-	r.World.Run(quietTime)
+	r.World.Run(r.settings.Quiet)
 	for _, a := range r.Callers.All() {
 		r.checkEnd(a)
 	}
 	if n := r.Book.Doubles(); n > 0 {
-		r.fail(check.AtMostOnce, fmt.Sprintf("%d orders ran more than once", n))
+		r.Fail(check.AtMostOnce, fmt.Sprintf("%d orders ran more than once", n))
 	}
+	r.checkEngines()
+	r.checkRecovery()
 }
 
 // checkEnd checks that a request got exactly one end. A request through a
 // router that crashed gets none, and is sent again by its caller.
 func (r *Run) checkEnd(a *fleet.Answer) {
 	if !a.Done() && r.World.Alive(a.Router) {
-		r.fail(check.AnswerMatch, fmt.Sprintf("request %s has no end", a.Request.ID))
+		r.Fail(check.AnswerMatch, fmt.Sprintf("request %s has no end", a.Request.ID))
 	}
 	if a.Extra > 0 {
-		r.fail(check.AnswerMatch, fmt.Sprintf("request %s got %d messages after its end", a.Request.ID, a.Extra))
+		r.Fail(check.AnswerMatch, fmt.Sprintf("request %s got %d messages after its end", a.Request.ID, a.Extra))
+	}
+	if !r.crashed[a.Router] {
+		r.Oracle.Ended(a.Request.ID, a.Done())
+	}
+}
+
+// checkEngines checks how many engines crashing requests took down, and that
+// no order with an old fencing number reached an engine.
+func (r *Run) checkEngines() {
+	crashes := -r.crashes
+	for i := range numEngines {
+		counts := r.Engines[EngineID(i)].Counts
+		crashes += counts.Crashes
+		if counts.StaleOrders > 0 {
+			r.Fail(StaleOrder, fmt.Sprintf("%s got %d orders with an old fencing number", EngineID(i), counts.StaleOrders))
+		}
+	}
+	if crashes > maxLosses*r.crashing && !r.reportsLate {
+		r.Fail(EngineLosses, fmt.Sprintf("%d crashing requests took down %d engines", r.crashing, crashes))
+	}
+}
+
+// recoveryTime is ample for one small request of a fleet at rest.
+const recoveryTime = 10 * time.Second
+
+// checkRecovery checks that every running router serves a generation, a call
+// that may not be repeated and the newest note after all faults are over.
+func (r *Run) checkRecovery() {
+	var last []*fleet.Answer
+	for i, router := range r.Routers {
+		if !r.World.Alive(r.RouterAddr(i)) {
+			continue
+		}
+		if s := router.Snapshot(); s.Draining {
+			continue
+		} else if !s.Ready || s.Config.Revision != r.truth.Snapshot().Revision {
+			r.Fail(Recovery, fmt.Sprintf("router %s is at revision %d of %d, ready: %t",
+				r.RouterID(i), s.Config.Revision, r.truth.Snapshot().Revision, s.Ready))
+		}
+		last = append(last, r.Send(i, r.Generation(0, 1)), r.Send(i, r.Order(1, fmt.Sprintf("last-%d", i))))
+	}
+	r.World.RunUntil(recoveryTime, func() bool {
+		return !slices.ContainsFunc(last, func(a *fleet.Answer) bool { return !a.Done() })
+	})
+	for _, a := range last {
+		if a.Finish == nil {
+			r.Fail(Recovery, fmt.Sprintf("request %s through %v is not served after all faults: %+v", a.Request.ID, a.Router, a.Refusal))
+		}
 	}
 }
--- a/standin/logsvc/logsvc.go
+++ b/standin/logsvc/logsvc.go
@@ -31,6 +31,8 @@
 	Retention time.Duration
 	// MaxRecords bounds the records that a stream retains; 0 means no bound.
 	MaxRecords int
+	// OnAppend, if set, sees each record when it enters the log.
+	OnAppend func(now proto.Instant, stream string, r proto.Record)
 }
 
 type stream struct {
@@ -146,6 +148,9 @@
 		r.Offset = st.head()
 		st.records = append(st.records, r)
 		st.times = append(st.times, s.now)
+		if s.cfg.OnAppend != nil {
+			s.cfg.OnAppend(s.now, name, r)
+		}
 	}
 	s.expire(st)
 	s.answerWaiting(name)
