--- /dev/null
+++ b/proof/scenario/mutation_test.go
@@ -0,0 +1,314 @@
+package scenario_test
+
+import (
+	"encoding/json"
+	"testing"
+	"time"
+
+	"github.com/kumquatsill/kumquatsill/core/check"
+	"github.com/kumquatsill/kumquatsill/core/configlog"
+	"github.com/kumquatsill/kumquatsill/core/limit"
+	"github.com/kumquatsill/kumquatsill/core/proto"
+	"github.com/kumquatsill/kumquatsill/proof/drive"
+	"github.com/kumquatsill/kumquatsill/proof/scenario"
+)
+
+// mutation breaks one mechanism. alter replaces messages on their way, act
+// drives the run.
+type mutation struct {
+	invariant check.Invariant
+	alter     func(e proto.Envelope) proto.Envelope
+	limiter   func(limit.Limiter) limit.Limiter
+	act       func(r *scenario.Run)
+}
+
+var nowhere = proto.Addr{Role: "nobody"}
+
+// edit changes the messages of one type.
+func edit[T proto.Message](change func(e proto.Envelope, m T) proto.Message) func(proto.Envelope) proto.Envelope {
+	return func(e proto.Envelope) proto.Envelope {
+		if m, ok := e.Msg.(T); ok {
+			e.Msg = change(e, m)
+		}
+		return e
+	}
+}
+
+// editNotes changes the release notes that routers read.
+func editNotes(change func(n *configlog.ReleaseNote)) func(proto.Envelope) proto.Envelope {
+	return edit(func(_ proto.Envelope, m proto.LogRecords) proto.Message {
+		for i, rec := range m.Records {
+			var n configlog.ReleaseNote
+			if rec.Kind != configlog.KindReleaseNote || json.Unmarshal(rec.Body, &n) != nil {
+				continue
+			}
+			change(&n)
+			m.Records[i].Body, _ = json.Marshal(n)
+		}
+		return m
+	})
+}
+
+type generousLimiter struct{ limit.Limiter }
+
+func (generousLimiter) Spend(proto.Instant, proto.AccountID, int64) limit.Decision {
+	return limit.Decision{OK: true}
+}
+
+func generations(n int) func(*scenario.Run) {
+	return func(r *scenario.Run) {
+		for i := range n {
+			req := r.Generation(0, uint64(i))
+			req.Sampling = proto.Sampling{}
+			r.Send(0, req)
+		}
+	}
+}
+
+func fault(name string) func(*scenario.Run) {
+	return func(r *scenario.Run) {
+		r.Target = &scenario.Target{Endpoint: scenario.EngineID(0)}
+		for _, f := range scenario.Faults() {
+			if f.Name == name {
+				f.Inject(r)
+			}
+		}
+	}
+}
+
+// underLoad injects a fault and sends requests of the account that it hits.
+func underLoad(name string) func(*scenario.Run) {
+	return func(r *scenario.Run) {
+		req := r.Generation(0, 0)
+		fault(name)(r)
+		for i := range 40 {
+			again := req
+			again.ID += proto.RequestID(rune('a' + i))
+			again.Pieces = []uint64{uint64(i)}
+			again.PromptTokens = 2500
+			r.Send(i%3, again)
+			r.World.Run(250 * time.Millisecond)
+		}
+	}
+}
+
+func mutations() []mutation {
+	doubled := false
+	return []mutation{
+		{invariant: check.CacheIsolation, act: generations(1), alter: edit(func(_ proto.Envelope, m proto.EngineRun) proto.Message {
+			m.Blocks = append([]proto.BlockHash{m.Blocks[0] + 1}, m.Blocks[1:]...)
+			return m
+		})},
+		{invariant: check.StreamIntegrity, act: generations(1), alter: edit(func(_ proto.Envelope, m proto.EngineToken) proto.Message {
+			if m.Seq == 3 {
+				m.Text = "other"
+			}
+			return m
+		})},
+		{invariant: check.WarmRestart, act: fault("router-herd-restart"), alter: func(e proto.Envelope) proto.Envelope {
+			// Lives after the first three begin without the log.
+			if e.From.Role == proto.RoleLog && e.To.Role == proto.RoleRouter && len(e.To.ID) > len("r0-1") {
+				e.To = nowhere
+			}
+			return e
+		}},
+		{invariant: check.AccountBinding, act: generations(1), alter: edit(func(_ proto.Envelope, m proto.Dispatch) proto.Message {
+			m.Account = "account-1"
+			return m
+		})},
+		{invariant: check.KeySecrecy, act: generations(1), alter: edit(func(_ proto.Envelope, m proto.Dispatch) proto.Message {
+			m.Body = append(m.Body, []byte("0000000000000000000000000000000000000000000000000000000000000001")...)
+			return m
+		})},
+		{invariant: check.KeyWithdrawal, act: underLoad("key-withdrawn"), alter: editNotes(func(n *configlog.ReleaseNote) { n.Note.Withdrawn.Keys = nil })},
+		{invariant: check.RateLimit, act: generations(60), limiter: func(l limit.Limiter) limit.Limiter { return generousLimiter{l} }},
+		{invariant: check.AnswerMatch, act: generations(2), alter: func(e proto.Envelope) proto.Envelope {
+			if _, ok := e.Msg.(proto.CallerFinish); ok {
+				e.To = proto.CallerAddr("g1")
+			}
+			return e
+		}},
+		{invariant: check.TrueNotRun, act: generations(1), alter: edit(func(_ proto.Envelope, m proto.CallerFinish) proto.Message {
+			return proto.CallerRefusal{Request: m.Request, Cause: proto.CauseOverload, Verdict: proto.NotRun}
+		})},
+		{invariant: check.AtMostOnce, act: func(r *scenario.Run) {
+			r.Sent = func(e proto.Envelope) {
+				if _, ok := e.Msg.(proto.EngineCall); ok && !doubled {
+					doubled = true
+					r.World.Inject(e)
+				}
+			}
+			r.Send(0, r.Order(0, "k"))
+		}},
+		{invariant: check.Drain, act: underLoad("endpoint-leaves"), alter: func(e proto.Envelope) proto.Envelope {
+			if _, ok := e.Msg.(proto.EndpointLeaving); ok {
+				e.To = nowhere
+			}
+			return editNotes(func(n *configlog.ReleaseNote) {
+				for i := range n.Note.Changed.Endpoints {
+					n.Note.Changed.Endpoints[i].Leaving = false
+				}
+			})(e)
+		}},
+		{invariant: check.GracefulStop, act: func(r *scenario.Run) {
+			generations(1)(r)
+			r.World.Run(50 * time.Millisecond)
+			r.DrainAndReplace(0)
+			r.StopRouter(0) // it does not wait for the request in flight
+		}},
+		{invariant: check.NoteMonotonic, act: func(r *scenario.Run) {
+			r.RaiseRate(1, 0)
+			r.World.Run(10 * time.Second)
+		}, alter: hideSecondNote()},
+	}
+}
+
+// hideSecondNote shows router 0 a log that ends before the second note.
+func hideSecondNote() func(proto.Envelope) proto.Envelope {
+	notes := map[proto.Offset]bool{}
+	return edit(func(e proto.Envelope, m proto.LogRecords) proto.Message {
+		if m.Stream != proto.StreamConfig {
+			return m
+		}
+		for _, rec := range m.Records {
+			if rec.Kind == configlog.KindReleaseNote {
+				notes[rec.Offset] = true
+			}
+		}
+		if len(notes) < 2 || e.To.ID != "r0-1" {
+			return m
+		}
+		var second proto.Offset
+		for at := range notes {
+			second = max(second, at)
+		}
+		m.Head = min(m.Head, second)
+		for i, rec := range m.Records {
+			if rec.Offset >= second {
+				m.Records = m.Records[:i]
+				break
+			}
+		}
+		return m
+	})
+}
+
+// Guards against a check that cannot fail: each invariant's mechanism is
+// broken, and the run must report that very invariant.
+func TestMutationsAreReported(t *testing.T) {
+	tested := map[check.Invariant]bool{}
+	for _, m := range mutations() {
+		tested[m.invariant] = true
+		t.Run(string(m.invariant), func(t *testing.T) {
+			t.Parallel()
+			r, err := scenario.StartWith(scenario.Settings{Seed: 1, Alter: m.alter, WrapLimiter: m.limiter, Quiet: time.Minute})
+			if err != nil {
+				t.Fatal(err)
+			}
+			if len(r.Failures) > 0 {
+				t.Fatalf("failures before the mutation acts: %+v", r.Failures[0])
+			}
+			m.act(r)
+			r.Finish()
+			for _, f := range r.Failures {
+				if f.Invariant == m.invariant {
+					return
+				}
+			}
+			t.Errorf("%s is not reported; failures: %+v", m.invariant, r.Failures)
+		})
+	}
+	for _, inv := range check.All {
+		if !tested[inv] {
+			t.Errorf("no mutation breaks %s", inv)
+		}
+	}
+}
+
+// Guards against a refusal, under a calm load inside the rates, of a request
+// that should be served.
+func TestCalmRunHasNoWrongfulRefusals(t *testing.T) {
+	r, err := scenario.Start(1)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for range 200 {
+		r.CalmRequest()
+		r.World.Run(500 * time.Millisecond)
+	}
+	r.Finish()
+	if r.Oracle.Wrongful != 0 || len(r.Failures) > 0 {
+		t.Errorf("%d wrongful refusals, failures %+v", r.Oracle.Wrongful, r.Failures)
+	}
+	for _, a := range r.Callers.All() {
+		if a.Finish == nil {
+			t.Errorf("request %s is not served: %+v", a.Request.ID, a.Refusal)
+		}
+	}
+}
+
+// Guards against a request that takes down more than two engines when the
+// report of each crash comes after its attempt was given up as silent.
+func TestEngineLossesWithLateReports(t *testing.T) {
+	r, err := scenario.Start(1)
+	if err != nil {
+		t.Fatal(err)
+	}
+	r.During(time.Minute, func(e proto.Envelope) drive.Fate {
+		if _, ok := e.Msg.(proto.AttemptRefused); ok {
+			return drive.Fate{Delay: 4 * time.Second}
+		}
+		return drive.Fate{}
+	})
+	r.Send(0, r.CrashingRequest(0))
+	r.Finish()
+	for _, f := range r.Failures {
+		t.Errorf("%s: %s", f.Invariant, f.Detail)
+	}
+}
+
+// Guards against a note that is not in force in time when the log takes
+// appends but answers late, so that the routers take it for a general outage.
+func TestNoteInForceWithSlowLog(t *testing.T) {
+	r, err := scenario.Start(1)
+	if err != nil {
+		t.Fatal(err)
+	}
+	r.During(20*time.Second, func(e proto.Envelope) drive.Fate {
+		if e.From.Role != proto.RoleLog {
+			return drive.Fate{}
+		}
+		return drive.Fate{Delay: 2 * time.Second}
+	})
+	for range 3 {
+		r.World.Run(5 * time.Second)
+		r.RaiseRate(0, 0)
+	}
+	r.Finish()
+	for i := range min(3, len(r.Failures)) {
+		t.Errorf("%s: %s", r.Failures[i].Invariant, r.Failures[i].Detail)
+	}
+}
+
+// Guards against new work for a leaving endpoint after 3 s when a reader of
+// the log needs two late answers to learn of the note.
+func TestDrainWithSlowLog(t *testing.T) {
+	r, err := scenario.Start(1)
+	if err != nil {
+		t.Fatal(err)
+	}
+	r.During(20*time.Second, func(e proto.Envelope) drive.Fate {
+		if e.From.Role != proto.RoleLog {
+			return drive.Fate{}
+		}
+		return drive.Fate{Delay: 2 * time.Second}
+	})
+	r.World.Run(5 * time.Second)
+	underLoad("endpoint-leaves")(r)
+	r.Finish()
+	for _, f := range r.Failures {
+		if f.Invariant == check.Drain {
+			t.Errorf("%s: %s", f.Invariant, f.Detail)
+		}
+	}
+}
