--- a/proof/scenario/freshness_test.go
+++ b/proof/scenario/freshness_test.go
@@ -36,9 +36,9 @@
 
 func isLogOrRouter(a proto.Addr) bool { return isLog(a) || a.Role == proto.RoleRouter }
 
-// withdraw submits a note that withdraws the key of account 0 through router i.
+// withdraw submits a note that withdraws the key of account 2 through router i.
 func withdraw(r *scenario.Run, i int) {
-	r.Submit(i, "withdrawal", note.Note{BasedOn: 1, Withdrawn: note.Withdrawn{Keys: []proto.KeyHash{r.Key(0)}}})
+	r.Submit(i, "withdrawal", note.Note{BasedOn: 1, Withdrawn: note.Withdrawn{Keys: []proto.KeyHash{r.Key(2)}}})
 }
 
 // Guards against a router that goes on serving keyed traffic although it can
@@ -66,12 +66,12 @@
 	r := start(t, 2)
 	cut(r, r.RouterAddr(0), 40*time.Second, isLog)
 	r.World.Run(8 * time.Second)
-	before := r.Send(0, r.Generation(0, 1))
+	before := r.Send(0, r.Generation(2, 1))
 	r.World.Run(5 * time.Second)
 	withdraw(r, 1)
-	r.Oracle.Withdrawn(r.Key(0), r.World.Now())
+	r.Oracle.Withdrawn(r.Key(2), r.World.Now())
 	r.World.Run(5 * time.Second)
-	after := r.Send(0, r.Generation(0, 1))
+	after := r.Send(0, r.Generation(2, 1))
 	r.Finish()
 	if before.Finish == nil {
 		t.Errorf("refused although its peers read the log: %+v", before.Refusal)
@@ -115,12 +115,12 @@
 // withdrawn.
 func TestWithdrawnKeyEndsOpenStreams(t *testing.T) {
 	r := start(t, 4)
-	req := r.Generation(0, 1)
+	req := r.Generation(2, 1)
 	req.MaxTokens = 2000
 	a := r.Send(0, req)
 	r.World.Run(time.Second)
 	withdraw(r, 1)
-	r.Oracle.Withdrawn(r.Key(0), r.World.Now())
+	r.Oracle.Withdrawn(r.Key(2), r.World.Now())
 	r.Finish()
 	if a.Refusal == nil || a.Refusal.Cause != proto.CauseKeyWithdrawn {
 		t.Errorf("the stream ended with %+v, %+v, want a refusal for the withdrawn key", a.Finish, a.Refusal)
