proof/plot: take the bar charts out of cmd/measure

Cause: the load command needs the same plots as cmd/measure, which kept them to itself.

Change: proof/plot draws grouped bar charts and holds their template; cmd/measure uses it.

--- a/proof/cmd/measure/page.go
+++ b/proof/cmd/measure/page.go
@@ -3,17 +3,17 @@
 import (
 	_ "embed"
 	"fmt"
-	"html/template"
 	"os"
 
 	"github.com/kumquatsill/kumquatsill/proof/compare"
 	"github.com/kumquatsill/kumquatsill/proof/measure"
+	"github.com/kumquatsill/kumquatsill/proof/plot"
 )
 
 //go:embed page.html
 var pageText string
 
-var page = template.Must(template.New("page").Parse(pageText))
+var page = plot.Parse(pageText)
 
 // pageData is what the template shows.
 type pageData struct {
@@ -22,35 +22,9 @@
 	Rows   [][]string
 	Goals  []compare.Goal
 	Warm   []string
-	Plots  []plot
+	Plots  []plot.Plot
 }
 
-// plot is a bar chart of one measure of one deployment.
-type plot struct {
-	Title         string
-	Bars          []bar
-	Labels        []label
-	Width, Height int
-}
-
-type bar struct {
-	X, Y, W, H float64
-	Color      string
-	Tip        string
-}
-
-type label struct {
-	X, Y float64
-	Text string
-}
-
-const (
-	plotWidth   = 1000
-	plotHeight  = 220
-	plotTop     = 20
-	labelHeight = 30
-)
-
 var colors = map[compare.Policy]string{
 	compare.View: "#1f6fb4", compare.RoundRobin: "#c9c9c9", compare.LeastLoaded: "#9a9a9a",
 	compare.WholeHash: "#6d6d6d", compare.Oracle: "#2f9e61",
@@ -96,31 +70,26 @@
 }
 
 // newPlot draws the conditions side by side, with a bar for each policy.
-func newPlot(t *compare.Table, deployment string, m measureOf) plot {
-	p := plot{Title: deployment + ": " + m.title, Width: plotWidth, Height: plotHeight + plotTop + labelHeight}
-	var groups []compare.Condition
+func newPlot(t *compare.Table, deployment string, m measureOf) plot.Plot {
+	var conditions []compare.Condition
 	for _, r := range t.Rows {
-		if r.Deployment == deployment && (len(groups) == 0 || groups[len(groups)-1] != r.Condition) {
-			groups = append(groups, r.Condition)
+		if r.Deployment == deployment && (len(conditions) == 0 || conditions[len(conditions)-1] != r.Condition) {
+			conditions = append(conditions, r.Condition)
 		}
 	}
-	group := float64(plotWidth) / float64(max(1, len(groups)))
-	width := group * 0.8 / float64(len(compare.Policies()))
-	for g, c := range groups {
-		left := float64(g)*group + group*0.1
-		p.Labels = append(p.Labels, label{X: left, Y: plotTop + plotHeight + labelHeight/2, Text: string(c)})
-		for i, policy := range compare.Policies() {
+	var groups []plot.Group
+	for _, c := range conditions {
+		g := plot.Group{Label: string(c)}
+		for _, policy := range compare.Policies() {
 			row, ok := t.Row(deployment, c, policy)
 			if !ok {
+				g.Values = append(g.Values, plot.Value{Missing: true})
 				continue
 			}
 			value := m.value(row.Report)
-			height := min(1, value/m.top) * plotHeight
-			p.Bars = append(p.Bars, bar{
-				X: left + float64(i)*width, Y: plotTop + plotHeight - height, W: width * 0.9, H: height,
-				Color: colors[policy], Tip: fmt.Sprintf("%s, %s: %.3f", policy, c, value),
-			})
+			g.Values = append(g.Values, plot.Value{Value: value, Color: colors[policy], Tip: fmt.Sprintf("%s, %s: %.3f", policy, c, value)})
 		}
+		groups = append(groups, g)
 	}
-	return p
+	return plot.New(deployment+": "+m.title, m.top, groups)
 }
