app/load: add the load command

Cause: an operator could not load a fleet with the deployments' workloads. The example notes had other accounts, models and rates than the workloads, so no fleet that was set up from them would have served these, and dev had one account only.

Change: "kumquatsill load" replays a workload over HTTP within bounds of time, number and concurrency, and reports what a caller sees of the five measures as a table, JSON or a page with plots. What a caller does not see is null or "not visible". Requests that a cut run had in flight are counted apart, and idempotency keys carry the id of the run, so that a second run with one seed gets no replays. The example notes take accounts, model, routes and weights from proof/workload.

Conclusion: a dev fleet is loaded with one copied line. A real fleet of separate processes has not been loaded.

--- a/app/api/problem.go
+++ b/app/api/problem.go
@@ -5,6 +5,7 @@
 	"math"
 	"net/http"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/kumquatsill/kumquatsill/core/proto"
@@ -125,3 +126,12 @@
 	}
 	return data
 }
+
+// Cause returns the cause that the type names, or "" for a type of another kind.
+func (p *Problem) Cause() proto.Cause {
+	cause, ok := strings.CutPrefix(p.Type, problemType)
+	if !ok {
+		return ""
+	}
+	return proto.Cause(cause)
+}
--- a/app/cmd/kumquatsill/key.go
+++ b/app/cmd/kumquatsill/key.go
@@ -21,14 +21,14 @@
 		Long: `Keys admit callers for a client account. The fleet knows only their hashes.
 
 Examples:
-  kumquatsill key create --account pompas-retail` + exitCodes,
+  kumquatsill key create --account almacenes-lira` + exitCodes,
 		Sub: []settings.Command{{
 			Name: "create", Short: "Create a key", Data: &keyCreate{printer: printer{streams: s}},
 			Long: `Create a key. The secret is printed once and kept nowhere; the note fragment holds only its hash.
 
 Examples:
-  kumquatsill key create --account pompas-retail
-  kumquatsill key create --account pompas-retail --based-on 7 --json` + exitCodes,
+  kumquatsill key create --account almacenes-lira
+  kumquatsill key create --account almacenes-lira --based-on 7 --json` + exitCodes,
 		}},
 	}
 }
--- a/app/cmd/kumquatsill/main.go
+++ b/app/cmd/kumquatsill/main.go
@@ -18,6 +18,7 @@
 		explainCommand(s),
 		quarantineCommand(s),
 		auditCommand(s),
+		loadCommand(s),
 	}
 }
 
--- a/app/cmd/kumquatsill/status.go
+++ b/app/cmd/kumquatsill/status.go
@@ -195,7 +195,7 @@
 
 Examples:
   kumquatsill quarantine list
-  kumquatsill quarantine release pompas-retail 9f86d081884c7d65` + exitCodes,
+  kumquatsill quarantine release almacenes-lira 9f86d081884c7d65` + exitCodes,
 		Sub: []settings.Command{
 			{Name: "list", Short: "List quarantines and suspects", Data: &quarantineList{statusFlags{printer: p}}, Long: `List the fingerprints that are quarantined or suspect.
 
@@ -204,7 +204,7 @@
 			{Name: "release", Short: "Release a quarantine or suspicion", Data: &quarantineRelease{printer: p}, Long: `Release a fingerprint everywhere, through the log. Its next crash counts as the first.
 
 Examples:
-  kumquatsill quarantine release pompas-retail 9f86d081884c7d65 --operator ann` + exitCodes},
+  kumquatsill quarantine release almacenes-lira 9f86d081884c7d65 --operator ann` + exitCodes},
 		},
 	}
 }
--- a/app/dev/dev.go
+++ b/app/dev/dev.go
@@ -14,10 +14,12 @@
 	"time"
 
 	"github.com/kumquatsill/kumquatsill/app/api"
+	"github.com/kumquatsill/kumquatsill/app/example"
 	"github.com/kumquatsill/kumquatsill/app/node"
 	"github.com/kumquatsill/kumquatsill/app/shell"
 	"github.com/kumquatsill/kumquatsill/core/note"
 	"github.com/kumquatsill/kumquatsill/core/proto"
+	"github.com/kumquatsill/kumquatsill/proof/workload"
 	"github.com/kumquatsill/kumquatsill/standin/engine"
 	"github.com/kumquatsill/kumquatsill/standin/kv"
 	"github.com/kumquatsill/kumquatsill/standin/logsvc"
@@ -47,14 +49,19 @@
 	Routers int
 	Engines int
 	Seed    uint64
-	Log     *slog.Logger
+	// Deployment, if set, is one of example.Names. Its accounts, model, routes
+	// and policy replace those of the plain example note.
+	Deployment string
+	Log        *slog.Logger
 }
 
 // Dev is a fleet in one process. All of it listens on loopback only.
 type Dev struct {
 	t       tomb.Tomb
 	cfg     Config
-	key     string
+	keys    []Key
+	model   note.Model
+	service string
 	note    note.Note
 	logAddr string
 	store   *kv.Store
@@ -76,10 +83,18 @@
 	callers  string
 }
 
+// Key is the key of one client account.
+type Key struct {
+	Account proto.AccountID
+	Secret  string
+}
+
 // New opens all listeners; Start starts the fleet.
 func New(cfg Config) (*Dev, error) {
-	d := &Dev{cfg: cfg, key: exampleKey(cfg.Seed), store: kv.New(kv.Config{Seed: cfg.Seed}), book: orders.NewBook()}
-	d.note = baseNote(d.key)
+	d := &Dev{cfg: cfg, store: kv.New(kv.Config{Seed: cfg.Seed}), book: orders.NewBook()}
+	if err := d.prepareNote(); err != nil {
+		return nil, err
+	}
 	var err error
 	if d.logAddr, err = d.serve(logsvc.New(logsvc.Config{Seed: cfg.Seed})); err != nil {
 		return nil, err
@@ -100,9 +115,29 @@
 	return d, nil
 }
 
+// prepareNote makes the note without endpoints, and a key for each account.
+func (d *Dev) prepareNote() error {
+	d.note = baseNote()
+	if d.cfg.Deployment != "" {
+		var ok bool
+		if d.note, ok = example.Note(d.cfg.Deployment); !ok {
+			return Error.New("unknown deployment %q, known are %v", d.cfg.Deployment, example.Names)
+		}
+		d.note.Added.Endpoints = nil
+		d.note.Added.Models[0].MinEndpoints = 0
+	}
+	d.model, d.service = d.note.Added.Models[0], d.note.Added.Routes[0].Service
+	rng := rand.New(rand.NewPCG(d.cfg.Seed, 0x6b6579))
+	for _, a := range d.note.Added.Accounts {
+		key := Key{Account: a.ID, Secret: exampleKey(rng)}
+		d.keys = append(d.keys, key)
+		d.note.Added.Keys = append(d.note.Added.Keys, note.Key{Hash: note.HashKey(key.Secret), Account: a.ID})
+	}
+	return nil
+}
+
 // exampleKey is the same for a seed. It admits to a fleet on loopback only.
-func exampleKey(seed uint64) string {
-	rng := rand.New(rand.NewPCG(seed, 0x6b6579))
+func exampleKey(rng *rand.Rand) string {
 	raw := make([]byte, 0, 16)
 	for range 2 {
 		raw = fmt.Appendf(raw, "%08x", rng.Uint32())
@@ -110,12 +145,11 @@
 	return "ks-dev-" + hex.EncodeToString(raw)
 }
 
-func baseNote(key string) note.Note {
+func baseNote() note.Note {
 	return note.Note{
 		Author: "dev", Reason: "example note",
 		Added: note.Items{
 			Accounts: []note.Account{{ID: "example", Rate: 100_000, Burst: 1_000_000}},
-			Keys:     []note.Key{{Hash: note.HashKey(key), Account: "example"}},
 			Models:   []note.Model{{Name: model, Version: version}},
 			Routes: []note.Route{
 				{Method: http.MethodPost, Path: "/orders", Service: "orders"},
@@ -148,16 +182,23 @@
 
 func (d *Dev) addEngine(i int) error {
 	id := proto.EndpointID(fmt.Sprintf("engine-%d", i+1))
-	e := engine.New(engine.Config{
-		Endpoint: id, Seed: d.cfg.Seed + uint64(i), Versions: map[string]string{model: version},
-	})
-	return d.addAgent(e, note.Endpoint{ID: id, Kind: note.KindEngine, Domain: domain(i), Models: []string{model}})
+	cfg := engine.Config{
+		Endpoint: id, Seed: d.cfg.Seed + uint64(i), Versions: map[string]string{d.model.Name: d.model.Version},
+	}
+	for _, dep := range workload.Deployments() {
+		if dep.Name == d.cfg.Deployment {
+			cfg.CacheBlocks, cfg.BatchSize = dep.Engine.CacheBlocks, dep.Engine.BatchSize
+			cfg.PrefillPerToken, cfg.DecodePerToken = dep.Engine.PrefillPerToken, dep.Engine.DecodePerToken
+		}
+	}
+	e := engine.New(cfg)
+	return d.addAgent(e, note.Endpoint{ID: id, Kind: note.KindEngine, Domain: domain(i), Models: []string{d.model.Name}})
 }
 
 func (d *Dev) addOrders() error {
-	id := proto.EndpointID("orders-1")
+	id := proto.EndpointID(d.service + "-1")
 	s := orders.New(orders.Config{Endpoint: id, Seed: d.cfg.Seed, Book: d.book})
-	return d.addAgent(s, note.Endpoint{ID: id, Kind: note.KindService, Domain: domain(0), Service: "orders"})
+	return d.addAgent(s, note.Endpoint{ID: id, Kind: note.KindService, Domain: domain(0), Service: d.service})
 }
 
 func (d *Dev) addAgent(m proto.Machine, e note.Endpoint) error {
@@ -276,12 +317,35 @@
 
 // Intro tells how to use the fleet.
 func (d *Dev) Intro() string {
-	text := "\nkey: " + d.key + "\n"
+	text := "\n"
+	for _, k := range d.keys {
+		text += fmt.Sprintf("key of %s: %s\n", k.Account, k.Secret)
+	}
 	for _, t := range d.targets {
 		text += fmt.Sprintf("router %s: callers http://%s, operators http://%s\n", t.id, t.callers, t.internal)
 	}
 	text += fmt.Sprintf("log service: %s\n", d.logAddr)
-	return text + fmt.Sprintf("\nStream an answer:\n\n  curl -N http://%s/v1/chat/completions -H 'Authorization: Bearer %s' -H 'Content-Type: application/json' -d '{\"model\":%q,\"stream\":true,\"temperature\":0,\"max_tokens\":24,\"messages\":[{\"role\":\"user\",\"content\":\"Hello\"}]}'\n\n", d.targets[0].callers, d.key, model)
+	return text + d.loadLine() + fmt.Sprintf("\nStream an answer:\n\n  curl -N http://%s/v1/chat/completions -H 'Authorization: Bearer %s' -H 'Content-Type: application/json' -d '{\"model\":%q,\"stream\":true,\"temperature\":0,\"max_tokens\":24,\"messages\":[{\"role\":\"user\",\"content\":\"Hello\"}]}'\n\n", d.targets[0].callers, d.Key(), d.model.Name)
+}
+
+// loadLine is the command that loads a fleet with the note of a deployment. The
+// rate falls with the engines, as the deployment's own would overload fewer.
+func (d *Dev) loadLine() string {
+	for _, dep := range workload.Deployments() {
+		if dep.Name != d.cfg.Deployment {
+			continue
+		}
+		share := min(1, float64(d.cfg.Engines)/float64(dep.Engines))
+		line := fmt.Sprintf("\nLoad it:\n\n  kumquatsill load --deployment %s --rate %.1f --duration 30s --example-limits", dep.Name, dep.Traffic.Rate*share)
+		for _, t := range d.targets {
+			line += " --router " + t.callers
+		}
+		for _, k := range d.keys {
+			line += fmt.Sprintf(" --key %s=%s", k.Account, k.Secret)
+		}
+		return line + "\n"
+	}
+	return ""
 }
 
 // Operators returns the "ip:port" of each router's listener for operators.
@@ -299,8 +363,11 @@
 // LogAddr returns the "ip:port" of the log service.
 func (d *Dev) LogAddr() string { return d.logAddr }
 
-// Key returns the key of the example account.
-func (d *Dev) Key() string { return d.key }
+// Key returns the key of the first account.
+func (d *Dev) Key() string { return d.keys[0].Secret }
+
+// Keys returns the keys of all accounts.
+func (d *Dev) Keys() []Key { return d.keys }
 
 // Failed is closed when a part has ended by itself.
 func (d *Dev) Failed() <-chan struct{} { return d.t.Dying() }
--- a/app/example/example.go
+++ b/app/example/example.go
@@ -8,6 +8,7 @@
 
 	"github.com/kumquatsill/kumquatsill/core/note"
 	"github.com/kumquatsill/kumquatsill/core/proto"
+	"github.com/kumquatsill/kumquatsill/proof/workload"
 )
 
 // Names of the deployments.
@@ -37,61 +38,36 @@
 // pompas weighs the tail of the time to first token highest. All accounts
 // have one priority, so that fairness decides between them.
 func pompas() note.Note {
-	const model = "formula-assistant"
-	n := note.Note{
-		Author: "operator@pompas.example", Reason: "first note of Pompas del Sur",
-		Added: note.Items{
-			Accounts: []note.Account{
-				{ID: "pompas-retail", Rate: 60_000, Burst: 600_000},
-				{ID: "lavados-valpo", Rate: 40_000, Burst: 400_000},
-				{ID: "granel-centro", Rate: 12_000, Burst: 120_000},
-				{ID: "ecotienda-vina", Rate: 8_000, Burst: 80_000},
-				{ID: "formula-desk", Rate: 20_000, Burst: 200_000},
-			},
-			Models: []note.Model{{Name: model, Version: "2026-05", MinEndpoints: 12}},
-			Routes: []note.Route{
-				{Method: http.MethodPost, Path: "/orders", Service: "orders"},
-				{Method: http.MethodGet, Path: "/orders/", Service: "orders", Idempotent: true},
-				{Method: http.MethodGet, Path: "/stock/", Service: "orders", Idempotent: true},
-				{Method: http.MethodGet, Path: "/deliveries/", Service: "orders", Idempotent: true},
-			},
-		},
-	}
-	n.Changed.Policy = policy(1, 0.25)
-	n.Added.Endpoints = endpoints("cl-centro", 18, model, "orders")
+	n := first(workload.Pompas(), "first note of Pompas del Sur", 12, "cl-centro")
+	n.Author = "operator@pompas.example"
+	n.Added.Routes = append(n.Added.Routes, query("/orders/", "orders"), query("/deliveries/", "orders"))
 	return n
 }
 
 // karoo weighs the recomputation that a cached prefix saves highest.
 func karoo() note.Note {
-	const model = "patch-assistant"
-	n := note.Note{
-		Author: "operator@karoo.example", Reason: "first note of Karoo Canvas Menders",
-		Added: note.Items{
-			Accounts: []note.Account{
-				{ID: "patch-desk", Rate: 50_000, Burst: 500_000},
-				{ID: "gauteng-depot", Rate: 25_000, Burst: 250_000},
-				{ID: "safari-camps", Rate: 10_000, Burst: 100_000},
-				{ID: "school-tents", Rate: 6_000, Burst: 60_000},
-				{ID: "repair-status", Rate: 4_000, Burst: 40_000},
-			},
-			Models: []note.Model{{Name: model, Version: "2026-05", MinEndpoints: 8}},
-			Routes: []note.Route{
-				{Method: http.MethodPost, Path: "/bookings", Service: "bookings"},
-				{Method: http.MethodGet, Path: "/bookings/", Service: "bookings", Idempotent: true},
-				{Method: http.MethodGet, Path: "/jobs/", Service: "bookings", Idempotent: true},
-			},
-		},
-	}
-	n.Changed.Policy = policy(0.25, 1)
-	n.Added.Endpoints = endpoints("gauteng", 12, model, "bookings")
+	n := first(workload.Karoo(), "first note of Karoo Canvas Menders", 8, "gauteng")
+	n.Author = "operator@karoo.example"
+	n.Added.Routes = append(n.Added.Routes, query("/bookings/", "bookings"))
 	return n
 }
 
-func policy(tail, hit float64) *note.Policy {
+// first takes accounts, model, routes and weights from the workload, so that
+// "kumquatsill load" finds in the fleet what it asks for.
+func first(d workload.Deployment, reason string, minEndpoints int, region string) note.Note {
+	n := d.Note()
+	n.Reason = reason
+	n.Added.Keys = nil
+	n.Added.Models[0].MinEndpoints = minEndpoints
 	p := note.DefaultPolicy()
-	p.TailWeight, p.HitWeight = tail, hit
-	return &p
+	p.TailWeight, p.HitWeight = d.Policy.TailWeight, d.Policy.HitWeight
+	n.Changed.Policy = &p
+	n.Added.Endpoints = endpoints(region, d.Engines, workload.Model, d.Service)
+	return n
+}
+
+func query(path, service string) note.Route {
+	return note.Route{Method: http.MethodGet, Path: path, Service: service, Idempotent: true}
 }
 
 // endpoints spreads the engines and three plain services over three failure
--- /dev/null
+++ b/app/load/request.go
@@ -0,0 +1,223 @@
+package load
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"io"
+	"mime"
+	"net"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/kumquatsill/kumquatsill/app/api"
+	"github.com/kumquatsill/kumquatsill/core/proto"
+	"github.com/kumquatsill/kumquatsill/proof/workload"
+)
+
+const (
+	// maxLine and maxAnswer bound what a router can make the load hold, in bytes.
+	maxLine   = 1 << 20
+	maxAnswer = 16 << 20
+)
+
+// Causes that the load itself finds, beside those of the routers.
+const (
+	// CauseUnreachable means that no answer came.
+	CauseUnreachable proto.Cause = "router-unreachable"
+	// CauseBadAnswer means that an answer is not of the documented form.
+	CauseBadAnswer proto.Cause = "malformed-answer"
+	// CauseIncomplete means that a stream ended early or had a gap.
+	CauseIncomplete proto.Cause = "stream-incomplete"
+)
+
+// result is what the caller saw of one request. All times are since the start.
+type result struct {
+	arrival         workload.Arrival
+	router          string
+	sent, first     time.Duration
+	end             time.Duration
+	hasFirst        bool
+	usage           proto.Usage
+	hasUsage        bool
+	cause           proto.Cause
+	verdict         proto.Verdict
+	interrupted     bool
+	heard, replayed bool
+	status          int
+}
+
+func (res *result) refuse(cause proto.Cause, verdict proto.Verdict) {
+	res.cause, res.verdict = cause, verdict
+}
+
+type generation struct {
+	Model       string `json:"model"`
+	Prompt      string `json:"prompt"`
+	MaxTokens   int64  `json:"max_tokens"`
+	Stream      bool   `json:"stream"`
+	Temperature int    `json:"temperature"`
+}
+
+// do sends one request and reads its whole answer.
+func (r *runner) do(ctx context.Context, a workload.Arrival, router string) result {
+	res := result{arrival: a, router: router}
+	req, err := r.request(ctx, a, router)
+	if err != nil {
+		res.refuse(CauseUnreachable, proto.NotRun)
+		return res
+	}
+	limited, cancel := context.WithTimeout(ctx, a.Request.Timeout+answerGrace)
+	defer cancel()
+	res.sent = time.Since(r.start)
+	response, err := r.client.Do(req.WithContext(limited))
+	if err != nil {
+		res.refuse(CauseUnreachable, verdictOf(err))
+	} else {
+		res.heard, res.status = true, response.StatusCode
+		r.read(response, &res)
+		_ = response.Body.Close()
+	}
+	res.end = time.Since(r.start)
+	res.interrupted = ctx.Err() != nil && (res.cause == CauseUnreachable || res.cause == CauseBadAnswer || res.cause == CauseIncomplete)
+	return res
+}
+
+// verdictOf returns not_run only if no connection was made.
+func verdictOf(err error) proto.Verdict {
+	var op *net.OpError
+	if errors.As(err, &op) && op.Op == "dial" {
+		return proto.NotRun
+	}
+	return proto.MayHaveRun
+}
+
+func (r *runner) request(ctx context.Context, a workload.Arrival, router string) (*http.Request, error) {
+	q := a.Request
+	body := q.Body
+	if q.Class == proto.ClassGenerate {
+		var err error
+		body, err = json.Marshal(generation{Model: q.Model, Prompt: a.Prompt(), MaxTokens: q.MaxTokens, Stream: true})
+		if err != nil {
+			return nil, err
+		}
+	}
+	req, err := http.NewRequestWithContext(ctx, q.Method, router+q.Path, bytes.NewReader(body))
+	if err != nil {
+		return nil, err
+	}
+	// net/http by itself repeats a request with an Idempotency-Key when a
+	// connection breaks. Without GetBody it cannot, so that each order is sent once.
+	req.GetBody = nil
+	req.Header.Set("Authorization", "Bearer "+r.cfg.Keys[a.Account])
+	req.Header.Set("X-Request-Id", r.id+"-"+string(q.ID))
+	req.Header.Set("X-Request-Timeout", q.Timeout.String())
+	if q.ContentType != "" {
+		req.Header.Set("Content-Type", q.ContentType)
+	}
+	if q.IdempotencyKey != "" {
+		req.Header.Set("Idempotency-Key", r.id+"-"+q.IdempotencyKey)
+	}
+	return req, nil
+}
+
+func (r *runner) read(response *http.Response, res *result) {
+	media, _, _ := mime.ParseMediaType(response.Header.Get("Content-Type"))
+	body := io.LimitReader(response.Body, maxAnswer)
+	res.replayed = response.Header.Get("Idempotency-Replayed") == "true"
+	switch {
+	case media == "application/problem+json":
+		data, err := io.ReadAll(body)
+		if err != nil {
+			res.refuse(CauseBadAnswer, proto.MayHaveRun)
+			return
+		}
+		readProblem(data, res)
+	case res.arrival.Request.Class == proto.ClassCall:
+		if _, err := io.Copy(io.Discard, body); err != nil {
+			res.refuse(CauseIncomplete, proto.MayHaveRun)
+		}
+	case media == "text/event-stream" && response.StatusCode == http.StatusOK:
+		r.readStream(body, res)
+	default:
+		res.refuse(CauseBadAnswer, proto.MayHaveRun)
+	}
+}
+
+func readProblem(data []byte, res *result) {
+	var p api.Problem
+	if err := json.Unmarshal(data, &p); err != nil || p.Cause() == "" {
+		res.refuse(CauseBadAnswer, proto.MayHaveRun)
+		return
+	}
+	res.refuse(p.Cause(), p.Verdict)
+}
+
+// chunk is the part of an event that the measures need.
+type chunk struct {
+	Choices []struct {
+		Text string `json:"text"`
+	} `json:"choices"`
+	Usage *struct {
+		PromptTokens     int64 `json:"prompt_tokens"`
+		CompletionTokens int64 `json:"completion_tokens"`
+		Details          struct {
+			CachedTokens int64 `json:"cached_tokens"`
+		} `json:"prompt_tokens_details"`
+	} `json:"usage"`
+}
+
+// readStream reads server-sent events. A stream is whole if its events are
+// numbered without a gap and "[DONE]" ends it.
+func (r *runner) readStream(body io.Reader, res *result) {
+	lines := bufio.NewScanner(body)
+	lines.Buffer(nil, maxLine)
+	var next proto.Seq = 1
+	failed := false
+	for lines.Scan() {
+		field, value, _ := strings.Cut(lines.Text(), ":")
+		value = strings.TrimPrefix(value, " ")
+		switch field {
+		case "event":
+			failed = value == "error"
+		case "id":
+			point, problem := api.ParseEventID(value)
+			if problem != nil || point.After != next {
+				res.refuse(CauseIncomplete, proto.MayHaveRun)
+				return
+			}
+			next++
+		case "data":
+			if failed {
+				readProblem([]byte(value), res)
+				return
+			}
+			if value == "[DONE]" {
+				return
+			}
+			if !r.readChunk(value, res) {
+				res.refuse(CauseBadAnswer, proto.MayHaveRun)
+				return
+			}
+		}
+	}
+	res.refuse(CauseIncomplete, proto.MayHaveRun)
+}
+
+func (r *runner) readChunk(data string, res *result) bool {
+	var c chunk
+	if json.Unmarshal([]byte(data), &c) != nil {
+		return false
+	}
+	if !res.hasFirst && len(c.Choices) > 0 && c.Choices[0].Text != "" {
+		res.first, res.hasFirst = time.Since(r.start), true
+	}
+	if u := c.Usage; u != nil {
+		res.usage = proto.Usage{PromptTokens: u.PromptTokens, CachedTokens: u.Details.CachedTokens, CompletionTokens: u.CompletionTokens}
+		res.hasUsage = true
+	}
+	return true
+}
