core/ledger, core/router: do not take a slow log for one that is down

Cause: a read that was answered after 1.5 s counted as lost, and a router whose last read of the head was 2 s old said that it could not read the log. With answers 2 s late all routers did, took that for a general outage, and served an old revision 5.05 s after the next one had entered the log. Change: answers to reads that were given up still bring their records and prove the head as of their sending; a router can read the log while it answers at all, however late, and freshness rests on the proofs alone. Conclusion: a log that answers more than about 2.5 s late now stops keyed traffic from time to time, as no router can prove that it is current.

--- a/core/ledger/append.go
+++ b/core/ledger/append.go
@@ -52,6 +52,7 @@
 	followed   bool
 	next       proto.Offset
 	follow     read
+	late       []lateRead
 	headReadAt proto.Instant
 	headRead   bool
 }
@@ -243,7 +244,7 @@
 		s.c.counters.Timeouts++
 		s.appendFailed(now, false, false, "")
 	}
-	s.follow.expire(s.c, now)
+	s.expireFollow(now)
 	s.probe.expire(s.c, now)
 	if s.lookup != nil {
 		s.lookup.expire(s.c, now)
--- a/core/ledger/client.go
+++ b/core/ledger/client.go
@@ -228,6 +228,10 @@
 	return 0
 }
 
+// AnsweredAt returns when the log last answered a call with content. It
+// reports false if it never did.
+func (c *Client) AnsweredAt() (proto.Instant, bool) { return c.answered, c.hasAnswer }
+
 // Reachable reports whether the log answered within the last 3 s.
 func (c *Client) Reachable(now proto.Instant) bool {
 	return c.hasAnswer && now.Sub(c.answered) <= reachableFor
--- a/core/ledger/client_test.go
+++ b/core/ledger/client_test.go
@@ -344,3 +344,31 @@
 		t.Errorf("events %+v", got)
 	}
 }
+
+// Guards against a log that is slow and looks as if it were down: the answer to
+// a read that was given up brings its records, once, and proves the head as of
+// the read's sending.
+func TestLateReadCounts(t *testing.T) {
+	c := ledger.New(ledger.Config{Self: proto.RouterAddr("r1"), Incarnation: "i1"})
+	c.Follow("config", 0)
+	var reads []proto.LogRead
+	for now := proto.Instant(0); len(reads) < 2; now = now.Add(50 * time.Millisecond) {
+		c.Tick(now)
+		for _, e := range c.Take() {
+			if m, ok := e.Msg.(proto.LogRead); ok {
+				reads = append(reads, m)
+			}
+		}
+	}
+	now := proto.Instant(4 * time.Second)
+	record := proto.Record{ID: "x.1", Kind: "k", Offset: 0}
+	for _, read := range reads {
+		answer(c, now, proto.LogRecords{Call: read.Call, Stream: "config", Head: 1, Records: []proto.Record{record}})
+	}
+	if at, ok := c.HeadReadAt("config"); !ok || at >= proto.Instant(2*time.Second) {
+		t.Errorf("head read at %v, %v, want the send time of the second read", at.Sub(0), ok)
+	}
+	if n := len(c.Events()); n != 1 {
+		t.Errorf("%d events, want the record once", n)
+	}
+}
--- a/core/ledger/read.go
+++ b/core/ledger/read.go
@@ -1,6 +1,7 @@
 package ledger
 
 import (
+	"slices"
 	"time"
 
 	"github.com/kumquatsill/kumquatsill/core/proto"
@@ -44,6 +45,39 @@
 	s.c.Send(proto.Log, proto.LogRead{Call: r.call, Stream: s.name, From: from, Max: maxReadRecords, Wait: wait})
 }
 
+// lateRead is a read of the follower that was given up. Its answer may still
+// come, and proves as much as one in time: on a slow log it is often the only one.
+type lateRead struct {
+	call   uint64
+	sentAt proto.Instant
+}
+
+// maxLateReads bounds the reads whose late answers are recognised. Reads start
+// about a second apart, so it covers answers that are several seconds late.
+const maxLateReads = 8
+
+func (s *stream) expireFollow(now proto.Instant) {
+	if s.follow.call == 0 || now < s.follow.deadline {
+		return
+	}
+	s.late = append(s.late, lateRead{call: s.follow.call, sentAt: s.follow.sentAt})
+	if len(s.late) > maxLateReads {
+		s.late = s.late[1:]
+	}
+	s.follow.expire(s.c, now)
+}
+
+// takeLate returns the send time of a read that was given up, and forgets it.
+func (s *stream) takeLate(call uint64) (proto.Instant, bool) {
+	i := slices.IndexFunc(s.late, func(l lateRead) bool { return l.call == call })
+	if i < 0 {
+		return 0, false
+	}
+	sentAt := s.late[i].sentAt
+	s.late = slices.Delete(s.late, i, i+1)
+	return sentAt, true
+}
+
 func (s *stream) advanceLookup(now proto.Instant) {
 	if s.lookup == nil || s.lookup.call != 0 || now < s.lookup.after {
 		return
@@ -96,7 +130,12 @@
 	case m.Call == 0:
 		s.c.counters.Strays++
 	case m.Call == s.follow.call:
-		s.follows(now, m)
+		if s.follows(m, s.follow.sentAt) {
+			s.follow.call = 0
+			s.follow.failures = 0
+		} else {
+			s.follow.fail(s.c, now)
+		}
 	case m.Call == s.probe.call:
 		s.probe = read{}
 	case lookup != nil && m.Call == lookup.call:
@@ -104,18 +143,30 @@
 			s.lookedUp(now, m)
 		}
 	default:
+		s.lateRecords(m)
+	}
+}
+
+// lateRecords takes the answer to a read that was given up.
+func (s *stream) lateRecords(m proto.LogRecords) {
+	sentAt, ok := s.takeLate(m.Call)
+	if !ok {
 		s.c.counters.Strays++
+		return
+	}
+	if s.follows(m, sentAt) {
+		s.follow.failures = 0
 	}
 }
 
-// follows delivers the records of an answer to a read of the follower.
-func (s *stream) follows(now proto.Instant, m proto.LogRecords) {
+// follows delivers the records of an answer to a read of the follower that was
+// sent at sentAt. It reports false if the answer proves nothing.
+func (s *stream) follows(m proto.LogRecords, sentAt proto.Instant) bool {
 	if m.Head < s.next || m.First <= s.next && s.next < m.Head && len(m.Records) == 0 {
 		// An answer that is older than what was read, or that brings no
 		// record although there is one, proves nothing about the head.
 		s.c.counters.Malformed++
-		s.follow.fail(s.c, now)
-		return
+		return false
 	}
 	if m.First > s.next {
 		s.c.counters.Gaps++
@@ -125,17 +176,14 @@
 	for _, rec := range m.Records {
 		if !s.deliver(rec) {
 			s.c.counters.Malformed++
-			s.follow.fail(s.c, now)
-			return
+			return false
 		}
 	}
-	sentAt := s.follow.sentAt
-	s.follow.call = 0
-	s.follow.failures = 0
 	if s.next >= m.Head {
-		s.headReadAt = sentAt
+		s.headReadAt = max(s.headReadAt, sentAt)
 		s.headRead = true
 	}
+	return true
 }
 
 // deliver reports one record to the owner, once. It fails on a hole, which
--- a/core/router/peers.go
+++ b/core/router/peers.go
@@ -20,8 +20,8 @@
 	// maxBeatPeers bounds the beats of one router. A beat and its reply take
 	// about 400 bytes together.
 	maxBeatPeers = 16
-	// reachableAge is the age of the last own read of the head above which a
-	// router says that it cannot read the log. It is half of freshFor, so that
+	// reachableAge is the age of the log's last answer above which a router
+	// says that it cannot read the log. It is half of freshFor, so that
 	// peers learn of it before the proof runs out.
 	reachableAge = 2 * time.Second
 	// maxKnownPeers bounds the memory of beats sent.
--- a/core/router/publish.go
+++ b/core/router/publish.go
@@ -108,9 +108,11 @@
 	return !c.logReachable(now) && c.hearsAll() && c.fresh.isGeneralOutage(now, c.cfg.Domain, c.peers.chosen)
 }
 
-// logReachable reports whether this router itself read the head lately.
+// logReachable reports whether the log answered this router lately. A slow
+// log answers and takes notes, so it must not pass for an outage; whether what
+// it answers is new enough is for the proof of freshness to say.
 func (c *Control) logReachable(now proto.Instant) bool {
-	at, ok := c.log.HeadReadAt(proto.StreamConfig)
+	at, ok := c.log.AnsweredAt()
 	return ok && now.Sub(at) <= reachableAge
 }
 
