core/exchange: give up after two attempts that fell silent without output

Cause: an attempt that went silent was tried elsewhere up to four times. If the request crashes its endpoints and the reports of that come late, it took down four engines. Change: two silent attempts without output end the request as may_have_run. Before: TestEngineLossesWithLateReports failed with 4 engines lost. After: it passes with 2.

--- a/core/exchange/attempt.go
+++ b/core/exchange/attempt.go
@@ -307,6 +307,9 @@
 // still hold, over a new connection. After that, another endpoint is tried.
 func (x *Exchange) reattach(now proto.Instant, cause proto.Cause) {
 	endpoint := x.attempt.endpoint
+	if x.attempt.last == 0 {
+		x.unknownFates++
+	}
 	x.closeAttempt(now, cause, proto.MayHaveRun)
 	if x.req.Class != proto.ClassGenerate || x.reattached || x.attempt.last == 0 || x.trial.at == 0 && x.needsTrial() {
 		x.cancelAttempt()
@@ -328,6 +331,8 @@
 		x.giveUp(now, cause, "the call was dispatched and its outcome is unknown", proto.MayHaveRun, 0)
 	case x.attempt.last > 0 && !x.restartable():
 		x.giveUp(now, proto.CauseStreamBroken, "the stream broke and cannot be continued identically", proto.MayHaveRun, 0)
+	case x.unknownFates >= maxUnknownFates:
+		x.giveUp(now, cause, "two endpoints fell silent with the request and it was not tried again", proto.MayHaveRun, overloadRetryAfter)
 	case len(x.attempts) >= maxAttempts || !x.deps.Budget.Take():
 		x.giveUp(now, cause, "the request failed and was not tried again", verdict, overloadRetryAfter)
 	default:
--- a/core/exchange/exchange.go
+++ b/core/exchange/exchange.go
@@ -69,6 +69,8 @@
 	held       []proto.CallerChunk
 	firstToken proto.Instant
 	reattached bool
+	// unknownFates counts attempts that fell silent without output.
+	unknownFates int
 
 	// crashed is set once the request is known to need a trial.
 	crashed bool
--- a/core/exchange/steps.go
+++ b/core/exchange/steps.go
@@ -64,7 +64,11 @@
 	// tokens; a grant takes one round trip to its holder.
 	tokensPollMin = time.Millisecond
 	tokensPollMax = 20 * time.Millisecond
-	maxAttempts   = 5
+	// maxUnknownFates is the number of attempts that may fall silent without
+	// output. Each may have crashed its endpoint before anybody reports it, and
+	// no request may take down more than two.
+	maxUnknownFates = 2
+	maxAttempts     = 5
 	// maxLifeRetries bounds attempts that repeat a call with the agent's new life.
 	maxLifeRetries = 2
 	// overloadRetryAfter and staleRetryAfter are what refused callers are told to wait.
