core/route: ask again an endpoint that left or had another version

Cause: an endpoint that had reported that it leaves, or another version of a model, got no work and so could tell a router nothing new. Change: a report of leaving makes the endpoint doubtful after 10 s, and one of another version is believed for 1 s. An endpoint that still leaves, or has not loaded the version, refuses the attempt as not run.

--- a/core/member/member.go
+++ b/core/member/member.go
@@ -109,10 +109,15 @@
 
 // Standing judges the party.
 func (e *Evidence) Standing(now proto.Instant) Standing {
+	paths := 0
 	if e.leaving {
-		return Leaving
+		if now.Sub(e.leavingAt) < evidenceLife {
+			return Leaving
+		}
+		// A party that gets no work says nothing more, also when it has come
+		// back. It is tried again, and refuses if it still leaves.
+		paths++
 	}
-	paths := 0
 	for p, failed := range e.hasFailed {
 		if failed && now.Sub(e.failed[p]) < evidenceLife {
 			paths++
--- a/core/member/member_test.go
+++ b/core/member/member_test.go
@@ -56,3 +56,20 @@
 		t.Errorf("incarnation %q after a message without one", e.Incarnation())
 	}
 }
+
+// Guards against an endpoint that left and came back, and that a router uses
+// no more since it hears nothing from an endpoint that it gives no work.
+func TestLeavingIsAskedAgain(t *testing.T) {
+	var e Evidence
+	e.Heard(0, "i1", true)
+	if got := e.Standing(9 * second); got != Leaving {
+		t.Errorf("after 9 s: standing %d, want leaving", got)
+	}
+	if got := e.Standing(10 * second); got != Doubtful {
+		t.Errorf("after 10 s: standing %d, want doubtful", got)
+	}
+	e.Heard(11*second, "i1", true)
+	if got := e.Standing(12 * second); got != Leaving {
+		t.Errorf("after another report: standing %d, want leaving", got)
+	}
+}
--- a/core/route/choose.go
+++ b/core/route/choose.go
@@ -300,7 +300,7 @@
 func (d *decision) price(c *candidate) {
 	standing := c.standingAt(d.now)
 	c.usable = standing < member.Suspect && !c.leaving &&
-		c.serves(d.q.Model, d.q.Version) && !slices.Contains(d.q.Exclude, c.id)
+		c.serves(d.now, d.q.Model, d.q.Version) && !slices.Contains(d.q.Exclude, c.id)
 	if !c.usable {
 		return
 	}
--- a/core/route/endpoint.go
+++ b/core/route/endpoint.go
@@ -16,6 +16,9 @@
 	// downLife is how long a report that the engine is down keeps work away;
 	// later the endpoint is tried again when nothing better is there.
 	downLife = 2 * time.Second
+	// versionLife is how long a report of another version keeps work away. A
+	// load takes about half a second.
+	versionLife = time.Second
 )
 
 // endpoint is the configuration of one endpoint in a snapshot; it is
@@ -140,9 +143,8 @@
 // standingAt returns the standing that decisions go by.
 func (l *live) standingAt(now proto.Instant) member.Standing {
 	standing := member.Standing(l.standing.Load())
-	lapsed := now >= proto.Instant(l.standingUntil.Load())
-	if standing != member.Leaving && lapsed {
-		standing = member.Good
+	if now >= proto.Instant(l.standingUntil.Load()) {
+		standing = lapsed(standing)
 	}
 	report := l.report.Load()
 	if report == nil || !report.down {
@@ -154,6 +156,15 @@
 	return max(standing, member.Doubtful)
 }
 
+// lapsed returns what a standing turns into once its evidence is old. An
+// endpoint that was leaving is used last, since it may still be.
+func lapsed(s member.Standing) member.Standing {
+	if s == member.Leaving {
+		return member.Doubtful
+	}
+	return member.Good
+}
+
 // knownAt reports whether the load was reported within maxAge.
 func (l *live) knownAt(now proto.Instant, maxAge time.Duration) bool {
 	report := l.report.Load()
@@ -165,11 +176,12 @@
 	return max(0, proto.Instant(l.busyUntil.Load()).Sub(now))
 }
 
-// serves reports whether the endpoint may hold the version; an endpoint that
-// has not reported its versions may.
-func (l *live) serves(model, version string) bool {
+// serves reports whether the endpoint may hold the version. One that has not
+// reported its versions lately may: it can have loaded the version since, and
+// would never tell a router that gives it no work.
+func (l *live) serves(now proto.Instant, model, version string) bool {
 	report := l.report.Load()
-	if report == nil || report.versions == nil || version == "" {
+	if report == nil || report.versions == nil || version == "" || now.Sub(report.at) >= versionLife {
 		return true
 	}
 	return report.versions[model] == version
--- a/proof/fleet/rollout_test.go
+++ b/proof/fleet/rollout_test.go
@@ -1,6 +1,7 @@
 package fleet_test
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -11,7 +12,7 @@
 )
 
 // Guards against a note with a new model version that does not reach the
-// engines, that loads on more than two of them at once, or that two routers
+// engines, that leaves routers with the old version in mind, that loads on more than two of them at once, or that two routers
 // roll out side by side.
 func TestNewVersionReachesAllEngines(t *testing.T) {
 	n := smallNote()
@@ -37,6 +38,15 @@
 	if !f.WaitReady(1) {
 		t.Fatal("the first note is not in force")
 	}
+	// Both routers know the old versions from their own traffic.
+	for i := range f.Routers {
+		for n := range 8 {
+			req := generation(proto.RequestID(fmt.Sprintf("before-%d-%d", i, n)))
+			req.Pieces = []uint64{uint64(n)}
+			f.Callers.Send(f.RouterAddr(i), req)
+		}
+	}
+	f.World.Run(10 * time.Second)
 	f.Submit(0, "second", note.Note{BasedOn: 1, Changed: note.Items{Models: []note.Model{{Name: "assistant", Version: "v2"}}}})
 	f.World.Run(30 * time.Second)
 	for id, e := range f.Engines {
@@ -47,9 +57,11 @@
 	if most != 2 {
 		t.Errorf("%d loads at once, want 2", most)
 	}
-	a := f.Callers.Send(f.RouterAddr(1), generation("q1"))
-	f.World.Run(20 * time.Second)
-	if a.Finish == nil || a.Chunks[0].Version != "v2" {
-		t.Errorf("answer %+v, refusal %+v, want one of version v2", a.Chunks, a.Refusal)
+	for i := range f.Routers {
+		a := f.Callers.Send(f.RouterAddr(i), generation(proto.RequestID(fmt.Sprintf("after-%d", i))))
+		f.World.Run(20 * time.Second)
+		if a.Finish == nil || a.Chunks[0].Version != "v2" {
+			t.Errorf("router %d: answer %+v, refusal %+v, want one of version v2", i, a.Chunks, a.Refusal)
+		}
 	}
 }
