core/router: no general outage for a router that knows less than its peers

Cause: a router that was paused when the log went silent woke up, found that its peers could not read the log either, and served the revision that it had, 9 s after the next one had been accepted (random seed 10033). Change: the word of a peer that has folded more, or has a newer proof of freshness by more than 1.5 s, speaks against a general outage; a peer's word counts from when it was asked for.

--- a/core/router/freshness.go
+++ b/core/router/freshness.go
@@ -13,6 +13,10 @@
 	freshFor = 4 * time.Second
 	// witnessFor is how long a peer's word about the log counts.
 	witnessFor = 3 * time.Second
+	// proofSlack is how much older than a peer's the own proof may be in a
+	// general outage. Routers read the head about twice a second, and take over
+	// the proofs of their peers.
+	proofSlack = 1500 * time.Millisecond
 	// outageExtension is how far a confirmed general outage extends freshness.
 	outageExtension = 2 * time.Second
 )
@@ -30,7 +34,11 @@
 
 // witness is what a peer last said about the log.
 type witness struct {
-	at        proto.Instant
+	at proto.Instant
+	// proof is no earlier than the peer's own proof of freshness, and offset is
+	// how far it has folded the config stream.
+	proof     proto.Instant
+	offset    proto.Offset
 	domain    proto.Domain
 	reachable bool
 }
@@ -49,7 +57,10 @@
 // peer takes in the answer to a beat sent at sent. The peer read the head no
 // earlier than its stated age before that.
 func (f *freshness) peer(now, sent proto.Instant, beat proto.PeerBeat, folded proto.Offset) {
-	f.witnesses[beat.Router] = witness{at: now, domain: beat.Domain, reachable: beat.LogReachable}
+	f.witnesses[beat.Router] = witness{
+		at: sent, proof: now.Add(-beat.LogReadAge), offset: beat.Stamp.ConfigOffset,
+		domain: beat.Domain, reachable: beat.LogReachable,
+	}
 	if folded >= beat.Stamp.ConfigOffset && beat.LogReadAge >= 0 {
 		f.headRead(sent.Add(-beat.LogReadAge))
 	}
@@ -70,8 +81,10 @@
 
 // isGeneralOutage reports whether a majority of the routers, this one
 // included, cannot read the log, from two failure domains where there are
-// two. Nothing can be accepted then, so that the state in force cannot be old.
-func (f *freshness) isGeneralOutage(now proto.Instant, own proto.Domain, peers map[proto.RouterID]proto.Domain) bool {
+// two. Nothing can be accepted then, so that the state in force cannot be old,
+// if it is no older than that of the peers: a router that was paused when the
+// outage began may have missed what they know.
+func (f *freshness) isGeneralOutage(now proto.Instant, own proto.Domain, folded proto.Offset, peers map[proto.RouterID]proto.Domain) bool {
 	cut := 1
 	domains := map[proto.Domain]bool{own: true}
 	known := map[proto.Domain]bool{own: true}
@@ -81,7 +94,7 @@
 		if !ok || now.Sub(w.at) > witnessFor {
 			continue
 		}
-		if w.reachable {
+		if w.reachable || w.offset > folded || f.proof.Add(proofSlack) < w.proof {
 			return false
 		}
 		cut++
--- a/core/router/publish.go
+++ b/core/router/publish.go
@@ -105,7 +105,7 @@
 
 // isOutage reports whether no router can read the log, as far as can be told.
 func (c *Control) isOutage(now proto.Instant) bool {
-	return !c.logReachable(now) && c.hearsAll() && c.fresh.isGeneralOutage(now, c.cfg.Domain, c.peers.chosen)
+	return !c.logReachable(now) && c.hearsAll() && c.fresh.isGeneralOutage(now, c.cfg.Domain, c.state.Next(), c.peers.chosen)
 }
 
 // logReachable reports whether the log answered this router lately. A slow
