core/agent: refuse what waited while the agent was paused

Change: an agent that had no input for 3 s, although it looks at the clock every second, refuses dispatches for 100 ms as not run: the routers have given them up.

--- a/core/agent/agent.go
+++ b/core/agent/agent.go
@@ -14,6 +14,13 @@
 
 const (
 	heartbeatInterval = time.Second
+	// idleTick is the time between two looks at the clock of an idle agent.
+	idleTick = time.Second
+	// pauseLimit is the time without an input that shows a pause. It is the
+	// silence after which routers give an attempt up.
+	pauseLimit = 3 * time.Second
+	// refuseAfterPause covers the reading of what waited during a pause.
+	refuseAfterPause = 100 * time.Millisecond
 	// detachedFor is how long a stream without a router is kept for a
 	// router that asks for the rest.
 	detachedFor = 10 * time.Second
@@ -82,6 +89,10 @@
 	leaving   bool
 	leavingAt proto.Offset
 	beatAt    proto.Instant
+	// seenAt is the time of the last input, refuseUntil the end of the time
+	// after a pause in which dispatches are refused.
+	seenAt      proto.Instant
+	refuseUntil proto.Instant
 	// expireAt is no later than the first expiry of a job. The jobs are not
 	// searched for it: thousands are kept for finishedFor.
 	expireAt proto.Instant
@@ -133,6 +144,7 @@
 
 // Step implements proto.Machine.
 func (a *Agent) Step(now proto.Instant, in proto.Envelope) {
+	a.noticePause(now)
 	if in.From.Role == proto.RoleEngine {
 		a.stepEngine(now, in.Msg)
 	} else {
@@ -189,6 +201,16 @@
 	}
 }
 
+// noticePause finds out that the process was suspended. What waits for it then
+// was sent long ago: its routers have given it up, and the endpoint may be
+// leaving since.
+func (a *Agent) noticePause(now proto.Instant) {
+	if a.seenAt != 0 && now.Sub(a.seenAt) > pauseLimit {
+		a.refuseUntil = now.Add(refuseAfterPause)
+	}
+	a.seenAt = now
+}
+
 // learn keeps the highest stamp, so that routers that are behind find out
 // from any agent.
 func (a *Agent) learn(s proto.Stamp) {
@@ -208,6 +230,7 @@
 
 // Tick implements proto.Machine.
 func (a *Agent) Tick(now proto.Instant) {
+	a.noticePause(now)
 	a.expire(now)
 	if now >= a.beatAt {
 		a.beat(now)
@@ -219,7 +242,7 @@
 
 // Wake implements proto.Machine.
 func (a *Agent) Wake() proto.Instant {
-	wake := min(a.beatAt, a.queue.Wake(), a.expireAt)
+	wake := min(a.beatAt, a.queue.Wake(), a.expireAt, a.seenAt.Add(idleTick))
 	for _, p := range a.gate.pending {
 		if p.sent {
 			wake = min(wake, p.until.Add(orderLife))
--- a/core/agent/agent_test.go
+++ b/core/agent/agent_test.go
@@ -256,3 +256,19 @@
 		t.Errorf("members %v, want 1 to 3", r.members)
 	}
 }
+
+// Guards against work that waited while the agent was paused: its routers have
+// given it up, and the endpoint may have begun to leave meanwhile.
+func TestWorkThatWaitedOutAPauseIsRefused(t *testing.T) {
+	a := newAgent(t)
+	a.Tick(second)
+	a.Step(6*second, proto.Envelope{From: routerA, Msg: generate("q#1")})
+	if refused := sent[proto.AttemptRefused](a); len(refused) != 1 || refused[0].Verdict != proto.NotRun {
+		t.Errorf("refusals %+v, want one as not run", refused)
+	}
+	a.Tick(7 * second)
+	a.Step(7*second, proto.Envelope{From: routerA, Msg: generate("r#1")})
+	if runs := sent[proto.EngineRun](a); len(runs) != 1 {
+		t.Errorf("%d runs a second later, want 1", len(runs))
+	}
+}
--- a/core/agent/dispatch.go
+++ b/core/agent/dispatch.go
@@ -23,7 +23,7 @@
 		a.reattach(now, from, j, d)
 		return
 	}
-	if cause, verdict, refused := a.admission(d); refused {
+	if cause, verdict, refused := a.admission(now, d); refused {
 		a.refuse(from, d, cause, verdict)
 		return
 	}
@@ -31,8 +31,10 @@
 }
 
 // admission decides whether a new dispatch may be queued.
-func (a *Agent) admission(d proto.Dispatch) (proto.Cause, proto.Verdict, bool) {
+func (a *Agent) admission(now proto.Instant, d proto.Dispatch) (proto.Cause, proto.Verdict, bool) {
 	switch {
+	case now < a.refuseUntil:
+		return proto.CauseEndpointFailed, proto.NotRun, true
 	case a.draining || a.leaving:
 		return proto.CauseLeaving, proto.NotRun, true
 	case !a.engine.up:
