--- a/proof/scenario/scenario.go
+++ b/proof/scenario/scenario.go
@@ -91,7 +91,6 @@
 	// crashed holds the router lives that ended in a crash.
 	crashed   map[proto.Addr]bool
 	disturbed proto.Instant
-	slowUntil proto.Instant
 	// reportsLate is set once reports of crashes may come after their attempt
 	// was given up; see TestEngineLossesWithLateReports.
 	reportsLate bool
