--- a/proof/matrix/report.go
+++ b/proof/matrix/report.go
@@ -115,7 +115,7 @@
 	p.totals("Pairs of faults", pairs)
 	p.line("Random runs of %v: %d seeds, %d failed %v; %d requests, %d answered, %d streams resumed through another router, %d messages, %d checks.\n",
 		soakTime, soak.Seeds, len(soak.FailedSeeds), soak.FailedSeeds, soak.Requests, soak.Answered, soak.Resumed, soak.Messages, soak.Checked)
-	p.line("The random runs leave two known cases to their own tests, which `KNOWN-RED.txt` lists: the bound on engines lost to one request is not checked once reports of crashes may be late, and a slow log answers within 1.4 s, whose delays don't add up.\n")
+	p.line("The random runs do not check the bound on engines lost to one request once reports of crashes may be late; TestEngineLossesWithLateReports has that case. Seeds beyond these that fail are in `KNOWN-RED.txt`.\n")
 	for _, kind := range []Kind{KindRequest, KindNote, KindLease} {
 		p.table(kind, singles)
 	}
--- a/proof/scenario/faults.go
+++ b/proof/scenario/faults.go
@@ -57,8 +57,7 @@
 	faultTime = 15 * time.Second
 	// reconnectAfter is when callers of a crashed router connect to another.
 	reconnectAfter = 300 * time.Millisecond
-	// maxLogDelay is the greatest delay of a slow log's answers. A reader may
-	// need two of them to learn of a note; see TestDrainWithSlowLog for 2 s.
+	// maxLogDelay is the greatest delay of a slow log's answers.
 	maxLogDelay = 2 * time.Second
 	// maxPause is the longest pause of a router, several times to live of a lease.
 	maxPause = 20 * time.Second
