core/router: spread the parts of a bucket over the routers

Cause: the holders of an account's three bucket parts were drawn one by one, and a fleet's first router claimed every lease before it knew the others. Change: the parts of a group begin at different places of one ranking of the routers, and a router that is alone on the register waits 2 s.

--- a/core/router/leases.go
+++ b/core/router/leases.go
@@ -20,6 +20,9 @@
 	// takeoverStep is the time between the routers that try one after the
 	// other to take a free lease, so that they do not all claim it at once.
 	takeoverStep = time.Second
+	// aloneDelay is how long the only registered router waits for others before
+	// it claims leases.
+	aloneDelay = 2 * time.Second
 	// leaseRetry is the least time between two looks at the leases, as one that
 	// waits for others may ask for attention at once.
 	leaseRetry = 20 * time.Millisecond
@@ -37,7 +40,9 @@
 	extendAt proto.Instant
 	// wakeAt is when a lease needs attention next.
 	wakeAt proto.Instant
-	call   uint64
+	// registeredAt is when this router first saw itself on the register.
+	registeredAt proto.Instant
+	call         uint64
 	// ranked are the routers from which the ranks were computed.
 	ranked map[proto.RouterID]configlog.RouterState
 }
@@ -46,6 +51,10 @@
 type ownLease struct {
 	*lease.Lease
 	name string
+	// group and part place the lease among those that should not all be with
+	// one router.
+	group string
+	part  int
 	// touched is the last record seen on the lease, freeAt when it may be
 	// claimed if no other record follows.
 	touched proto.Offset
@@ -81,15 +90,15 @@
 func newLeases(cfg Config) *leases {
 	l := &leases{self: cfg.ID, byName: map[string]*ownLease{}, pending: map[proto.RecordID][]*ownLease{}}
 	for _, b := range bucketLeases() {
-		l.add(lease.Config{Name: bucketLease(b), Self: cfg.ID, Seed: cfg.Seed})
+		l.add(lease.Config{Name: bucketLease(b), Self: cfg.ID, Seed: cfg.Seed}, fmt.Sprintf("bucket/%d", b.Group), b.Part)
 	}
-	l.add(lease.Config{Name: rolloutLease, Self: cfg.ID, Seed: cfg.Seed})
+	l.add(lease.Config{Name: rolloutLease, Self: cfg.ID, Seed: cfg.Seed}, rolloutLease, 0)
 	return l
 }
 
-func (l *leases) add(cfg lease.Config) {
+func (l *leases) add(cfg lease.Config, group string, part int) {
 	l.order = append(l.order, cfg.Name)
-	l.byName[cfg.Name] = &ownLease{Lease: lease.New(cfg), name: cfg.Name, touched: configlog.NoOffset}
+	l.byName[cfg.Name] = &ownLease{Lease: lease.New(cfg), name: cfg.Name, group: group, part: part, touched: configlog.NoOffset}
 }
 
 // observe takes in the folded state.
@@ -116,21 +125,28 @@
 	}
 	l.ranked = snap.Routers
 	for _, name := range l.order {
-		l.byName[name].rank = rankOf(l.self, name, snap)
+		l.byName[name].rank = rankOf(l.self, l.byName[name].group, l.byName[name].part, snap)
 	}
 }
 
 // rankOf orders the registered routers for a lease by hash, so that leases
-// spread over the routers and every router knows whose turn it is.
-func rankOf(self proto.RouterID, name string, snap *configlog.Snapshot) int {
-	own := hashID(name + "/" + string(self))
-	rank := 0
+// spread over the routers and every router knows whose turn it is. The parts
+// of a group begin at different places of one order: if one router held all
+// parts, its loss would leave the group's accounts without tokens.
+func rankOf(self proto.RouterID, group string, part int, snap *configlog.Snapshot) int {
+	own := hashID(group + "/" + string(self))
+	place, others := 0, 0
 	for id := range snap.Routers {
-		if id != self && hashID(name+"/"+string(id)) < own {
-			rank++
+		if id == self {
+			continue
+		}
+		others++
+		if hashID(group+"/"+string(id)) < own {
+			place++
 		}
 	}
-	return rank
+	n := others + 1
+	return ((place-part)%n + n) % n
 }
 
 // wants reports whether it is this router's turn to claim a free lease.
@@ -144,7 +160,7 @@
 	if !c.ready || c.leaving {
 		return
 	}
-	if _, registered := c.state.Snapshot().Routers[c.cfg.ID]; !registered {
+	if !c.mayClaim(now) {
 		return
 	}
 	var renewals []*ownLease
@@ -166,6 +182,19 @@
 	c.leases.wakeAt = max(c.leases.wake(), now.Add(leaseRetry))
 }
 
+// mayClaim reports whether this router is registered and knows the others. The
+// first router of a new fleet would otherwise claim every lease.
+func (c *Control) mayClaim(now proto.Instant) bool {
+	routers := c.state.Snapshot().Routers
+	if _, registered := routers[c.cfg.ID]; !registered {
+		return false
+	}
+	if c.leases.registeredAt == 0 {
+		c.leases.registeredAt = now
+	}
+	return len(routers) > 1 || now >= c.leases.registeredAt.Add(aloneDelay)
+}
+
 func (c *Control) appendLease(now proto.Instant, rec configlog.Lease, concerned ...*ownLease) {
 	id, err := c.log.Append(now, proto.StreamConfig, configlog.KindLease, rec)
 	if err != nil {
--- a/core/router/peers_test.go
+++ b/core/router/peers_test.go
@@ -91,3 +91,26 @@
 		}
 	}
 }
+
+// Guards against accounts of which one router holds every bucket part, so that
+// its loss leaves them without tokens.
+func TestPartsOfAGroupAreWithDifferentRouters(t *testing.T) {
+	for n := 2; n <= 5; n++ {
+		ctl := New(Config{ID: "self", Addr: "127.0.0.1:1", Incarnation: "self"}).Control()
+		known := register(n - 1)
+		fold(t, ctl, known)
+		for group := range 20 {
+			first := map[proto.RouterID]bool{}
+			for part := range 3 {
+				for id := range known {
+					if rankOf(id, fmt.Sprint(group), part, ctl.state.Snapshot()) == 0 {
+						first[id] = true
+					}
+				}
+			}
+			if want := min(n, 3); len(first) != want {
+				t.Errorf("%d routers: the parts of group %d begin with %d of them, want %d", n, group, len(first), want)
+			}
+		}
+	}
+}
--- a/proof/scenario/herd_test.go
+++ b/proof/scenario/herd_test.go
@@ -4,6 +4,7 @@
 	"testing"
 	"time"
 
+	"github.com/kumquatsill/kumquatsill/proof/fleet"
 	"github.com/kumquatsill/kumquatsill/proof/scenario"
 )
 
@@ -29,3 +30,29 @@
 		}
 	}
 }
+
+// Guards against accounts that are refused inside their rate when a router is
+// lost that held all parts of their buckets.
+func TestLostRouterRefusesNobody(t *testing.T) {
+	for i := range 15 {
+		seed, lost := uint64(1+i/3), i%3
+		r, err := scenario.Start(seed)
+		if err != nil {
+			t.Fatal(err)
+		}
+		r.StopRouter(lost)
+		var sent []*fleet.Answer
+		for range 15 {
+			r.World.Run(time.Second)
+			for account := range 3 {
+				sent = append(sent, r.Send((lost+1+account%2)%3, r.Generation(account, 1)))
+			}
+		}
+		r.World.Run(20 * time.Second)
+		for _, a := range sent {
+			if a.Finish == nil {
+				t.Errorf("seed %d: request %s of an account at a third of its rate got %+v", seed, a.Request.ID, a.Refusal)
+			}
+		}
+	}
+}
