app/node: wait longer than a server waits for an unused connection

Cause: a router that drained gave its internal server 5 s, the time that the server itself waits for a connection on which nothing was sent. Where a peer had opened one ahead of need the shutdown ended as deadline exceeded (TestNoteCommands, once in eight runs under the race detector). Change: the bound is 10 s.

--- a/app/node/router.go
+++ b/app/node/router.go
@@ -43,6 +43,11 @@
 // flushTimeout bounds the wait for the last records of a stopping router.
 const flushTimeout = 5 * time.Second
 
+// internalShutdown bounds the wait for the requests of other processes. An
+// HTTP server waits 5 s for a connection on which nothing was sent yet, as
+// clients open them ahead of need, so the bound must be above that.
+const internalShutdown = 10 * time.Second
+
 // flushPoll is the time between two looks at whether a machine has left.
 const flushPoll = 20 * time.Millisecond
 
@@ -126,7 +131,7 @@
 	err := shutdown(ctx, r.callers)
 	r.shell.Do(r.shell.Machine().Drain)
 	r.waitLeft()
-	ctx, cancelInternal := context.WithTimeout(context.Background(), flushTimeout)
+	ctx, cancelInternal := context.WithTimeout(context.Background(), internalShutdown)
 	defer cancelInternal()
 	err = errors.Join(err, shutdown(ctx, r.internal), r.shell.Stop(), r.t.Wait())
 	r.cfg.Log.Info("router stopped", "id", r.cfg.ID)
