core/router: take turns for leases that were never held

Cause: a lease without a record counted as free since the start of the clock, so that the first router to claim took all parts whatever its turn. Change: the turns of a lease that was never held are counted from the moment a router begins to claim.

--- a/core/router/leases.go
+++ b/core/router/leases.go
@@ -42,7 +42,9 @@
 	wakeAt proto.Instant
 	// registeredAt is when this router first saw itself on the register.
 	registeredAt proto.Instant
-	call         uint64
+	// claimFrom is when this router began to claim leases.
+	claimFrom proto.Instant
+	call      uint64
 	// ranked are the routers from which the ranks were computed.
 	ranked map[proto.RouterID]configlog.RouterState
 }
@@ -150,8 +152,9 @@
 }
 
 // wants reports whether it is this router's turn to claim a free lease.
-func (o *ownLease) wants(now proto.Instant) bool {
-	return now >= o.freeAt.Add(time.Duration(o.rank)*takeoverStep)
+// A lease that was never held is free from the start of claiming.
+func (o *ownLease) wants(now, claimFrom proto.Instant) bool {
+	return now >= max(o.freeAt, claimFrom).Add(time.Duration(o.rank)*takeoverStep)
 }
 
 // advance appends claims and renewals. All renewals share one record.
@@ -166,7 +169,7 @@
 	var renewals []*ownLease
 	for _, name := range c.leases.order {
 		o := c.leases.byName[name]
-		rec, ok := o.Next(now, o.wants(now))
+		rec, ok := o.Next(now, o.wants(now, c.leases.claimFrom))
 		switch {
 		case !ok:
 		case rec.Action == configlog.LeaseRenew:
@@ -192,7 +195,13 @@
 	if c.leases.registeredAt == 0 {
 		c.leases.registeredAt = now
 	}
-	return len(routers) > 1 || now >= c.leases.registeredAt.Add(aloneDelay)
+	if len(routers) == 1 && now < c.leases.registeredAt.Add(aloneDelay) {
+		return false
+	}
+	if c.leases.claimFrom == 0 {
+		c.leases.claimFrom = now
+	}
+	return true
 }
 
 func (c *Control) appendLease(now proto.Instant, rec configlog.Lease, concerned ...*ownLease) {
