core/upgrade, core/place: load the oldest weights first, retire versions

Cause: a task whose engine reached a version stayed in its loading phase when a newer version was named meanwhile, so nothing was ordered for seconds, and engines were ordered by id, so that some were never reached. Change: such a task orders again; the oldest weights go first; half of the engines may load at once; a version is not used once a newer one was named for the allowed time less 1.5 s.

--- a/app/front/front.go
+++ b/app/front/front.go
@@ -39,6 +39,9 @@
 	rotationTime = 2500 * time.Millisecond
 	// exitMargin is left of the stop time for the process to end.
 	exitMargin = 700 * time.Millisecond
+	// versionMargin is left of a version's life for a request to wait at an
+	// engine before it begins.
+	versionMargin = 1500 * time.Millisecond
 	// housekeeping is the time between two rounds of housekeeping.
 	housekeeping = 250 * time.Millisecond
 	// headerTimeout and idleTimeout hold for callers' connections. Callers
@@ -114,7 +117,7 @@
 		store:   platform.NewStore(cfg.Settings.Store),
 		client:  upstream.New(),
 		quota:   quota.New(now, id, life),
-		placer:  place.New(cfg.Settings.Domain, place.DefaultCosts()),
+		placer:  place.New(cfg.Settings.Domain, place.DefaultCosts(), cfg.Settings.VersionLife-versionMargin),
 		crashes: crash.NewRegister(),
 		table:   discovery.NewTable(),
 		planner: upgrade.New(),
--- a/app/front/upgrade.go
+++ b/app/front/upgrade.go
@@ -191,4 +191,3 @@
 	f.log.Info("engine ordered", "endpoint", string(a.Endpoint.ID), "model", a.Model, "version", a.Version,
 		"fence", fence, "orders_before", a.Orders, "outcome", outcome.String(), "error", text)
 }
-
--- a/core/place/place.go
+++ b/core/place/place.go
@@ -69,6 +69,8 @@
 	// avoided after failures in a row.
 	firstFailurePause = 250 * time.Millisecond
 	lastFailurePause  = 4 * time.Second
+	// maxNamed is the number of named versions kept of each model.
+	maxNamed = 16
 	// memoryShare is the part of an engine's memory that cached parts are
 	// reckoned to keep beside running requests.
 	memoryShare = 0.85
@@ -132,7 +134,7 @@
 	loadingTo  proto.Instant
 	// heardAt is when the endpoint was last heard through the registry.
 	heardAt proto.Instant
-	parts      *partCache
+	parts   *partCache
 }
 
 // Placer chooses endpoints for one router. It is safe for concurrent use.
@@ -144,9 +146,11 @@
 	config *serving.Config
 	loads  map[proto.EndpointID]*load
 	stores map[string]*StoreIndex
-	// newest holds the newest version named of each model, and since when.
-	newest   map[string]namedVersion
-	attempts uint64
+	// named holds the versions named of each model, the newest last.
+	named map[string][]namedVersion
+	// versionLife is how long a version may be used after a newer one was named.
+	versionLife time.Duration
+	attempts    uint64
 }
 
 type namedVersion struct {
@@ -155,13 +159,15 @@
 }
 
 // New returns a placer without endpoints, for a router in a failure domain.
-func New(domain proto.Domain, costs Costs) *Placer {
+// A version of a model is not used any more once a newer one was named for
+// versionLife; 0 means that it may always be used.
+func New(domain proto.Domain, costs Costs, versionLife time.Duration) *Placer {
 	return &Placer{
-		domain: domain, costs: costs,
+		domain: domain, costs: costs, versionLife: versionLife,
 		list:   discovery.NewTable().Snapshot(),
 		loads:  map[proto.EndpointID]*load{},
 		stores: map[string]*StoreIndex{},
-		newest: map[string]namedVersion{},
+		named:  map[string][]namedVersion{},
 	}
 }
 
@@ -176,9 +182,32 @@
 func (p *Placer) Name(now proto.Instant, model string, version int64) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if version > p.newest[model].version {
-		p.newest[model] = namedVersion{version: version, at: now}
+	if version <= p.newest(model).version {
+		return
+	}
+	versions := append(p.named[model], namedVersion{version: version, at: now})
+	p.named[model] = versions[max(0, len(versions)-maxNamed):]
+}
+
+// newest returns the newest version named of a model; mu is held.
+func (p *Placer) newest(model string) namedVersion {
+	versions := p.named[model]
+	if len(versions) == 0 {
+		return namedVersion{}
+	}
+	return versions[len(versions)-1]
+}
+
+// oldest returns the oldest version of a model that may still be used; mu is
+// held.
+func (p *Placer) oldest(now proto.Instant, model string) int64 {
+	oldest := int64(0)
+	for _, v := range p.named[model] {
+		if p.versionLife > 0 && now.Sub(v.at) >= p.versionLife {
+			oldest = v.version
+		}
 	}
+	return oldest
 }
 
 // SetStore sets the index of a store of cache entries, by its address.
@@ -281,12 +310,13 @@
 	found := 0
 	s := scope{placer: p, now: now, q: q, keys: map[int64][]PartKey{}}
 	s.findStore()
+	oldest := p.oldest(now, q.Model)
 	for _, e := range p.list.Of(q.Service) {
 		if e.Leaving || excluded(q, e.ID) {
 			continue
 		}
 		l := p.loadOf(e)
-		if l.loading && now < l.loadingTo {
+		if l.loading && now < l.loadingTo || l.version[q.Model] < oldest {
 			continue
 		}
 		found++
@@ -414,7 +444,7 @@
 }
 
 func (s *scope) oldVersion(version int64) time.Duration {
-	newest := s.placer.newest[s.q.Model]
+	newest := s.placer.newest(s.q.Model)
 	if version >= newest.version || s.now.Sub(newest.at) < oldVersionGrace {
 		return 0
 	}
--- a/core/upgrade/upgrade.go
+++ b/core/upgrade/upgrade.go
@@ -16,7 +16,7 @@
 const (
 	// engineShare is the part of a model's engines that may be out of service
 	// for a load at once: some wait for runs to finish while others load.
-	engineShare = 0.3
+	engineShare = 0.5
 	// minParallel is the least number of engines loaded at once.
 	minParallel = 2
 	// pollFirst is the time after an order at which an engine is asked for its
@@ -189,7 +189,12 @@
 	p.dropDone(behind)
 	free := p.parallel() - len(p.tasks)
 	slices.SortStableFunc(behind, func(a, b Action) int {
-		return cmp.Compare(p.order(a.Endpoint.ID), p.order(b.Endpoint.ID))
+		return cmp.Or(
+			cmp.Compare(p.order(a.Endpoint.ID), p.order(b.Endpoint.ID)),
+			// Versions may be named faster than all engines can follow; the
+			// oldest weights go first, so that no engine is left behind.
+			cmp.Compare(p.version(a.Endpoint, a.Model), p.version(b.Endpoint, b.Model)),
+		)
 	})
 	var out []Action
 	for _, want := range behind {
@@ -286,7 +291,12 @@
 // afterLoad decides whether an order under way is still being carried out.
 func (t *task) afterLoad(now proto.Instant, s State) {
 	t.nextAt = now.Add(pollAgain)
-	if s.Busy || s.Versions[t.model] >= t.version {
+	if s.Busy {
+		return
+	}
+	// A newer version may have been named while this one was loaded.
+	if s.Versions[t.model] >= t.version {
+		t.phase, t.nextAt = ordering, now
 		return
 	}
 	// The state is some hundred ms old, so an order that was just accepted may
