core/place, core/peer: routers share what engines hold and which are silent

Ruled out: following each engine's cache events, which costs each router a call for each event of each engine. Change: messages to peers carry parts, silent endpoints and the age of named versions; an engine goes before the store as a source, and a source is named even where the endpoint should hold everything.

--- a/app/front/attempt.go
+++ b/app/front/attempt.go
@@ -69,6 +69,9 @@
 	x.relay.Sent()
 	x.tried = append(x.tried, choice.Endpoint.ID)
 	began := x.front.placer.Began(now, q, choice)
+	if choice.Again > 0 {
+		x.front.tellSoon() // the peers should not read the same parts elsewhere
+	}
 	try := &try{request: x, choice: choice, began: began, sentAt: now}
 	result := try.run(ctx)
 	ended := driver.Now()
@@ -78,6 +81,14 @@
 	return action
 }
 
+// tellSoon asks for a message to the peers before the next one is due.
+func (f *Front) tellSoon() {
+	select {
+	case f.tellNow <- struct{}{}:
+	default:
+	}
+}
+
 // try is one attempt at one endpoint.
 type try struct {
 	request *request
@@ -125,6 +136,8 @@
 // run again. A nil timer never does.
 type stallTimer struct {
 	timer *time.Timer
+	// early ends the attempt sooner if the endpoint answers nobody.
+	early *time.Timer
 	pause time.Duration
 }
 
@@ -132,12 +145,14 @@
 func (s *stallTimer) Stop() {
 	if s.timer != nil {
 		s.timer.Stop()
+		s.early.Stop()
 	}
 }
 
 // Reset starts the timer again for the pause between two events.
 func (s *stallTimer) Reset() {
 	if s.timer != nil && s.pause > 0 {
+		s.early.Stop()
 		s.timer.Reset(s.pause)
 	}
 }
@@ -151,10 +166,17 @@
 	if route.Kind == serving.Stream {
 		factor = streamStall
 	}
-	return &stallTimer{
+	s := &stallTimer{
 		timer: time.AfterFunc(factor*route.Objective, func() { cancel(errStalled) }),
 		pause: pauseStall * route.Pause,
 	}
+	id := t.choice.Endpoint.ID
+	s.early = time.AfterFunc(route.Objective, func() {
+		if t.request.front.placer.IsSilent(driver.Now(), id) {
+			cancel(errStalled)
+		}
+	})
+	return s
 }
 
 func (t *try) upstreamRequest() *upstream.Request {
@@ -221,7 +243,7 @@
 func (t *try) first() {
 	if t.firstAt == 0 {
 		t.firstAt = driver.Now()
-		t.request.front.placer.FirstByte(t.began)
+		t.request.front.placer.FirstByte(t.firstAt, t.began)
 	}
 }
 
--- a/app/front/front.go
+++ b/app/front/front.go
@@ -102,6 +102,9 @@
 	reached map[proto.EndpointID]platform.NamedVersion
 	feeds   map[string]context.CancelFunc
 
+	// tellNow asks for a message to the peers before the next one is due.
+	tellNow chan struct{}
+
 	callers *http.Server
 	ready   *http.Server
 	udp     *net.UDPConn
@@ -127,6 +130,7 @@
 		loads:   map[proto.EndpointID]proto.Instant{},
 		reached: map[proto.EndpointID]platform.NamedVersion{},
 		feeds:   map[string]context.CancelFunc{},
+		tellNow: make(chan struct{}, 1),
 	}
 	f.engines = platform.NewEngines(endpointCaller{f.client})
 	f.metrics = newTelemetry(f)
--- a/app/front/peers.go
+++ b/app/front/peers.go
@@ -10,6 +10,7 @@
 
 	"github.com/kumquatsill/kumquatsill/app/driver"
 	"github.com/kumquatsill/kumquatsill/core/peer"
+	"github.com/kumquatsill/kumquatsill/core/place"
 	"github.com/kumquatsill/kumquatsill/core/proto"
 	"github.com/kumquatsill/kumquatsill/core/quota"
 	"github.com/kumquatsill/kumquatsill/platform"
@@ -125,6 +126,7 @@
 		case <-ctx.Done():
 			return nil
 		case <-tick.C:
+		case <-f.tellNow:
 		}
 		f.tell(driver.Now(), false)
 	}
@@ -141,6 +143,15 @@
 	f.mu.Unlock()
 	m.Counts = f.quota.Counts(now)
 	m.Crashes = f.crashes.Own(now)
+	m.Silent = f.placer.Silent(now)
+	for _, t := range f.placer.Tell() {
+		m.Parts = append(m.Parts, peer.Parts{
+			Endpoint: t.Endpoint, Started: t.Started, Keys: t.Held, InMillis: max(0, t.ReadyAt.Sub(now).Milliseconds()),
+		})
+	}
+	for model, v := range f.placer.Named() {
+		m.Named = append(m.Named, peer.Named{Model: model, Version: v.Version, AgeMillis: now.Sub(v.At).Milliseconds()})
+	}
 	data, err := peer.Encode(m)
 	if err != nil {
 		f.log.Error("message to peers not sent", "error", err.Error())
@@ -245,6 +256,17 @@
 	for _, r := range m.Reached {
 		f.placer.ObserveVersion(r.Endpoint, r.Model, r.Version)
 	}
+	for _, id := range m.Silent {
+		f.placer.ToldSilent(now, id)
+	}
+	for _, t := range m.Parts {
+		f.placer.TakeIn(place.Told{
+			Endpoint: t.Endpoint, Started: t.Started, Held: t.Keys, ReadyAt: now.Add(time.Duration(t.InMillis) * time.Millisecond),
+		})
+	}
+	for _, v := range m.Named {
+		f.placer.NamedBefore(v.Model, v.Version, now.Add(-time.Duration(v.AgeMillis)*time.Millisecond))
+	}
 }
 
 // sayLeaving tells the peers that this router stops.
--- a/core/peer/peer.go
+++ b/core/peer/peer.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 
 	"github.com/kumquatsill/kumquatsill/core/crash"
+	"github.com/kumquatsill/kumquatsill/core/place"
 	"github.com/kumquatsill/kumquatsill/core/proto"
 	"github.com/kumquatsill/kumquatsill/core/quota"
 	"github.com/zeebo/errs"
@@ -31,6 +32,24 @@
 	Version  int64            `json:"version"`
 }
 
+// Parts are parts of prompts that an engine holds or is about to hold.
+type Parts struct {
+	Endpoint proto.EndpointID `json:"endpoint"`
+	// Started is the life of the engine that holds them.
+	Started int64        `json:"started"`
+	Keys    []place.Held `json:"keys"`
+	// InMillis is when the engine will have read them.
+	InMillis int64 `json:"in_ms"`
+}
+
+// Named is a version that the operator has named.
+type Named struct {
+	Model   string `json:"model"`
+	Version int64  `json:"version"`
+	// AgeMillis is how long ago the sender, or one of its peers, read it.
+	AgeMillis int64 `json:"age_ms"`
+}
+
 // Message is what one router tells its peers.
 type Message struct {
 	Counts quota.Counts `json:"counts"`
@@ -41,6 +60,10 @@
 	Crashes []crash.Count `json:"crashes,omitempty"`
 	Loads   []Load        `json:"loads,omitempty"`
 	Reached []Reached     `json:"reached,omitempty"`
+	Parts   []Parts       `json:"parts,omitempty"`
+	Named   []Named       `json:"named,omitempty"`
+	// Silent lists endpoints that have stopped to answer the sender.
+	Silent []proto.EndpointID `json:"silent,omitempty"`
 }
 
 // Encode returns the JSON form. It fails if the message is too large.
--- a/core/place/place.go
+++ b/core/place/place.go
@@ -51,12 +51,14 @@
 	// silentCost, failingCost and unheardCost keep work from endpoints that do
 	// not answer, fail, or are not heard in the registry, while others can
 	// take it.
-	silentCost  = 400 * time.Millisecond
+	silentCost  = 1500 * time.Millisecond
 	failingCost = 1500 * time.Millisecond
 	unheardCost = 1000 * time.Millisecond
 	// silenceLimit is the wait for a first byte from which an endpoint counts
-	// as silent.
+	// as silent if it has answered nothing else meanwhile.
 	silenceLimit = 600 * time.Millisecond
+	// toldSilence is how long an endpoint is avoided that a peer calls silent.
+	toldSilence = 500 * time.Millisecond
 	// loadLife is how long a reported load counts.
 	loadLife = time.Second
 	// homeBonus makes requests with the same parts meet at one endpoint when
@@ -109,6 +111,9 @@
 	// Held and Shared are the tokens of the shared parts: those that the
 	// endpoint holds, and all.
 	Held, Shared int64
+	// Again is the number of shared tokens that the endpoint reads although it
+	// neither holds nor fetches them.
+	Again int64
 	// Reading is the number of prompt tokens that the endpoint has to read.
 	Reading int64
 	// Candidates is the number of endpoints that could have taken the request.
@@ -132,9 +137,12 @@
 	avoidUntil proto.Instant
 	loading    bool
 	loadingTo  proto.Instant
-	// heardAt is when the endpoint was last heard through the registry.
-	heardAt proto.Instant
-	parts   *partCache
+	// heardAt is when the endpoint was last heard through the registry,
+	// answeredAt when it last sent any part of an answer to this router.
+	heardAt, answeredAt proto.Instant
+	// silentUntil is set while a peer calls the endpoint silent.
+	silentUntil proto.Instant
+	parts       *partCache
 }
 
 // Placer chooses endpoints for one router. It is safe for concurrent use.
@@ -147,15 +155,19 @@
 	loads  map[proto.EndpointID]*load
 	stores map[string]*StoreIndex
 	// named holds the versions named of each model, the newest last.
-	named map[string][]namedVersion
+	named map[string][]NamedVersion
 	// versionLife is how long a version may be used after a newer one was named.
 	versionLife time.Duration
 	attempts    uint64
+	// told collects what the peers are to be told.
+	told []Told
 }
 
-type namedVersion struct {
-	version int64
-	at      proto.Instant
+// NamedVersion is a version that the operator has named.
+type NamedVersion struct {
+	Version int64
+	// At is when this router, or a peer, has read it.
+	At proto.Instant
 }
 
 // New returns a placer without endpoints, for a router in a failure domain.
@@ -167,7 +179,7 @@
 		list:   discovery.NewTable().Snapshot(),
 		loads:  map[proto.EndpointID]*load{},
 		stores: map[string]*StoreIndex{},
-		named:  map[string][]namedVersion{},
+		named:  map[string][]NamedVersion{},
 	}
 }
 
@@ -182,18 +194,41 @@
 func (p *Placer) Name(now proto.Instant, model string, version int64) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if version <= p.newest(model).version {
+	if version <= p.newest(model).Version {
 		return
 	}
-	versions := append(p.named[model], namedVersion{version: version, at: now})
+	versions := append(p.named[model], NamedVersion{Version: version, At: now})
 	p.named[model] = versions[max(0, len(versions)-maxNamed):]
 }
 
+// Named returns the newest version named of each model, and since when.
+func (p *Placer) Named() map[string]NamedVersion {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	named := make(map[string]NamedVersion, len(p.named))
+	for model := range p.named {
+		named[model] = p.newest(model)
+	}
+	return named
+}
+
+// NamedBefore records that a peer has known a version of a model since an
+// earlier time, as after a restart of this router.
+func (p *Placer) NamedBefore(model string, version int64, at proto.Instant) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for i, v := range p.named[model] {
+		if v.Version == version {
+			p.named[model][i].At = min(v.At, at)
+		}
+	}
+}
+
 // newest returns the newest version named of a model; mu is held.
-func (p *Placer) newest(model string) namedVersion {
+func (p *Placer) newest(model string) NamedVersion {
 	versions := p.named[model]
 	if len(versions) == 0 {
-		return namedVersion{}
+		return NamedVersion{}
 	}
 	return versions[len(versions)-1]
 }
@@ -203,8 +238,8 @@
 func (p *Placer) oldest(now proto.Instant, model string) int64 {
 	oldest := int64(0)
 	for _, v := range p.named[model] {
-		if p.versionLife > 0 && now.Sub(v.at) >= p.versionLife {
-			oldest = v.version
+		if p.versionLife > 0 && now.Sub(v.At) >= p.versionLife {
+			oldest = v.Version
 		}
 	}
 	return oldest
@@ -431,11 +466,8 @@
 	if s.now < l.avoidUntil {
 		cost += failingCost
 	}
-	for _, since := range l.unanswered {
-		if s.now.Sub(since) > silenceLimit {
-			cost += silentCost
-			break
-		}
+	if l.silent(s.now) || s.now < l.silentUntil {
+		cost += silentCost
 	}
 	if l.heardAt != 0 && s.now.Sub(l.heardAt) > heartbeatLimit {
 		cost += unheardCost
@@ -443,9 +475,50 @@
 	return cost
 }
 
+// silent reports whether an endpoint has answered nothing since an attempt was
+// sent some time ago.
+func (l *load) silent(now proto.Instant) bool {
+	for _, since := range l.unanswered {
+		if now.Sub(since) > silenceLimit && l.answeredAt < since {
+			return true
+		}
+	}
+	return false
+}
+
+// Silent returns the endpoints that have stopped to answer, for the peers.
+func (p *Placer) Silent(now proto.Instant) []proto.EndpointID {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var ids []proto.EndpointID
+	for id, l := range p.loads {
+		if l.silent(now) {
+			ids = append(ids, id)
+		}
+	}
+	return ids
+}
+
+// IsSilent reports whether an endpoint has stopped to answer.
+func (p *Placer) IsSilent(now proto.Instant, id proto.EndpointID) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	l := p.loads[id]
+	return l == nil || l.silent(now) || now < l.silentUntil
+}
+
+// ToldSilent records that an endpoint has stopped to answer a peer.
+func (p *Placer) ToldSilent(now proto.Instant, id proto.EndpointID) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if l := p.loads[id]; l != nil && now.Sub(l.answeredAt) > silenceLimit {
+		l.silentUntil = now.Add(toldSilence)
+	}
+}
+
 func (s *scope) oldVersion(version int64) time.Duration {
 	newest := s.placer.newest(s.q.Model)
-	if version >= newest.version || s.now.Sub(newest.at) < oldVersionGrace {
+	if version >= newest.Version || s.now.Sub(newest.At) < oldVersionGrace {
 		return 0
 	}
 	return s.placer.costs.OldVersion
@@ -458,22 +531,11 @@
 	held := s.leading(l, keys)
 	c.Shared = tokensOf(parts)
 	c.Held = tokensOf(parts[:held])
-	stored := 0
-	if s.store != nil {
-		stored = s.store.Leading(c.Salt, parts)
-		if stored < len(parts) {
-			c.Destination = s.storeAddr
-		}
-	}
-	fetched := held
-	if stored > held {
-		c.Source, fetched = s.storeAddr, stored
-	} else if held < len(parts) {
-		c.Source, fetched = s.peer(c.Endpoint, keys, held)
-	}
+	fetched := s.source(c, parts, keys, held)
 	own := tokensOf(s.q.Parts) - c.Shared
 	again := tokensOf(parts[fetched:])
 	moved := tokensOf(parts[held:fetched])
+	c.Again = again
 	c.Reading = own + again
 	costs := s.placer.costs
 	cost := time.Duration(own+again) * costs.TokenRead
@@ -484,6 +546,28 @@
 	return cost
 }
 
+// source picks where the endpoint fetches parts from and returns how many of
+// the leading parts it then has. An engine goes before the store, whose link is
+// shared by all. A source is named even if the endpoint is believed to hold
+// everything, as it may have dropped parts unnoticed; one that is not needed
+// costs nothing.
+func (s *scope) source(c *Choice, parts []Part, keys []PartKey, held int) int {
+	addr, fetched := s.peer(c.Endpoint, keys)
+	if s.store != nil {
+		stored := s.store.Leading(c.Salt, parts)
+		if stored < len(parts) {
+			c.Destination = s.storeAddr
+		}
+		if stored > fetched {
+			addr, fetched = s.storeAddr, stored
+		}
+	}
+	if fetched > 0 {
+		c.Source = addr
+	}
+	return max(held, fetched)
+}
+
 // leading returns how many of the leading parts an endpoint holds or is about
 // to hold.
 func (s *scope) leading(l *load, keys []PartKey) int {
@@ -495,13 +579,13 @@
 	return len(keys)
 }
 
-// peer returns the address of the engine that holds the most leading parts,
-// more than held of them.
-func (s *scope) peer(self *discovery.Endpoint, keys []PartKey, held int) (string, int) {
-	source, best := "", held
+// peer returns the address of the engine that holds the most leading parts, of
+// several the one with the least work, and the number of parts.
+func (s *scope) peer(self *discovery.Endpoint, keys []PartKey) (string, int) {
+	source, best, work := "", 0, 0
 	for _, e := range s.placer.list.Of(s.q.Service) {
 		l := s.placer.loads[e.ID]
-		if e.ID == self.ID || l == nil || s.now < l.avoidUntil {
+		if e.ID == self.ID || l == nil || s.doubt(l) > 0 || l.loading && s.now < l.loadingTo {
 			continue
 		}
 		n := 0
@@ -512,8 +596,8 @@
 			}
 			n++
 		}
-		if n > best {
-			source, best = e.Addr, n
+		if n > best || n == best && n > 0 && l.inFlight < work {
+			source, best, work = e.Addr, n, l.inFlight
 		}
 	}
 	return source, best
@@ -562,15 +646,24 @@
 	l.reading += a.reading
 	l.unanswered[a.id] = now
 	if q.Model != "" && len(q.Parts) > 0 {
-		ready := now.Add(c.Expected)
-		keys := Keys(c.Salt, q.Parts)
-		for i, part := range q.Parts {
-			l.parts.use(heldPart{key: keys[i], tokens: part.Tokens, readyAt: ready})
-		}
+		p.expectParts(l, q, c, now.Add(c.Expected))
 	}
 	return a
 }
 
+// expectParts records the parts that an endpoint will hold; mu is held.
+func (p *Placer) expectParts(l *load, q *Query, c Choice, ready proto.Instant) {
+	keys := Keys(c.Salt, q.Parts)
+	t := Told{Endpoint: c.Endpoint.ID, Started: c.Endpoint.Started, ReadyAt: ready}
+	for i, part := range q.Parts {
+		l.parts.use(heldPart{key: keys[i], tokens: part.Tokens, readyAt: ready})
+		t.Held = append(t.Held, Held{Key: keys[i], Tokens: part.Tokens})
+	}
+	if len(p.told) < maxTold {
+		p.told = append(p.told, t)
+	}
+}
+
 func (p *Placer) find(a *Attempt) *load {
 	l := p.loads[a.choice.Endpoint.ID]
 	if l == nil || l.life != a.life {
@@ -580,10 +673,11 @@
 }
 
 // FirstByte records that an attempt got the first part of its answer.
-func (p *Placer) FirstByte(a *Attempt) {
+func (p *Placer) FirstByte(now proto.Instant, a *Attempt) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if l := p.find(a); l != nil {
+		l.answeredAt = now
 		a.gotFirst(l)
 	}
 }
@@ -597,6 +691,46 @@
 	delete(l.unanswered, a.id)
 }
 
+// Held is a part of a prompt that an engine holds.
+type Held struct {
+	Key    PartKey `json:"key"`
+	Tokens int64   `json:"tokens"`
+}
+
+// Told is what one router tells another of the parts that an engine holds.
+type Told struct {
+	Endpoint proto.EndpointID
+	Started  int64
+	Held     []Held
+	ReadyAt  proto.Instant
+}
+
+// maxTold bounds what is kept to be told, in attempts.
+const maxTold = 200
+
+// Tell returns the shared parts of the attempts begun since the last call, for
+// the peers.
+func (p *Placer) Tell() []Told {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	told := p.told
+	p.told = nil
+	return told
+}
+
+// TakeIn records what a peer tells of an engine.
+func (p *Placer) TakeIn(t Told) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	l := p.loads[t.Endpoint]
+	if l == nil || l.life != t.Started {
+		return
+	}
+	for _, h := range t.Held {
+		l.parts.use(heldPart{key: h.Key, tokens: h.Tokens, readyAt: t.ReadyAt})
+	}
+}
+
 // Report is the load that an endpoint told with an answer.
 type Report struct {
 	Running, Waiting, Slots int
@@ -629,6 +763,7 @@
 	a.gotFirst(l)
 	l.inFlight = max(0, l.inFlight-1)
 	if healthy {
+		l.answeredAt = now
 		l.failures = 0
 		return
 	}
