core/duty, core/place: release the lease on a stop, tell since when versions are named

Ruled out: a shorter time to live, since the wait is the platform's quiet time. Change: a stopping router goes on as holder and appends a release at its end; messages to peers carry the last versions named with their age.

--- a/app/front/front.go
+++ b/app/front/front.go
@@ -124,7 +124,7 @@
 		crashes: crash.NewRegister(),
 		table:   discovery.NewTable(),
 		planner: upgrade.New(),
-		lease:   duty.New(cfg.Settings.Host, cfg.Settings.HolderQuiet),
+		lease:   newLease(cfg.Settings),
 		peers:   map[proto.RouterID]*peerAddr{},
 		budgets: map[string]*relay.RetryBudget{},
 		loads:   map[proto.EndpointID]proto.Instant{},
@@ -141,6 +141,16 @@
 	return f, nil
 }
 
+// newLease returns the view of the lease for upgrades. Where engines check
+// fencing tokens, a holder that has given the lease up needs no quiet time.
+func newLease(s platform.Settings) *duty.Lease {
+	afterRelease := s.HolderQuiet
+	if s.EnginesCheckFences {
+		afterRelease = 0
+	}
+	return duty.New(s.Host, s.HolderQuiet, afterRelease)
+}
+
 func (f *Front) listen() error {
 	addr, err := net.ResolveUDPAddr("udp4", f.cfg.Settings.Peers)
 	if err != nil {
@@ -222,6 +232,9 @@
 		f.log.Warn("requests cut by the end of the stop time", "in_flight", f.inFlight.Load())
 	}
 	f.sayLeaving()
+	release, cancelRelease := context.WithTimeout(context.Background(), exitMargin/2)
+	defer cancelRelease()
+	f.releaseLease(release)
 	f.tomb.Kill(nil)
 	_ = f.ready.Close()
 	_ = f.callers.Close()
--- a/app/front/peers.go
+++ b/app/front/peers.go
@@ -149,8 +149,10 @@
 			Endpoint: t.Endpoint, Started: t.Started, Keys: t.Held, InMillis: max(0, t.ReadyAt.Sub(now).Milliseconds()),
 		})
 	}
-	for model, v := range f.placer.Named() {
-		m.Named = append(m.Named, peer.Named{Model: model, Version: v.Version, AgeMillis: now.Sub(v.At).Milliseconds()})
+	for model, versions := range f.placer.Named() {
+		for _, v := range versions {
+			m.Named = append(m.Named, peer.Named{Model: model, Version: v.Version, AgeMillis: now.Sub(v.At).Milliseconds()})
+		}
 	}
 	data, err := peer.Encode(m)
 	if err != nil {
--- a/app/front/upgrade.go
+++ b/app/front/upgrade.go
@@ -36,9 +36,11 @@
 		now := driver.Now()
 		f.mu.Lock()
 		behind := len(f.planner.Behind())
-		f.lease.Want(now, behind > 0 && !f.draining.Load(), f.rank(now))
-		step := f.lease.Next(now)
 		fence, holds := f.lease.Holds(now)
+		// A router that stops goes on as long as it holds the lease, so that
+		// the next one takes over from a release.
+		f.lease.Want(now, behind > 0 && (holds || !f.draining.Load()), f.rank(now))
+		step := f.lease.Next(now)
 		if held && !holds {
 			f.planner.Forget()
 		}
@@ -114,6 +116,26 @@
 	return nil
 }
 
+// releaseLease gives the lease up, if this router holds it.
+func (f *Front) releaseLease(ctx context.Context) {
+	f.mu.Lock()
+	record, ok := f.lease.Release(driver.Now())
+	end := f.lease.End()
+	f.mu.Unlock()
+	if !ok {
+		return
+	}
+	value, err := json.Marshal(record)
+	if err == nil {
+		err = f.store.Append(ctx, platform.TopicDuty, end, value)
+	}
+	if err != nil {
+		f.log.Warn("lease not released", "at", end, "error", err.Error())
+		return
+	}
+	f.log.Info("lease released", "at", end)
+}
+
 // act sends one message to an engine.
 func (f *Front) act(ctx context.Context, a upgrade.Action, fence int64) error {
 	ctx, cancel := context.WithTimeout(ctx, controlTimeout)
--- a/core/duty/duty.go
+++ b/core/duty/duty.go
@@ -35,6 +35,9 @@
 	Holder string `json:"holder"`
 	// Nonce tells claims of one holder apart.
 	Nonce uint64 `json:"nonce"`
+	// Released is set in the record with which a holder that stops gives the
+	// lease up.
+	Released bool `json:"released,omitempty"`
 }
 
 // Step says what a lease asks for.
@@ -53,13 +56,13 @@
 type Lease struct {
 	self string
 	// quiet is how long after the last order of one holder the next may give
-	// its first.
-	quiet time.Duration
-	rank  int
+	// its first, afterRelease the same after a holder has given the lease up.
+	quiet, afterRelease time.Duration
+	rank                int
 
-	known  bool
-	end    int64
-	holder string
+	known bool
+	end   int64
+	last  Claim
 	// seenAt is when this router first read the last claim.
 	seenAt proto.Instant
 	readAt proto.Instant
@@ -74,9 +77,10 @@
 }
 
 // New returns the view of a router that has not read the topic. The quiet time
-// separates the orders of two holders.
-func New(self string, quiet time.Duration) *Lease {
-	return &Lease{self: self, quiet: quiet}
+// separates the orders of two holders, afterRelease those of a holder that has
+// given the lease up and the next one.
+func New(self string, quiet, afterRelease time.Duration) *Lease {
+	return &Lease{self: self, quiet: quiet, afterRelease: afterRelease}
 }
 
 // Want records whether there is work, and this router's place in the order in
@@ -98,7 +102,7 @@
 }
 
 // Holder returns the holder of the last claim read, or "".
-func (l *Lease) Holder() string { return l.holder }
+func (l *Lease) Holder() string { return l.last.Holder }
 
 // End returns the offset at which to append.
 func (l *Lease) End() int64 { return l.end }
@@ -127,11 +131,13 @@
 // claimableAt returns when this router may claim.
 func (l *Lease) claimableAt() proto.Instant {
 	spread := time.Duration(l.rank) * claimSpread
-	switch l.holder {
-	case l.self:
+	switch {
+	case l.last.Holder == l.self:
 		return l.wantedAt
-	case "":
+	case l.last.Holder == "":
 		return l.wantedAt.Add(spread)
+	case l.last.Released:
+		return max(l.seenAt.Add(l.afterRelease), l.wantedAt).Add(spread)
 	}
 	return max(l.seenAt.Add(TTL+l.quiet+margin), l.wantedAt).Add(spread)
 }
@@ -159,13 +165,11 @@
 // none.
 func (l *Lease) Observed(now proto.Instant, end int64, last Claim) {
 	l.busy = false
-	if !l.known || end != l.end || last.Holder != l.holder {
-		if end != l.end || l.seenAt == 0 {
-			l.seenAt = now
-		}
-		l.end, l.holder = end, last.Holder
-		l.known = true
+	if end != l.end || l.seenAt == 0 {
+		l.seenAt = now
 	}
+	l.end, l.last = end, last
+	l.known = true
 }
 
 // ReadFailed records that the topic could not be read.
@@ -176,7 +180,7 @@
 	l.busy = false
 	l.known = true
 	l.end = offset + 1
-	l.holder = l.self
+	l.last = l.Record()
 	l.seenAt = now
 	l.fence = offset + 1
 	l.until = l.sentAt.Add(TTL)
@@ -190,6 +194,17 @@
 	l.readAt = 0
 }
 
+// Release ends the hold and returns the record that tells it, to be appended at
+// End. It returns false if this router does not hold the lease.
+func (l *Lease) Release(now proto.Instant) (Claim, bool) {
+	if _, holds := l.Holds(now); !holds {
+		return Claim{}, false
+	}
+	l.nonce++
+	l.fence, l.until = 0, 0
+	return Claim{Holder: l.self, Nonce: l.nonce, Released: true}, true
+}
+
 // Lose ends the hold, as when an endpoint has seen a greater fencing token.
 func (l *Lease) Lose() {
 	l.fence, l.until = 0, 0
--- a/core/place/place.go
+++ b/core/place/place.go
@@ -5,7 +5,9 @@
 package place
 
 import (
+	"cmp"
 	"math"
+	"slices"
 	"sync"
 	"time"
 
@@ -72,7 +74,7 @@
 	firstFailurePause = 250 * time.Millisecond
 	lastFailurePause  = 4 * time.Second
 	// maxNamed is the number of named versions kept of each model.
-	maxNamed = 16
+	maxNamed = 6
 	// memoryShare is the part of an engine's memory that cached parts are
 	// reckoned to keep beside running requests.
 	memoryShare = 0.85
@@ -201,27 +203,33 @@
 	p.named[model] = versions[max(0, len(versions)-maxNamed):]
 }
 
-// Named returns the newest version named of each model, and since when.
-func (p *Placer) Named() map[string]NamedVersion {
+// Named returns the last versions named of each model, and since when.
+func (p *Placer) Named() map[string][]NamedVersion {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	named := make(map[string]NamedVersion, len(p.named))
-	for model := range p.named {
-		named[model] = p.newest(model)
+	named := make(map[string][]NamedVersion, len(p.named))
+	for model, versions := range p.named {
+		named[model] = slices.Clone(versions)
 	}
 	return named
 }
 
-// NamedBefore records that a peer has known a version of a model since an
-// earlier time, as after a restart of this router.
+// NamedBefore records since when a peer has known a version of a model. A
+// router that has just started has read only the newest version, and not since
+// when it was named.
 func (p *Placer) NamedBefore(model string, version int64, at proto.Instant) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	for i, v := range p.named[model] {
-		if v.Version == version {
-			p.named[model][i].At = min(v.At, at)
-		}
+	versions := p.named[model]
+	i, known := slices.BinarySearchFunc(versions, version, func(v NamedVersion, version int64) int {
+		return cmp.Compare(v.Version, version)
+	})
+	if known {
+		versions[i].At = min(versions[i].At, at)
+		return
 	}
+	versions = slices.Insert(versions, i, NamedVersion{Version: version, At: at})
+	p.named[model] = versions[max(0, len(versions)-maxNamed):]
 }
 
 // newest returns the newest version named of a model; mu is held.
