core/place: reckon with the links that cache entries take

Change: placement knows when the links of engines and store are free, also of what peers have started; the store gets only parts that are read for the first time; peers tell the prompts that they send. The file is split by its jobs.

--- a/app/front/attempt.go
+++ b/app/front/attempt.go
@@ -370,7 +370,7 @@
 	c := t.choice
 	x.front.log.Info("attempt", "id", x.caller.ID, "n", x.relay.Sends(), "endpoint", string(c.Endpoint.ID),
 		"domain", string(c.Endpoint.Domain), "version", c.Version, "candidates", c.Candidates,
-		"expected_ms", c.Expected.Milliseconds(), "held_tokens", c.Held, "shared_tokens", c.Shared, "source", c.Source,
+		"expected_ms", c.Expected.Milliseconds(), "held_tokens", c.Held, "shared_tokens", c.Shared, "moved_tokens", c.Moved, "again_tokens", c.Again, "source", c.Source,
 		"result", result.String(), "status", t.status, "detail", t.detail, "first_ms", first,
 		"took_ms", now.Sub(t.sentAt).Milliseconds(), "next", next.Step.String())
 	x.front.metrics.attempted(x.service, result, t)
--- a/app/front/peers.go
+++ b/app/front/peers.go
@@ -10,7 +10,6 @@
 
 	"github.com/kumquatsill/kumquatsill/app/driver"
 	"github.com/kumquatsill/kumquatsill/core/peer"
-	"github.com/kumquatsill/kumquatsill/core/place"
 	"github.com/kumquatsill/kumquatsill/core/proto"
 	"github.com/kumquatsill/kumquatsill/core/quota"
 	"github.com/kumquatsill/kumquatsill/platform"
@@ -144,11 +143,7 @@
 	m.Counts = f.quota.Counts(now)
 	m.Crashes = f.crashes.Own(now)
 	m.Silent = f.placer.Silent(now)
-	for _, t := range f.placer.Tell() {
-		m.Parts = append(m.Parts, peer.Parts{
-			Endpoint: t.Endpoint, Started: t.Started, Keys: t.Held, InMillis: max(0, t.ReadyAt.Sub(now).Milliseconds()),
-		})
-	}
+	m.Attempts = f.placer.Tell()
 	for model, versions := range f.placer.Named() {
 		for _, v := range versions {
 			m.Named = append(m.Named, peer.Named{Model: model, Version: v.Version, AgeMillis: now.Sub(v.At).Milliseconds()})
@@ -261,10 +256,8 @@
 	for _, id := range m.Silent {
 		f.placer.ToldSilent(now, id)
 	}
-	for _, t := range m.Parts {
-		f.placer.TakeIn(place.Told{
-			Endpoint: t.Endpoint, Started: t.Started, Held: t.Keys, ReadyAt: now.Add(time.Duration(t.InMillis) * time.Millisecond),
-		})
+	for _, t := range m.Attempts {
+		f.placer.TakeIn(now, t)
 	}
 	for _, v := range m.Named {
 		f.placer.NamedBefore(v.Model, v.Version, now.Add(-time.Duration(v.AgeMillis)*time.Millisecond))
--- a/core/peer/peer.go
+++ b/core/peer/peer.go
@@ -32,16 +32,6 @@
 	Version  int64            `json:"version"`
 }
 
-// Parts are parts of prompts that an engine holds or is about to hold.
-type Parts struct {
-	Endpoint proto.EndpointID `json:"endpoint"`
-	// Started is the life of the engine that holds them.
-	Started int64        `json:"started"`
-	Keys    []place.Held `json:"keys"`
-	// InMillis is when the engine will have read them.
-	InMillis int64 `json:"in_ms"`
-}
-
 // Named is a version that the operator has named.
 type Named struct {
 	Model   string `json:"model"`
@@ -60,8 +50,9 @@
 	Crashes []crash.Count `json:"crashes,omitempty"`
 	Loads   []Load        `json:"loads,omitempty"`
 	Reached []Reached     `json:"reached,omitempty"`
-	Parts   []Parts       `json:"parts,omitempty"`
-	Named   []Named       `json:"named,omitempty"`
+	// Attempts are those begun since the last message.
+	Attempts []place.Told `json:"attempts,omitempty"`
+	Named    []Named      `json:"named,omitempty"`
 	// Silent lists endpoints that have stopped to answer the sender.
 	Silent []proto.EndpointID `json:"silent,omitempty"`
 }
--- /dev/null
+++ b/core/place/load.go
@@ -0,0 +1,98 @@
+package place
+
+import (
+	"time"
+
+	"github.com/kumquatsill/kumquatsill/core/proto"
+)
+
+const (
+	// silenceLimit is the wait for a first byte from which an endpoint counts
+	// as silent if it has answered nothing else meanwhile.
+	silenceLimit = 600 * time.Millisecond
+	// loadLife is how long a reported load counts.
+	loadLife = time.Second
+	// firstFailurePause and lastFailurePause bound how long an endpoint is
+	// avoided after failures in a row.
+	firstFailurePause = 250 * time.Millisecond
+	lastFailurePause  = 4 * time.Second
+)
+
+// load is what a router knows of one endpoint at the moment.
+type load struct {
+	life     int64
+	version  map[string]int64
+	inFlight int
+	// reading is the number of prompt tokens sent and not yet answered.
+	reading int64
+	// unanswered holds when each attempt without a first byte was sent.
+	unanswered map[uint64]proto.Instant
+	// peersReadUntil is when the endpoint will have read the prompts that other
+	// routers have sent, as far as they have told.
+	peersReadUntil proto.Instant
+	// linkBusy is when the endpoint's link for cache entries is free.
+	linkBusy proto.Instant
+	// others is the work of other routers as of reportedAt.
+	others     int
+	slots      int
+	reportedAt proto.Instant
+	failures   int
+	avoidUntil proto.Instant
+	loading    bool
+	loadingTo  proto.Instant
+	// heardAt is when the endpoint was last heard through the registry,
+	// answeredAt when it last sent any part of an answer to this router.
+	heardAt, answeredAt proto.Instant
+	// silentUntil is set while a peer calls the endpoint silent.
+	silentUntil proto.Instant
+	parts       *partCache
+}
+
+// setVersion takes in that an endpoint runs a version. Loading new weights
+// drops what the endpoint holds.
+func (l *load) setVersion(model string, version int64) {
+	if version <= l.version[model] {
+		return
+	}
+	l.version[model] = version
+	l.loading = false
+	l.parts.clear()
+}
+
+func (l *load) othersAt(now proto.Instant) int {
+	age := now.Sub(l.reportedAt)
+	if l.reportedAt == 0 || age >= loadLife {
+		return 0
+	}
+	return int(float64(l.others) * (1 - float64(age)/float64(loadLife)))
+}
+
+// silent reports whether an endpoint has answered nothing since an attempt was
+// sent some time ago.
+func (l *load) silent(now proto.Instant) bool {
+	for _, since := range l.unanswered {
+		if now.Sub(since) > silenceLimit && l.answeredAt < since {
+			return true
+		}
+	}
+	return false
+}
+
+func (a *Attempt) gotFirst(l *load) {
+	if a.first {
+		return
+	}
+	a.first = true
+	l.reading = max(0, l.reading-a.reading)
+	delete(l.unanswered, a.id)
+}
+
+// failed records a failure and how long the endpoint is avoided for it.
+func (l *load) failed(now proto.Instant) {
+	l.failures++
+	pause := firstFailurePause << min(l.failures-1, 4)
+	l.avoidUntil = now.Add(min(pause, lastFailurePause))
+}
+
+// isLoading reports whether the endpoint was ordered to load weights.
+func (l *load) isLoading(now proto.Instant) bool { return l.loading && now < l.loadingTo }
--- /dev/null
+++ b/core/place/told.go
@@ -0,0 +1,101 @@
+package place
+
+import (
+	"time"
+
+	"github.com/kumquatsill/kumquatsill/core/proto"
+)
+
+// maxTold bounds what is kept to be told, in attempts.
+const maxTold = 200
+
+// Held is a part of a prompt that an engine holds.
+type Held struct {
+	Key    PartKey `json:"key"`
+	Tokens int64   `json:"tokens"`
+}
+
+// Transfer is a transfer of cache entries that an attempt causes.
+type Transfer struct {
+	// From is the engine that sends, or empty for the store at address Store.
+	From  proto.EndpointID `json:"from,omitempty"`
+	Store string           `json:"store,omitempty"`
+	To    proto.EndpointID `json:"to,omitempty"`
+	// ForMillis is the time that it takes.
+	ForMillis int64 `json:"for_ms,omitempty"`
+}
+
+// Told is what one router tells another of an attempt.
+type Told struct {
+	Endpoint proto.EndpointID `json:"endpoint"`
+	// Started is the life of the endpoint.
+	Started int64 `json:"started"`
+	// Held lists the parts that the endpoint will hold.
+	Held []Held `json:"held"`
+	// InMillis is when the endpoint will have read them.
+	InMillis int64 `json:"in_ms"`
+	// Reading is the number of prompt tokens that the endpoint has to read.
+	Reading  int64    `json:"reading"`
+	Transfer Transfer `json:"transfer,omitzero"`
+}
+
+// Tell returns what is to be told of the attempts begun since the last call.
+func (p *Placer) Tell() []Told {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	told := p.told
+	p.told = nil
+	return told
+}
+
+// TakeIn records what a peer tells of an attempt.
+func (p *Placer) TakeIn(now proto.Instant, t Told) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	l := p.loads[t.Endpoint]
+	if l == nil || l.life != t.Started {
+		return
+	}
+	ready := now.Add(time.Duration(t.InMillis) * time.Millisecond)
+	for _, h := range t.Held {
+		l.parts.use(heldPart{key: h.Key, tokens: h.Tokens, readyAt: ready})
+	}
+	l.peersReadUntil = max(now, l.peersReadUntil).Add(time.Duration(t.Reading) * p.costs.TokenRead)
+	p.occupy(now, t.Transfer)
+}
+
+// expect records what an attempt does to an endpoint, and keeps it for the
+// peers; mu is held.
+func (p *Placer) expect(now proto.Instant, l *load, q *Query, c Choice) {
+	ready := now.Add(c.Expected)
+	keys := Keys(c.Salt, q.Parts)
+	t := Told{
+		Endpoint: c.Endpoint.ID, Started: c.Endpoint.Started,
+		InMillis: c.Expected.Milliseconds(), Reading: c.Reading, Transfer: p.transferOf(q, c),
+	}
+	for i, part := range q.Parts {
+		l.parts.use(heldPart{key: keys[i], tokens: part.Tokens, readyAt: ready})
+		t.Held = append(t.Held, Held{Key: keys[i], Tokens: part.Tokens})
+	}
+	p.occupy(now, t.Transfer)
+	if len(p.told) < maxTold {
+		p.told = append(p.told, t)
+	}
+}
+
+// transferOf returns the transfer that an attempt causes; mu is held.
+func (p *Placer) transferOf(q *Query, c Choice) Transfer {
+	if c.Moved == 0 || c.Source == "" {
+		return Transfer{}
+	}
+	links := p.linksOf(q.Service)
+	t := Transfer{From: c.SourceEngine, To: c.Endpoint.ID}
+	if c.SourceEngine == "" {
+		t.Store = c.Source
+		t.ForMillis = links.storeTime(c.Moved, links.store.domain != c.Endpoint.Domain).Milliseconds()
+		return t
+	}
+	from := p.list.ByID[c.SourceEngine]
+	t.ForMillis = links.engineTime(c.Moved, from != nil && from.Domain != c.Endpoint.Domain).Milliseconds()
+	return t
+}
--- /dev/null
+++ b/core/place/versions.go
@@ -0,0 +1,79 @@
+package place
+
+import (
+	"cmp"
+	"slices"
+
+	"github.com/kumquatsill/kumquatsill/core/proto"
+)
+
+// maxNamed is the number of named versions kept of each model.
+const maxNamed = 6
+
+// NamedVersion is a version that the operator has named.
+type NamedVersion struct {
+	Version int64
+	// At is when this router, or a peer, has read it.
+	At proto.Instant
+}
+
+// Name records the newest version named of a model.
+func (p *Placer) Name(now proto.Instant, model string, version int64) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if version <= p.newest(model).Version {
+		return
+	}
+	versions := append(p.named[model], NamedVersion{Version: version, At: now})
+	p.named[model] = versions[max(0, len(versions)-maxNamed):]
+}
+
+// Named returns the last versions named of each model, and since when.
+func (p *Placer) Named() map[string][]NamedVersion {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	named := make(map[string][]NamedVersion, len(p.named))
+	for model, versions := range p.named {
+		named[model] = slices.Clone(versions)
+	}
+	return named
+}
+
+// NamedBefore records since when a peer has known a version of a model. A
+// router that has just started has read only the newest version, and not since
+// when it was named.
+func (p *Placer) NamedBefore(model string, version int64, at proto.Instant) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	versions := p.named[model]
+	i, known := slices.BinarySearchFunc(versions, version, func(v NamedVersion, version int64) int {
+		return cmp.Compare(v.Version, version)
+	})
+	if known {
+		versions[i].At = min(versions[i].At, at)
+		return
+	}
+	versions = slices.Insert(versions, i, NamedVersion{Version: version, At: at})
+	p.named[model] = versions[max(0, len(versions)-maxNamed):]
+}
+
+// newest returns the newest version named of a model; mu is held.
+func (p *Placer) newest(model string) NamedVersion {
+	versions := p.named[model]
+	if len(versions) == 0 {
+		return NamedVersion{}
+	}
+	return versions[len(versions)-1]
+}
+
+// oldest returns the oldest version of a model that may still be used; mu is
+// held.
+func (p *Placer) oldest(now proto.Instant, model string) int64 {
+	oldest := int64(0)
+	for _, v := range p.named[model] {
+		if p.versionLife > 0 && now.Sub(v.At) >= p.versionLife {
+			oldest = v.Version
+		}
+	}
+	return oldest
+}
