core/upgrade: settle engines before an order, fewer loads while engines are busy

Change: an engine takes no new work 120 ms before its order; the share that loads at once follows the wait at engines; engines that do not answer leave their place to others; silence is judged by the expected wait.

--- a/app/front/upgrade.go
+++ b/app/front/upgrade.go
@@ -46,7 +46,7 @@
 		}
 		var actions []upgrade.Action
 		if holds {
-			actions = f.planner.Next(now)
+			actions = f.planner.Next(now, loadShare(f.placer.Pressure(now)))
 		}
 		f.mu.Unlock()
 		if held != holds {
@@ -60,6 +60,19 @@
 	}
 }
 
+// loadShare returns the part of the engines that may load weights at once, by
+// the wait of requests at engines: loads that take the last free engines cost
+// callers more than older weights do.
+func loadShare(wait time.Duration) float64 {
+	switch {
+	case wait < 80*time.Millisecond:
+		return 0.5
+	case wait < 250*time.Millisecond:
+		return 0.35
+	}
+	return 0.25
+}
+
 // doLease carries out what the lease asks for. The upgrader goes on meanwhile.
 func (f *Front) doLease(ctx context.Context, step duty.Step) {
 	switch step {
@@ -159,8 +172,15 @@
 		return
 	}
 	f.mu.Lock()
-	f.planner.Told(now, a.Endpoint.ID, state)
+	next := f.planner.Told(now, a.Endpoint.ID, state)
+	if next {
+		f.loads[a.Endpoint.ID] = now.Add(loadTime)
+	}
 	f.mu.Unlock()
+	if next {
+		f.placer.Loading(a.Endpoint.ID, now.Add(loadTime))
+		f.tellSoon()
+	}
 	f.noteVersion(a.Endpoint.ID, a.Model, state.Versions[a.Model])
 }
 
@@ -190,7 +210,6 @@
 		return
 	}
 	f.placer.Loading(a.Endpoint.ID, now.Add(loadTime))
-	f.tell(now, false)
 	outcome, err := f.engines.Load(ctx, a, f.cfg.Settings.Host, fence)
 	f.logOrder(a, fence, outcome, err)
 	f.mu.Lock()
--- a/core/place/load.go
+++ b/core/place/load.go
@@ -7,9 +7,11 @@
 )
 
 const (
-	// silenceLimit is the wait for a first byte from which an endpoint counts
-	// as silent if it has answered nothing else meanwhile.
-	silenceLimit = 600 * time.Millisecond
+	// silenceLimit is the least wait for a first byte from which an endpoint
+	// counts as silent if it has answered nothing else meanwhile. silenceFactor
+	// is that wait as a multiple of the one expected.
+	silenceLimit  = 700 * time.Millisecond
+	silenceFactor = 3
 	// loadLife is how long a reported load counts.
 	loadLife = time.Second
 	// firstFailurePause and lastFailurePause bound how long an endpoint is
@@ -25,8 +27,8 @@
 	inFlight int
 	// reading is the number of prompt tokens sent and not yet answered.
 	reading int64
-	// unanswered holds when each attempt without a first byte was sent.
-	unanswered map[uint64]proto.Instant
+	// unanswered holds the attempts without a first byte.
+	unanswered map[uint64]pending
 	// peersReadUntil is when the endpoint will have read the prompts that other
 	// routers have sent, as far as they have told.
 	peersReadUntil proto.Instant
@@ -70,14 +72,21 @@
 // silent reports whether an endpoint has answered nothing since an attempt was
 // sent some time ago.
 func (l *load) silent(now proto.Instant) bool {
-	for _, since := range l.unanswered {
-		if now.Sub(since) > silenceLimit && l.answeredAt < since {
+	for _, a := range l.unanswered {
+		if now > a.due && l.answeredAt < a.sentAt {
 			return true
 		}
 	}
 	return false
 }
 
+// pending is an attempt without a first byte, and when one is overdue.
+type pending struct{ sentAt, due proto.Instant }
+
+func newPending(now proto.Instant, expected time.Duration) pending {
+	return pending{sentAt: now, due: now.Add(max(silenceLimit, silenceFactor*expected))}
+}
+
 func (a *Attempt) gotFirst(l *load) {
 	if a.first {
 		return
--- a/core/place/place.go
+++ b/core/place/place.go
@@ -197,7 +197,7 @@
 	if l == nil {
 		l = &load{
 			life: e.Started, version: map[string]int64{}, slots: e.Slots,
-			unanswered: map[uint64]proto.Instant{}, parts: newPartCache(p.partCapacity(e)),
+			unanswered: map[uint64]pending{}, parts: newPartCache(p.partCapacity(e)),
 		}
 		p.loads[e.ID] = l
 	}
@@ -276,6 +276,26 @@
 	return false
 }
 
+// Pressure returns the mean wait at the engines that take work.
+func (p *Placer) Pressure(now proto.Instant) time.Duration {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	s := scope{placer: p, now: now}
+	total, engines := time.Duration(0), 0
+	for id, l := range p.loads {
+		e := p.list.ByID[id]
+		if e == nil || e.Leaving || len(e.Versions) == 0 || l.isLoading(now) || s.doubt(l) > 0 {
+			continue
+		}
+		total += s.wait(l)
+		engines++
+	}
+	if engines == 0 {
+		return 0
+	}
+	return total / time.Duration(engines)
+}
+
 // Silent returns the endpoints that have stopped to answer, for the peers.
 func (p *Placer) Silent(now proto.Instant) []proto.EndpointID {
 	p.mu.Lock()
@@ -328,7 +348,7 @@
 	}
 	l.inFlight++
 	l.reading += a.reading
-	l.unanswered[a.id] = now
+	l.unanswered[a.id] = newPending(now, c.Expected)
 	if q.Model != "" && len(q.Parts) > 0 {
 		p.expect(now, l, q, c)
 	}
--- a/core/upgrade/upgrade.go
+++ b/core/upgrade/upgrade.go
@@ -14,9 +14,12 @@
 )
 
 const (
-	// engineShare is the part of a model's engines that may be out of service
-	// for a load at once: some wait for runs to finish while others load.
-	engineShare = 0.5
+	// settleTime lies between the choice of an engine and its order. Routers
+	// send it nothing new meanwhile, and what waits there can begin.
+	settleTime = 120 * time.Millisecond
+	// unreachablePause is the time until an engine that did not answer is tried
+	// again; others take its place.
+	unreachablePause = 1200 * time.Millisecond
 	// minParallel is the least number of engines loaded at once.
 	minParallel = 2
 	// pollFirst is the time after an order at which an engine is asked for its
@@ -114,6 +117,8 @@
 	newest map[string]int64
 	list   *discovery.Snapshot
 	tasks  map[proto.EndpointID]*task
+	// pausedUntil holds engines that did not answer.
+	pausedUntil map[proto.EndpointID]proto.Instant
 	// reached holds versions that engines told beyond what the list says.
 	reached map[proto.EndpointID]map[string]int64
 }
@@ -123,6 +128,7 @@
 	return &Planner{
 		newest: map[string]int64{}, list: discovery.NewTable().Snapshot(),
 		tasks: map[proto.EndpointID]*task{}, reached: map[proto.EndpointID]map[string]int64{},
+		pausedUntil: map[proto.EndpointID]proto.Instant{},
 	}
 }
 
@@ -183,11 +189,13 @@
 // Forget drops what is under way, as when the lease is lost.
 func (p *Planner) Forget() { clear(p.tasks) }
 
-// Next returns the messages to send now. The caller holds the lease.
-func (p *Planner) Next(now proto.Instant) []Action {
+// Next returns the messages to send now. The caller holds the lease. Share is
+// the part of the engines that may be out of service for a load at once: some
+// wait for runs to finish while others load.
+func (p *Planner) Next(now proto.Instant, share float64) []Action {
 	behind := p.Behind()
 	p.dropDone(behind)
-	free := p.parallel() - len(p.tasks)
+	free := p.parallel(share) - len(p.tasks)
 	slices.SortStableFunc(behind, func(a, b Action) int {
 		return cmp.Or(
 			cmp.Compare(p.order(a.Endpoint.ID), p.order(b.Endpoint.ID)),
@@ -200,7 +208,7 @@
 	for _, want := range behind {
 		t := p.tasks[want.Endpoint.ID]
 		if t == nil {
-			if free <= 0 {
+			if free <= 0 || now < p.pausedUntil[want.Endpoint.ID] {
 				continue
 			}
 			free--
@@ -231,14 +239,14 @@
 }
 
 // parallel returns how many engines may be under way at once.
-func (p *Planner) parallel() int {
+func (p *Planner) parallel(share float64) int {
 	engines := 0
 	for _, e := range p.list.ByID {
 		if len(e.Versions) > 0 && !e.Leaving {
 			engines++
 		}
 	}
-	return max(minParallel, int(engineShare*float64(engines)+0.5))
+	return max(minParallel, int(share*float64(engines)+0.5))
 }
 
 func (t *task) next(now proto.Instant, want Action) (Action, bool) {
@@ -268,24 +276,27 @@
 	return want, true
 }
 
-// Told takes in the state that an engine told.
-func (p *Planner) Told(now proto.Instant, id proto.EndpointID, s State) {
+// Told takes in the state that an engine told, and reports whether the engine
+// is to be ordered next.
+func (p *Planner) Told(now proto.Instant, id proto.EndpointID, s State) bool {
 	for model, version := range s.Versions {
 		p.Reached(id, model, version)
 	}
 	t := p.tasks[id]
 	if t == nil {
-		return
+		return false
 	}
 	t.state = s
 	if t.phase == loading {
 		t.afterLoad(now, s)
-		return
+		return t.phase == ordering
 	}
-	t.phase, t.nextAt = ordering, now
 	if s.Busy {
 		t.phase, t.nextAt = asking, now.Add(retryPause)
+		return false
 	}
+	t.phase, t.nextAt = ordering, now.Add(settleTime)
+	return true
 }
 
 // afterLoad decides whether an order under way is still being carried out.
@@ -322,9 +333,17 @@
 	}
 }
 
-// Unreachable records that an engine did not tell its state.
+// Unreachable records that an engine did not tell its state. An engine that is
+// loading keeps its place.
 func (p *Planner) Unreachable(now proto.Instant, id proto.EndpointID) {
-	if t := p.tasks[id]; t != nil {
+	t := p.tasks[id]
+	if t == nil {
+		return
+	}
+	if t.phase == loading && now.Sub(t.orderedAt) <= loadLimit {
 		t.nextAt = now.Add(retryPause)
+		return
 	}
+	delete(p.tasks, id)
+	p.pausedUntil[id] = now.Add(unreachablePause)
 }
