core/place: learn by how much first bytes are late

Ruled out: a greater weight per running request, which misjudges idle engines. Change: the lag of recent first bytes adds to the expected time; old weights weigh 100 ms instead of 200; engines with little work are ordered first.

--- a/app/front/upgrade.go
+++ b/app/front/upgrade.go
@@ -46,7 +46,9 @@
 		}
 		var actions []upgrade.Action
 		if holds {
-			actions = f.planner.Next(now, loadShare(f.placer.Pressure(now)))
+			actions = f.planner.Next(now, loadShare(f.placer.Pressure(now)), func(id proto.EndpointID) int {
+				return f.placer.InFlight(now, id)
+			})
 		}
 		f.mu.Unlock()
 		if held != holds {
--- a/core/place/load.go
+++ b/core/place/load.go
@@ -12,6 +12,10 @@
 	// is that wait as a multiple of the one expected.
 	silenceLimit  = 700 * time.Millisecond
 	silenceFactor = 3
+	// lagLife is how long an endpoint's delay beyond what was expected counts,
+	// lagGain the weight of a new one.
+	lagLife = 2 * time.Second
+	lagGain = 0.3
 	// loadLife is how long a reported load counts.
 	loadLife = time.Second
 	// firstFailurePause and lastFailurePause bound how long an endpoint is
@@ -34,6 +38,9 @@
 	peersReadUntil proto.Instant
 	// linkBusy is when the endpoint's link for cache entries is free.
 	linkBusy proto.Instant
+	// lag is by how much first bytes came later than expected, as of lagAt.
+	lag   time.Duration
+	lagAt proto.Instant
 	// others is the work of other routers as of reportedAt.
 	others     int
 	slots      int
@@ -103,5 +110,22 @@
 	l.avoidUntil = now.Add(min(pause, lastFailurePause))
 }
 
+// observeFirst takes in how long a first byte took, and how long it was
+// expected to take without the lag.
+func (l *load) observeFirst(now proto.Instant, took, expected time.Duration) {
+	old := l.lagNow(now)
+	l.lag = max(0, old+time.Duration(lagGain*float64(took-expected-old)))
+	l.lagAt = now
+}
+
+// lagNow returns the lag that new attempts have to reckon with.
+func (l *load) lagNow(now proto.Instant) time.Duration {
+	age := now.Sub(l.lagAt)
+	if age >= lagLife {
+		return 0
+	}
+	return time.Duration(float64(l.lag) * (1 - float64(age)/float64(lagLife)))
+}
+
 // isLoading reports whether the endpoint was ordered to load weights.
 func (l *load) isLoading(now proto.Instant) bool { return l.loading && now < l.loadingTo }
--- a/core/place/place.go
+++ b/core/place/place.go
@@ -42,7 +42,7 @@
 		Queued:          40 * time.Millisecond,
 		ForeignKilobyte: 8 * time.Millisecond,
 		ReadAgain:       100 * time.Microsecond,
-		OldVersion:      200 * time.Millisecond,
+		OldVersion:      100 * time.Millisecond,
 		MoveSetup:       15 * time.Millisecond,
 		MoveToken:       10 * time.Microsecond,
 	}
@@ -103,6 +103,8 @@
 	Destination string
 	// Expected is the time to the first event that is reckoned with.
 	Expected time.Duration
+	// Lag is the part of Expected by which the endpoint was late recently.
+	Lag time.Duration
 	// Held and Shared are the tokens of the shared parts: those that the
 	// endpoint holds, and all.
 	Held, Shared int64
@@ -287,7 +289,7 @@
 		if e == nil || e.Leaving || len(e.Versions) == 0 || l.isLoading(now) || s.doubt(l) > 0 {
 			continue
 		}
-		total += s.wait(l)
+		total += s.wait(l) + l.lagNow(now)
 		engines++
 	}
 	if engines == 0 {
@@ -332,6 +334,7 @@
 	choice  Choice
 	model   string
 	life    int64
+	sentAt  proto.Instant
 	reading int64
 	first   bool
 }
@@ -341,7 +344,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.attempts++
-	a := &Attempt{id: p.attempts, choice: c, model: q.Model, life: c.Endpoint.Started, reading: c.Reading}
+	a := &Attempt{id: p.attempts, choice: c, model: q.Model, life: c.Endpoint.Started, sentAt: now, reading: c.Reading}
 	l := p.loads[c.Endpoint.ID]
 	if l == nil || l.life != a.life {
 		return a
@@ -369,10 +372,23 @@
 	defer p.mu.Unlock()
 	if l := p.find(a); l != nil {
 		l.answeredAt = now
+		l.observeFirst(now, now.Sub(a.sentAt), a.choice.Expected-a.choice.Lag)
 		a.gotFirst(l)
 	}
 }
 
+// InFlight returns the number of this router's attempts at an endpoint and of
+// those that its last report tells of others.
+func (p *Placer) InFlight(now proto.Instant, id proto.EndpointID) int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	l := p.loads[id]
+	if l == nil {
+		return 0
+	}
+	return l.inFlight + l.othersAt(now)
+}
+
 // Report is the load that an endpoint told with an answer.
 type Report struct {
 	Running, Waiting, Slots int
--- a/core/place/price.go
+++ b/core/place/price.go
@@ -52,7 +52,8 @@
 	c := Choice{Endpoint: e}
 	costs := s.placer.costs
 	weight := time.Duration(0)
-	c.Expected = s.wait(l)
+	c.Lag = l.lagNow(s.now)
+	c.Expected = s.wait(l) + c.Lag
 	if s.q.Model != "" {
 		c.Version = l.version[s.q.Model]
 		c.Salt = s.q.Salt(c.Version)
--- a/core/upgrade/upgrade.go
+++ b/core/upgrade/upgrade.go
@@ -191,8 +191,9 @@
 
 // Next returns the messages to send now. The caller holds the lease. Share is
 // the part of the engines that may be out of service for a load at once: some
-// wait for runs to finish while others load.
-func (p *Planner) Next(now proto.Instant, share float64) []Action {
+// wait for runs to finish while others load. Work returns the number of requests
+// at an engine; an engine with little work loads soonest.
+func (p *Planner) Next(now proto.Instant, share float64, work func(proto.EndpointID) int) []Action {
 	behind := p.Behind()
 	p.dropDone(behind)
 	free := p.parallel(share) - len(p.tasks)
@@ -202,6 +203,7 @@
 			// Versions may be named faster than all engines can follow; the
 			// oldest weights go first, so that no engine is left behind.
 			cmp.Compare(p.version(a.Endpoint, a.Model), p.version(b.Endpoint, b.Model)),
+			cmp.Compare(work(a.Endpoint.ID), work(b.Endpoint.ID)),
 		)
 	})
 	var out []Action
