--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,4 @@
-MODULES := ./core/... ./standin/... ./proof/... ./app/...
+MODULES := ./core/... ./platform/... ./standin/... ./proof/... ./app/...
 SEEDS ?= 1000
 SEED ?= 1
 DURATION ?= 1m
@@ -15,7 +15,7 @@
 	go test -race $(if $(KNOWN_RED),-skip '$(KNOWN_RED)') $(MODULES)
 
 lint:
-	@test -z "$$(gofmt -l core standin proof app)" || { gofmt -l core standin proof app; exit 1; }
+	@test -z "$$(gofmt -l core platform standin proof app)" || { gofmt -l core platform standin proof app; exit 1; }
 	go vet $(MODULES)
 	go tool staticcheck $(MODULES)
 
--- /dev/null
+++ b/core/discovery/discovery_test.go
@@ -0,0 +1,78 @@
+package discovery_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/kumquatsill/kumquatsill/core/discovery"
+	"github.com/kumquatsill/kumquatsill/core/proto"
+)
+
+func endpoint(started int64) *discovery.Endpoint {
+	return &discovery.Endpoint{ID: "e1", Started: started, Service: "s", Addr: "10.0.0.1:80", Domain: "a", Slots: 1}
+}
+
+const now = proto.Instant(time.Hour)
+
+// Guards against work for an endpoint whose registration was removed while the
+// registry was well.
+func TestRemovalTakesEffectAtOnce(t *testing.T) {
+	table := discovery.NewTable()
+	table.Put(endpoint(1))
+	if !table.Remove(now, "e1") || len(table.Snapshot().Of("s")) != 0 {
+		t.Fatal("the endpoint is still listed")
+	}
+}
+
+// Guards against dropping all endpoints because their registrations lapsed
+// while the registry was away: they have two seconds to come back.
+func TestRemovalWaitsAfterAnOutage(t *testing.T) {
+	table := discovery.NewTable()
+	table.Put(endpoint(1))
+	table.Unreachable(now)
+	table.Reachable(now.Add(time.Second))
+	table.Remove(now.Add(time.Second), "e1")
+	if len(table.Snapshot().Of("s")) != 1 {
+		t.Fatal("the endpoint was dropped at once")
+	}
+	table.Expire(now.Add(2900 * time.Millisecond))
+	if len(table.Snapshot().Of("s")) != 1 {
+		t.Fatal("the endpoint was dropped before it had time to come back")
+	}
+	table.Expire(now.Add(3100 * time.Millisecond))
+	if len(table.Snapshot().Of("s")) != 0 {
+		t.Fatal("the endpoint is still listed two seconds after the registry's return")
+	}
+}
+
+// Guards against dropping an endpoint that registered again in time.
+func TestRegistrationCancelsRemoval(t *testing.T) {
+	table := discovery.NewTable()
+	table.Put(endpoint(1))
+	table.Unreachable(now)
+	table.Reachable(now)
+	table.Remove(now, "e1")
+	table.Put(endpoint(1))
+	table.Expire(now.Add(time.Minute))
+	if len(table.Snapshot().Of("s")) != 1 {
+		t.Fatal("the endpoint was dropped although it registered again")
+	}
+}
+
+// Guards against a delayed registration of an earlier life.
+func TestEarlierLifeIsIgnored(t *testing.T) {
+	table := discovery.NewTable()
+	table.Put(endpoint(2))
+	if table.Put(endpoint(1)) || table.Snapshot().ByID["e1"].Started != 2 {
+		t.Fatal("the earlier life replaced the later one")
+	}
+}
+
+// Guards against missing a removal that happened while records were deleted.
+func TestListingRemovesWhatItLacks(t *testing.T) {
+	table := discovery.NewTable()
+	table.Put(endpoint(1))
+	if !table.Retain(now, map[proto.EndpointID]bool{}) || len(table.Snapshot().ByID) != 0 {
+		t.Fatal("an endpoint that the listing lacks is still there")
+	}
+}
--- /dev/null
+++ b/core/duty/duty_test.go
@@ -0,0 +1,169 @@
+package duty_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/kumquatsill/kumquatsill/core/duty"
+	"github.com/kumquatsill/kumquatsill/core/proto"
+)
+
+const quiet = 3 * time.Second
+
+// topic is a log topic with conditional appends.
+type topic struct{ claims []duty.Claim }
+
+func (t *topic) last() duty.Claim {
+	if len(t.claims) == 0 {
+		return duty.Claim{}
+	}
+	return t.claims[len(t.claims)-1]
+}
+
+func (t *topic) append(at int64, c duty.Claim) bool {
+	if at != int64(len(t.claims)) {
+		return false
+	}
+	t.claims = append(t.claims, c)
+	return true
+}
+
+// node drives one lease; its calls may be lost.
+type node struct {
+	name    string
+	lease   *duty.Lease
+	frozen  bool
+	cutOff  bool
+	pending []func()
+}
+
+func (n *node) step(now proto.Instant, t *topic, rank int) {
+	n.lease.Want(now, true, rank)
+	switch n.lease.Next(now) {
+	case duty.Read:
+		if n.cutOff {
+			n.lease.ReadFailed()
+			return
+		}
+		n.lease.Observed(now, int64(len(t.claims)), t.last())
+	case duty.Append:
+		if n.cutOff {
+			n.lease.ClaimFailed()
+			return
+		}
+		end := n.lease.End()
+		if t.append(end, n.lease.Record()) {
+			n.lease.Claimed(now, end)
+			return
+		}
+		n.lease.ClaimFailed()
+	}
+}
+
+// Guards against two holders at once, a fencing token that is not greater than
+// the one before, and two holders' orders within the quiet time, over freezes
+// and partitions from the log.
+func TestOneHolderAtATime(t *testing.T) {
+	for seed := range uint64(200) {
+		rng := rand.New(rand.NewPCG(seed, 1))
+		log := &topic{}
+		var nodes []*node
+		for i := range 4 {
+			name := fmt.Sprint("h", i)
+			nodes = append(nodes, &node{name: name, lease: duty.New(name, quiet, quiet)})
+		}
+		lastHolder, lastFence, lastAt := "", int64(0), proto.Instant(0)
+		now := proto.Instant(time.Hour)
+		for range 1500 {
+			now = now.Add(20 * time.Millisecond)
+			for i, n := range nodes {
+				if rng.IntN(150) == 0 {
+					n.frozen = !n.frozen
+				}
+				if rng.IntN(150) == 0 {
+					n.cutOff = !n.cutOff
+				}
+				if n.frozen {
+					continue
+				}
+				fence, holds := n.lease.Holds(now)
+				if holds {
+					if n.name != lastHolder && lastHolder != "" && now.Sub(lastAt) < quiet {
+						t.Fatalf("seed %d: %s acts %v after %s", seed, n.name, now.Sub(lastAt), lastHolder)
+					}
+					if fence < lastFence || n.name != lastHolder && fence == lastFence {
+						t.Fatalf("seed %d: %s acts with token %d after %d", seed, n.name, fence, lastFence)
+					}
+					lastHolder, lastFence, lastAt = n.name, fence, now
+				}
+				n.step(now, log, i)
+			}
+		}
+		if lastHolder == "" {
+			t.Fatalf("seed %d: nobody ever held the lease", seed)
+		}
+	}
+}
+
+// Guards against waiting for the time to live after a holder has given the
+// lease up.
+func TestReleaseLetsTheNextOneIn(t *testing.T) {
+	log := &topic{}
+	first := &node{name: "a", lease: duty.New("a", quiet, 0)}
+	next := &node{name: "b", lease: duty.New("b", quiet, 0)}
+	now := proto.Instant(time.Hour)
+	run := func(d time.Duration, nodes ...*node) {
+		for end := now.Add(d); now < end; now = now.Add(20 * time.Millisecond) {
+			for i, n := range nodes {
+				n.step(now, log, i)
+			}
+		}
+	}
+	run(time.Second, first, next)
+	if _, holds := first.lease.Holds(now); !holds {
+		t.Fatal("the first router does not hold the lease")
+	}
+	record, ok := first.lease.Release(now)
+	if !ok || !log.append(first.lease.End(), record) {
+		t.Fatal("the lease could not be released")
+	}
+	if _, holds := first.lease.Holds(now); holds {
+		t.Fatal("the router that released the lease still holds it")
+	}
+	run(time.Second, next)
+	if _, holds := next.lease.Holds(now); !holds {
+		t.Fatal("the next router does not hold the released lease within a second")
+	}
+}
+
+// Guards against acting on a claim whose answer came late: the time to live
+// counts from when the claim was sent.
+func TestLateAnswerShortensTheHold(t *testing.T) {
+	l := duty.New("a", quiet, quiet)
+	now := proto.Instant(time.Hour)
+	l.Want(now, true, 0)
+	l.Next(now)
+	l.Observed(now, 0, duty.Claim{})
+	if l.Next(now) != duty.Append {
+		t.Fatal("a free lease is not claimed")
+	}
+	now = now.Add(duty.TTL)
+	l.Claimed(now, 0)
+	if _, holds := l.Holds(now); holds {
+		t.Fatal("the hold outlasts the time to live")
+	}
+}
+
+// Guards against calls to the log while there is no work.
+func TestNoWorkNoCalls(t *testing.T) {
+	l := duty.New("a", quiet, quiet)
+	for i := range 100 {
+		now := proto.Instant(time.Hour).Add(time.Duration(i) * time.Second)
+		l.Want(now, false, 0)
+		if l.Next(now) != duty.Nothing {
+			t.Fatal("the lease asks for a call")
+		}
+	}
+}
--- /dev/null
+++ b/core/place/place_test.go
@@ -0,0 +1,328 @@
+package place_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/kumquatsill/kumquatsill/core/discovery"
+	"github.com/kumquatsill/kumquatsill/core/place"
+	"github.com/kumquatsill/kumquatsill/core/proto"
+	"github.com/kumquatsill/kumquatsill/core/serving"
+)
+
+const (
+	model     = "m"
+	storeAddr = "10.9.0.1:80"
+	start     = proto.Instant(time.Hour)
+)
+
+// rig is a placer over engines in two failure domains, and a cache store.
+type rig struct {
+	t      *testing.T
+	now    proto.Instant
+	placer *place.Placer
+	table  *discovery.Table
+	store  *place.StoreIndex
+}
+
+func newRig(t *testing.T, engines int) *rig {
+	r := &rig{
+		t: t, now: start, table: discovery.NewTable(), store: place.NewStoreIndex(),
+		placer: place.New("a", place.DefaultCosts(), 6*time.Second),
+	}
+	cfg, err := serving.New(serving.Content{Services: []*serving.Service{
+		{Name: "s", Engine: &serving.Engine{Slots: 8, CacheTokens: 90_000, TokenBytes: 160_000, LinkBitsPerSecond: 550e9}},
+		{Name: "plain"},
+		{Name: "store", Store: &serving.CacheStore{Addr: storeAddr, Domain: "a", Tokens: 900_000, LinkBitsPerSecond: 230e9}},
+	}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	r.placer.Configure(cfg)
+	r.placer.SetStore(storeAddr, r.store)
+	for i := range engines {
+		domain := proto.Domain("a")
+		if i%2 == 1 {
+			domain = "b"
+		}
+		r.put(&discovery.Endpoint{
+			ID: engineID(i), Service: "s", Addr: fmt.Sprintf("10.0.0.%d:80", i+1), Domain: domain, Slots: 8, Started: 1,
+			Versions: map[string]int64{model: 1},
+		})
+	}
+	return r
+}
+
+func engineID(i int) proto.EndpointID { return proto.EndpointID(fmt.Sprint("e", i)) }
+
+func (r *rig) put(e *discovery.Endpoint) {
+	r.table.Put(e)
+	r.placer.Update(r.table.Snapshot())
+}
+
+func (r *rig) query(own string) *place.Query {
+	return &place.Query{
+		Service: "s", Model: model, Bytes: 2000,
+		Parts: []place.Part{{ID: "top", Tokens: 2500}, {ID: "thing", Tokens: 3800}, {ID: own, Tokens: 500}},
+		Salt:  func(version int64) string { return fmt.Sprint(model, version) },
+	}
+}
+
+func (r *rig) choose(q *place.Query) place.Choice {
+	r.t.Helper()
+	c, ok := r.placer.Choose(r.now, q)
+	if !ok {
+		r.t.Fatal("no endpoint can take the request")
+	}
+	return c
+}
+
+// send begins an attempt and ends it after a time.
+func (r *rig) send(q *place.Query, took time.Duration) place.Choice {
+	r.t.Helper()
+	c := r.choose(q)
+	a := r.placer.Began(r.now, q, c)
+	r.now = r.now.Add(took)
+	r.placer.FirstByte(r.now, a)
+	r.placer.Finished(r.now, a, true)
+	return c
+}
+
+// Guards against reading shared parts again: requests with the same parts go
+// where they are held.
+func TestSameRequestsGoWhereTheirPartsAre(t *testing.T) {
+	r := newRig(t, 6)
+	first := r.send(r.query("x1"), 300*time.Millisecond)
+	for i := range 5 {
+		c := r.send(r.query(fmt.Sprint("y", i)), 50*time.Millisecond)
+		if c.Endpoint.ID != first.Endpoint.ID || c.Held != 6300 || c.Again != 0 {
+			t.Fatalf("request %d went to %s, which holds %d tokens", i, c.Endpoint.ID, c.Held)
+		}
+	}
+}
+
+// Guards against a busy holder drawing everything: another engine fetches the
+// parts from it.
+func TestBusyHolderIsASource(t *testing.T) {
+	r := newRig(t, 6)
+	first := r.send(r.query("x"), 300*time.Millisecond)
+	for i := range 8 {
+		q := r.query(fmt.Sprint("y", i))
+		if c := r.choose(q); c.Endpoint.ID != first.Endpoint.ID {
+			if c.Source != first.Endpoint.Addr || c.Again != 0 {
+				t.Fatalf("the parts come from %q, %d tokens are read again", c.Source, c.Again)
+			}
+			return
+		}
+		r.placer.Began(r.now, q, r.choose(q))
+	}
+	t.Fatal("eight requests in a row went to one engine")
+}
+
+// Guards against fetching from an engine that has not read the parts yet.
+func TestPartsBeingReadAreNoSource(t *testing.T) {
+	r := newRig(t, 2)
+	q := r.query("x")
+	c := r.choose(q)
+	r.placer.Began(r.now, q, c)
+	q = r.query("y")
+	q.Exclude = []proto.EndpointID{c.Endpoint.ID}
+	if other := r.choose(q); other.Source == c.Endpoint.Addr {
+		t.Fatal("the parts are fetched from an engine that still reads them")
+	}
+}
+
+// Guards against parts of older weights: a new version empties what an engine
+// is believed to hold, and its salt names other entries.
+func TestNewWeightsDropParts(t *testing.T) {
+	r := newRig(t, 1)
+	r.send(r.query("x"), 300*time.Millisecond)
+	r.placer.ObserveVersion("e0", model, 2)
+	c := r.choose(r.query("y"))
+	if c.Held != 0 || c.Version != 2 || c.Salt != "m2" {
+		t.Fatalf("version %d, salt %q, %d tokens held", c.Version, c.Salt, c.Held)
+	}
+}
+
+// Guards against requests that begin on a version that was replaced too long
+// ago, whatever the engine's other merits.
+func TestRetiredVersionIsNotUsed(t *testing.T) {
+	r := newRig(t, 2)
+	r.placer.Name(r.now, model, 2)
+	r.now = r.now.Add(7 * time.Second)
+	if _, ok := r.placer.Choose(r.now, r.query("x")); ok {
+		t.Fatal("an engine was used whose version was replaced 7 s ago")
+	}
+	r.placer.ObserveVersion("e1", model, 2)
+	if c := r.choose(r.query("x")); c.Endpoint.ID != "e1" {
+		t.Fatal("the engine with the new version was not used")
+	}
+}
+
+// Guards against a restarted router that takes an old version for just
+// replaced (trouble-2 of both sites): peers tell since when versions are named.
+func TestPeersTellSinceWhenVersionsAreNamed(t *testing.T) {
+	r := newRig(t, 1)
+	r.placer.Name(r.now, model, 3)
+	r.placer.NamedBefore(model, 2, r.now.Add(-7*time.Second))
+	if _, ok := r.placer.Choose(r.now, r.query("x")); ok {
+		t.Fatal("an engine was used whose version was replaced 7 s ago")
+	}
+}
+
+// Guards against work for engines that were just ordered to load weights.
+func TestLoadingEnginesGetNoWork(t *testing.T) {
+	r := newRig(t, 2)
+	r.placer.Loading("e0", r.now.Add(time.Second))
+	for i := range 5 {
+		if c := r.send(r.query(fmt.Sprint(i)), time.Millisecond); c.Endpoint.ID != "e1" {
+			t.Fatal("a loading engine got work")
+		}
+	}
+	r.placer.Loading("e1", r.now.Add(time.Second))
+	if _, ok := r.placer.Choose(r.now, r.query("x")); ok {
+		t.Fatal("a loading engine got work")
+	}
+	r.placer.ObserveVersion("e0", model, 2)
+	if c := r.choose(r.query("x")); c.Endpoint.ID != "e0" {
+		t.Fatal("the engine that has loaded gets no work")
+	}
+}
+
+// Guards against further work for an engine that has stopped to answer, while
+// an engine that only answers late keeps its work.
+func TestSilentEngineIsAvoided(t *testing.T) {
+	r := newRig(t, 2)
+	q := r.query("x")
+	c := r.choose(q)
+	r.placer.Began(r.now, q, c)
+	r.now = r.now.Add(2 * time.Second)
+	if !r.placer.IsSilent(r.now, c.Endpoint.ID) || len(r.placer.Silent(r.now)) != 1 {
+		t.Fatal("the engine does not count as silent")
+	}
+	if next := r.choose(r.query("y")); next.Endpoint.ID == c.Endpoint.ID {
+		t.Fatal("the silent engine got more work")
+	}
+	other := r.choose(r.query("z"))
+	a := r.placer.Began(r.now, r.query("z"), other)
+	r.placer.FirstByte(r.now, a)
+	if r.placer.IsSilent(r.now, other.Endpoint.ID) {
+		t.Fatal("an engine that answers counts as silent")
+	}
+}
+
+// Guards against one router learning of a silent engine by its own failures
+// although a peer has told it.
+func TestPeersTellSilentEngines(t *testing.T) {
+	r := newRig(t, 2)
+	first := r.choose(r.query("x"))
+	r.placer.ToldSilent(r.now, first.Endpoint.ID)
+	if c := r.choose(r.query("x")); c.Endpoint.ID == first.Endpoint.ID {
+		t.Fatal("the silent engine got work")
+	}
+}
+
+// Guards against fetching through the store's link while it is taken for
+// longer than an engine waits: such a transfer is not started.
+func TestBusyStoreIsNoSource(t *testing.T) {
+	r := newRig(t, 1)
+	r.store.SetAlive(true)
+	r.store.Put("m1", "top")
+	r.store.Put("m1", "thing")
+	if c := r.choose(r.query("x")); c.Source != storeAddr || c.Moved != 6300 {
+		t.Fatalf("source %q, %d tokens moved", c.Source, c.Moved)
+	}
+	r.placer.TakeIn(r.now, place.Told{Endpoint: "e0", Started: 1, Transfer: place.Transfer{Store: storeAddr, ForMillis: 2000}})
+	if c := r.choose(r.query("x")); c.Source == storeAddr {
+		t.Fatal("the store is a source although its link is taken for 2 s")
+	}
+}
+
+// Guards against sending everything through the store's link again: only what
+// is read for the first time goes there, and nothing while the store is away.
+func TestOnlyFirstReadsGoToTheStore(t *testing.T) {
+	r := newRig(t, 1)
+	if c := r.choose(r.query("x")); c.Destination != "" {
+		t.Fatal("parts go to a store that does not answer")
+	}
+	r.store.SetAlive(true)
+	if c := r.send(r.query("x"), 300*time.Millisecond); c.Destination != storeAddr {
+		t.Fatal("parts read first do not go to the store")
+	}
+	if c := r.choose(r.query("y")); c.Destination != "" {
+		t.Fatal("parts that the engine holds go to the store again")
+	}
+}
+
+// Guards against sending work to another failure domain without need.
+func TestOwnDomainGoesFirst(t *testing.T) {
+	r := newRig(t, 4)
+	for i := range 8 {
+		q := &place.Query{Service: "s", Model: model, Bytes: 20_000, Parts: []place.Part{{ID: fmt.Sprint(i), Tokens: 100}},
+			Salt: func(int64) string { return "" }}
+		if c := r.send(q, 10*time.Millisecond); c.Endpoint.Domain != "a" {
+			t.Fatalf("request %d went to domain %s", i, c.Endpoint.Domain)
+		}
+	}
+}
+
+// Guards against an engine that is slower than reckoned keeping its share of
+// the work (kcm-ops scale-1: 62 of 68 requests at one engine).
+func TestLateEngineGetsLess(t *testing.T) {
+	r := newRig(t, 3)
+	counts := map[proto.EndpointID]int{}
+	for i := range 60 {
+		q := r.query(fmt.Sprint("x", i))
+		q.Parts = q.Parts[2:]
+		c := r.choose(q)
+		took := 20 * time.Millisecond
+		if c.Endpoint.ID == "e0" {
+			took = 800 * time.Millisecond
+		}
+		a := r.placer.Began(r.now, q, c)
+		r.placer.FirstByte(r.now.Add(took), a)
+		r.placer.Finished(r.now.Add(took), a, true)
+		r.now = r.now.Add(40 * time.Millisecond)
+		counts[c.Endpoint.ID]++
+	}
+	if counts["e0"] > 15 {
+		t.Fatalf("work by engine %v, e0 is forty times slower", counts)
+	}
+}
+
+// Guards against work for an endpoint that fails, and against never trying it
+// again.
+func TestFailingEndpointIsPaused(t *testing.T) {
+	r := newRig(t, 2)
+	q := r.query("x")
+	c := r.choose(q)
+	r.placer.Finished(r.now, r.placer.Began(r.now, q, c), false)
+	if next := r.choose(q); next.Endpoint.ID == c.Endpoint.ID {
+		t.Fatal("the endpoint that failed is chosen again at once")
+	}
+	r.now = r.now.Add(5 * time.Second)
+	for range 50 {
+		if next := r.send(r.query("x"), 50*time.Millisecond); next.Endpoint.ID == c.Endpoint.ID {
+			return
+		}
+		r.placer.Loading(engineID(1-int(c.Endpoint.ID[1]-'0')), r.now.Add(time.Second))
+	}
+	t.Fatal("the endpoint that failed is never tried again")
+}
+
+// Guards against treating an engine that has started again as the one before.
+func TestRestartForgetsEverything(t *testing.T) {
+	r := newRig(t, 1)
+	q := r.query("x")
+	old := r.placer.Began(r.now, q, r.choose(q))
+	r.now = r.now.Add(2 * time.Second)
+	r.put(&discovery.Endpoint{ID: "e0", Service: "s", Addr: "10.0.0.1:80", Domain: "a", Slots: 8, Started: 2, Versions: map[string]int64{model: 1}})
+	r.placer.Finished(r.now, old, false)
+	if r.placer.IsSilent(r.now, "e0") {
+		t.Fatal("the new life counts as silent for the old one's request")
+	}
+	if c := r.choose(r.query("y")); c.Held != 0 {
+		t.Fatal("the new life is believed to hold the old one's parts")
+	}
+}
--- /dev/null
+++ b/core/quota/quota_test.go
@@ -0,0 +1,195 @@
+package quota_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/kumquatsill/kumquatsill/core/proto"
+	"github.com/kumquatsill/kumquatsill/core/quota"
+	"pgregory.net/rapid"
+)
+
+const account = proto.AccountID("a")
+
+// fleet is a few trackers that exchange counts, with links that can be cut.
+type fleet struct {
+	now      proto.Instant
+	trackers []*quota.Tracker
+	cut      map[[2]int]bool
+	limit    quota.Limit
+	spent    int64
+}
+
+func id(i int) proto.RouterID { return proto.RouterID(fmt.Sprint("r", i)) }
+
+func newFleet(n int, limit quota.Limit) *fleet {
+	f := &fleet{now: proto.Instant(time.Hour), cut: map[[2]int]bool{}, limit: limit}
+	for i := range n {
+		f.trackers = append(f.trackers, f.start(i, int64(i)))
+	}
+	f.exchange()
+	f.exchange()
+	return f
+}
+
+func (f *fleet) start(i int, life int64) *quota.Tracker {
+	t := quota.New(f.now, id(i), life)
+	t.Configure(f.now, map[proto.AccountID]quota.Limit{account: f.limit})
+	for j := range cap(f.trackers) {
+		t.Member(f.now, id(j))
+	}
+	return t
+}
+
+// exchange delivers one message from each tracker to each other one.
+func (f *fleet) exchange() {
+	for i, from := range f.trackers {
+		counts := from.Counts(f.now)
+		for j, to := range f.trackers {
+			if i != j && !f.cut[[2]int{i, j}] {
+				to.Heard(f.now, counts)
+			}
+		}
+	}
+	f.now = f.now.Add(quota.Interval)
+}
+
+func (f *fleet) spend(i int, units int64) bool {
+	ok := f.trackers[i].Spend(f.now, account, units).OK
+	if ok {
+		f.spent += units
+	}
+	return ok
+}
+
+// Guards against refusing an account that stays inside its limit while all its
+// requests come to one router.
+func TestSkewedDemandIsNotRefused(t *testing.T) {
+	f := newFleet(4, quota.Limit{Rate: 1000, Burst: 1000})
+	for range 50 {
+		if !f.spend(0, 190) {
+			t.Fatal("refused although the account asks 950 units/s of 1000")
+		}
+		f.exchange()
+	}
+}
+
+// Guards against exceeding the limit by what routers spend before they hear of
+// each other's spending: rate x time + burst, and an interval of each router.
+func TestGreedyAccountStaysWithinLimit(t *testing.T) {
+	const seconds = 8
+	f := newFleet(4, quota.Limit{Rate: 1000, Burst: 1000})
+	for range seconds * 5 {
+		for i := range f.trackers {
+			for f.spend(i, 10) {
+			}
+		}
+		f.exchange()
+	}
+	limit := int64(1000*seconds+1000) + 3*1000
+	if f.spent > limit {
+		t.Fatalf("spent %d units in %d s, more than %d", f.spent, seconds, limit)
+	}
+}
+
+// Guards against both sides of a partition spending the whole rate: whatever
+// pairs of routers are cut off from each other, in one direction or both, the
+// sum of their shares stays within the whole.
+func TestSharesAddUpUnderAnyPartition(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		n := rapid.IntRange(2, 6).Draw(rt, "routers")
+		f := newFleet(n, quota.Limit{Rate: 1000, Burst: 1000})
+		group := make([]int, n)
+		for i := range group {
+			group[i] = rapid.IntRange(0, 2).Draw(rt, "group")
+		}
+		oneWay := rapid.Bool().Draw(rt, "one way")
+		for i := range n {
+			for j := range n {
+				if group[i] < group[j] || group[i] > group[j] && !oneWay {
+					f.cut[[2]int{i, j}] = true
+				}
+			}
+		}
+		for range 12 {
+			f.exchange()
+		}
+		sum := map[int]float64{}
+		total := 0.0
+		for i, tr := range f.trackers {
+			share, _ := tr.Share(f.now)
+			sum[group[i]] = share
+		}
+		for _, share := range sum {
+			total += share
+		}
+		if total > 1.0001 {
+			rt.Fatalf("the shares of the sides %v add up to %.3f", sum, total)
+		}
+	})
+}
+
+// Guards against counting a peer's spending twice, or forgetting it, over lost,
+// repeated and late messages and a restart of the peer.
+func TestCountsSurviveLossRepetitionAndRestart(t *testing.T) {
+	f := newFleet(2, quota.Limit{Rate: 1, Burst: 1000})
+	f.spend(1, 300)
+	late := f.trackers[1].Counts(f.now)
+	f.spend(1, 200)
+	f.exchange()
+	f.trackers[0].Heard(f.now, f.trackers[1].Counts(f.now))
+	f.trackers[0].Heard(f.now, late)
+	f.trackers[0].Heard(f.now, f.trackers[1].Counts(f.now))
+	f.trackers[1] = f.start(1, 99)
+	f.exchange()
+	f.trackers[0].Heard(f.now, late) // a message of the life that has ended
+	d := f.trackers[0].Spend(f.now, account, 1)
+	if d.Balance < 495 || d.Balance > 505 {
+		t.Fatalf("balance %d after spending 500 of 1000", d.Balance)
+	}
+}
+
+// Guards against refusing for long after a partition has healed, when the
+// counts of the other side arrive at once.
+func TestBalanceHasAFloor(t *testing.T) {
+	f := newFleet(2, quota.Limit{Rate: 1000, Burst: 1000})
+	f.trackers[0].Heard(f.now, quota.Counts{Router: id(1), Life: 1, Hears: []proto.RouterID{id(0)}, Spent: map[proto.AccountID]int64{account: 1_000_000}})
+	if d := f.trackers[0].Spend(f.now, account, 1); d.RetryAfter > 1100*time.Millisecond {
+		t.Fatalf("the account has to wait %v", d.RetryAfter)
+	}
+}
+
+// Guards against refusing a request larger than the burst for ever.
+func TestRequestBeyondBurstPassesWithFullBucket(t *testing.T) {
+	f := newFleet(1, quota.Limit{Rate: 100, Burst: 100})
+	if !f.spend(0, 500) {
+		t.Fatal("refused with a full bucket")
+	}
+	if f.spend(0, 1) {
+		t.Fatal("allowed although the bucket owes 400 units")
+	}
+}
+
+// Guards against charging for requests that did not run.
+func TestRefund(t *testing.T) {
+	f := newFleet(1, quota.Limit{Rate: 1, Burst: 100})
+	f.spend(0, 100)
+	f.trackers[0].Refund(f.now, account, 100)
+	if !f.spend(0, 100) {
+		t.Fatal("the refund is missing")
+	}
+}
+
+// Guards against losing a share for ever to a router that is gone for good.
+func TestMemberThatIsGoneIsForgotten(t *testing.T) {
+	f := newFleet(2, quota.Limit{Rate: 1000, Burst: 1000})
+	f.now = f.now.Add(2 * time.Second)
+	if share, _ := f.trackers[0].Share(f.now); share != 0.5 {
+		t.Fatalf("share %v beside a silent router", share)
+	}
+	f.now = f.now.Add(time.Minute)
+	if share, _ := f.trackers[0].Share(f.now); share != 1 {
+		t.Fatalf("share %v a minute after the other router was gone", share)
+	}
+}
--- /dev/null
+++ b/core/relay/relay_test.go
@@ -0,0 +1,135 @@
+package relay_test
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/datadriven"
+	"github.com/kumquatsill/kumquatsill/core/proto"
+	"github.com/kumquatsill/kumquatsill/core/relay"
+	"github.com/kumquatsill/kumquatsill/core/serving"
+)
+
+type fixedBudget struct{ left int }
+
+func (b *fixedBudget) Take(proto.Instant) bool {
+	b.left--
+	return b.left >= 0
+}
+
+var results = []relay.Result{
+	relay.Answered, relay.Failed, relay.Shed, relay.Misdirected, relay.Unreachable,
+	relay.Broken, relay.Stalled, relay.CallerGone, relay.OutOfTime,
+}
+
+func resultOf(t *testing.T, name string) relay.Result {
+	for _, r := range results {
+		if r.String() == name {
+			return r
+		}
+	}
+	t.Fatalf("unknown result %q", name)
+	return 0
+}
+
+// Guards against running a request more often than its kind and its route
+// allow, and against a refusal that says "not run" of one that may have run.
+func TestDecisions(t *testing.T) {
+	datadriven.RunTest(t, "testdata/decisions", func(t *testing.T, d *datadriven.TestData) string {
+		route := &serving.Route{Attempts: 1}
+		budget := &fixedBudget{left: 10}
+		left := time.Second
+		d.MaybeScanArgs(t, "attempts", &route.Attempts)
+		d.MaybeScanArgs(t, "budget", &budget.left)
+		if d.HasArg("no-time") {
+			left = time.Millisecond
+		}
+		switch d.Cmd {
+		case "idempotent":
+			route.Kind = serving.Idempotent
+		case "stream":
+			route.Kind = serving.Stream
+			route.Resumable = d.HasArg("resumable")
+		}
+		r := relay.New(route, budget)
+		var out strings.Builder
+		for name := range strings.FieldsSeq(d.Input) {
+			if name == "event" {
+				r.Delivered()
+				continue
+			}
+			r.Sent()
+			a := r.Ended(0, resultOf(t, name), left)
+			fmt.Fprintf(&out, "%s: %s (%s)\n", name, a.Step, a.Reason)
+		}
+		return out.String()
+	})
+}
+
+// Guards against a "not run" refusal after any attempt that may have run, for
+// every sequence of three results and every kind of route.
+func TestRefusalIsTrue(t *testing.T) {
+	for kind := range 4 {
+		route := &serving.Route{Attempts: 3, Kind: serving.Kind(min(kind, 2)), Resumable: kind == 3}
+		for n := range len(results) * len(results) * len(results) {
+			r := relay.New(route, &fixedBudget{left: 10})
+			mayHaveRun := false
+			for range 3 {
+				result := results[n%len(results)]
+				n /= len(results)
+				mayHaveRun = mayHaveRun || result.Verdict() != proto.NotRun
+				r.Sent()
+				a := r.Ended(0, result, time.Second)
+				if a.Step == relay.Refuse && mayHaveRun {
+					t.Fatalf("refused after a request of kind %s may have run", route.Kind)
+				}
+				if a.Step == relay.Send && mayHaveRun && !route.Repeatable() {
+					t.Fatalf("sent again after a request of kind %s may have run", route.Kind)
+				}
+				if a.Step != relay.Send {
+					break
+				}
+			}
+		}
+	}
+}
+
+// Guards against retries beyond the share of requests and the reserve in any
+// window, under bursts, pauses and an outage in which everything is retried.
+func TestRetryBudgetHoldsInEveryWindow(t *testing.T) {
+	cfg := relay.BudgetConfig{Ratio: 0.12, Window: 10 * time.Second, Reserve: 4.5}
+	b := relay.NewRetryBudget(0, cfg)
+	const tick = 20 * time.Millisecond
+	const ticks = int(10 * time.Second / tick)
+	var requests, retries []int
+	for i := range 6 * ticks {
+		now := proto.Instant(time.Duration(i) * tick)
+		perTick := 1
+		switch {
+		case i%ticks < ticks/5:
+			perTick = 4
+		case i%ticks > 4*ticks/5:
+			perTick = 0
+		}
+		taken := 0
+		for range perTick {
+			b.Request(now)
+		}
+		for b.Take(now) {
+			taken++
+		}
+		requests, retries = append(requests, perTick), append(retries, taken)
+	}
+	for from := 0; from+ticks <= len(retries); from++ {
+		sent, again := 0, 0
+		for i := from; i < from+ticks; i++ {
+			sent += requests[i]
+			again += retries[i]
+		}
+		if limit := 0.2*float64(sent) + 3*cfg.Reserve; float64(again) > limit {
+			t.Fatalf("%d retries of %d requests in the window from %d, more than %.1f", again, sent, from, limit)
+		}
+	}
+}
--- /dev/null
+++ b/core/serving/config_test.go
@@ -0,0 +1,85 @@
+package serving_test
+
+import (
+	"testing"
+
+	"github.com/kumquatsill/kumquatsill/core/note"
+	"github.com/kumquatsill/kumquatsill/core/proto"
+	"github.com/kumquatsill/kumquatsill/core/serving"
+)
+
+func route(name, host, prefix string) *serving.Route {
+	return &serving.Route{Name: name, Host: host, Prefix: prefix, Targets: []serving.Target{{Service: "s", Weight: 1}}}
+}
+
+func build(t *testing.T, routes ...*serving.Route) *serving.Config {
+	t.Helper()
+	cfg, err := serving.New(serving.Content{
+		Routes: routes, Services: []*serving.Service{{Name: "s"}},
+		Accounts: []*serving.Account{{ID: "a"}},
+		Keys:     map[proto.KeyHash]proto.AccountID{note.HashKey("secret"): "a"},
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return cfg
+}
+
+// Guards against sending a request to the service of a shorter prefix or of
+// another host.
+func TestLongestPrefixOfTheHostWins(t *testing.T) {
+	cfg := build(t, route("short", "a.example", "/x/"), route("long", "a.example", "/x/y/"), route("other", "b.example", "/x/y/z/"))
+	for path, want := range map[string]string{"/x/1": "short", "/x/y/1": "long", "/x/y/z/1": "long", "/x/yy/1": "short"} {
+		if r := cfg.Match("A.example:80", path); r == nil || r.Name != want {
+			t.Errorf("%s goes to %v, want %s", path, r, want)
+		}
+	}
+	if r := cfg.Match("a.example", "/"); r != nil {
+		t.Errorf("/ goes to %s", r.Name)
+	}
+	if r := cfg.Match("c.example", "/x/1"); r != nil {
+		t.Errorf("an unknown host goes to %s", r.Name)
+	}
+}
+
+// Guards against letting an empty or unknown key in.
+func TestKeys(t *testing.T) {
+	cfg := build(t)
+	if cfg.AccountOf("secret") == nil || cfg.AccountOf("") != nil || cfg.AccountOf("other") != nil {
+		t.Fatal("a key is not judged by the configuration")
+	}
+}
+
+// Guards against a configuration that would fail later, on a request.
+func TestContradictionsAreRefused(t *testing.T) {
+	for name, content := range map[string]serving.Content{
+		"unknown service": {Routes: []*serving.Route{route("r", "h", "/")}},
+		"no host":         {Routes: []*serving.Route{route("r", "", "/")}, Services: []*serving.Service{{Name: "s"}}},
+		"no target":       {Routes: []*serving.Route{{Name: "r", Host: "h", Prefix: "/"}}},
+		"unknown account": {Keys: map[proto.KeyHash]proto.AccountID{"k": "a"}},
+	} {
+		if _, err := serving.New(content); err == nil {
+			t.Errorf("%s: accepted", name)
+		}
+	}
+}
+
+// Guards against a split that sends more or less than its weight.
+func TestSplitFollowsWeights(t *testing.T) {
+	r := &serving.Route{Targets: []serving.Target{{Service: "a", Weight: 90}, {Service: "b", Weight: 10}, {Service: "c", Weight: 0}}}
+	counts := map[string]int{}
+	for i := range uint64(1000) {
+		counts[r.Target(i)]++
+	}
+	if counts["a"] != 900 || counts["b"] != 100 || counts["c"] != 0 {
+		t.Fatalf("split %v", counts)
+	}
+}
+
+// Guards against counting requests by the wrong unit.
+func TestCost(t *testing.T) {
+	tokens := serving.Account{CountsTokens: true, DefaultTokens: 200}
+	if tokens.Cost(900, true) != 900 || tokens.Cost(0, false) != 200 || (&serving.Account{}).Cost(900, true) != 1 {
+		t.Fatal("a request is counted by the wrong unit")
+	}
+}
--- /dev/null
+++ b/core/upgrade/upgrade_test.go
@@ -0,0 +1,198 @@
+package upgrade_test
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/kumquatsill/kumquatsill/core/discovery"
+	"github.com/kumquatsill/kumquatsill/core/proto"
+	"github.com/kumquatsill/kumquatsill/core/upgrade"
+)
+
+const model = "m"
+
+// engine carries out orders as an engine does: one at a time, for a while.
+type engine struct {
+	version, target int64
+	busyUntil       proto.Instant
+	orders          int64
+	dark            bool
+}
+
+// fleet is a planner and its engines.
+type fleet struct {
+	now     proto.Instant
+	planner *upgrade.Planner
+	engines map[proto.EndpointID]*engine
+	table   *discovery.Table
+	// ordered counts the orders that each engine got.
+	ordered map[proto.EndpointID]int
+	most    int
+}
+
+const loadTime = 800 * time.Millisecond
+
+func newFleet(n int) *fleet {
+	f := &fleet{
+		now: proto.Instant(time.Hour), planner: upgrade.New(), engines: map[proto.EndpointID]*engine{},
+		table: discovery.NewTable(), ordered: map[proto.EndpointID]int{},
+	}
+	for i := range n {
+		id := proto.EndpointID(fmt.Sprintf("e%02d", i))
+		f.engines[id] = &engine{version: 1}
+		f.table.Put(&discovery.Endpoint{ID: id, Service: "s", Addr: "a", Domain: "d", Slots: 1, Started: 1, Versions: map[string]int64{model: 1}})
+	}
+	f.planner.Update(f.table.Snapshot())
+	return f
+}
+
+func (f *fleet) run(d time.Duration) {
+	for end := f.now.Add(d); f.now < end; f.now = f.now.Add(20 * time.Millisecond) {
+		busy := 0
+		for _, e := range f.engines {
+			if e.target > e.version && f.now >= e.busyUntil {
+				e.version = e.target
+			}
+			if e.target > e.version {
+				busy++
+			}
+		}
+		f.most = max(f.most, busy)
+		for _, a := range f.planner.Next(f.now, 0.5, func(proto.EndpointID) int { return 0 }) {
+			f.act(a)
+		}
+	}
+}
+
+func (f *fleet) act(a upgrade.Action) {
+	id := a.Endpoint.ID
+	e := f.engines[id]
+	if e.dark {
+		if a.Kind == upgrade.Ask {
+			f.planner.Unreachable(f.now, id)
+		} else {
+			f.planner.Answered(f.now, id, upgrade.Unknown)
+		}
+		return
+	}
+	busy := e.target > e.version
+	if a.Kind == upgrade.Ask {
+		f.planner.Told(f.now, id, upgrade.State{Versions: map[string]int64{model: e.version}, Busy: busy, Orders: e.orders})
+		return
+	}
+	f.ordered[id]++
+	if busy || a.Orders != e.orders {
+		f.planner.Answered(f.now, id, upgrade.Busy)
+		return
+	}
+	e.orders++
+	e.target, e.busyUntil = a.Version, f.now.Add(loadTime)
+	f.planner.Answered(f.now, id, upgrade.Accepted)
+}
+
+func (f *fleet) versions() []int64 {
+	var v []int64
+	for _, e := range f.engines {
+		v = append(v, e.version)
+	}
+	slices.Sort(v)
+	return v
+}
+
+// Guards against engines that are never reached, and against more engines out
+// of service at once than allowed.
+func TestAllEnginesReachTheVersion(t *testing.T) {
+	f := newFleet(18)
+	f.planner.Name(model, 2)
+	f.run(6 * time.Second)
+	if v := f.versions(); v[0] != 2 {
+		t.Fatalf("versions %v after 6 s", v)
+	}
+	if f.most > 9 {
+		t.Fatalf("%d of 18 engines loaded at once", f.most)
+	}
+	for id, n := range f.ordered {
+		if n != 1 {
+			t.Errorf("%s got %d orders", id, n)
+		}
+	}
+}
+
+// Guards against tasks that stand still when a newer version is named while an
+// engine loads: nothing was ordered for 3 s of quiet-1 at pompas-sur.
+func TestNewerVersionIsOrderedAfterTheOneUnderWay(t *testing.T) {
+	f := newFleet(4)
+	f.planner.Name(model, 2)
+	f.run(500 * time.Millisecond)
+	f.planner.Name(model, 3)
+	f.run(5 * time.Second)
+	if v := f.versions(); v[0] != 3 {
+		t.Fatalf("versions %v after 5 s", v)
+	}
+}
+
+// Guards against leaving some engines behind while versions are named faster
+// than all engines can follow: the oldest weights go first.
+func TestOldestWeightsGoFirst(t *testing.T) {
+	f := newFleet(18)
+	for v := int64(2); v <= 6; v++ {
+		f.planner.Name(model, v)
+		f.run(1500 * time.Millisecond)
+	}
+	if v := f.versions(); v[0] < 3 {
+		t.Fatalf("versions %v: some engine was left behind", v)
+	}
+}
+
+// Guards against engines that do not answer holding the places of those that
+// could load (scale-1 at pompas-sur: 5 dark engines of 18).
+func TestDarkEnginesLeaveTheirPlace(t *testing.T) {
+	f := newFleet(8)
+	for i := range 4 {
+		f.engines[proto.EndpointID(fmt.Sprintf("e%02d", i))].dark = true
+	}
+	f.planner.Name(model, 2)
+	f.run(4 * time.Second)
+	if v := f.versions(); v[4] != 2 {
+		t.Fatalf("versions %v: engines that answer were not reached", v)
+	}
+}
+
+// Guards against an order without an answer that is carried out after newer
+// ones: a further order names the number of orders accepted before.
+func TestOrderNamesTheOrdersBefore(t *testing.T) {
+	f := newFleet(2)
+	e := f.engines["e00"]
+	e.orders = 7
+	f.planner.Name(model, 2)
+	f.run(3 * time.Second)
+	if e.version != 2 || e.orders != 8 {
+		t.Fatalf("version %d after %d orders", e.version, e.orders)
+	}
+}
+
+// Guards against ordering an engine that leaves, and against forgetting one
+// that has started again with older weights.
+func TestLeavingAndRestartedEngines(t *testing.T) {
+	f := newFleet(2)
+	leaving := *f.table.Snapshot().ByID["e00"]
+	leaving.Leaving = true
+	f.table.Put(&leaving)
+	f.planner.Update(f.table.Snapshot())
+	f.planner.Name(model, 2)
+	f.run(3 * time.Second)
+	if f.ordered["e00"] != 0 || f.engines["e01"].version != 2 {
+		t.Fatalf("orders %v", f.ordered)
+	}
+	f.engines["e01"] = &engine{version: 1}
+	again := *f.table.Snapshot().ByID["e01"]
+	again.Started = 2
+	f.table.Put(&again)
+	f.planner.Update(f.table.Snapshot())
+	f.run(3 * time.Second)
+	if f.engines["e01"].version != 2 {
+		t.Fatal("the engine that started again was left behind")
+	}
+}
