core/place: learn from engines' cache events what they hold

Ruled out: listing each engine, which stalls it and is priced; a long poll of each engine, which returns for each event. Change: each router reads each engine's events every 2.5 s, the whole history at first; parts are keyed by salt and id; a part that is used keeps its first reading time; refused work pauses an engine as a target, not as a source; only parts of 1,000 tokens or more go to the store.

--- a/app/cmd/kumquatsill/front.go
+++ b/app/cmd/kumquatsill/front.go
@@ -23,7 +23,7 @@
 
 type frontFlags struct {
 	Settings string `long:"settings" env:"KUMQUATSILL_BOOT" description:"path of the platform's settings file"`
-	LogLevel string `long:"log-level" env:"KUMQUATSILL_LOG_LEVEL" default:"info" choice:"debug" choice:"info" choice:"warn" choice:"error" description:"least level of log lines"`
+	LogLevel string `long:"log-level" env:"KUMQUATSILL_LOG_LEVEL" default:"info" description:"least level of log lines: debug, info, warn or error"`
 }
 
 func frontCommand() settings.Command {
--- a/app/front/feed.go
+++ b/app/front/feed.go
@@ -6,7 +6,10 @@
 	"strconv"
 	"time"
 
+	"github.com/kumquatsill/kumquatsill/app/driver"
+	"github.com/kumquatsill/kumquatsill/core/discovery"
 	"github.com/kumquatsill/kumquatsill/core/place"
+	"github.com/kumquatsill/kumquatsill/core/proto"
 	"github.com/kumquatsill/kumquatsill/core/serving"
 	"github.com/kumquatsill/kumquatsill/platform"
 )
@@ -104,3 +107,96 @@
 		}
 	}
 }
+
+const (
+	// engineFeedInterval is the time between two reads of an engine's events.
+	engineFeedInterval = 2500 * time.Millisecond
+	// engineFeedWait is how long such a read may wait for an event.
+	engineFeedWait = 200 * time.Millisecond
+	// engineFeedStep is the time between two looks at the engines that are due.
+	engineFeedStep = 100 * time.Millisecond
+	// maxEngineFeeds bounds the reads at one time.
+	maxEngineFeeds = 6
+)
+
+// engineFeed is how far the events of one life of an engine were read.
+type engineFeed struct {
+	started     int64
+	epoch, next int64
+	known       bool
+	dueAt       proto.Instant
+}
+
+// followEngines reads the events of all engines in turn, so that the placement
+// knows what they hold, also after a start of this router.
+func (f *Front) followEngines(ctx context.Context) error {
+	tick := time.NewTicker(engineFeedStep)
+	defer tick.Stop()
+	feeds := map[proto.EndpointID]*engineFeed{}
+	slots := make(chan struct{}, maxEngineFeeds)
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-tick.C:
+		}
+		now := driver.Now()
+		for _, e := range f.enginesDue(now, feeds, cap(slots)-len(slots)) {
+			feed := feeds[e.ID]
+			slots <- struct{}{}
+			f.tomb.Go(func() error {
+				defer func() { <-slots }()
+				f.readEngineFeed(ctx, e, feed)
+				return nil
+			})
+		}
+	}
+}
+
+// enginesDue returns up to n engines whose events are due to be read, and keeps
+// feeds in step with the list of engines.
+func (f *Front) enginesDue(now proto.Instant, feeds map[proto.EndpointID]*engineFeed, n int) []*discovery.Endpoint {
+	f.mu.Lock()
+	list := f.table.Snapshot()
+	f.mu.Unlock()
+	var due []*discovery.Endpoint
+	for id, e := range list.ByID {
+		if len(e.Versions) == 0 || e.Leaving {
+			continue
+		}
+		feed := feeds[id]
+		if feed == nil || feed.started != e.Started {
+			feed = &engineFeed{started: e.Started}
+			feeds[id] = feed
+		}
+		if now >= feed.dueAt && len(due) < n && !f.placer.IsSilent(now, id) {
+			feed.dueAt = now.Add(engineFeedInterval)
+			due = append(due, e)
+		}
+	}
+	for id := range feeds {
+		if list.ByID[id] == nil {
+			delete(feeds, id)
+		}
+	}
+	return due
+}
+
+// readEngineFeed reads what an engine has told since the last time. A read
+// takes less time than lies between two of one engine.
+func (f *Front) readEngineFeed(ctx context.Context, e *discovery.Endpoint, feed *engineFeed) {
+	ctx, cancel := context.WithTimeout(ctx, controlTimeout)
+	defer cancel()
+	got, err := f.engines.CacheEvents(ctx, e.Addr, feed.next, engineFeedWait)
+	if err != nil {
+		f.log.Debug("cache events not read", "endpoint", string(e.ID), "error", err.Error())
+		return
+	}
+	restarted := feed.known && got.Epoch != feed.epoch
+	feed.epoch, feed.next, feed.known = got.Epoch, got.Next, true
+	events := make([]place.PartEvent, 0, len(got.Events))
+	for _, c := range got.Events {
+		events = append(events, place.PartEvent{Added: c.Added, Key: place.KeyOf(c.Salt, c.Part), Tokens: c.Tokens})
+	}
+	f.placer.Events(driver.Now(), e.ID, e.Started, restarted, events)
+}
--- a/app/front/front.go
+++ b/app/front/front.go
@@ -189,6 +189,7 @@
 		f.tomb.Go(func() error { return f.hearPeers(ctx) })
 		f.tomb.Go(func() error { return f.tellPeers(ctx) })
 		f.tomb.Go(func() error { return f.upgradeEngines(ctx) })
+		f.tomb.Go(func() error { return f.followEngines(ctx) })
 		f.tomb.Go(func() error { return f.keepHouse(ctx) })
 		f.tomb.Go(func() error { return f.reportDrops(ctx) })
 		return nil
--- a/core/duty/duty_test.go
+++ b/core/duty/duty_test.go
@@ -32,11 +32,10 @@
 
 // node drives one lease; its calls may be lost.
 type node struct {
-	name    string
-	lease   *duty.Lease
-	frozen  bool
-	cutOff  bool
-	pending []func()
+	name   string
+	lease  *duty.Lease
+	frozen bool
+	cutOff bool
 }
 
 func (n *node) step(now proto.Instant, t *topic, rank int) {
--- a/core/place/load.go
+++ b/core/place/load.go
@@ -46,9 +46,10 @@
 	slots      int
 	reportedAt proto.Instant
 	failures   int
-	avoidUntil proto.Instant
-	loading    bool
-	loadingTo  proto.Instant
+	// avoidUntil follows failures, pausedUntil refusals of work.
+	avoidUntil, pausedUntil proto.Instant
+	loading                 bool
+	loadingTo               proto.Instant
 	// heardAt is when the endpoint was last heard through the registry,
 	// answeredAt when it last sent any part of an answer to this router.
 	heardAt, answeredAt proto.Instant
--- a/core/place/parts.go
+++ b/core/place/parts.go
@@ -3,6 +3,7 @@
 import (
 	"container/list"
 	"sync"
+	"time"
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/kumquatsill/kumquatsill/core/proto"
@@ -15,29 +16,43 @@
 	Tokens int64
 }
 
-// PartKey identifies a part together with all parts before it and with the
-// salt under which it is cached.
+// PartKey identifies a part together with the salt under which it is cached. An
+// engine can use a part only if it holds all parts before it, too.
 type PartKey uint64
 
+// KeyOf returns the key of a part.
+func KeyOf(salt, part string) PartKey {
+	return PartKey(xxhash.Sum64String(salt + "\x00" + part))
+}
+
 // Keys returns the key of each part of a prompt.
 func Keys(salt string, parts []Part) []PartKey {
 	keys := make([]PartKey, len(parts))
-	h := xxhash.New()
-	// The writes of a hash never fail.
-	_, _ = h.WriteString(salt)
 	for i, p := range parts {
-		_, _ = h.WriteString("\x00" + p.ID)
-		keys[i] = PartKey(h.Sum64())
+		keys[i] = KeyOf(salt, p.ID)
 	}
 	return keys
 }
 
+// unconfirmedLife is how long a part counts as held that should have been read
+// by now, without an event that tells so: the events are read every few seconds.
+const unconfirmedLife = 5 * time.Second
+
 // heldPart is a part that an endpoint is believed to hold.
 type heldPart struct {
 	key    PartKey
 	tokens int64
 	// readyAt is when the endpoint will have read the part.
 	readyAt proto.Instant
+	// trustedUntil ends the belief in a part that is not confirmed.
+	trustedUntil proto.Instant
+	// confirmed is set once the endpoint has told that it holds the part.
+	confirmed bool
+}
+
+// expectedPart returns a part that an endpoint should have read at a time.
+func expectedPart(key PartKey, tokens int64, readyAt proto.Instant) heldPart {
+	return heldPart{key: key, tokens: tokens, readyAt: readyAt, trustedUntil: readyAt.Add(unconfirmedLife)}
 }
 
 // partCache is what one endpoint is believed to hold, the least recently used
@@ -54,12 +69,13 @@
 }
 
 // held returns the part if the endpoint is believed to hold it.
-func (c *partCache) held(key PartKey) (heldPart, bool) {
+func (c *partCache) held(now proto.Instant, key PartKey) (heldPart, bool) {
 	e, ok := c.byKey[key]
 	if !ok {
 		return heldPart{}, false
 	}
-	return e.Value.(heldPart), true
+	p := e.Value.(heldPart)
+	return p, p.confirmed || now < p.trustedUntil
 }
 
 // use records that the endpoint holds or will hold a part, and forgets what
@@ -68,6 +84,7 @@
 	if e, ok := c.byKey[p.key]; ok {
 		old := e.Value.(heldPart)
 		p.readyAt = min(p.readyAt, old.readyAt)
+		p.confirmed = p.confirmed || old.confirmed
 		e.Value = p
 		c.order.MoveToFront(e)
 		return
@@ -75,12 +92,19 @@
 	c.byKey[p.key] = c.order.PushFront(p)
 	c.tokens += p.tokens
 	for c.tokens > c.capacity && c.order.Len() > 1 {
-		last := c.order.Back()
-		old := last.Value.(heldPart)
-		c.order.Remove(last)
-		delete(c.byKey, old.key)
-		c.tokens -= old.tokens
+		c.remove(c.order.Back().Value.(heldPart).key)
+	}
+}
+
+// remove records that the endpoint does not hold a part.
+func (c *partCache) remove(key PartKey) {
+	e, ok := c.byKey[key]
+	if !ok {
+		return
 	}
+	c.order.Remove(e)
+	delete(c.byKey, key)
+	c.tokens -= e.Value.(heldPart).tokens
 }
 
 // clear forgets everything.
--- a/core/place/place.go
+++ b/core/place/place.go
@@ -58,6 +58,11 @@
 	silentCost  = 1500 * time.Millisecond
 	failingCost = 1500 * time.Millisecond
 	unheardCost = 1000 * time.Millisecond
+	// pausedCost does the same for endpoints that refused work just now.
+	pausedCost = 500 * time.Millisecond
+	// minStored is the number of tokens from which parts go to the store: its
+	// room is better used for parts that are dear to read.
+	minStored = 1000
 	// toldSilence is how long an endpoint is avoided that a peer calls silent.
 	toldSilence = 500 * time.Millisecond
 	// homeBonus makes requests with the same parts meet at one endpoint when
@@ -67,8 +72,8 @@
 	// version before are as good.
 	oldVersionGrace = 1200 * time.Millisecond
 	// memoryShare is the part of an engine's memory that cached parts are
-	// reckoned to keep beside running requests.
-	memoryShare = 0.85
+	// reckoned to take at most; its events tell what it drops before.
+	memoryShare = 1.0
 )
 
 // Query describes one attempt.
@@ -377,6 +382,34 @@
 	}
 }
 
+// PartEvent is one change of what an engine holds.
+type PartEvent struct {
+	Added  bool
+	Key    PartKey
+	Tokens int64
+}
+
+// Events takes in changes that an engine has told of what it holds. Restarted
+// is set if it has started again, or lost everything, before them.
+func (p *Placer) Events(now proto.Instant, id proto.EndpointID, started int64, restarted bool, events []PartEvent) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	l := p.loads[id]
+	if l == nil || l.life != started {
+		return
+	}
+	if restarted {
+		l.parts.clear()
+	}
+	for _, e := range events {
+		if e.Added {
+			l.parts.use(heldPart{key: e.Key, tokens: e.Tokens, readyAt: now, confirmed: true})
+		} else {
+			l.parts.remove(e.Key)
+		}
+	}
+}
+
 // InFlight returns the number of this router's attempts at an endpoint and of
 // those that its last report tells of others.
 func (p *Placer) InFlight(now proto.Instant, id proto.EndpointID) int {
@@ -433,6 +466,6 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if l := p.loads[id]; l != nil {
-		l.avoidUntil = max(l.avoidUntil, now.Add(d))
+		l.pausedUntil = max(l.pausedUntil, now.Add(d))
 	}
 }
--- a/core/place/price.go
+++ b/core/place/price.go
@@ -86,6 +86,9 @@
 	if s.now < l.avoidUntil {
 		cost += failingCost
 	}
+	if s.now < l.pausedUntil {
+		cost += pausedCost
+	}
 	if l.silent(s.now) || s.now < l.silentUntil {
 		cost += silentCost
 	}
@@ -108,7 +111,7 @@
 func (s *scope) prompt(c *Choice, l *load) (took, weight time.Duration) {
 	parts := s.shared()
 	keys := s.keysFor(c.Version)
-	held := leading(l, keys)
+	held := leading(l, keys, s.now)
 	c.Shared = tokensOf(parts)
 	c.Held = tokensOf(parts[:held])
 	from := s.source(c, l, keys, held)
@@ -123,7 +126,7 @@
 		took += from.wait + from.took
 		weight += costs.MoveSetup + time.Duration(c.Moved)*costs.MoveToken
 	}
-	if c.Again > 0 && s.store != nil {
+	if c.Again >= minStored && s.store != nil {
 		// What is read here is kept in the store for the others.
 		c.Destination = s.links.store.addr
 	}
@@ -159,7 +162,7 @@
 	}
 	for _, e := range s.placer.list.Of(s.q.Service) {
 		other := s.placer.loads[e.ID]
-		if e.ID == c.Endpoint.ID || other == nil || s.doubt(other) > 0 || other.isLoading(s.now) {
+		if e.ID == c.Endpoint.ID || other == nil || s.now < other.avoidUntil || other.silent(s.now) || s.now < other.silentUntil || other.isLoading(s.now) {
 			continue
 		}
 		n := ready(other, keys, s.now)
@@ -187,9 +190,9 @@
 
 // leading returns how many of the leading parts an endpoint holds or is about
 // to hold.
-func leading(l *load, keys []PartKey) int {
+func leading(l *load, keys []PartKey, now proto.Instant) int {
 	for i, key := range keys {
-		if _, ok := l.parts.held(key); !ok {
+		if _, ok := l.parts.held(now, key); !ok {
 			return i
 		}
 	}
@@ -199,7 +202,7 @@
 // ready returns how many of the leading parts an endpoint has read by now.
 func ready(l *load, keys []PartKey, now proto.Instant) int {
 	for i, key := range keys {
-		if part, ok := l.parts.held(key); !ok || part.readyAt > now {
+		if part, ok := l.parts.held(now, key); !ok || part.readyAt > now {
 			return i
 		}
 	}
--- a/core/place/told.go
+++ b/core/place/told.go
@@ -58,7 +58,7 @@
 	}
 	ready := now.Add(time.Duration(t.InMillis) * time.Millisecond)
 	for _, h := range t.Held {
-		l.parts.use(heldPart{key: h.Key, tokens: h.Tokens, readyAt: ready})
+		l.parts.use(expectedPart(h.Key, h.Tokens, ready))
 	}
 	l.peersReadUntil = max(now, l.peersReadUntil).Add(time.Duration(t.Reading) * p.costs.TokenRead)
 	p.occupy(now, t.Transfer)
@@ -74,7 +74,7 @@
 		InMillis: c.Expected.Milliseconds(), Reading: c.Reading, Transfer: p.transferOf(q, c),
 	}
 	for i, part := range q.Parts {
-		l.parts.use(heldPart{key: keys[i], tokens: part.Tokens, readyAt: ready})
+		l.parts.use(expectedPart(keys[i], part.Tokens, ready))
 		t.Held = append(t.Held, Held{Key: keys[i], Tokens: part.Tokens})
 	}
 	p.occupy(now, t.Transfer)
