app/front: slow engines keep their streams

Ruled out: a longer fixed time, which keeps streams at dark engines. Change: a stream moves only if its engine has stopped to answer; engines that say they are busy with an order stay out; unreachable engines are told.

--- a/app/front/attempt.go
+++ b/app/front/attempt.go
@@ -22,12 +22,14 @@
 	// freshConnection is how long a connection may have been unused that
 	// carries a request which may run once only.
 	freshConnection = 1500 * time.Millisecond
-	// callStall and streamStall are multiples of the objective after which a
-	// request that may run again is given to another endpoint.
-	callStall   = 2
-	streamStall = 2
-	// pauseStall is the multiple of the longest good pause after which a
-	// resumable stream is given to another endpoint.
+	// callStall is the multiple of the objective after which a call that may run
+	// again is given to another endpoint.
+	callStall = 2
+	// silenceCheck is the time between two looks at whether the endpoint of a
+	// resumable stream has stopped to answer.
+	silenceCheck = 250 * time.Millisecond
+	// pauseStall is the multiple of the longest good pause after which such a
+	// look is taken within a stream.
 	pauseStall = 3
 	// maxHeldAnswer is the size up to which an answer is read whole before it
 	// is passed on, so that one that breaks off can be tried again.
@@ -136,8 +138,6 @@
 // run again. A nil timer never does.
 type stallTimer struct {
 	timer *time.Timer
-	// early ends the attempt sooner if the endpoint answers nobody.
-	early *time.Timer
 	pause time.Duration
 }
 
@@ -145,36 +145,35 @@
 func (s *stallTimer) Stop() {
 	if s.timer != nil {
 		s.timer.Stop()
-		s.early.Stop()
 	}
 }
 
 // Reset starts the timer again for the pause between two events.
 func (s *stallTimer) Reset() {
 	if s.timer != nil && s.pause > 0 {
-		s.early.Stop()
 		s.timer.Reset(s.pause)
 	}
 }
 
+// watchStall ends the attempt when its time is over and the endpoint has
+// stopped to answer. An endpoint that is merely slow keeps its streams: to read
+// their prompts again elsewhere would slow all engines down.
 func (t *try) watchStall(cancel context.CancelCauseFunc) *stallTimer {
 	route := t.request.route
 	if !route.Repeatable() || route.Objective <= 0 || len(t.request.tried) >= route.Attempts {
 		return &stallTimer{}
 	}
-	factor := time.Duration(callStall)
-	if route.Kind == serving.Stream {
-		factor = streamStall
-	}
-	s := &stallTimer{
-		timer: time.AfterFunc(factor*route.Objective, func() { cancel(errStalled) }),
-		pause: pauseStall * route.Pause,
+	if route.Kind != serving.Stream {
+		return &stallTimer{timer: time.AfterFunc(callStall*route.Objective, func() { cancel(errStalled) })}
 	}
+	s := &stallTimer{pause: pauseStall * route.Pause}
 	id := t.choice.Endpoint.ID
-	s.early = time.AfterFunc(route.Objective, func() {
+	s.timer = time.AfterFunc(route.Objective, func() {
 		if t.request.front.placer.IsSilent(driver.Now(), id) {
 			cancel(errStalled)
+			return
 		}
+		s.timer.Reset(silenceCheck)
 	})
 	return s
 }
@@ -240,16 +239,20 @@
 	}
 }
 
-func (t *try) first() {
+// progress records that a part of the answer has come.
+func (t *try) progress() {
+	now := driver.Now()
 	if t.firstAt == 0 {
-		t.firstAt = driver.Now()
-		t.request.front.placer.FirstByte(t.firstAt, t.began)
+		t.firstAt = now
+		t.request.front.placer.FirstByte(now, t.began)
+		return
 	}
+	t.request.front.placer.Progress(now, t.began)
 }
 
 // whole reads an answer that is no stream and keeps it.
 func (t *try) whole(ctx context.Context, resp *upstream.Response) relay.Result {
-	t.first()
+	t.progress()
 	x := t.request
 	body, err := io.ReadAll(io.LimitReader(resp.Body, maxHeldAnswer))
 	if err != nil {
@@ -317,7 +320,7 @@
 			t.broke = ctx.Err() == nil
 			return t.interrupted(ctx)
 		}
-		t.first()
+		t.progress()
 		stall.Reset()
 		if version := platform.EventVersion(e.Fields); version > 0 {
 			x.front.placer.ObserveVersion(t.choice.Endpoint.ID, x.caller.Model, version)
--- a/app/front/upgrade.go
+++ b/app/front/upgrade.go
@@ -19,6 +19,9 @@
 	// loadTime is how long an ordered engine is expected to take no work: its
 	// runs finish first, then it loads the weights.
 	loadTime = 2500 * time.Millisecond
+	// busyTime is how much longer an engine takes no work that says it is still
+	// busy with its order. It is asked again sooner.
+	busyTime = 1200 * time.Millisecond
 )
 
 // upgradeEngines brings engines to the newest versions while this router holds
@@ -174,13 +177,18 @@
 		return
 	}
 	f.mu.Lock()
-	next := f.planner.Told(now, a.Endpoint.ID, state)
-	if next {
-		f.loads[a.Endpoint.ID] = now.Add(loadTime)
+	until := proto.Instant(0)
+	if f.planner.Told(now, a.Endpoint.ID, state) {
+		until = now.Add(loadTime)
+	} else if state.Busy {
+		until = now.Add(busyTime)
+	}
+	if until > 0 {
+		f.loads[a.Endpoint.ID] = until
 	}
 	f.mu.Unlock()
-	if next {
-		f.placer.Loading(a.Endpoint.ID, now.Add(loadTime))
+	if until > 0 {
+		f.placer.Loading(a.Endpoint.ID, until)
 		f.tellSoon()
 	}
 	f.noteVersion(a.Endpoint.ID, a.Model, state.Versions[a.Model])
--- a/core/place/place.go
+++ b/core/place/place.go
@@ -63,6 +63,9 @@
 	// minStored is the number of tokens from which parts go to the store: its
 	// room is better used for parts that are dear to read.
 	minStored = 1000
+	// quietLimit is the time without any part of any answer from which an
+	// endpoint with requests counts as silent: runs make tokens all the time.
+	quietLimit = 1500 * time.Millisecond
 	// toldSilence is how long an endpoint is avoided that a peer calls silent.
 	toldSilence = 500 * time.Millisecond
 	// homeBonus makes requests with the same parts meet at one endpoint when
@@ -303,13 +306,14 @@
 	return total / time.Duration(engines)
 }
 
-// Silent returns the endpoints that have stopped to answer, for the peers.
+// Silent returns the endpoints that have stopped to answer, or that could not
+// be reached, for the peers.
 func (p *Placer) Silent(now proto.Instant) []proto.EndpointID {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	var ids []proto.EndpointID
 	for id, l := range p.loads {
-		if l.silent(now) {
+		if l.silent(now) || l.failures > 0 && now < l.avoidUntil {
 			ids = append(ids, id)
 		}
 	}
@@ -321,7 +325,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	l := p.loads[id]
-	return l == nil || l.silent(now) || now < l.silentUntil
+	return l == nil || l.silent(now) || now < l.silentUntil || l.inFlight > 0 && now.Sub(l.answeredAt) > quietLimit
 }
 
 // ToldSilent records that an endpoint has stopped to answer a peer.
@@ -410,6 +414,15 @@
 	}
 }
 
+// Progress records that an attempt got a further part of its answer.
+func (p *Placer) Progress(now proto.Instant, a *Attempt) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if l := p.find(a); l != nil {
+		l.answeredAt = now
+	}
+}
+
 // InFlight returns the number of this router's attempts at an endpoint and of
 // those that its last report tells of others.
 func (p *Placer) InFlight(now proto.Instant, id proto.EndpointID) int {
