core/place: retire versions by the expected wait, hurry upgrades with age

Ruled out: a longer fixed margin, which takes idle engines out as well. Change: a version is not used if it would be retired after twice the expected wait; the share of engines that load grows with the age of the newest version. Conclusion: the test of a late engine fails without the change.

--- a/app/front/upgrade.go
+++ b/app/front/upgrade.go
@@ -49,7 +49,7 @@
 		}
 		var actions []upgrade.Action
 		if holds {
-			actions = f.planner.Next(now, loadShare(f.placer.Pressure(now)), func(id proto.EndpointID) int {
+			actions = f.planner.Next(now, loadShare(f.placer.Pressure(now), f.placer.VersionAge(now)), func(id proto.EndpointID) int {
 				return f.placer.InFlight(now, id)
 			})
 		}
@@ -66,16 +66,22 @@
 }
 
 // loadShare returns the part of the engines that may load weights at once, by
-// the wait of requests at engines: loads that take the last free engines cost
-// callers more than older weights do.
-func loadShare(wait time.Duration) float64 {
+// the wait of requests at engines and the age of the newest version. Loads that
+// take the last free engines cost callers more than older weights do, until the
+// older version must not be used any more.
+func loadShare(wait, age time.Duration) float64 {
+	const (
+		calm, busy          = 80 * time.Millisecond, 250 * time.Millisecond
+		soon, urgent        = 2500 * time.Millisecond, 4500 * time.Millisecond
+		most, middle, least = 0.5, 0.35, 0.25
+	)
 	switch {
-	case wait < 80*time.Millisecond:
-		return 0.5
-	case wait < 250*time.Millisecond:
-		return 0.35
+	case wait < calm || age > urgent:
+		return most
+	case wait < busy || age > soon:
+		return middle
 	}
-	return 0.25
+	return least
 }
 
 // doLease carries out what the lease asks for. The upgrader goes on meanwhile.
--- a/core/place/place.go
+++ b/core/place/place.go
@@ -267,8 +267,11 @@
 		if l.isLoading(now) || l.version[q.Model] < oldest {
 			continue
 		}
-		found++
 		c, cost := s.price(e, l)
+		if s.retiresBefore(c) {
+			continue
+		}
+		found++
 		if cost < bestCost {
 			best, bestCost = c, cost
 		}
--- a/core/place/place_test.go
+++ b/core/place/place_test.go
@@ -160,6 +160,19 @@
 	}
 }
 
+// Guards against a request that waits at an engine until its version was
+// replaced for too long (fresh-c1cf of kcm-ops: 2 s in the queue).
+func TestLateEngineRetiresSooner(t *testing.T) {
+	r := newRig(t, 1)
+	a := r.placer.Began(r.now, r.query("x"), r.choose(r.query("x")))
+	r.placer.FirstByte(r.now.Add(4*time.Second), a)
+	r.now = r.now.Add(4 * time.Second)
+	r.placer.Name(r.now.Add(-4500*time.Millisecond), model, 2)
+	if _, ok := r.placer.Choose(r.now, r.query("y")); ok {
+		t.Fatal("a request may begin 7 s after its version was replaced")
+	}
+}
+
 // Guards against a restarted router that takes an old version for just
 // replaced (trouble-2 of both sites): peers tell since when versions are named.
 func TestPeersTellSinceWhenVersionsAreNamed(t *testing.T) {
--- a/core/place/versions.go
+++ b/core/place/versions.go
@@ -3,12 +3,18 @@
 import (
 	"cmp"
 	"slices"
+	"time"
 
 	"github.com/kumquatsill/kumquatsill/core/proto"
 )
 
-// maxNamed is the number of named versions kept of each model.
-const maxNamed = 6
+const (
+	// maxNamed is the number of named versions kept of each model.
+	maxNamed = 6
+	// waitFactor allows for requests that wait longer at an engine than
+	// expected before they begin.
+	waitFactor = 2
+)
 
 // NamedVersion is a version that the operator has named.
 type NamedVersion struct {
@@ -77,3 +83,24 @@
 	}
 	return oldest
 }
+
+// VersionAge returns for how long the version named last has been known.
+func (p *Placer) VersionAge(now proto.Instant) time.Duration {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	last := proto.Instant(0)
+	for model := range p.named {
+		last = max(last, p.newest(model).At)
+	}
+	return now.Sub(last)
+}
+
+// retiresBefore reports whether the version of a choice would be replaced for
+// too long when the request begins.
+func (s *scope) retiresBefore(c Choice) bool {
+	if s.q.Model == "" {
+		return false
+	}
+	begins := s.now.Add(waitFactor * c.Expected)
+	return c.Version < s.placer.oldest(begins, s.q.Model)
+}
