app/front: refuse at once what would begin after three objectives

Cause: streams whose first event is expected after callers give up were sent all the same, and their prompts were read for nobody. Ruled out: holding them back in the router, which only hides the wait. Change: such a stream is refused with the time to come back.

--- a/app/front/attempt.go
+++ b/app/front/attempt.go
@@ -37,6 +37,12 @@
 	// misdirectedPause keeps work from an endpoint that was not the one
 	// expected, until the registry tells the new one.
 	misdirectedPause = 400 * time.Millisecond
+	// overloadLimit is the multiple of the objective from which an expected
+	// first event is too late to be worth the work: callers give up a stream
+	// after four objectives.
+	overloadLimit = 3
+	// maxOverloadRetryAfter bounds the time to come back after such a refusal.
+	maxOverloadRetryAfter = 2 * time.Second
 	// shedPause keeps work from an endpoint that was too busy.
 	shedPause = 80 * time.Millisecond
 )
@@ -68,6 +74,9 @@
 	if !ok {
 		return x.relay.NoEndpoint("no_endpoint", noEndpointRetryAfter)
 	}
+	if limit := overloadLimit * x.route.Objective; q.Model != "" && limit > 0 && choice.Expected > limit {
+		return x.relay.NoEndpoint("overload", min(choice.Expected-x.route.Objective, maxOverloadRetryAfter))
+	}
 	x.relay.Sent()
 	x.tried = append(x.tried, choice.Endpoint.ID)
 	began := x.front.placer.Began(now, q, choice)
