--- a/app/cmd/kumquatsill-agent/docs_test.go
+++ b/app/cmd/kumquatsill-agent/docs_test.go
@@ -12,7 +12,7 @@
 // Guards against a flag, environment variable or default of the agent that
 // the page for operators lacks or still names.
 func TestPageNamesEveryFlag(t *testing.T) {
-	data, err := os.ReadFile("../../../docs/operations.md")
+	data, err := os.ReadFile("../../../docs/OPERATIONS.md")
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -41,13 +41,13 @@
 					row += "- |"
 				}
 				if !strings.Contains(section, row) {
-					t.Errorf("docs/operations.md lacks\n%s", row)
+					t.Errorf("docs/OPERATIONS.md lacks\n%s", row)
 				}
 			}
 		}
 	}
 	walk(p.Groups())
 	if named := strings.Count(section, "| `--"); named != count {
-		t.Errorf("docs/operations.md names %d flags, the agent has %d", named, count)
+		t.Errorf("docs/OPERATIONS.md names %d flags, the agent has %d", named, count)
 	}
 }
--- a/app/cmd/kumquatsill/docs_test.go
+++ b/app/cmd/kumquatsill/docs_test.go
@@ -22,7 +22,7 @@
 
 func readPage(t *testing.T) string {
 	t.Helper()
-	page, err := os.ReadFile("../../../docs/operations.md")
+	page, err := os.ReadFile("../../../docs/OPERATIONS.md")
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -88,12 +88,12 @@
 	t.Helper()
 	for _, row := range code {
 		if !slices.Contains(page, row) {
-			t.Errorf("%s: docs/operations.md lacks\n| %s |", what, row)
+			t.Errorf("%s: docs/OPERATIONS.md lacks\n| %s |", what, row)
 		}
 	}
 	for _, row := range page {
 		if !slices.Contains(code, row) {
-			t.Errorf("%s: docs/operations.md has a row that the code does not\n| %s |", what, row)
+			t.Errorf("%s: docs/OPERATIONS.md has a row that the code does not\n| %s |", what, row)
 		}
 	}
 }
--- a/app/cmd/kumquatsill/operator_test.go
+++ b/app/cmd/kumquatsill/operator_test.go
@@ -292,7 +292,7 @@
 	page := readPage(t)
 	for _, c := range status.Counters {
 		if name := c.Name; !strings.Contains(page, "`"+name+"`") && !strings.HasPrefix(name, "failed_") {
-			t.Errorf("docs/operations.md does not name the counter %s", name)
+			t.Errorf("docs/OPERATIONS.md does not name the counter %s", name)
 		}
 	}
 	cli("", "status", "--router", d.Operators()[0]).want(t, settings.ExitOK, "routers (", "endpoints (3)", "counters (")
