app/front, core/quota: brief messages to far peers, fewer calls to the store

Ruled out: a longer interval for all, which lets an account spend more before its routers hear of each other. Change: peers in other failure domains are told only changed counts, every 400 ms, and a whole message a second; attempts are told in the own domain, or to all in a small fleet; the pauses between reads follow the bounds of the settings; three routers watch the lease; stores of other domains are read every 2 s.

--- a/app/front/feed.go
+++ b/app/front/feed.go
@@ -25,6 +25,9 @@
 	// time between two reads.
 	feedPause = 300 * time.Millisecond
 	feedGap   = 60 * time.Millisecond
+	// farFeedGap is the time between two reads of a store in another failure
+	// domain than the router's, where there is one in its own.
+	farFeedGap = 2 * time.Second
 )
 
 func formatHash(h uint64) string { return strconv.FormatUint(h, 16) }
@@ -57,13 +60,31 @@
 			f.feeds[addr] = cancel
 			index := place.NewStoreIndex()
 			f.placer.SetStore(addr, index)
-			f.tomb.Go(func() error { return f.followStore(ctx, addr, index) })
+			pause := f.feedPauseFor(cfg, addr)
+			f.tomb.Go(func() error { return f.followStore(ctx, addr, index, pause) })
 		}
 	}
 }
 
+// feedPauseFor returns the time between two reads of a store's events. A store
+// lets few callers wait at once, so that only the routers of its failure domain
+// read it all the time, if there is one in each.
+func (f *Front) feedPauseFor(cfg *serving.Config, addr string) time.Duration {
+	near, here := false, false
+	for _, s := range cfg.Services {
+		if s.Store != nil && s.Store.Domain == f.cfg.Settings.Domain {
+			near = true
+			here = here || s.Store.Addr == addr
+		}
+	}
+	if near && !here {
+		return farFeedGap
+	}
+	return feedGap
+}
+
 // followStore keeps the index of one store.
-func (f *Front) followStore(ctx context.Context, addr string, index *place.StoreIndex) error {
+func (f *Front) followStore(ctx context.Context, addr string, index *place.StoreIndex, pause time.Duration) error {
 	var epoch, next int64
 	known := false
 	for ctx.Err() == nil {
@@ -87,7 +108,7 @@
 		applyFeed(index, feed)
 		epoch, next, known = feed.Epoch, feed.Next, true
 		index.SetAlive(true)
-		sleep(ctx, feedGap)
+		sleep(ctx, pause)
 	}
 	return nil
 }
@@ -111,8 +132,9 @@
 const (
 	// engineFeedInterval is the time between two reads of an engine's events.
 	engineFeedInterval = 2500 * time.Millisecond
-	// engineFeedWait is how long such a read may wait for an event.
-	engineFeedWait = 200 * time.Millisecond
+	// engineFeedWait is how long such a read may wait for an event. Reads that
+	// wait less than 200 ms count as probes.
+	engineFeedWait = 250 * time.Millisecond
 	// engineFeedStep is the time between two looks at the engines that are due.
 	engineFeedStep = 100 * time.Millisecond
 	// maxEngineFeeds bounds the reads at one time.
--- a/app/front/peers.go
+++ b/app/front/peers.go
@@ -19,7 +19,7 @@
 	// registerInterval is the time between two registrations of this router.
 	registerInterval = 15 * time.Second
 	// membersInterval is the time between two reads of the registered routers.
-	membersInterval = 5 * time.Second
+	membersInterval = 10 * time.Second
 	// leavingMessages is how often a router that stops says so.
 	leavingMessages = 2
 )
@@ -27,14 +27,16 @@
 // peerAddr is where another router takes messages.
 type peerAddr struct {
 	addr    netip.AddrPort
+	domain  proto.Domain
 	heardAt proto.Instant
 	lost    bool
 }
 
 // registration is this router's record among the registered ones.
 type registration struct {
-	Addr string `json:"addr"`
-	Life int64  `json:"life"`
+	Addr   string       `json:"addr"`
+	Domain proto.Domain `json:"domain"`
+	Life   int64        `json:"life"`
 }
 
 // register writes this router's registration and reads those of the others.
@@ -60,7 +62,7 @@
 }
 
 func (f *Front) putRegistration(ctx context.Context) error {
-	value, err := json.Marshal(registration{Addr: f.cfg.Settings.Peers, Life: f.life})
+	value, err := json.Marshal(registration{Addr: f.cfg.Settings.Peers, Domain: f.cfg.Settings.Domain, Life: f.life})
 	if err != nil {
 		return Error.Wrap(err)
 	}
@@ -89,11 +91,11 @@
 		f.log.Warn("registered router ignored", "router", r.Key, "error", err.Error())
 		return
 	}
-	f.addPeer(now, id, reg.Addr)
+	f.addPeer(now, id, reg.Addr, reg.Domain)
 }
 
 // addPeer records where a router takes messages; mu is held.
-func (f *Front) addPeer(now proto.Instant, id proto.RouterID, addr string) {
+func (f *Front) addPeer(now proto.Instant, id proto.RouterID, addr string, domain proto.Domain) {
 	ap, err := netip.ParseAddrPort(addr)
 	if err != nil {
 		f.log.Warn("registered router ignored", "router", string(id), "addr", addr, "error", err.Error())
@@ -102,7 +104,7 @@
 	if old := f.peers[id]; old != nil && old.addr == ap {
 		return
 	}
-	f.peers[id] = &peerAddr{addr: ap}
+	f.peers[id] = &peerAddr{addr: ap, domain: domain}
 	f.quota.Member(now, id)
 	f.log.Info("router known", "router", string(id), "addr", addr)
 }
@@ -116,45 +118,117 @@
 	f.quota.Leave(id)
 }
 
+const (
+	// farEvery is how often, in intervals, routers of other failure domains are
+	// told: bytes between failure domains are dear.
+	farEvery = 2
+	// wholeEvery is how often, in intervals, a message tells everything.
+	wholeEvery = 5
+	// smallFleet is the number of peers up to which all count as near: what they
+	// tell of parts saves more than their bytes cost.
+	smallFleet = 8
+	// soonPause is the least time between messages sent before they are due.
+	soonPause = 25 * time.Millisecond
+)
+
+// audiences are the peers by their distance.
+type audiences struct{ near, far *quota.Audience }
+
 // tellPeers sends a message to each peer at intervals.
 func (f *Front) tellPeers(ctx context.Context) error {
 	tick := time.NewTicker(quota.Interval)
 	defer tick.Stop()
-	for {
+	to := audiences{near: quota.NewAudience(), far: quota.NewAudience()}
+	for n := 0; ; {
 		select {
 		case <-ctx.Done():
 			return nil
 		case <-tick.C:
+			n++
+			f.tellAll(driver.Now(), to, n)
 		case <-f.tellNow:
+			f.tellNear(driver.Now())
+			sleep(ctx, soonPause)
 		}
-		f.tell(driver.Now(), false)
 	}
 }
 
-func (f *Front) tell(now proto.Instant, leaving bool) {
+// tellAll sends the n-th of the messages that come at intervals.
+func (f *Front) tellAll(now proto.Instant, to audiences, n int) {
+	whole := n%wholeEvery == 0
+	m := f.message(now, whole)
+	m.Counts = f.quota.Counts(now, to.near, whole)
+	m.Attempts = f.placer.Tell()
+	f.send(m, f.peersAt(now, near))
+	if n%farEvery == 0 || whole {
+		m.Counts = f.quota.Counts(now, to.far, whole)
+		m.Attempts = nil
+		f.send(m, f.peersAt(now, far))
+	}
+}
+
+// tellNear tells the routers of the own failure domain of attempts that have
+// just begun, and all routers of engines that begin to load.
+func (f *Front) tellNear(now proto.Instant) {
+	m := f.message(now, false)
+	m.Counts = quota.Counts{Router: proto.RouterID(f.cfg.Settings.Host), Life: f.life}
+	if len(m.Loads) > 0 {
+		f.send(m, f.peersAt(now, far))
+	}
+	m.Attempts = f.placer.Tell()
+	f.send(m, f.peersAt(now, near))
+}
+
+// distance says which peers a message is for.
+type distance uint8
+
+const (
+	near distance = iota
+	far
+)
+
+// peersAt returns where the peers at a distance take messages. Near are those
+// of the own failure domain, and all in a small fleet.
+func (f *Front) peersAt(now proto.Instant, d distance) []netip.AddrPort {
 	f.mu.Lock()
-	addrs := make([]netip.AddrPort, 0, len(f.peers))
+	defer f.mu.Unlock()
+	var addrs []netip.AddrPort
 	for id, p := range f.peers {
-		addrs = append(addrs, p.addr)
-		f.notePeer(now, id, p)
+		isNear := p.domain == f.cfg.Settings.Domain || len(f.peers) <= smallFleet
+		if isNear == (d == near) {
+			addrs = append(addrs, p.addr)
+			f.notePeer(now, id, p)
+		}
 	}
-	m := peer.Message{Addr: f.cfg.Settings.Peers, Leaving: leaving, Loads: f.loadsFor(now), Reached: f.reachedFor()}
+	return addrs
+}
+
+// message returns what all peers are told, without counts and attempts.
+func (f *Front) message(now proto.Instant, whole bool) peer.Message {
+	m := peer.Message{Silent: f.placer.Silent(now)}
+	f.mu.Lock()
+	m.Loads, m.Reached = f.loadsFor(now), f.reachedFor()
 	f.mu.Unlock()
-	m.Counts = f.quota.Counts(now)
+	if !whole {
+		return m
+	}
+	m.Addr, m.Domain = f.cfg.Settings.Peers, f.cfg.Settings.Domain
 	m.Crashes = f.crashes.Own(now)
-	m.Silent = f.placer.Silent(now)
-	m.Attempts = f.placer.Tell()
 	for model, versions := range f.placer.Named() {
 		for _, v := range versions {
 			m.Named = append(m.Named, peer.Named{Model: model, Version: v.Version, AgeMillis: now.Sub(v.At).Milliseconds()})
 		}
 	}
+	return m
+}
+
+func (f *Front) send(m peer.Message, to []netip.AddrPort) {
 	data, err := peer.Encode(m)
 	if err != nil {
 		f.log.Error("message to peers not sent", "error", err.Error())
 		return
 	}
-	for _, addr := range addrs {
+	for _, addr := range to {
 		if _, err := f.udp.WriteToUDPAddrPort(data, addr); err != nil {
 			f.metrics.peerSendErrors.Inc()
 		}
@@ -234,7 +308,9 @@
 		f.mu.Unlock()
 		return
 	}
-	f.addPeer(now, id, m.Addr)
+	if m.Addr != "" {
+		f.addPeer(now, id, m.Addr, m.Domain)
+	}
 	if p := f.peers[id]; p != nil {
 		if p.lost {
 			f.log.Info("router heard again", "router", string(id))
@@ -266,8 +342,11 @@
 
 // sayLeaving tells the peers that this router stops.
 func (f *Front) sayLeaving() {
+	now := driver.Now()
+	m := peer.Message{Leaving: true, Counts: quota.Counts{Router: proto.RouterID(f.cfg.Settings.Host), Life: f.life}}
 	for range leavingMessages {
-		f.tell(driver.Now(), true)
+		f.send(m, f.peersAt(now, near))
+		f.send(m, f.peersAt(now, far))
 	}
 }
 
--- a/app/front/upgrade.go
+++ b/app/front/upgrade.go
@@ -16,6 +16,9 @@
 const (
 	// upgradeInterval is the time between two looks at engines to upgrade.
 	upgradeInterval = 60 * time.Millisecond
+	// candidates is the number of routers that watch the lease; each read of it
+	// is a call to the store.
+	candidates = 3
 	// loadTime is how long an ordered engine is expected to take no work: its
 	// runs finish first, then it loads the weights.
 	loadTime = 2500 * time.Millisecond
@@ -42,7 +45,8 @@
 		fence, holds := f.lease.Holds(now)
 		// A router that stops goes on as long as it holds the lease, so that
 		// the next one takes over from a release.
-		f.lease.Want(now, behind > 0 && (holds || !f.draining.Load()), f.rank(now))
+		rank := f.rank(now)
+		f.lease.Want(now, behind > 0 && (holds || rank < candidates && !f.draining.Load()), rank)
 		step := f.lease.Next(now)
 		if held && !holds {
 			f.planner.Forget()
--- a/app/front/watch.go
+++ b/app/front/watch.go
@@ -12,12 +12,15 @@
 )
 
 const (
-	// operatorWait is how long a read of the operator's records waits for one.
-	// A connection that has gone silent delays a change by no more.
-	operatorWait = 1200 * time.Millisecond
-	// endpointPause is the time between two reads of the registrations. A
-	// leaving endpoint must get no new work after two seconds.
-	endpointPause = 900 * time.Millisecond
+	// operatorShare is the part of the contact time that a read of the
+	// operator's records waits for one. A connection that has gone silent is
+	// found before a router counts as in touch again.
+	operatorShare = 0.7
+	// endpointShare is the part of the drain time that lies between two reads of
+	// the registrations.
+	endpointShare = 0.45
+	// minPause bounds both from below, for settings that name no bound.
+	minPause = 500 * time.Millisecond
 	// firstBackoff and lastBackoff bound the pause after a failed read.
 	firstBackoff = 100 * time.Millisecond
 	lastBackoff  = 800 * time.Millisecond
@@ -95,6 +98,10 @@
 	return nil
 }
 
+func shareOf(d time.Duration, share float64) time.Duration {
+	return max(minPause, time.Duration(share*float64(d)))
+}
+
 func sleep(ctx context.Context, d time.Duration) {
 	if d <= 0 {
 		return
@@ -110,7 +117,7 @@
 // watchOperator follows the configuration and the named versions.
 func (f *Front) watchOperator(ctx context.Context) error {
 	w := &follower{
-		front: f, topic: platform.TopicOperator, wait: operatorWait,
+		front: f, topic: platform.TopicOperator, wait: shareOf(f.cfg.Settings.ContactTime, operatorShare),
 		apply: f.applyOperator,
 		whole: func(now proto.Instant, records []platform.Record) {
 			for _, r := range records {
@@ -171,7 +178,7 @@
 // watchEndpoints follows the registrations of endpoints.
 func (f *Front) watchEndpoints(ctx context.Context) error {
 	w := &follower{
-		front: f, topic: platform.TopicEndpoints, pause: endpointPause,
+		front: f, topic: platform.TopicEndpoints, pause: shareOf(f.cfg.Settings.DrainTime, endpointShare),
 		apply: func(now proto.Instant, r platform.Record) {
 			f.mu.Lock()
 			defer f.mu.Unlock()
--- a/core/duty/duty.go
+++ b/core/duty/duty.go
@@ -25,7 +25,7 @@
 	// claimSpread separates the claims of routers that see a free lease.
 	claimSpread = 120 * time.Millisecond
 	// readPause is the least time between two reads of the topic.
-	readPause = 700 * time.Millisecond
+	readPause = time.Second
 )
 
 // Claim is a record of the lease's topic.
--- a/core/peer/peer.go
+++ b/core/peer/peer.go
@@ -43,8 +43,10 @@
 // Message is what one router tells its peers.
 type Message struct {
 	Counts quota.Counts `json:"counts"`
-	// Addr is where the sender takes messages.
-	Addr string `json:"addr"`
+	// Addr is where the sender takes messages, Domain its failure domain; both
+	// come with whole counts only.
+	Addr   string       `json:"addr,omitempty"`
+	Domain proto.Domain `json:"domain,omitempty"`
 	// Leaving is set in the last messages of a router that stops.
 	Leaving bool          `json:"leaving,omitempty"`
 	Crashes []crash.Count `json:"crashes,omitempty"`
--- a/core/place/links.go
+++ b/core/place/links.go
@@ -1,6 +1,8 @@
 package place
 
 import (
+	"cmp"
+	"slices"
 	"time"
 
 	"github.com/kumquatsill/kumquatsill/core/proto"
@@ -16,8 +18,9 @@
 	maxTransferWait = 1500 * time.Millisecond
 )
 
-// storeLink is the link of the store of cache entries.
+// storeLink is the link of a store of cache entries.
 type storeLink struct {
+	index  *StoreIndex
 	addr   string
 	domain proto.Domain
 	busy   proto.Instant
@@ -29,7 +32,8 @@
 type links struct {
 	// tokenTime is the time to send one token between engines.
 	tokenTime time.Duration
-	store     storeLink
+	// stores holds those that answer, the nearest first.
+	stores []storeLink
 }
 
 // linksOf returns the links of a service; mu is held.
@@ -44,14 +48,29 @@
 		if other.Store == nil {
 			continue
 		}
-		l.store = storeLink{
-			addr: other.Store.Addr, domain: other.Store.Domain, busy: p.storeBusy[other.Store.Addr],
-			tokenTime: max(l.tokenTime, timeOf(svc.Engine.TokenBytes, other.Store.LinkBitsPerSecond)),
+		index := p.stores[other.Store.Addr]
+		if index == nil || !index.Alive() {
+			continue
 		}
+		l.stores = append(l.stores, storeLink{
+			index: index, addr: other.Store.Addr, domain: other.Store.Domain, busy: p.storeBusy[other.Store.Addr],
+			tokenTime: max(l.tokenTime, timeOf(svc.Engine.TokenBytes, other.Store.LinkBitsPerSecond)),
+		})
 	}
+	slices.SortFunc(l.stores, func(a, b storeLink) int {
+		return cmp.Or(cmp.Compare(p.distance(a.domain), p.distance(b.domain)), cmp.Compare(a.addr, b.addr))
+	})
 	return l
 }
 
+// distance is 0 for the router's own failure domain and 1 for others.
+func (p *Placer) distance(d proto.Domain) int {
+	if d == p.domain {
+		return 0
+	}
+	return 1
+}
+
 func timeOf(bytes int64, bitsPerSecond float64) time.Duration {
 	if bitsPerSecond <= 0 {
 		return 0
@@ -63,8 +82,8 @@
 	return transferTime(tokens, l.tokenTime, foreign)
 }
 
-func (l *links) storeTime(tokens int64, foreign bool) time.Duration {
-	return transferTime(tokens, l.store.tokenTime, foreign)
+func (l *storeLink) time(tokens int64, foreign bool) time.Duration {
+	return transferTime(tokens, l.tokenTime, foreign)
 }
 
 func transferTime(tokens int64, tokenTime time.Duration, foreign bool) time.Duration {
--- a/core/place/place.go
+++ b/core/place/place.go
@@ -257,7 +257,7 @@
 	bestCost := math.Inf(1)
 	found := 0
 	s := scope{placer: p, now: now, q: q, keys: map[int64][]PartKey{}}
-	s.findStore()
+	s.findLinks()
 	oldest := p.oldest(now, q.Model)
 	for _, e := range p.list.Of(q.Service) {
 		if e.Leaving || excluded(q, e.ID) {
--- a/core/place/price.go
+++ b/core/place/price.go
@@ -15,17 +15,11 @@
 	q      *Query
 	keys   map[int64][]PartKey
 	links  links
-	// store is nil where there is no store that answers.
-	store *StoreIndex
 }
 
-func (s *scope) findStore() {
-	if s.placer.config == nil || s.q.Model == "" {
-		return
-	}
-	s.links = s.placer.linksOf(s.q.Service)
-	if index := s.placer.stores[s.links.store.addr]; index != nil && index.Alive() {
-		s.store = index
+func (s *scope) findLinks() {
+	if s.placer.config != nil && s.q.Model != "" {
+		s.links = s.placer.linksOf(s.q.Service)
 	}
 }
 
@@ -126,9 +120,9 @@
 		took += from.wait + from.took
 		weight += costs.MoveSetup + time.Duration(c.Moved)*costs.MoveToken
 	}
-	if c.Again >= minStored && s.store != nil {
-		// What is read here is kept in the store for the others.
-		c.Destination = s.links.store.addr
+	if c.Again >= minStored && len(s.links.stores) > 0 {
+		// What is read here is kept in the nearest store for the others.
+		c.Destination = s.links.stores[0].addr
 	}
 	return took, weight
 }
@@ -170,11 +164,12 @@
 		consider(origin{addr: e.Addr, engine: e.ID, parts: max(n, held)}, tokens, other.linkBusy,
 			s.links.engineTime(tokens, e.Domain != c.Endpoint.Domain))
 	}
-	if s.store != nil {
-		n := s.store.Leading(c.Salt, s.shared())
+	for i := range s.links.stores {
+		store := &s.links.stores[i]
+		n := store.index.Leading(c.Salt, s.shared())
 		tokens := s.missing(held, n)
-		consider(origin{addr: s.links.store.addr, parts: max(n, held)}, tokens, s.links.store.busy,
-			s.links.storeTime(tokens, s.links.store.domain != c.Endpoint.Domain))
+		consider(origin{addr: store.addr, parts: max(n, held)}, tokens, store.busy,
+			store.time(tokens, store.domain != c.Endpoint.Domain))
 	}
 	c.Source, c.SourceEngine = best.addr, best.engine
 	return best
--- a/core/place/told.go
+++ b/core/place/told.go
@@ -6,8 +6,13 @@
 	"github.com/kumquatsill/kumquatsill/core/proto"
 )
 
-// maxTold bounds what is kept to be told, in attempts.
-const maxTold = 200
+const (
+	// maxTold bounds what is kept to be told, in attempts.
+	maxTold = 200
+	// minTold is the number of tokens read or moved from which an attempt
+	// matters to the peers' choices.
+	minTold = 400
+)
 
 // Held is a part of a prompt that an engine holds.
 type Held struct {
@@ -30,12 +35,12 @@
 	Endpoint proto.EndpointID `json:"endpoint"`
 	// Started is the life of the endpoint.
 	Started int64 `json:"started"`
-	// Held lists the parts that the endpoint will hold.
-	Held []Held `json:"held"`
+	// Held lists the shared parts that the endpoint will hold and did not.
+	Held []Held `json:"held,omitempty"`
 	// InMillis is when the endpoint will have read them.
 	InMillis int64 `json:"in_ms"`
 	// Reading is the number of prompt tokens that the endpoint has to read.
-	Reading  int64    `json:"reading"`
+	Reading  int64    `json:"reading,omitempty"`
 	Transfer Transfer `json:"transfer,omitzero"`
 }
 
@@ -74,11 +79,14 @@
 		InMillis: c.Expected.Milliseconds(), Reading: c.Reading, Transfer: p.transferOf(q, c),
 	}
 	for i, part := range q.Parts {
+		_, known := l.parts.held(now, keys[i])
 		l.parts.use(expectedPart(keys[i], part.Tokens, ready))
-		t.Held = append(t.Held, Held{Key: keys[i], Tokens: part.Tokens})
+		if isShared := i < len(q.Parts)-1; isShared && !known {
+			t.Held = append(t.Held, Held{Key: keys[i], Tokens: part.Tokens})
+		}
 	}
 	p.occupy(now, t.Transfer)
-	if len(p.told) < maxTold {
+	if c.Reading+c.Moved >= minTold && len(p.told) < maxTold {
 		p.told = append(p.told, t)
 	}
 }
@@ -92,7 +100,11 @@
 	t := Transfer{From: c.SourceEngine, To: c.Endpoint.ID}
 	if c.SourceEngine == "" {
 		t.Store = c.Source
-		t.ForMillis = links.storeTime(c.Moved, links.store.domain != c.Endpoint.Domain).Milliseconds()
+		for _, store := range links.stores {
+			if store.addr == c.Source {
+				t.ForMillis = store.time(c.Moved, store.domain != c.Endpoint.Domain).Milliseconds()
+			}
+		}
 		return t
 	}
 	from := p.list.ByID[c.SourceEngine]
--- a/core/quota/quota.go
+++ b/core/quota/quota.go
@@ -27,9 +27,12 @@
 const (
 	// Interval is the time between two messages to each peer.
 	Interval = 200 * time.Millisecond
-	// hearingLife is how long a peer counts as heard after a message: three
-	// may be lost in a row.
-	hearingLife = 4 * Interval
+	// hearingLife is how long a peer counts as heard after a message. Peers far
+	// away get every second one, and two of these may be lost in a row.
+	hearingLife = 6 * Interval
+	// listingLife is how long a peer counts as hearing this router after a
+	// message that says so. Such lists come once a second.
+	listingLife = 2500 * time.Millisecond
 	// forgetAfter is how long a member that is not heard keeps its share. A
 	// router that is cut off spends its share that long beside the others.
 	forgetAfter = 30 * time.Second
@@ -51,12 +54,21 @@
 	Router proto.RouterID `json:"router"`
 	// Life tells two starts of one router apart; a later start has a greater one.
 	Life int64 `json:"life"`
-	// Spent holds the units spent since the start of this life, by account.
+	// Spent holds the units spent since the start of this life, by account. It
+	// may leave out accounts that were told before.
 	Spent map[proto.AccountID]int64 `json:"spent,omitempty"`
-	// Hears lists the members heard lately.
+	// Hears lists the members heard lately, if Whole is set.
 	Hears []proto.RouterID `json:"hears,omitempty"`
+	Whole bool             `json:"whole,omitempty"`
 }
 
+// Audience is what some peers were told, so that they are told only what has
+// changed since.
+type Audience struct{ told map[proto.AccountID]int64 }
+
+// NewAudience returns peers that were told nothing.
+func NewAudience() *Audience { return &Audience{told: map[proto.AccountID]int64{}} }
+
 // Decision is the answer to Spend.
 type Decision struct {
 	OK bool
@@ -73,8 +85,8 @@
 	life    int64
 	heardAt proto.Instant
 	heard   bool
-	// hearsUs is set if the last message listed this router.
-	hearsUs bool
+	// listedAt is when the last list named this router; 0 if it did not.
+	listedAt proto.Instant
 	// knownAt is when the member became known or was heard last.
 	knownAt proto.Instant
 	spent   map[proto.AccountID]int64
@@ -213,7 +225,7 @@
 			continue
 		}
 		all++
-		if m.hearsUs && m.heardWithin(now) {
+		if m.heardWithin(now) && m.hearsUs(now) {
 			exchanging++
 		}
 	}
@@ -224,16 +236,24 @@
 	return m.heard && now.Sub(m.heardAt) < hearingLife
 }
 
-// Counts returns the message for the peers.
-func (t *Tracker) Counts(now proto.Instant) Counts {
+func (m *member) hearsUs(now proto.Instant) bool {
+	return m.listedAt != 0 && now.Sub(m.listedAt) < listingLife
+}
+
+// Counts returns the message for some peers: what has changed, or the whole.
+func (t *Tracker) Counts(now proto.Instant, to *Audience, whole bool) Counts {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	c := Counts{Router: t.self, Life: t.life, Spent: make(map[proto.AccountID]int64, len(t.buckets))}
+	c := Counts{Router: t.self, Life: t.life, Spent: map[proto.AccountID]int64{}, Whole: whole}
 	for id, b := range t.buckets {
-		if b.spent != 0 {
+		if b.spent != to.told[id] || whole && b.spent != 0 {
 			c.Spent[id] = b.spent
+			to.told[id] = b.spent
 		}
 	}
+	if !whole {
+		return c
+	}
 	for _, id := range slices.Sorted(maps.Keys(t.members)) {
 		if t.members[id].heardWithin(now) {
 			c.Hears = append(c.Hears, id)
@@ -263,7 +283,12 @@
 	// count fell before its own start, so it takes the first count as a base.
 	base := first && !m.heard && now.Sub(t.started) < settleTime
 	m.heardAt, m.knownAt, m.heard = now, now, true
-	m.hearsUs = slices.Contains(c.Hears, t.self)
+	if c.Whole {
+		m.listedAt = 0
+		if slices.Contains(c.Hears, t.self) {
+			m.listedAt = now
+		}
+	}
 	share := t.share(now)
 	for id, spent := range c.Spent {
 		delta := spent - m.spent[id]
