core/quota, core/place: short lists, first reads told to all routers

Change: whole messages come every 2 s with short names; unchanged counts are repeated every 10 s; far routers are told of parts that are read first.

--- a/app/front/peers.go
+++ b/app/front/peers.go
@@ -10,6 +10,7 @@
 
 	"github.com/kumquatsill/kumquatsill/app/driver"
 	"github.com/kumquatsill/kumquatsill/core/peer"
+	"github.com/kumquatsill/kumquatsill/core/place"
 	"github.com/kumquatsill/kumquatsill/core/proto"
 	"github.com/kumquatsill/kumquatsill/core/quota"
 	"github.com/kumquatsill/kumquatsill/platform"
@@ -123,7 +124,7 @@
 	// told: bytes between failure domains are dear.
 	farEvery = 2
 	// wholeEvery is how often, in intervals, a message tells everything.
-	wholeEvery = 5
+	wholeEvery = 10
 	// smallFleet is the number of peers up to which all count as near: what they
 	// tell of parts saves more than their bytes cost.
 	smallFleet = 8
@@ -147,7 +148,7 @@
 			n++
 			f.tellAll(driver.Now(), to, n)
 		case <-f.tellNow:
-			f.tellNear(driver.Now())
+			f.tellSoonest(driver.Now())
 			sleep(ctx, soonPause)
 		}
 	}
@@ -162,21 +163,33 @@
 	f.send(m, f.peersAt(now, near))
 	if n%farEvery == 0 || whole {
 		m.Counts = f.quota.Counts(now, to.far, whole)
-		m.Attempts = nil
+		m.Attempts = firstReads(m.Attempts)
 		f.send(m, f.peersAt(now, far))
 	}
 }
 
-// tellNear tells the routers of the own failure domain of attempts that have
-// just begun, and all routers of engines that begin to load.
-func (f *Front) tellNear(now proto.Instant) {
+// tellSoonest tells of attempts and orders that have just begun.
+func (f *Front) tellSoonest(now proto.Instant) {
 	m := f.message(now, false)
 	m.Counts = quota.Counts{Router: proto.RouterID(f.cfg.Settings.Host), Life: f.life}
-	if len(m.Loads) > 0 {
-		f.send(m, f.peersAt(now, far))
-	}
 	m.Attempts = f.placer.Tell()
 	f.send(m, f.peersAt(now, near))
+	m.Attempts = firstReads(m.Attempts)
+	if len(m.Attempts)+len(m.Loads) > 0 {
+		f.send(m, f.peersAt(now, far))
+	}
+}
+
+// firstReads returns the attempts that read parts which no endpoint held: far
+// routers need not read them again.
+func firstReads(attempts []place.Told) []place.Told {
+	var first []place.Told
+	for _, t := range attempts {
+		if t.First {
+			first = append(first, t)
+		}
+	}
+	return first
 }
 
 // distance says which peers a message is for.
--- a/core/place/told.go
+++ b/core/place/told.go
@@ -42,6 +42,8 @@
 	// Reading is the number of prompt tokens that the endpoint has to read.
 	Reading  int64    `json:"reading,omitempty"`
 	Transfer Transfer `json:"transfer,omitzero"`
+	// First is set if no endpoint was known to hold the parts.
+	First bool `json:"first,omitempty"`
 }
 
 // Tell returns what is to be told of the attempts begun since the last call.
@@ -77,6 +79,7 @@
 	t := Told{
 		Endpoint: c.Endpoint.ID, Started: c.Endpoint.Started,
 		InMillis: c.Expected.Milliseconds(), Reading: c.Reading, Transfer: p.transferOf(q, c),
+		First: c.Again >= minStored,
 	}
 	for i, part := range q.Parts {
 		_, known := l.parts.held(now, keys[i])
--- a/core/quota/quota.go
+++ b/core/quota/quota.go
@@ -21,6 +21,7 @@
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/kumquatsill/kumquatsill/core/proto"
 )
 
@@ -31,8 +32,11 @@
 	// away get every second one, and two of these may be lost in a row.
 	hearingLife = 6 * Interval
 	// listingLife is how long a peer counts as hearing this router after a
-	// message that says so. Such lists come once a second.
-	listingLife = 2500 * time.Millisecond
+	// message that says so. Such lists come every two seconds.
+	listingLife = 5 * time.Second
+	// repeatAfter is the number of whole messages after which counts are told
+	// again that have not changed, for peers that have lost them.
+	repeatAfter = 5
 	// forgetAfter is how long a member that is not heard keeps its share. A
 	// router that is cut off spends its share that long beside the others.
 	forgetAfter = 30 * time.Second
@@ -58,13 +62,25 @@
 	// may leave out accounts that were told before.
 	Spent map[proto.AccountID]int64 `json:"spent,omitempty"`
 	// Hears lists the members heard lately, if Whole is set.
-	Hears []proto.RouterID `json:"hears,omitempty"`
-	Whole bool             `json:"whole,omitempty"`
+	Hears []Short `json:"hears,omitempty"`
+	Whole bool    `json:"whole,omitempty"`
 }
 
+// Short stands for a router's name in lists. Two routers with the same short
+// name would take themselves for heard when the other is; of 320, two share one
+// with a chance of 1 in 80,000.
+type Short uint32
+
+// ShortOf returns the short name of a router.
+func ShortOf(id proto.RouterID) Short { return Short(xxhash.Sum64String(string(id))) }
+
 // Audience is what some peers were told, so that they are told only what has
 // changed since.
-type Audience struct{ told map[proto.AccountID]int64 }
+type Audience struct {
+	told map[proto.AccountID]int64
+	// wholes counts the whole messages.
+	wholes int
+}
 
 // NewAudience returns peers that were told nothing.
 func NewAudience() *Audience { return &Audience{told: map[proto.AccountID]int64{}} }
@@ -245,8 +261,11 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	c := Counts{Router: t.self, Life: t.life, Spent: map[proto.AccountID]int64{}, Whole: whole}
+	if whole && to.wholes%repeatAfter == 0 {
+		clear(to.told)
+	}
 	for id, b := range t.buckets {
-		if b.spent != to.told[id] || whole && b.spent != 0 {
+		if b.spent != to.told[id] {
 			c.Spent[id] = b.spent
 			to.told[id] = b.spent
 		}
@@ -254,9 +273,10 @@
 	if !whole {
 		return c
 	}
+	to.wholes++
 	for _, id := range slices.Sorted(maps.Keys(t.members)) {
 		if t.members[id].heardWithin(now) {
-			c.Hears = append(c.Hears, id)
+			c.Hears = append(c.Hears, ShortOf(id))
 		}
 	}
 	return c
@@ -285,7 +305,7 @@
 	m.heardAt, m.knownAt, m.heard = now, now, true
 	if c.Whole {
 		m.listedAt = 0
-		if slices.Contains(c.Hears, t.self) {
+		if slices.Contains(c.Hears, ShortOf(t.self)) {
 			m.listedAt = now
 		}
 	}
