--- /dev/null
+++ b/standin/hosting/engine.go
@@ -0,0 +1,290 @@
+package hosting
+
+import (
+	"encoding/json"
+	"fmt"
+	"net"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+)
+
+// Engine stands in for a model engine or a plain service. It is safe for
+// concurrent use.
+type Engine struct {
+	ID      string
+	Service string
+	// Model is empty for a plain service.
+	Model string
+	// Events is the number of events of a stream, Pause the time between two.
+	Events int
+	Pause  time.Duration
+
+	mu       sync.Mutex
+	born     int64
+	version  int64
+	target   int64
+	orders   int64
+	fence    int64
+	busyTill time.Time
+	runs     []Run
+	failing  func(run int) Failure
+	running  int
+}
+
+// Failure is how an engine fails a run.
+type Failure uint8
+
+// Failures of a run.
+const (
+	None Failure = iota
+	// BreakOff closes the connection after two events, or without an answer.
+	BreakOff
+	// Shed refuses the request.
+	Shed
+	// Hang never answers.
+	Hang
+	// ServerError answers 500.
+	ServerError
+)
+
+// Run is one request that an engine has begun to work on.
+type Run struct {
+	Attempt string
+	Account string
+	Key     string
+	Salt    string
+	Version int64
+	Target  string
+	After   string
+	// Finished is set once the whole answer was written.
+	Finished bool
+}
+
+// NewEngine returns an engine with version 1 that answers everything.
+func NewEngine(id, service, model string) *Engine {
+	return &Engine{
+		ID: id, Service: service, Model: model, Events: 5, Pause: 2 * time.Millisecond,
+		born: time.Now().UnixMilli(), version: 1, target: 1, failing: func(int) Failure { return None },
+	}
+}
+
+// Fail sets how each run fails, by its number.
+func (e *Engine) Fail(f func(run int) Failure) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.failing = f
+}
+
+// Runs returns the runs so far.
+func (e *Engine) Runs() []Run {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return append([]Run(nil), e.runs...)
+}
+
+// Version returns the version that the engine has loaded.
+func (e *Engine) Version() int64 {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.settle()
+	return e.version
+}
+
+// settle ends a load that is due; mu is held.
+func (e *Engine) settle() {
+	if e.target > e.version && time.Now().After(e.busyTill) {
+		e.version = e.target
+	}
+}
+
+// Entry returns the engine's registration.
+func (e *Engine) Entry(addr, zone, state string) map[string]any {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.settle()
+	entry := map[string]any{
+		"service": e.Service, "address": addr, "zone": zone, "version": "v1", "slots": 8, "state": state,
+		"coldRemainingMs": 0, "sequence": 1, "born": e.born,
+	}
+	if e.Model != "" {
+		entry["models"] = []map[string]any{{"name": e.Model, "version": e.version, "adapters": []string{}}}
+	}
+	return entry
+}
+
+// ServeHTTP implements http.Handler.
+func (e *Engine) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	switch r.URL.Path {
+	case "/kumquatsill/report":
+		e.serveReport(w)
+	case "/kumquatsill/order":
+		e.serveOrder(w, r)
+	case "/kumquatsill/kv-events":
+		writeJSON(w, http.StatusOK, map[string]any{"epoch": 1, "nextPageToken": 0, "lost": false, "events": []any{}})
+	default:
+		e.serveRun(w, r)
+	}
+}
+
+func (e *Engine) serveReport(w http.ResponseWriter) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.settle()
+	writeJSON(w, http.StatusOK, map[string]any{
+		"models": []map[string]any{{"name": e.Model, "version": e.version}}, "busy": e.target > e.version, "sequence": e.orders,
+	})
+}
+
+// loadTime is how long a load of weights takes.
+const loadTime = 100 * time.Millisecond
+
+func (e *Engine) serveOrder(w http.ResponseWriter, r *http.Request) {
+	var order struct {
+		Version          int64  `json:"version"`
+		Holder           string `json:"holder"`
+		FencingToken     int64  `json:"fencingToken"`
+		ExpectedRevision int64  `json:"expectedRevision"`
+	}
+	if err := json.NewDecoder(r.Body).Decode(&order); err != nil || order.Holder == "" || order.FencingToken <= 0 {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.settle()
+	switch {
+	case order.FencingToken < e.fence:
+		w.WriteHeader(http.StatusPreconditionFailed)
+	case e.target > e.version || order.ExpectedRevision != e.orders:
+		w.WriteHeader(http.StatusConflict)
+	case order.Version <= e.version:
+		w.WriteHeader(http.StatusOK)
+	default:
+		e.fence = order.FencingToken
+		e.orders++
+		e.target, e.busyTill = order.Version, time.Now().Add(loadTime)
+		w.WriteHeader(http.StatusAccepted)
+	}
+}
+
+func (e *Engine) serveRun(w http.ResponseWriter, r *http.Request) {
+	id := r.Header.Get("Kumquatsill-Attempt-Id")
+	w.Header().Set("Kumquatsill-Attempt-Id", id)
+	n, status := e.admit(r)
+	if status != 0 {
+		w.Header().Set("Kumquatsill-Not-Executed", "1")
+		w.Header().Set("Kumquatsill-Instance", e.ID)
+		w.WriteHeader(status)
+		return
+	}
+	defer e.end()
+	failure := e.failureOf(n)
+	switch failure {
+	case Hang:
+		<-r.Context().Done()
+		return
+	case ServerError:
+		w.Header().Set("Kumquatsill-Response-Signature", "sig."+e.ID)
+		w.WriteHeader(http.StatusInternalServerError)
+		return
+	}
+	if e.Model == "" {
+		e.answer(w, r, n, failure)
+		return
+	}
+	e.stream(w, r, n, failure)
+}
+
+// admit begins a run and returns its number, or the status of a refusal.
+func (e *Engine) admit(r *http.Request) (n, status int) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.settle()
+	expected := r.Header.Get("Kumquatsill-Expected-Version")
+	switch {
+	case r.Header.Get("Kumquatsill-Expected-Instance") != e.ID,
+		expected != "" && expected != strconv.FormatInt(e.version, 10):
+		return 0, http.StatusMisdirectedRequest
+	case e.target > e.version, e.failing(len(e.runs)) == Shed:
+		return 0, http.StatusServiceUnavailable
+	}
+	e.runs = append(e.runs, Run{
+		Attempt: r.Header.Get("Kumquatsill-Attempt-Id"), Account: r.Header.Get("Kumquatsill-Tenant"), Key: r.Header.Get("Authorization"),
+		Salt: r.Header.Get("Kumquatsill-Cache-Salt"), Version: e.version, Target: r.RequestURI, After: r.Header.Get("Last-Event-Id"),
+	})
+	e.running++
+	return len(e.runs) - 1, 0
+}
+
+func (e *Engine) failureOf(n int) Failure {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.failing(n)
+}
+
+func (e *Engine) end() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.running--
+}
+
+// Running returns the number of runs that have not ended.
+func (e *Engine) Running() int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.running
+}
+
+func (e *Engine) finished(n int) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.runs[n].Finished = true
+}
+
+func (e *Engine) answer(w http.ResponseWriter, r *http.Request, n int, f Failure) {
+	if f == BreakOff {
+		breakOff(w)
+		return
+	}
+	w.Header().Set("Kumquatsill-Response-Signature", "sig."+e.ID)
+	_, _ = fmt.Fprintf(w, "answer to %s", r.Header.Get("Kumquatsill-Attempt-Id"))
+	e.finished(n)
+}
+
+func (e *Engine) stream(w http.ResponseWriter, r *http.Request, n int, f Failure) {
+	after, _ := strconv.Atoi(r.Header.Get("Last-Event-Id")) // absent means from the start
+	w.Header().Set("Content-Type", "text/event-stream")
+	w.Header().Set("Kumquatsill-Response-Signature", "sig."+e.ID)
+	control := http.NewResponseController(w)
+	for i := after + 1; i <= e.Events; i++ {
+		if f == BreakOff && i == after+3 {
+			_, _ = fmt.Fprintf(w, "id: %d\ndata: cut", i)
+			_ = control.Flush()
+			breakOff(w)
+			return
+		}
+		if _, err := fmt.Fprintf(w, "id: %d\ndata: token %d\n\n", i, i); err != nil || control.Flush() != nil {
+			return
+		}
+		select {
+		case <-r.Context().Done():
+			return
+		case <-time.After(e.Pause):
+		}
+	}
+	e.finished(n)
+}
+
+// breakOff ends the connection without the end of the answer.
+func breakOff(w http.ResponseWriter) {
+	conn, _, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		panic(http.ErrAbortHandler)
+	}
+	if tcp, ok := conn.(*net.TCPConn); ok {
+		_ = tcp.SetLinger(0)
+	}
+	_ = conn.Close()
+}
--- /dev/null
+++ b/standin/hosting/store.go
@@ -0,0 +1,245 @@
+// Package hosting stands in for the hosting platform in tests: its log store,
+// engines that speak its headers, and plain services. It implements what the
+// adapter uses, as the platform's published interface says it.
+package hosting
+
+import (
+	"encoding/base64"
+	"encoding/binary"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+)
+
+// maxWait bounds how long a read may wait for a record.
+const maxWait = 30 * time.Second
+
+// Store is a log store with one partition a topic. It is safe for concurrent
+// use.
+type Store struct {
+	mu     sync.Mutex
+	topics map[string]*topic
+	// changed is closed at each append.
+	changed chan struct{}
+	down    bool
+	writes  int
+}
+
+type topic struct {
+	first   int64
+	records [][]byte
+	// newest holds the offset of the newest record of each key.
+	newest map[string]int64
+}
+
+// NewStore returns a store without records.
+func NewStore() *Store {
+	return &Store{topics: map[string]*topic{}, changed: make(chan struct{})}
+}
+
+// SetDown makes the store answer 503 to every call, or serve again.
+func (s *Store) SetDown(down bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.down = down
+}
+
+// Writes returns the number of append calls.
+func (s *Store) Writes() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.writes
+}
+
+// PutKey appends a record for a key, as the operator and the endpoints do; a
+// nil value removes the key.
+func (s *Store) PutKey(name, key string, value any) {
+	content := append([]byte{byte(len(key))}, key...)
+	if value != nil {
+		data, err := json.Marshal(value)
+		if err != nil {
+			panic("a test's value has no JSON form: " + err.Error())
+		}
+		content = append(content, data...)
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.append(name, [][]byte{content})
+}
+
+// Forget deletes all records of a topic but the newest of each key.
+func (s *Store) Forget(name string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	t := s.topic(name)
+	t.first += int64(len(t.records))
+	t.records = nil
+}
+
+// topic returns a topic, which exists from its first use; mu is held.
+func (s *Store) topic(name string) *topic {
+	t := s.topics[name]
+	if t == nil {
+		t = &topic{newest: map[string]int64{}}
+		s.topics[name] = t
+	}
+	return t
+}
+
+func (t *topic) end() int64 { return t.first + int64(len(t.records)) }
+
+// append adds records and wakes the readers; mu is held.
+func (s *Store) append(name string, records [][]byte) {
+	t := s.topic(name)
+	for _, r := range records {
+		if strings.HasPrefix(name, "keyed.") && len(r) > int(r[0]) {
+			t.newest[string(r[1:1+r[0]])] = t.end()
+		}
+		t.records = append(t.records, r)
+	}
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+// ServeHTTP implements http.Handler.
+func (s *Store) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	s.mu.Lock()
+	down := s.down
+	s.mu.Unlock()
+	if down {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	name := r.URL.Query().Get("topic")
+	switch r.URL.Path {
+	case "/kumquatsill/log-newest":
+		s.serveNewest(w, name, r.URL.Query().Get("after"))
+	case "/kumquatsill/log-read":
+		s.serveRead(w, r, name)
+	case "/kumquatsill/log-append":
+		s.serveAppend(w, r, name)
+	default:
+		w.WriteHeader(http.StatusNotFound)
+	}
+}
+
+const pageSize = 500
+
+func (s *Store) serveNewest(w http.ResponseWriter, name, after string) {
+	type item struct {
+		Key    string `json:"key"`
+		Value  string `json:"value"`
+		Offset int64  `json:"offset"`
+	}
+	s.mu.Lock()
+	t := s.topic(name)
+	items := []item{}
+	for key, offset := range t.newest {
+		if key <= after || offset < t.first {
+			continue
+		}
+		value := t.records[offset-t.first][1+len(key):]
+		if len(value) > 0 {
+			items = append(items, item{key, base64.StdEncoding.EncodeToString(value), offset})
+		}
+	}
+	end := t.end()
+	s.mu.Unlock()
+	slices.SortFunc(items, func(a, b item) int { return strings.Compare(a.Key, b.Key) })
+	more := len(items) > pageSize
+	writeJSON(w, http.StatusOK, map[string]any{"items": items[:min(len(items), pageSize)], "hasMore": more, "end": end})
+}
+
+func (s *Store) serveRead(w http.ResponseWriter, r *http.Request, name string) {
+	from, err := strconv.ParseInt(r.URL.Query().Get("from"), 10, 64)
+	if err != nil {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	wait, _ := strconv.Atoi(r.URL.Query().Get("waitMs")) // absent means no wait
+	timeout := time.After(min(time.Duration(wait)*time.Millisecond, maxWait))
+	for {
+		s.mu.Lock()
+		t := s.topic(name)
+		changed := s.changed
+		if from < t.first {
+			first := t.first
+			s.mu.Unlock()
+			writeJSON(w, http.StatusGone, map[string]any{"first": first})
+			return
+		}
+		if from < t.end() || wait == 0 {
+			data := t.encode(from)
+			s.mu.Unlock()
+			_, _ = w.Write(data)
+			return
+		}
+		s.mu.Unlock()
+		select {
+		case <-changed:
+		case <-timeout:
+			wait = 0
+		case <-r.Context().Done():
+			return
+		}
+	}
+}
+
+func (t *topic) encode(from int64) []byte {
+	out := binary.BigEndian.AppendUint64(nil, uint64(t.end()))
+	out = binary.BigEndian.AppendUint64(out, uint64(t.first))
+	for i := from; i < t.end(); i++ {
+		record := t.records[i-t.first]
+		out = binary.BigEndian.AppendUint32(out, uint32(len(record)))
+		out = append(out, record...)
+	}
+	return out
+}
+
+func (s *Store) serveAppend(w http.ResponseWriter, r *http.Request, name string) {
+	body, err := io.ReadAll(r.Body)
+	if err != nil {
+		return
+	}
+	records, err := split(body)
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.writes++
+	t := s.topic(name)
+	offset := t.end()
+	if at := r.URL.Query().Get("at"); at != "" && at != strconv.FormatInt(offset, 10) {
+		writeJSON(w, http.StatusPreconditionFailed, map[string]any{"end": offset})
+		return
+	}
+	s.append(name, records)
+	writeJSON(w, http.StatusOK, map[string]any{"offset": offset, "end": t.end()})
+}
+
+func split(body []byte) ([][]byte, error) {
+	var records [][]byte
+	for len(body) > 0 {
+		if len(body) < 4 || int(binary.BigEndian.Uint32(body)) > len(body)-4 {
+			return nil, fmt.Errorf("a record is cut short")
+		}
+		n := int(binary.BigEndian.Uint32(body))
+		records = append(records, body[4:4+n])
+		body = body[4+n:]
+	}
+	return records, nil
+}
+
+func writeJSON(w http.ResponseWriter, status int, v any) {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	_ = json.NewEncoder(w).Encode(v) // a reader that has left is no failure of the stand-in
+}
