core/quota: the burst comes with the members heard after a start

Ruled out: starting with the whole burst at each router, which spends it once a router where they cannot hear each other. Change: within 2 s of a start, the burst grows with the share; messages are whole for 1.5 s after a start, also of a peer. Conclusion: TestRestartOfAllRoutersLeavesTheBurst fails without the change.

--- a/app/front/front.go
+++ b/app/front/front.go
@@ -102,6 +102,8 @@
 	reached map[proto.EndpointID]platform.NamedVersion
 	feeds   map[string]context.CancelFunc
 
+	// wholeUntil is until when all messages to peers are whole.
+	wholeUntil atomic.Int64
 	// tellNow asks for a message to the peers before the next one is due.
 	tellNow chan struct{}
 
@@ -135,6 +137,7 @@
 	f.engines = platform.NewEngines(endpointCaller{f.client})
 	f.metrics = newTelemetry(f)
 	f.state.Store(&state{})
+	f.wholeUntil.Store(int64(now.Add(wholeTime)))
 	if err := f.listen(); err != nil {
 		return nil, err
 	}
--- a/app/front/peers.go
+++ b/app/front/peers.go
@@ -30,6 +30,7 @@
 	addr    netip.AddrPort
 	domain  proto.Domain
 	heardAt proto.Instant
+	life    int64
 	lost    bool
 }
 
@@ -125,6 +126,9 @@
 	farEvery = 2
 	// wholeEvery is how often, in intervals, a message tells everything.
 	wholeEvery = 10
+	// wholeTime is how long all messages are whole after a start, also of a peer,
+	// so that routers soon know who hears whom.
+	wholeTime = 1500 * time.Millisecond
 	// smallFleet is the number of peers up to which all count as near: what they
 	// tell of parts saves more than their bytes cost.
 	smallFleet = 8
@@ -156,7 +160,7 @@
 
 // tellAll sends the n-th of the messages that come at intervals.
 func (f *Front) tellAll(now proto.Instant, to audiences, n int) {
-	whole := n%wholeEvery == 0
+	whole := n%wholeEvery == 0 || now < proto.Instant(f.wholeUntil.Load())
 	m := f.message(now, whole)
 	m.Counts = f.quota.Counts(now, to.near, whole)
 	m.Attempts = f.placer.Tell()
@@ -328,7 +332,10 @@
 		if p.lost {
 			f.log.Info("router heard again", "router", string(id))
 		}
-		p.heardAt, p.lost = now, false
+		if p.heardAt == 0 || p.lost || p.life != m.Counts.Life {
+			f.wholeUntil.Store(int64(now.Add(wholeTime)))
+		}
+		p.heardAt, p.lost, p.life = now, false, m.Counts.Life
 	}
 	for _, r := range m.Reached {
 		f.planner.Reached(r.Endpoint, r.Model, r.Version)
--- a/core/quota/quota.go
+++ b/core/quota/quota.go
@@ -113,6 +113,8 @@
 	level float64
 	at    proto.Instant
 	spent int64
+	// share is that of the last refill.
+	share float64
 }
 
 // Tracker is one router's view of all accounts. It is safe for concurrent use.
@@ -143,10 +145,10 @@
 	for id, limit := range limits {
 		b := t.buckets[id]
 		if b == nil {
-			t.buckets[id] = &bucket{limit: limit, level: float64(limit.Burst) * share, at: now}
+			t.buckets[id] = &bucket{limit: limit, level: float64(limit.Burst) * share, at: now, share: share}
 			continue
 		}
-		b.refill(now, share)
+		t.refill(b, now, share)
 		b.limit = limit
 		b.level = min(b.level, float64(limit.Burst)*share)
 	}
@@ -192,7 +194,7 @@
 	if b == nil || b.limit.Rate <= 0 {
 		return Decision{OK: true, Share: share}
 	}
-	b.refill(now, share)
+	t.refill(b, now, share)
 	d := Decision{Balance: int64(b.level), Share: share}
 	// A request larger than the burst could never pass; it takes a full bucket.
 	need := min(float64(units), float64(b.limit.Burst)*share)
@@ -215,12 +217,20 @@
 		return
 	}
 	share := t.share(now)
-	b.refill(now, share)
+	t.refill(b, now, share)
 	b.level = min(b.level+float64(units), float64(b.limit.Burst)*share)
 	b.spent -= units
 }
 
-func (b *bucket) refill(now proto.Instant, share float64) {
+// refill adds what has come in since the last time. A router that has just
+// started begins with the burst of its share, and gets the rest of the burst as
+// it hears the other members: otherwise all accounts would be refused after a
+// restart of all routers.
+func (t *Tracker) refill(b *bucket, now proto.Instant, share float64) {
+	if share > b.share && now.Sub(t.started) < settleTime {
+		b.level += float64(b.limit.Burst) * (share - b.share)
+	}
+	b.share = share
 	elapsed := max(0, now.Sub(b.at)).Seconds()
 	b.at = max(now, b.at)
 	b.level = min(b.level+elapsed*float64(b.limit.Rate)*share, float64(b.limit.Burst)*share)
@@ -317,7 +327,7 @@
 		if b == nil || base {
 			continue
 		}
-		b.refill(now, share)
+		t.refill(b, now, share)
 		// The floor keeps counts that were held up by a partition from refusing
 		// the account for long.
 		b.level = max(min(b.level-float64(delta), float64(b.limit.Burst)*share), -float64(b.limit.Burst))
--- a/core/quota/quota_test.go
+++ b/core/quota/quota_test.go
@@ -213,3 +213,22 @@
 		t.Fatalf("balance %d after the peer has spent 300 of 1000", d.Balance)
 	}
 }
+
+// Guards against refusing accounts inside their limit after a restart of all
+// routers, until their buckets have refilled (incident e4c4 of pompas-sur: 90
+// refusals in 4 s).
+func TestRestartOfAllRoutersLeavesTheBurst(t *testing.T) {
+	f := &fleet{now: proto.Instant(time.Hour), cut: map[[2]int]bool{}, limit: quota.Limit{Rate: 100, Burst: 1000}}
+	f.trackers = make([]*quota.Tracker, 0, 4)
+	for i := range 4 {
+		f.trackers = append(f.trackers, f.start(i, int64(i)))
+	}
+	if d := f.trackers[0].Spend(f.now, account, 1); d.Balance > 250 {
+		t.Fatalf("balance %d before any other router was heard", d.Balance)
+	}
+	f.exchange()
+	f.exchange()
+	if !f.spend(0, 900) {
+		t.Fatal("refused 0.4 s after the restart of all routers")
+	}
+}
