proof/soak: a fault soak of real processes; core/place: routers share lag

Change: near peers tell which endpoints have answered and how late; prompts of 1,500 tokens or more are told at once; choices get a random part. proof/soak runs router processes behind loopback proxies, with signals, a store that fails and endpoints that fail, and checks eight promises; each check has a case that it must notice.

--- a/app/front/attempt.go
+++ b/app/front/attempt.go
@@ -80,8 +80,8 @@
 	x.relay.Sent()
 	x.tried = append(x.tried, choice.Endpoint.ID)
 	began := x.front.placer.Began(now, q, choice)
-	if choice.Again > 0 {
-		x.front.tellSoon() // the peers should not read the same parts elsewhere
+	if choice.Urgent() {
+		x.front.tellSoon()
 	}
 	try := &try{request: x, choice: choice, began: began, sentAt: now}
 	result := try.run(ctx)
--- a/app/front/front.go
+++ b/app/front/front.go
@@ -122,7 +122,7 @@
 		store:   platform.NewStore(cfg.Settings.Store),
 		client:  upstream.New(),
 		quota:   quota.New(now, id, life),
-		placer:  place.New(cfg.Settings.Domain, place.DefaultCosts(), cfg.Settings.VersionLife-versionMargin),
+		placer:  place.New(cfg.Settings.Domain, place.DefaultCosts(), cfg.Settings.VersionLife-versionMargin, uint64(life)),
 		crashes: crash.NewRegister(),
 		table:   discovery.NewTable(),
 		planner: upgrade.New(),
--- a/app/front/peers.go
+++ b/app/front/peers.go
@@ -165,7 +165,9 @@
 	m := f.message(now, whole)
 	m.Counts = f.quota.Counts(now, to.near, whole, all)
 	m.Attempts = f.placer.Tell()
+	m.Seen = f.placer.TellSeen(now)
 	f.send(m, f.peersAt(now, near))
+	m.Seen = nil
 	if n%farEvery == 0 || whole {
 		m.Counts = f.quota.Counts(now, to.far, whole, all)
 		m.Attempts = firstReads(m.Attempts)
@@ -356,6 +358,9 @@
 	for _, t := range m.Attempts {
 		f.placer.TakeIn(now, t)
 	}
+	for _, s := range m.Seen {
+		f.placer.TakeInSeen(now, s)
+	}
 	for _, v := range m.Named {
 		f.placer.NamedBefore(v.Model, v.Version, now.Add(-time.Duration(v.AgeMillis)*time.Millisecond))
 	}
--- a/core/peer/peer.go
+++ b/core/peer/peer.go
@@ -55,6 +55,8 @@
 	// Attempts are those begun since the last message.
 	Attempts []place.Told `json:"attempts,omitempty"`
 	Named    []Named      `json:"named,omitempty"`
+	// Seen lists endpoints that have answered the sender lately.
+	Seen []place.Seen `json:"seen,omitempty"`
 	// Silent lists endpoints that have stopped to answer the sender.
 	Silent []proto.EndpointID `json:"silent,omitempty"`
 }
--- a/core/place/load.go
+++ b/core/place/load.go
@@ -53,6 +53,8 @@
 	// heardAt is when the endpoint was last heard through the registry,
 	// answeredAt when it last sent any part of an answer to this router.
 	heardAt, answeredAt proto.Instant
+	// answered is set until the peers are told of an answer.
+	answered bool
 	// silentUntil is set while a peer calls the endpoint silent.
 	silentUntil proto.Instant
 	parts       *partCache
@@ -114,8 +116,13 @@
 // observeFirst takes in how long a first byte took, and how long it was
 // expected to take without the lag.
 func (l *load) observeFirst(now proto.Instant, took, expected time.Duration) {
+	l.mixLag(now, took-expected)
+}
+
+// mixLag takes in one observation of the lag.
+func (l *load) mixLag(now proto.Instant, lag time.Duration) {
 	old := l.lagNow(now)
-	l.lag = max(0, old+time.Duration(lagGain*float64(took-expected-old)))
+	l.lag = max(0, old+time.Duration(lagGain*float64(lag-old)))
 	l.lagAt = now
 }
 
--- a/core/place/place.go
+++ b/core/place/place.go
@@ -6,6 +6,7 @@
 
 import (
 	"math"
+	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -71,6 +72,8 @@
 	// homeBonus makes requests with the same parts meet at one endpoint when
 	// no endpoint holds them yet.
 	homeBonus = 25 * time.Millisecond
+	// spread is the part of the expected time that is added at random.
+	spread = 0.3
 	// oldVersionGrace is how long after a version was named answers on the
 	// version before are as good.
 	oldVersionGrace = 1200 * time.Millisecond
@@ -143,16 +146,18 @@
 	// versionLife is how long a version may be used after a newer one was named.
 	versionLife time.Duration
 	attempts    uint64
+	rng         *rand.Rand
 	// told collects what the peers are to be told.
 	told []Told
 }
 
 // New returns a placer without endpoints, for a router in a failure domain.
 // A version of a model is not used any more once a newer one was named for
-// versionLife; 0 means that it may always be used.
-func New(domain proto.Domain, costs Costs, versionLife time.Duration) *Placer {
+// versionLife; 0 means that it may always be used. The seed makes the random
+// part of the choices differ between routers.
+func New(domain proto.Domain, costs Costs, versionLife time.Duration, seed uint64) *Placer {
 	return &Placer{
-		domain: domain, costs: costs, versionLife: versionLife,
+		domain: domain, costs: costs, versionLife: versionLife, rng: rand.New(rand.NewPCG(seed, 1)),
 		list:   discovery.NewTable().Snapshot(),
 		loads:  map[proto.EndpointID]*load{},
 		stores: map[string]*StoreIndex{},
@@ -272,6 +277,8 @@
 			continue
 		}
 		found++
+		// Routers that know the same would all choose the same engine at once.
+		cost += spread * float64(c.Expected) * p.rng.Float64()
 		if cost < bestCost {
 			best, bestCost = c, cost
 		}
@@ -383,7 +390,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if l := p.find(a); l != nil {
-		l.answeredAt = now
+		l.answeredAt, l.answered = now, true
 		l.observeFirst(now, now.Sub(a.sentAt), a.choice.Expected-a.choice.Lag)
 		a.gotFirst(l)
 	}
@@ -422,7 +429,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if l := p.find(a); l != nil {
-		l.answeredAt = now
+		l.answeredAt, l.answered = now, true
 	}
 }
 
--- a/core/place/place_test.go
+++ b/core/place/place_test.go
@@ -29,7 +29,7 @@
 func newRig(t *testing.T, engines int) *rig {
 	r := &rig{
 		t: t, now: start, table: discovery.NewTable(), store: place.NewStoreIndex(),
-		placer: place.New("a", place.DefaultCosts(), 6*time.Second),
+		placer: place.New("a", place.DefaultCosts(), 6*time.Second, 1),
 	}
 	cfg, err := serving.New(serving.Content{Services: []*serving.Service{
 		{Name: "s", Engine: &serving.Engine{Slots: 8, CacheTokens: 90_000, TokenBytes: 160_000, LinkBitsPerSecond: 550e9}},
@@ -339,3 +339,23 @@
 		t.Fatal("the new life is believed to hold the old one's parts")
 	}
 }
+
+// Guards against taking an engine for silent that answers other routers, and
+// against learning its lag from the own few requests only (grown scale-2 of
+// pompas-sur: 47 of 176 streams were moved away from busy engines).
+func TestPeersTellAnswersAndLag(t *testing.T) {
+	r := newRig(t, 2)
+	q := r.query("x")
+	c := r.choose(q)
+	r.placer.Began(r.now, q, c)
+	for range 10 {
+		r.now = r.now.Add(200 * time.Millisecond)
+		r.placer.TakeInSeen(r.now, place.Seen{Endpoint: c.Endpoint.ID, LagMillis: 900})
+	}
+	if r.placer.IsSilent(r.now, c.Endpoint.ID) {
+		t.Fatal("an engine that answers other routers counts as silent")
+	}
+	if next := r.choose(r.query("y")); next.Endpoint.ID == c.Endpoint.ID {
+		t.Fatalf("chosen with a lag of 0.9 s, %v expected", next.Expected)
+	}
+}
--- a/core/place/told.go
+++ b/core/place/told.go
@@ -12,6 +12,11 @@
 	// minTold is the number of tokens read or moved from which an attempt
 	// matters to the peers' choices.
 	minTold = 400
+	// urgentReading is the number of prompt tokens from which the peers are told
+	// of an attempt at once: it takes an engine 50 ms.
+	urgentReading = 1500
+	// tellingTime is about how old a peer's message is.
+	tellingTime = 200 * time.Millisecond
 )
 
 // Held is a part of a prompt that an engine holds.
@@ -46,6 +51,37 @@
 	First bool `json:"first,omitempty"`
 }
 
+// Seen is an endpoint that has answered lately.
+type Seen struct {
+	Endpoint proto.EndpointID `json:"endpoint"`
+	// LagMillis is by how much its first bytes come later than expected.
+	LagMillis int64 `json:"lag_ms,omitempty"`
+}
+
+// TellSeen returns the endpoints that have answered since the last call.
+func (p *Placer) TellSeen(now proto.Instant) []Seen {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var seen []Seen
+	for id, l := range p.loads {
+		if l.answered {
+			l.answered = false
+			seen = append(seen, Seen{Endpoint: id, LagMillis: l.lagNow(now).Milliseconds()})
+		}
+	}
+	return seen
+}
+
+// TakeInSeen records that an endpoint has answered a peer.
+func (p *Placer) TakeInSeen(now proto.Instant, s Seen) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if l := p.loads[s.Endpoint]; l != nil {
+		l.answeredAt = max(l.answeredAt, now.Add(-tellingTime))
+		l.mixLag(now, time.Duration(s.LagMillis)*time.Millisecond)
+	}
+}
+
 // Tell returns what is to be told of the attempts begun since the last call.
 func (p *Placer) Tell() []Told {
 	p.mu.Lock()
@@ -55,6 +91,10 @@
 	return told
 }
 
+// Urgent reports whether the peers should know of an attempt at once, lest they
+// send their next prompts to the same engine or read the same parts elsewhere.
+func (c *Choice) Urgent() bool { return c.Again > 0 || c.Reading >= urgentReading }
+
 // TakeIn records what a peer tells of an attempt.
 func (p *Placer) TakeIn(now proto.Instant, t Told) {
 	p.mu.Lock()
--- /dev/null
+++ b/proof/cmd/soak/main.go
@@ -0,0 +1,78 @@
+// Command soak runs router processes over a stand-in platform, disturbs them
+// and checks what callers and endpoints saw.
+package main
+
+import (
+	"fmt"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"time"
+
+	flags "github.com/jessevdk/go-flags"
+	"github.com/kumquatsill/kumquatsill/proof/soak"
+)
+
+type options struct {
+	Seed    uint64        `long:"seed" default:"1" description:"first seed"`
+	Seeds   int           `long:"seeds" default:"1" description:"number of seeds"`
+	Faults  time.Duration `long:"faults" default:"12s" description:"time in which faults are injected"`
+	Routers int           `long:"routers" default:"3" description:"router processes"`
+	Engines int           `long:"engines" default:"4" description:"model engines"`
+	Plain   int           `long:"plain" default:"2" description:"plain endpoints"`
+	Clients int           `long:"clients" default:"16" description:"clients that send requests"`
+	Dir     string        `long:"dir" description:"folder for settings and logs, kept for seeds that fail"`
+}
+
+func main() {
+	var o options
+	if _, err := flags.Parse(&o); err != nil {
+		os.Exit(2)
+	}
+	failed, err := run(o)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(1)
+	}
+	if failed > 0 {
+		os.Exit(1)
+	}
+}
+
+func run(o options) (failed int, err error) {
+	if o.Dir == "" {
+		if o.Dir, err = os.MkdirTemp("", "soak"); err != nil {
+			return 0, err
+		}
+	}
+	binary := filepath.Join(o.Dir, "kumquatsill")
+	build := exec.Command("go", "build", "-o", binary, "github.com/kumquatsill/kumquatsill/app/cmd/kumquatsill")
+	if out, err := build.CombinedOutput(); err != nil {
+		return 0, fmt.Errorf("%w\n%s", err, out)
+	}
+	for i := range o.Seeds {
+		seed := o.Seed + uint64(i)
+		dir := filepath.Join(o.Dir, fmt.Sprint("seed-", seed))
+		if err := os.MkdirAll(dir, 0o700); err != nil {
+			return failed, err
+		}
+		r, err := soak.Run(soak.Config{
+			Binary: binary, Dir: dir, Seed: seed, Faults: o.Faults, Clients: o.Clients,
+			Size: soak.Size{Routers: o.Routers, Engines: o.Engines, Plain: o.Plain},
+		})
+		if err != nil {
+			return failed, fmt.Errorf("seed %d: %w", seed, err)
+		}
+		fmt.Println(r)
+		if len(r.Violations) > 0 {
+			failed++
+			fmt.Println("  logs in", dir)
+			continue
+		}
+		if err := os.RemoveAll(dir); err != nil {
+			return failed, err
+		}
+	}
+	fmt.Printf("%d seeds, %d failed\n", o.Seeds, failed)
+	return failed, nil
+}
--- /dev/null
+++ b/proof/soak/clients.go
@@ -0,0 +1,112 @@
+package soak
+
+import (
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+)
+
+// attempt is what a client saw of one request.
+type attempt struct {
+	id, kind, key string
+	sentAt        time.Time
+	endedAt       time.Time
+	router        *process
+	status        int
+	body          string
+	// whole is set if the answer came to its end.
+	whole bool
+}
+
+// clients sends requests until it is stopped, and keeps what it saw.
+type clients struct {
+	fleet *Fleet
+	stop  chan struct{}
+	wait  sync.WaitGroup
+	mu    sync.Mutex
+	seen  []attempt
+}
+
+var kinds = []string{"order", "look", "sheet", "chat"}
+
+// clientTimeout is longer than any route's timeout.
+const clientTimeout = 8 * time.Second
+
+func startClients(f *Fleet, n int, seed uint64) *clients {
+	c := &clients{fleet: f, stop: make(chan struct{})}
+	for i := range n {
+		c.wait.Add(1)
+		go c.run(rand.New(rand.NewPCG(seed, uint64(i))), i)
+	}
+	return c
+}
+
+func (c *clients) end() []attempt {
+	close(c.stop)
+	c.wait.Wait()
+	return c.seen
+}
+
+// run keeps its connections open from one request to the next.
+func (c *clients) run(rng *rand.Rand, number int) {
+	defer c.wait.Done()
+	transport := &http.Transport{DisableCompression: true}
+	defer transport.CloseIdleConnections()
+	client := &http.Client{Transport: transport, Timeout: clientTimeout}
+	for n := 0; ; n++ {
+		select {
+		case <-c.stop:
+			return
+		case <-time.After(between(rng, time.Millisecond, 40*time.Millisecond)):
+		}
+		a := c.send(client, rng, fmt.Sprintf("c%d-%d", number, n))
+		c.mu.Lock()
+		c.seen = append(c.seen, a)
+		c.mu.Unlock()
+	}
+}
+
+func (c *clients) send(client *http.Client, rng *rand.Rand, id string) attempt {
+	a := attempt{id: id, kind: kinds[rng.IntN(len(kinds))], router: pickRouter(c.fleet, rng), key: c.pickKey(rng)}
+	// A body that cannot be rewound keeps net/http from sending it again.
+	req, err := http.NewRequest(http.MethodPost, "http://"+a.router.callers+"/"+a.kind+"/x", io.NopCloser(strings.NewReader("body")))
+	if err != nil {
+		panic(err) // the address was listened on
+	}
+	req.ContentLength, req.Host = 4, host
+	req.Header.Set("Kumquatsill-Attempt-Id", id)
+	req.Header.Set("Kumquatsill-Deadline-Remaining", "4000")
+	req.Header.Set("Authorization", "Token "+a.key)
+	if a.kind == "sheet" || a.kind == "chat" {
+		req.Header.Set("Kumquatsill-Model", "m")
+		req.Header.Set("Kumquatsill-Token-Counts", "20,10")
+		req.Header.Set("Kumquatsill-Prompt-Prefix", "top:10,"+strconv.Itoa(rng.IntN(9))+":5,"+id+":5")
+	}
+	a.sentAt = time.Now()
+	resp, err := client.Do(req)
+	if err == nil {
+		var data []byte
+		data, err = io.ReadAll(resp.Body)
+		_ = resp.Body.Close()
+		a.status, a.body, a.whole = resp.StatusCode, string(data), err == nil
+	}
+	a.endedAt = time.Now()
+	return a
+}
+
+// pickKey returns a key in force or, now and then, one that was withdrawn.
+func (c *clients) pickKey(rng *rand.Rand) string {
+	c.fleet.mu.Lock()
+	defer c.fleet.mu.Unlock()
+	if rng.IntN(10) == 0 {
+		for key := range c.fleet.revoked {
+			return key
+		}
+	}
+	return c.fleet.keys[len(c.fleet.keys)-1]
+}
--- /dev/null
+++ b/proof/soak/faults.go
@@ -0,0 +1,160 @@
+package soak
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"syscall"
+	"time"
+
+	"github.com/kumquatsill/kumquatsill/standin/hosting"
+)
+
+// fault is one kind of trouble that a run injects.
+type fault struct {
+	name string
+	// inject brings the trouble about and returns what ends it, or nil.
+	inject func(f *Fleet, rng *rand.Rand) func()
+}
+
+func pickRouter(f *Fleet, rng *rand.Rand) *process    { return f.routers[rng.IntN(len(f.routers))] }
+func pickEndpoint(f *Fleet, rng *rand.Rand) *endpoint { return f.endpoints[rng.IntN(len(f.endpoints))] }
+
+// faults lists everything that a run injects.
+var faults = []fault{
+	{"router_kill", func(f *Fleet, rng *rand.Rand) func() {
+		p := pickRouter(f, rng)
+		p.signal(syscall.SIGCONT)
+		p.signal(syscall.SIGKILL)
+		<-p.done
+		return func() { f.restart(p) }
+	}},
+	{"router_kill_all", func(f *Fleet, _ *rand.Rand) func() {
+		for _, p := range f.routers {
+			p.signal(syscall.SIGCONT)
+			p.signal(syscall.SIGKILL)
+		}
+		return func() {
+			for _, p := range f.routers {
+				f.restart(p)
+			}
+		}
+	}},
+	{"router_pause", func(f *Fleet, rng *rand.Rand) func() {
+		p := pickRouter(f, rng)
+		p.signal(syscall.SIGSTOP)
+		return func() { p.signal(syscall.SIGCONT) }
+	}},
+	{"router_stop", func(f *Fleet, rng *rand.Rand) func() {
+		p := pickRouter(f, rng)
+		p.signal(syscall.SIGCONT)
+		p.signal(syscall.SIGTERM)
+		return func() {
+			p.end(stopTime + time.Second)
+			f.restart(p)
+		}
+	}},
+	{"router_hangup", func(f *Fleet, rng *rand.Rand) func() {
+		pickRouter(f, rng).signal(syscall.SIGHUP)
+		return nil
+	}},
+	{"store_down", func(f *Fleet, _ *rand.Rand) func() {
+		f.store.SetDown(true)
+		return func() { f.store.SetDown(false) }
+	}},
+	{"store_forgets", func(f *Fleet, _ *rand.Rand) func() {
+		f.store.Forget("keyed.servers")
+		return nil
+	}},
+	{"store_path", func(f *Fleet, rng *rand.Rand) func() { return disturb(f.storeProxy, rng) }},
+	{"endpoint_path", func(f *Fleet, rng *rand.Rand) func() { return disturb(pickEndpoint(f, rng).proxy, rng) }},
+	{"endpoint_fails", func(f *Fleet, rng *rand.Rand) func() {
+		e := pickEndpoint(f, rng)
+		kind := hosting.Failure(1 + rng.IntN(4))
+		e.engine.Fail(func(run int) hosting.Failure {
+			if run%3 == 0 {
+				return kind
+			}
+			return hosting.None
+		})
+		return func() { e.engine.Fail(func(int) hosting.Failure { return hosting.None }) }
+	}},
+	{"endpoint_leaves", func(f *Fleet, rng *rand.Rand) func() {
+		e := pickEndpoint(f, rng)
+		f.setState(e, []string{"draining", "gone"}[rng.IntN(2)])
+		return func() { f.setState(e, "ready") }
+	}},
+	{"new_weights", func(f *Fleet, _ *rand.Rand) func() {
+		f.nameVersion()
+		return nil
+	}},
+	{"new_key", func(f *Fleet, _ *rand.Rand) func() {
+		f.replaceKey()
+		return nil
+	}},
+}
+
+func disturb(p *proxy, rng *rand.Rand) func() {
+	p.set(Trouble(1 + rng.IntN(4)))
+	return func() { p.set(Pass) }
+}
+
+// restart starts a process again that has ended.
+func (f *Fleet) restart(p *process) {
+	select {
+	case <-p.done:
+	default:
+		p.signal(syscall.SIGKILL)
+		<-p.done
+	}
+	if err := f.startRouter(p); err != nil {
+		panic(fmt.Sprintf("router %s does not start again: %v", p.name, err))
+	}
+}
+
+const (
+	minPause, maxPause = 50 * time.Millisecond, 900 * time.Millisecond
+	minFault, maxFault = 100 * time.Millisecond, 2500 * time.Millisecond
+	// maxOverlap is the number of faults that last at one time.
+	maxOverlap = 3
+)
+
+func between(rng *rand.Rand, low, high time.Duration) time.Duration {
+	return low + time.Duration(rng.Int64N(int64(high-low)))
+}
+
+// disturbFor injects faults for a time and ends all of them. It returns how
+// often each kind was injected. Router faults do not overlap on one process, as
+// a process that is being stopped cannot be paused as well.
+func (f *Fleet) disturbFor(rng *rand.Rand, d time.Duration) map[string]int {
+	counts := map[string]int{}
+	type lasting struct {
+		until time.Time
+		end   func()
+	}
+	var open []lasting
+	finish := func(all bool) {
+		kept := open[:0]
+		for _, l := range open {
+			if all || time.Now().After(l.until) {
+				l.end()
+			} else {
+				kept = append(kept, l)
+			}
+		}
+		open = kept
+	}
+	for end := time.Now().Add(d); time.Now().Before(end); {
+		time.Sleep(between(rng, minPause, maxPause))
+		finish(len(open) >= maxOverlap)
+		kind := faults[rng.IntN(len(faults))]
+		if routerFault := len(kind.name) > 7 && kind.name[:7] == "router_"; routerFault {
+			finish(true)
+		}
+		counts[kind.name]++
+		if stop := kind.inject(f, rng); stop != nil {
+			open = append(open, lasting{time.Now().Add(between(rng, minFault, maxFault)), stop})
+		}
+	}
+	finish(true)
+	return counts
+}
--- /dev/null
+++ b/proof/soak/fleet.go
@@ -0,0 +1,294 @@
+// Package soak runs the real router processes over a stand-in of the hosting
+// platform, injects faults from outside them, and checks the promises to
+// callers and endpoints while it runs.
+package soak
+
+import (
+	"encoding/json"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strconv"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/kumquatsill/kumquatsill/standin/hosting"
+)
+
+const (
+	zone       = "zone-a"
+	stopTime   = 4 * time.Second
+	heartbeat  = 300 * time.Millisecond
+	configTime = 2 * time.Second
+	host       = "soak.example"
+)
+
+// process is one router process.
+type process struct {
+	name, boot            string
+	callers, ready, peers string
+	cmd                   *exec.Cmd
+	done                  chan struct{}
+	mu                    sync.Mutex
+	// calmSince is when the process was last started, paused or woken.
+	calmSince time.Time
+}
+
+// endpoint is an engine or plain service behind a proxy.
+type endpoint struct {
+	engine *hosting.Engine
+	proxy  *proxy
+	server *http.Server
+	state  string
+}
+
+// Fleet is a few processes and the platform that they run on.
+type Fleet struct {
+	binary, dir string
+	store       *hosting.Store
+	storeProxy  *proxy
+	storeServer *http.Server
+	routers     []*process
+	endpoints   []*endpoint
+	stop        chan struct{}
+	wait        sync.WaitGroup
+
+	mu       sync.Mutex
+	revision int64
+	version  int64
+	keys     []string
+	// revoked holds when each key was withdrawn.
+	revoked map[string]time.Time
+}
+
+// Size says how many processes and endpoints a fleet has.
+type Size struct{ Routers, Engines, Plain int }
+
+// NewFleet starts a fleet from a built binary. Logs go to dir.
+func NewFleet(binary, dir string, size Size) (*Fleet, error) {
+	f := &Fleet{binary: binary, dir: dir, store: hosting.NewStore(), stop: make(chan struct{}), version: 1, revoked: map[string]time.Time{}}
+	server, addr, err := listen(f.store)
+	if err != nil {
+		return nil, err
+	}
+	f.storeServer = server
+	if f.storeProxy, err = newProxy(addr); err != nil {
+		return nil, err
+	}
+	for i := range size.Engines + size.Plain {
+		service, model := "llm", "m"
+		if i >= size.Engines {
+			service, model = "plain", ""
+		}
+		if err := f.addEndpoint(hosting.NewEngine(fmt.Sprint("i-", i), service, model)); err != nil {
+			return nil, err
+		}
+	}
+	f.keys = []string{"key0"}
+	f.Configure()
+	f.wait.Add(1)
+	go f.beat()
+	for i := range size.Routers {
+		if err := f.addRouter(i); err != nil {
+			return nil, err
+		}
+	}
+	return f, nil
+}
+
+func listen(h http.Handler) (*http.Server, string, error) {
+	ln, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		return nil, "", err
+	}
+	s := &http.Server{Handler: h, ReadHeaderTimeout: time.Minute}
+	go func() { _ = s.Serve(ln) }() // ends with Close
+	return s, ln.Addr().String(), nil
+}
+
+func (f *Fleet) addEndpoint(e *hosting.Engine) error {
+	server, addr, err := listen(e)
+	if err != nil {
+		return err
+	}
+	p, err := newProxy(addr)
+	if err != nil {
+		return err
+	}
+	f.endpoints = append(f.endpoints, &endpoint{engine: e, proxy: p, server: server, state: "ready"})
+	return nil
+}
+
+// beat registers the endpoints again and again, as they do themselves.
+func (f *Fleet) beat() {
+	defer f.wait.Done()
+	for {
+		for _, e := range f.endpoints {
+			f.mu.Lock()
+			state := e.state
+			f.mu.Unlock()
+			if state != "gone" {
+				f.store.PutKey("keyed.servers", e.engine.ID, e.engine.Entry(e.proxy.addr(), zone, state))
+			}
+		}
+		select {
+		case <-f.stop:
+			return
+		case <-time.After(heartbeat):
+		}
+	}
+}
+
+// setState changes what an endpoint registers of itself.
+func (f *Fleet) setState(e *endpoint, state string) {
+	f.mu.Lock()
+	e.state = state
+	f.mu.Unlock()
+	if state == "gone" {
+		f.store.PutKey("keyed.servers", e.engine.ID, nil)
+	}
+}
+
+func (f *Fleet) addRouter(i int) error {
+	p := &process{name: fmt.Sprint("front-", i), boot: filepath.Join(f.dir, fmt.Sprintf("front-%d.json", i))}
+	for _, addr := range []*string{&p.callers, &p.ready, &p.peers} {
+		ln, err := net.Listen("tcp4", "127.0.0.1:0")
+		if err != nil {
+			return err
+		}
+		*addr = ln.Addr().String()
+		_ = ln.Close()
+	}
+	_, port, _ := net.SplitHostPort(p.peers)
+	number, _ := strconv.Atoi(port) // a port that was just listened on
+	settings, err := json.Marshal(map[string]any{
+		"nodeName": p.name, "ipAddress": "127.0.0.1", "zone": zone,
+		"listenAddresses": map[string]string{"front": p.callers, "ready": p.ready}, "internalPortRange": []int{number, number},
+		"limits": map[string]any{"memoryMb": 134, "fileDescriptors": 4096}, "heartbeatIntervalMs": heartbeat.Milliseconds(),
+		"bounds": map[string]any{"gracePeriodS": stopTime.Seconds(), "retryBudgetRatio": 0.2, "budgetWindowS": 10, "budgetSlack": 52,
+			"leaseMs": 1000, "fencingEnforced": true, "versionMs": 8000, "drainMs": 1500, "contactMs": 1500},
+		"platform": map[string]any{"address": f.storeProxy.addr(), "form": "log"},
+	})
+	if err != nil {
+		return err
+	}
+	if err := os.WriteFile(p.boot, settings, 0o600); err != nil {
+		return err
+	}
+	f.routers = append(f.routers, p)
+	return f.startRouter(p)
+}
+
+func (f *Fleet) startRouter(p *process) error {
+	log, err := os.OpenFile(filepath.Join(f.dir, p.name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	if err != nil {
+		return err
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.cmd = exec.Command(f.binary, "front", "--settings", p.boot)
+	p.cmd.Stdout, p.cmd.Stderr = log, log
+	p.calmSince = time.Now()
+	if err := p.cmd.Start(); err != nil {
+		return err
+	}
+	done := make(chan struct{})
+	p.done = done
+	cmd := p.cmd
+	go func() {
+		_ = cmd.Wait() // killed processes end with an error by design
+		_ = log.Close()
+		close(done)
+	}()
+	return nil
+}
+
+// signal sends a signal to a router's process, which this fleet has started.
+func (p *process) signal(s syscall.Signal) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.calmSince = time.Now()
+	_ = p.cmd.Process.Signal(s) // the process may have ended
+}
+
+// end waits for the process to end, and kills it after a time.
+func (p *process) end(limit time.Duration) (inTime bool) {
+	select {
+	case <-p.done:
+		return true
+	case <-time.After(limit):
+	}
+	p.signal(syscall.SIGKILL)
+	<-p.done
+	return false
+}
+
+// calm returns for how long no fault has hit the process.
+func (p *process) calm() time.Duration {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return time.Since(p.calmSince)
+}
+
+// Close ends all that the fleet has started.
+func (f *Fleet) Close() {
+	close(f.stop)
+	f.wait.Wait()
+	for _, p := range f.routers {
+		p.signal(syscall.SIGCONT)
+		p.signal(syscall.SIGKILL)
+		<-p.done
+	}
+	for _, e := range f.endpoints {
+		e.proxy.close()
+		_ = e.server.Close()
+	}
+	f.storeProxy.close()
+	_ = f.storeServer.Close()
+}
+
+// Configure puts the next version of the configuration in force.
+func (f *Fleet) Configure() {
+	f.mu.Lock()
+	f.revision++
+	revision, keys := f.revision, append([]string(nil), f.keys...)
+	f.mu.Unlock()
+	route := func(name, kind, service string, resumable bool) map[string]any {
+		return map[string]any{"name": name, "host": host, "pathPrefix": "/" + name + "/", "kind": kind, "timeoutMs": 4000, "targetLatencyMs": 300,
+			"gapTargetMs": 300, "service": service, "attempts": 2, "resumable": resumable, "stickySessions": service == "llm"}
+	}
+	f.store.PutKey("keyed.op", "config", map[string]any{
+		"version": revision,
+		"routes": []any{route("order", "unsafe", "plain", false), route("look", "safe", "plain", false),
+			route("sheet", "streaming", "llm", true), route("chat", "streaming", "llm", false)},
+		"services": []any{map[string]any{"name": "llm", "engine": map[string]any{"slots": 8, "cacheTokens": 90000, "models": []any{map[string]any{"name": "m"}}}},
+			map[string]any{"name": "plain"}},
+		"limits":  map[string]any{"bodyBytes": 100_000},
+		"tenants": []any{map[string]any{"name": "t1", "accessKeys": keys, "unit": "tokens", "uncachedTokens": 10, "ratePerS": 100_000, "burst": 100_000}},
+	})
+}
+
+// replaceKey adds a key and withdraws the oldest.
+func (f *Fleet) replaceKey() {
+	f.mu.Lock()
+	f.keys = append(f.keys, fmt.Sprint("key", f.revision))
+	if len(f.keys) > 2 {
+		f.revoked[f.keys[0]] = time.Now()
+		f.keys = f.keys[1:]
+	}
+	f.mu.Unlock()
+	f.Configure()
+}
+
+// nameVersion names the next version of the model.
+func (f *Fleet) nameVersion() {
+	f.mu.Lock()
+	f.version++
+	version := f.version
+	f.mu.Unlock()
+	f.store.PutKey("keyed.op", "version/m", map[string]any{"model": "m", "version": version})
+}
--- /dev/null
+++ b/proof/soak/soak.go
@@ -0,0 +1,129 @@
+package soak
+
+import (
+	"fmt"
+	"io"
+	"maps"
+	"math/rand/v2"
+	"net/http"
+	"slices"
+	"strings"
+	"time"
+)
+
+// Config describes one run.
+type Config struct {
+	// Binary is the router's program, Dir takes settings and logs.
+	Binary, Dir string
+	Seed        uint64
+	// Faults is how long faults are injected.
+	Faults  time.Duration
+	Size    Size
+	Clients int
+}
+
+// Result is what one run has shown.
+type Result struct {
+	Seed       uint64
+	Attempts   int
+	Statuses   map[int]int
+	Injected   map[string]int
+	Violations []Violation
+}
+
+const (
+	readyTimeout = 20 * time.Second
+	// recoveryTime is how long the fleet may take to serve everything again
+	// after the last fault.
+	recoveryTime = 15 * time.Second
+	// lateRuns is how long runs may still begin that were under way.
+	lateRuns = 1500 * time.Millisecond
+)
+
+// Run starts a fleet, disturbs it and checks the promises.
+func Run(cfg Config) (Result, error) {
+	result := Result{Seed: cfg.Seed, Statuses: map[int]int{}}
+	f, err := NewFleet(cfg.Binary, cfg.Dir, cfg.Size)
+	if err != nil {
+		return result, err
+	}
+	defer f.Close()
+	if !f.serves(readyTimeout) {
+		return result, fmt.Errorf("the fleet does not serve %v after its start", readyTimeout)
+	}
+	c := startClients(f, cfg.Clients, cfg.Seed)
+	result.Injected = f.disturbFor(rand.New(rand.NewPCG(cfg.Seed, 0xfa)), cfg.Faults)
+	recovered := f.serves(recoveryTime)
+	attempts := c.end()
+	time.Sleep(lateRuns)
+	w := f.world(attempts)
+	result.Violations = w.check()
+	if !recovered {
+		result.Violations = append(result.Violations, Violation{"recovery", fmt.Sprintf("not all routers serve %v after the last fault", recoveryTime)})
+	}
+	result.Attempts = len(attempts)
+	for _, a := range attempts {
+		result.Statuses[a.status]++
+	}
+	return result, nil
+}
+
+// serves waits until each router serves each kind of request.
+func (f *Fleet) serves(limit time.Duration) bool {
+	n := 0
+	for end := time.Now().Add(limit); time.Now().Before(end); time.Sleep(100 * time.Millisecond) {
+		all := true
+		for _, p := range f.routers {
+			for _, kind := range kinds {
+				n++
+				all = all && f.serve(p, kind, fmt.Sprintf("probe-%d", n))
+			}
+		}
+		if all {
+			return true
+		}
+	}
+	return false
+}
+
+func (f *Fleet) serve(p *process, kind, id string) bool {
+	f.mu.Lock()
+	key := f.keys[len(f.keys)-1]
+	f.mu.Unlock()
+	req, err := http.NewRequest(http.MethodPost, "http://"+p.callers+"/"+kind+"/x", strings.NewReader("body"))
+	if err != nil {
+		return false
+	}
+	req.Host, req.Close = host, true
+	req.Header.Set("Kumquatsill-Attempt-Id", id)
+	req.Header.Set("Authorization", "Token "+key)
+	if kind == "sheet" || kind == "chat" {
+		req.Header.Set("Kumquatsill-Model", "m")
+		req.Header.Set("Kumquatsill-Prompt-Prefix", "top:10,"+id+":5")
+	}
+	client := http.Client{Timeout: 2 * time.Second}
+	resp, err := client.Do(req)
+	if err != nil {
+		return false
+	}
+	defer func() { _ = resp.Body.Close() }()
+	_, err = io.Copy(io.Discard, resp.Body)
+	return err == nil && resp.StatusCode == http.StatusOK
+}
+
+// String returns the run in one line, and a line for each violation.
+func (r Result) String() string {
+	var b strings.Builder
+	fmt.Fprintf(&b, "seed %d: %d requests", r.Seed, r.Attempts)
+	for _, status := range slices.Sorted(maps.Keys(r.Statuses)) {
+		fmt.Fprintf(&b, ", %d x %d", r.Statuses[status], status)
+	}
+	b.WriteString("; faults:")
+	for _, name := range slices.Sorted(maps.Keys(r.Injected)) {
+		fmt.Fprintf(&b, " %s %d", name, r.Injected[name])
+	}
+	for _, v := range r.Violations {
+		b.WriteString("\n  BROKEN " + v.String())
+	}
+	return b.String()
+}
--- /dev/null
+++ b/proof/soak/soak_test.go
@@ -0,0 +1,75 @@
+package soak
+
+import (
+	"os"
+	"os/exec"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"github.com/kumquatsill/kumquatsill/standin/hosting"
+)
+
+// regressions are seeds that have failed, each with its cause.
+var regressions = []uint64{}
+
+// Guards against broken promises when real processes are killed, paused,
+// stopped and cut off. The schedule of faults follows from the seed.
+func TestShortRun(t *testing.T) {
+	binary := filepath.Join(t.TempDir(), "kumquatsill")
+	build := exec.Command("go", "build", "-o", binary, "github.com/kumquatsill/kumquatsill/app/cmd/kumquatsill")
+	if out, err := build.CombinedOutput(); err != nil {
+		t.Fatalf("%v\n%s", err, out)
+	}
+	for _, seed := range append([]uint64{1}, regressions...) {
+		dir, err := os.MkdirTemp(t.TempDir(), "run")
+		if err != nil {
+			t.Fatal(err)
+		}
+		r, err := Run(Config{Binary: binary, Dir: dir, Seed: seed, Faults: 8 * time.Second, Size: Size{Routers: 2, Engines: 3, Plain: 2}, Clients: 8})
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Log(r)
+		if r.Attempts == 0 || r.Statuses[200] == 0 {
+			t.Error("nothing was served")
+		}
+		for _, v := range r.Violations {
+			t.Error(v)
+		}
+	}
+}
+
+// Guards against checks that cannot fail: each promise is broken once by hand.
+func TestChecksNotice(t *testing.T) {
+	router := &process{calmSince: time.Now().Add(-time.Hour)}
+	run := func(change func(*hosting.Run)) []hosting.Run {
+		r := hosting.Run{Attempt: "a", Account: "t1", Version: 2, Salt: "m.2."}
+		change(&r)
+		return []hosting.Run{r}
+	}
+	same := func(*hosting.Run) {}
+	for _, c := range []struct {
+		promise string
+		attempt attempt
+		runs    []hosting.Run
+	}{
+		{"at-most-once", attempt{kind: "order"}, append(run(same), run(same)...)},
+		{"true-not-run", attempt{kind: "chat", status: 503}, run(same)},
+		{"answer-match", attempt{kind: "look", status: 200, whole: true, body: "answer to b"}, run(same)},
+		{"stream-integrity", attempt{kind: "sheet", status: 200, whole: true, body: "id: 1\n\nid: 3\n\n"}, run(same)},
+		{"stream-integrity", attempt{kind: "sheet", status: 200, whole: true, body: "id: 1\n\n"}, run(same)},
+		{"key-secrecy", attempt{kind: "look"}, run(func(r *hosting.Run) { r.Key = "Token x" })},
+		{"account-binding", attempt{kind: "look"}, run(func(r *hosting.Run) { r.Account = "t2" })},
+		{"cache-isolation", attempt{kind: "chat"}, run(func(r *hosting.Run) { r.Salt = "m.1." })},
+		{"key-withdrawal", attempt{kind: "look", key: "old"}, run(same)},
+	} {
+		c.attempt.id, c.attempt.router, c.attempt.sentAt = "a", router, time.Now()
+		w := world{attempts: []attempt{c.attempt}, runs: map[string][]hosting.Run{"a": c.runs}, events: 2,
+			revoked: map[string]time.Time{"old": time.Now().Add(-time.Minute)}, settled: time.Second}
+		violations := w.check()
+		if len(violations) != 1 || violations[0].Promise != c.promise {
+			t.Errorf("%s: noticed %v", c.promise, violations)
+		}
+	}
+}
