proof/soak: supervise processes, list faults; ignore SIGHUP from the first line

Ruled out: a deadlock (the other processes dumped their stacks, this one was gone). Change: the program ignores SIGHUP before anything else; the soak reports processes that end by themselves as broken promise, writes a list of its faults, and sends SIGHUP only to processes older than 100 ms.

--- a/app/cmd/kumquatsill/main.go
+++ b/app/cmd/kumquatsill/main.go
@@ -3,6 +3,8 @@
 
 import (
 	"os"
+	"os/signal"
+	"syscall"
 
 	"github.com/kumquatsill/kumquatsill/app/settings"
 )
@@ -28,5 +30,8 @@
 }
 
 func main() {
+	// The platform may send SIGHUP at any time; without a handler it would end
+	// the process. The commands that can reload take it from here.
+	signal.Ignore(syscall.SIGHUP)
 	os.Exit(run(streams{in: os.Stdin, out: os.Stdout, err: os.Stderr}, os.Args[1:]))
 }
--- a/proof/soak/faults.go
+++ b/proof/soak/faults.go
@@ -54,7 +54,10 @@
 		}
 	}},
 	{"router_hangup", func(f *Fleet, rng *rand.Rand) func() {
-		pickRouter(f, rng).signal(syscall.SIGHUP)
+		// A program that has not reached its first line yet has no handler.
+		if p := pickRouter(f, rng); p.calm() > startTime {
+			p.signal(syscall.SIGHUP)
+		}
 		return nil
 	}},
 	{"store_down", func(f *Fleet, _ *rand.Rand) func() {
@@ -98,6 +101,11 @@
 	return func() { p.set(Pass) }
 }
 
+// note writes a line to the run's list of faults.
+func (f *Fleet) note(what string) {
+	_, _ = fmt.Fprintln(f.faultLog, time.Now().UTC().Format("15:04:05.000"), what) // the list is for people only
+}
+
 // restart starts a process again that has ended.
 func (f *Fleet) restart(p *process) {
 	select {
@@ -114,6 +122,8 @@
 const (
 	minPause, maxPause = 50 * time.Millisecond, 900 * time.Millisecond
 	minFault, maxFault = 100 * time.Millisecond, 2500 * time.Millisecond
+	// startTime is how long a program takes to its first lines.
+	startTime = 100 * time.Millisecond
 	// maxOverlap is the number of faults that last at one time.
 	maxOverlap = 3
 )
@@ -128,6 +138,7 @@
 func (f *Fleet) disturbFor(rng *rand.Rand, d time.Duration) map[string]int {
 	counts := map[string]int{}
 	type lasting struct {
+		name  string
 		until time.Time
 		end   func()
 	}
@@ -136,6 +147,7 @@
 		kept := open[:0]
 		for _, l := range open {
 			if all || time.Now().After(l.until) {
+				f.note("end of " + l.name)
 				l.end()
 			} else {
 				kept = append(kept, l)
@@ -151,8 +163,9 @@
 			finish(true)
 		}
 		counts[kind.name]++
+		f.note(kind.name)
 		if stop := kind.inject(f, rng); stop != nil {
-			open = append(open, lasting{time.Now().Add(between(rng, minFault, maxFault)), stop})
+			open = append(open, lasting{kind.name, time.Now().Add(between(rng, minFault, maxFault)), stop})
 		}
 	}
 	finish(true)
--- a/proof/soak/soak.go
+++ b/proof/soak/soak.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"slices"
 	"strings"
+	"syscall"
 	"time"
 )
 
@@ -58,7 +59,13 @@
 	time.Sleep(lateRuns)
 	w := f.world(attempts)
 	result.Violations = w.check()
+	f.mu.Lock()
+	for _, end := range f.ownEnds {
+		result.Violations = append(result.Violations, Violation{"no-own-end", end})
+	}
+	f.mu.Unlock()
 	if !recovered {
+		f.dump()
 		result.Violations = append(result.Violations, Violation{"recovery", fmt.Sprintf("not all routers serve %v after the last fault", recoveryTime)})
 	}
 	result.Attempts = len(attempts)
@@ -86,6 +93,15 @@
 	return false
 }
 
+// dump makes the processes write their stacks to their logs, and end.
+func (f *Fleet) dump() {
+	for _, p := range f.routers {
+		p.signal(syscall.SIGCONT)
+		p.signal(syscall.SIGQUIT)
+		p.end(time.Second)
+	}
+}
+
 func (f *Fleet) serve(p *process, kind, id string) bool {
 	f.mu.Lock()
 	key := f.keys[len(f.keys)-1]
