--- a/app/cmd/kumquatsill/status.go
+++ b/app/cmd/kumquatsill/status.go
@@ -3,11 +3,13 @@
 import (
 	"fmt"
 	"io"
+	"os"
 	"strings"
 	"time"
 
 	"github.com/kumquatsill/kumquatsill/app/operator"
 	"github.com/kumquatsill/kumquatsill/app/settings"
+	"github.com/kumquatsill/kumquatsill/app/story"
 	"github.com/kumquatsill/kumquatsill/core/proto"
 )
 
@@ -123,15 +125,20 @@
 		Name: "explain", Short: "Tell what became of a request", Data: &explainFlags{printer: printer{streams: s}},
 		Long: `Tell where a request ran and why, under which revision, what was tried, and with which verdict it ended. Any router can explain any request whose audit record the log still retains; records reach the log within seconds. REQUEST-ID is the Kumquatsill-Request-Id of the answer, or the caller's X-Request-Id, which finds the latest request with it.
 
+With --log, no router is asked: the story is told from the logs of 'kumquatsill front', each line optionally behind a host name. Lines of the request are marked with *, changes of what its router believed are not.
+
 Examples:
   kumquatsill explain 0197f0c2-5f0e-7c1a-9a51-1f6f0c7d2b11
-  kumquatsill explain refill-4711 --json` + exitCodes,
+  kumquatsill explain refill-4711 --json
+  kumquatsill explain 9c41d07be2a35f68 --log routers.log
+  collect-logs | kumquatsill explain 9c41d07be2a35f68 --log -` + exitCodes,
 	}
 }
 
 type explainFlags struct {
 	printer
 	routerFlag
+	Log  string `long:"log" description:"file with the logs of 'kumquatsill front', or - for standard input"`
 	Args struct {
 		Request string `positional-arg-name:"REQUEST-ID" description:"id of the request"`
 	} `positional-args:"yes"`
@@ -148,6 +155,9 @@
 	if err := c.Err(); err != nil {
 		return err
 	}
+	if f.Log != "" {
+		return f.fromLog()
+	}
 	reply, err := ask[proto.ExplainReply](&f.routerFlag, proto.ExplainQuery{ID: operator.NewID(), Request: proto.RequestID(f.Args.Request)})
 	switch {
 	case err != nil:
@@ -160,6 +170,24 @@
 	return f.show(reply, func(w io.Writer) { showRequest(w, reply) })
 }
 
+// fromLog tells the story of a request from logs.
+func (f *explainFlags) fromLog() error {
+	input := f.in
+	if f.Log != "-" {
+		file, err := os.Open(f.Log)
+		if err != nil {
+			return &settings.Error{Problems: []string{"--log: " + err.Error()}}
+		}
+		defer func() { _ = file.Close() }() // the file was only read
+		input = file
+	}
+	s, err := story.Read(input, f.Args.Request)
+	if err != nil {
+		return settings.Exit(settings.ExitNotFound, "%s", err.Error())
+	}
+	return s.Write(f.out)
+}
+
 func showRequest(w io.Writer, reply proto.ExplainReply) {
 	r := reply.Request
 	source := "memory of the router"
--- a/app/front/serve.go
+++ b/app/front/serve.go
@@ -105,11 +105,12 @@
 func (x *request) admit() bool {
 	f := x.front
 	x.config = f.state.Load().config
+	var err error
+	x.caller, err = platform.DecodeCaller(x.r.Header)
 	if x.config == nil {
 		return x.reject(http.StatusServiceUnavailable, "no_configuration", notReadyRetryAfter)
 	}
-	var err error
-	if x.caller, err = platform.DecodeCaller(x.r.Header); err != nil {
+	if err != nil {
 		x.log = x.log.With("error", err.Error())
 		return x.reject(http.StatusBadRequest, "bad_header", 0)
 	}
--- /dev/null
+++ b/app/story/story_test.go
@@ -0,0 +1,49 @@
+package story_test
+
+import (
+	"strings"
+	"testing"
+
+	"github.com/kumquatsill/kumquatsill/app/story"
+)
+
+const log = `  1.0 front-1 {"time":"2026-01-01T00:00:01Z","level":"INFO","msg":"admitted","id":"a","route":"r"}
+  1.2 front-1 {"time":"2026-01-01T00:00:01.2Z","level":"INFO","msg":"endpoint changed","endpoint":"e1","leaving":true}
+  1.2 front-1 {"time":"2026-01-01T00:00:01.2Z","level":"INFO","msg":"endpoint changed","endpoint":"e2","leaving":true}
+  1.2 front-2 {"time":"2026-01-01T00:00:01.2Z","level":"WARN","msg":"store lost"}
+not a line of a router
+  0.5 front-1 {"time":"2026-01-01T00:00:00.5Z","level":"WARN","msg":"store lost","topic":"t"}
+  1.9 front-1 {"time":"2026-01-01T00:00:01.9Z","level":"INFO","msg":"finished","id":"a","outcome":"fail"}
+  1.4 front-1 {"time":"2026-01-01T00:00:01.4Z","level":"INFO","msg":"attempt","id":"a","endpoint":"e1","result":"broken"}
+  1.5 front-1 {"time":"2026-01-01T00:00:01.5Z","level":"INFO","msg":"attempt","id":"b","endpoint":"e1"}
+`
+
+// Guards against a story that mixes requests or routers, or leaves out what
+// decided the request.
+func TestRead(t *testing.T) {
+	s, err := story.Read(strings.NewReader(log), "a")
+	if err != nil {
+		t.Fatal(err)
+	}
+	var out strings.Builder
+	if err := s.Write(&out); err != nil {
+		t.Fatal(err)
+	}
+	var messages []string
+	for line := range strings.Lines(out.String()) {
+		messages = append(messages, strings.Fields(strings.TrimPrefix(line, "*"))[1])
+	}
+	if got := strings.Join(messages, " "); got != "store admitted endpoint attempt finished" {
+		t.Fatalf("%s\n%s", got, out.String())
+	}
+	if strings.Contains(out.String(), "e2") || !strings.Contains(out.String(), "result=broken") {
+		t.Fatal(out.String())
+	}
+}
+
+// Guards against an empty story for an id that no log knows.
+func TestUnknownRequest(t *testing.T) {
+	if _, err := story.Read(strings.NewReader(log), "c"); err == nil {
+		t.Fatal("a request that no line names has a story")
+	}
+}
