--- a/app/cmd/kumquatsill/front.go
+++ b/app/cmd/kumquatsill/front.go
@@ -34,8 +34,9 @@
 platform's file, its configuration and endpoints from the platform's store, and keeps nothing.
 SIGTERM drains it, SIGHUP reads the settings file again.
 
-Example:
+Examples:
   KUMQUATSILL_BOOT=/etc/kumquatsill/boot.json kumquatsill front
+  kumquatsill front --settings boot.json --log-level warn
 
 Exit codes: 0 after a drain, 1 on a failure, 2 on bad settings.`,
 		Data: &frontFlags{},
