core/duty: claims tell since when versions are named

Ruled out: counting a listed version as old, which takes all engines out after a restart right behind a new version. Change: claims carry the last versions with their age and the holder's time of day; a router reads the last claim at its start.

--- a/app/front/upgrade.go
+++ b/app/front/upgrade.go
@@ -30,6 +30,10 @@
 // upgradeEngines brings engines to the newest versions while this router holds
 // the lease for it.
 func (f *Front) upgradeEngines(ctx context.Context) error {
+	// The last claim tells since when versions are named.
+	if err := f.readLease(ctx); err != nil {
+		return err
+	}
 	tick := time.NewTicker(upgradeInterval)
 	defer tick.Stop()
 	held := false
@@ -100,6 +104,7 @@
 		f.mu.Lock()
 		end, record := f.lease.End(), f.lease.Record()
 		f.mu.Unlock()
+		record.Named, record.WrittenAt = f.namedForClaim(driver.Now()), time.Now().UnixMilli()
 		f.tomb.Go(func() error { return f.claimLease(ctx, end, record) })
 	}
 }
@@ -126,10 +131,25 @@
 			f.log.Error("claim ignored", "offset", end-1, "error", err.Error())
 		}
 	}
-	f.lease.Observed(driver.Now(), end, last)
+	now := driver.Now()
+	f.lease.Observed(now, end, last)
+	for _, n := range last.Named {
+		f.placer.NamedBefore(n.Model, n.Version, now.Add(-last.Age(n, time.Now())))
+	}
 	return nil
 }
 
+// namedForClaim returns the versions that a claim tells to routers that start.
+func (f *Front) namedForClaim(now proto.Instant) []duty.Named {
+	var named []duty.Named
+	for model, versions := range f.placer.Named() {
+		for _, v := range versions {
+			named = append(named, duty.Named{Model: model, Version: v.Version, AgeMillis: now.Sub(v.At).Milliseconds()})
+		}
+	}
+	return named
+}
+
 func (f *Front) claimLease(ctx context.Context, end int64, record duty.Claim) error {
 	value, err := json.Marshal(record)
 	if err == nil {
@@ -156,6 +176,7 @@
 	if !ok {
 		return
 	}
+	record.Named, record.WrittenAt = f.namedForClaim(driver.Now()), time.Now().UnixMilli()
 	value, err := json.Marshal(record)
 	if err == nil {
 		err = f.store.Append(ctx, platform.TopicDuty, end, value)
--- a/core/duty/duty_test.go
+++ b/core/duty/duty_test.go
@@ -166,3 +166,18 @@
 		}
 	}
 }
+
+// Guards against a router that starts and takes an old version for just named,
+// and against believing times of day that have jumped.
+func TestAgeOfVersions(t *testing.T) {
+	written := time.UnixMilli(1_000_000)
+	c := duty.Claim{WrittenAt: written.UnixMilli()}
+	n := duty.Named{Model: "m", Version: 2, AgeMillis: 2000}
+	for elapsed, want := range map[time.Duration]time.Duration{
+		time.Second: 3 * time.Second, -time.Minute: 2 * time.Second, time.Hour: 7 * time.Second,
+	} {
+		if got := c.Age(n, written.Add(elapsed)); got != want {
+			t.Errorf("%v after the claim the version is %v old, want %v", elapsed, got, want)
+		}
+	}
+}
