--- a/app/front/front.go
+++ b/app/front/front.go
@@ -39,9 +39,9 @@
 	rotationTime = 2500 * time.Millisecond
 	// exitMargin is left of the stop time for the process to end.
 	exitMargin = 700 * time.Millisecond
-	// versionMargin is left of a version's life for a request to wait at an
+	// versionMargin is left of a version's life for a request to wait at a busy
 	// engine before it begins.
-	versionMargin = 1500 * time.Millisecond
+	versionMargin = 2500 * time.Millisecond
 	// housekeeping is the time between two rounds of housekeeping.
 	housekeeping = 250 * time.Millisecond
 	// headerTimeout and idleTimeout hold for callers' connections. Callers
