--- a/app/front/front.go
+++ b/app/front/front.go
@@ -42,6 +42,8 @@
 	// versionMargin is left of a version's life for a request to wait at a busy
 	// engine before it begins.
 	versionMargin = 2500 * time.Millisecond
+	// registryLag is the time until a heartbeat is read from the registry.
+	registryLag = 800 * time.Millisecond
 	// housekeeping is the time between two rounds of housekeeping.
 	housekeeping = 250 * time.Millisecond
 	// headerTimeout and idleTimeout hold for callers' connections. Callers
@@ -122,7 +124,7 @@
 		store:   platform.NewStore(cfg.Settings.Store),
 		client:  upstream.New(),
 		quota:   quota.New(now, id, life),
-		placer:  place.New(cfg.Settings.Domain, place.DefaultCosts(), cfg.Settings.VersionLife-versionMargin, uint64(life)),
+		placer:  newPlacer(cfg.Settings, life),
 		crashes: crash.NewRegister(),
 		table:   discovery.NewTable(),
 		planner: upgrade.New(),
@@ -144,6 +146,15 @@
 	return f, nil
 }
 
+// newPlacer returns the placement for a host. An endpoint counts as unheard after
+// two heartbeats and the time in which the registry tells them.
+func newPlacer(s platform.Settings, life int64) *place.Placer {
+	return place.New(place.Config{
+		Domain: s.Domain, Costs: place.DefaultCosts(), VersionLife: s.VersionLife - versionMargin,
+		HeartbeatLimit: 2*s.HeartbeatInterval + registryLag, Seed: uint64(life),
+	})
+}
+
 // newLease returns the view of the lease for upgrades. Where engines check
 // fencing tokens, a holder that has given the lease up needs no quiet time.
 func newLease(s platform.Settings) *duty.Lease {
--- a/core/duty/duty.go
+++ b/core/duty/duty.go
@@ -128,9 +128,6 @@
 	return l.fence, l.fence > 0 && now < l.until.Add(-margin)
 }
 
-// Holder returns the holder of the last claim read, or "".
-func (l *Lease) Holder() string { return l.last.Holder }
-
 // End returns the offset at which to append.
 func (l *Lease) End() int64 { return l.end }
 
--- a/core/place/links.go
+++ b/core/place/links.go
@@ -65,7 +65,7 @@
 
 // distance is 0 for the router's own failure domain and 1 for others.
 func (p *Placer) distance(d proto.Domain) int {
-	if d == p.domain {
+	if d == p.cfg.Domain {
 		return 0
 	}
 	return 1
--- a/core/place/place.go
+++ b/core/place/place.go
@@ -50,9 +50,6 @@
 }
 
 const (
-	// heartbeatLimit is the silence after which an endpoint is used only when
-	// nothing better is there: two heartbeats and the lag of reading them.
-	heartbeatLimit = 3200 * time.Millisecond
 	// silentCost, failingCost and unheardCost keep work from endpoints that do
 	// not answer, fail, or are not heard in the registry, while others can
 	// take it.
@@ -133,8 +130,7 @@
 // Placer chooses endpoints for one router. It is safe for concurrent use.
 type Placer struct {
 	mu     sync.Mutex
-	domain proto.Domain
-	costs  Costs
+	cfg    Config
 	list   *discovery.Snapshot
 	config *serving.Config
 	loads  map[proto.EndpointID]*load
@@ -142,22 +138,32 @@
 	// storeBusy is when the link of each store is free, by address.
 	storeBusy map[string]proto.Instant
 	// named holds the versions named of each model, the newest last.
-	named map[string][]NamedVersion
-	// versionLife is how long a version may be used after a newer one was named.
-	versionLife time.Duration
-	attempts    uint64
-	rng         *rand.Rand
+	named    map[string][]NamedVersion
+	attempts uint64
+	rng      *rand.Rand
 	// told collects what the peers are to be told.
 	told []Told
 }
 
-// New returns a placer without endpoints, for a router in a failure domain.
-// A version of a model is not used any more once a newer one was named for
-// versionLife; 0 means that it may always be used. The seed makes the random
-// part of the choices differ between routers.
-func New(domain proto.Domain, costs Costs, versionLife time.Duration, seed uint64) *Placer {
+// Config configures a Placer.
+type Config struct {
+	// Domain is the router's failure domain.
+	Domain proto.Domain
+	Costs  Costs
+	// VersionLife is how long a version of a model may be used once a newer one
+	// was named; 0 means always.
+	VersionLife time.Duration
+	// HeartbeatLimit is the silence in the registry after which an endpoint is
+	// used only when nothing better is there; 0 means never.
+	HeartbeatLimit time.Duration
+	// Seed makes the random part of the choices differ between routers.
+	Seed uint64
+}
+
+// New returns a placer without endpoints.
+func New(cfg Config) *Placer {
 	return &Placer{
-		domain: domain, costs: costs, versionLife: versionLife, rng: rand.New(rand.NewPCG(seed, 1)),
+		cfg: cfg, rng: rand.New(rand.NewPCG(cfg.Seed, 1)),
 		list:   discovery.NewTable().Snapshot(),
 		loads:  map[proto.EndpointID]*load{},
 		stores: map[string]*StoreIndex{},
--- a/core/place/place_test.go
+++ b/core/place/place_test.go
@@ -29,7 +29,7 @@
 func newRig(t *testing.T, engines int) *rig {
 	r := &rig{
 		t: t, now: start, table: discovery.NewTable(), store: place.NewStoreIndex(),
-		placer: place.New("a", place.DefaultCosts(), 6*time.Second, 1),
+		placer: place.New(place.Config{Domain: "a", Costs: place.DefaultCosts(), VersionLife: 6 * time.Second, HeartbeatLimit: 3 * time.Second, Seed: 1}),
 	}
 	cfg, err := serving.New(serving.Content{Services: []*serving.Service{
 		{Name: "s", Engine: &serving.Engine{Slots: 8, CacheTokens: 90_000, TokenBytes: 160_000, LinkBitsPerSecond: 550e9}},
@@ -378,3 +378,22 @@
 		t.Fatalf("version %d is expected, the registry says 1", c.Version)
 	}
 }
+
+// Guards against further work for an engine that has stopped its heartbeat
+// while others can take it.
+func TestUnheardEngineIsAvoided(t *testing.T) {
+	r := newRig(t, 2)
+	first := r.choose(r.query("x")).Endpoint.ID
+	for i := range 2 {
+		r.placer.Heard(r.now, engineID(i))
+	}
+	r.now = r.now.Add(4 * time.Second)
+	for i := range 2 {
+		if engineID(i) != first {
+			r.placer.Heard(r.now, engineID(i))
+		}
+	}
+	if c := r.choose(r.query("x")); c.Endpoint.ID == first {
+		t.Fatal("an engine without heartbeat for 4 s got work")
+	}
+}
--- a/core/place/price.go
+++ b/core/place/price.go
@@ -44,7 +44,7 @@
 // price returns what it costs to send the request to an endpoint.
 func (s *scope) price(e *discovery.Endpoint, l *load) (Choice, float64) {
 	c := Choice{Endpoint: e}
-	costs := s.placer.costs
+	costs := s.placer.cfg.Costs
 	weight := time.Duration(0)
 	c.Lag = l.lagNow(s.now)
 	c.Expected = s.wait(l) + c.Lag
@@ -55,7 +55,7 @@
 		c.Expected += took
 		weight += extra + s.oldVersion(c.Version)
 	}
-	if e.Domain != s.placer.domain {
+	if e.Domain != s.placer.cfg.Domain {
 		weight += time.Duration(float64(costs.ForeignKilobyte) * float64(s.q.Bytes) / 1024)
 	}
 	weight += s.doubt(l)
@@ -64,7 +64,7 @@
 
 // wait returns the time until an endpoint starts on a new request.
 func (s *scope) wait(l *load) time.Duration {
-	costs := s.placer.costs
+	costs := s.placer.cfg.Costs
 	running := l.inFlight + l.othersAt(s.now)
 	wait := time.Duration(running)*costs.Running + time.Duration(l.reading)*costs.TokenRead
 	wait += max(0, l.peersReadUntil.Sub(s.now))
@@ -86,7 +86,8 @@
 	if l.silent(s.now) || s.now < l.silentUntil {
 		cost += silentCost
 	}
-	if l.heardAt != 0 && s.now.Sub(l.heardAt) > heartbeatLimit {
+	limit := s.placer.cfg.HeartbeatLimit
+	if limit > 0 && l.heardAt != 0 && s.now.Sub(l.heardAt) > limit {
 		cost += unheardCost
 	}
 	return cost
@@ -97,7 +98,7 @@
 	if version >= newest.Version || s.now.Sub(newest.At) < oldVersionGrace {
 		return 0
 	}
-	return s.placer.costs.OldVersion
+	return s.placer.cfg.Costs.OldVersion
 }
 
 // prompt returns the time to get and read the prompt, and the weight of the
@@ -113,7 +114,7 @@
 	c.Moved = tokensOf(parts[held:from.parts])
 	c.Again = tokensOf(parts[from.parts:])
 	c.Reading = own + c.Again
-	costs := s.placer.costs
+	costs := s.placer.cfg.Costs
 	took = time.Duration(c.Reading) * costs.TokenRead
 	weight = time.Duration(c.Again) * costs.ReadAgain
 	if c.Moved > 0 {
--- a/core/place/told.go
+++ b/core/place/told.go
@@ -107,7 +107,7 @@
 	for _, h := range t.Held {
 		l.parts.use(expectedPart(h.Key, h.Tokens, ready))
 	}
-	l.peersReadUntil = max(now, l.peersReadUntil).Add(time.Duration(t.Reading) * p.costs.TokenRead)
+	l.peersReadUntil = max(now, l.peersReadUntil).Add(time.Duration(t.Reading) * p.cfg.Costs.TokenRead)
 	p.occupy(now, t.Transfer)
 }
 
--- a/core/place/versions.go
+++ b/core/place/versions.go
@@ -77,7 +77,7 @@
 func (p *Placer) oldest(now proto.Instant, model string) int64 {
 	oldest := int64(0)
 	for _, v := range p.named[model] {
-		if p.versionLife > 0 && now.Sub(v.At) >= p.versionLife {
+		if p.cfg.VersionLife > 0 && now.Sub(v.At) >= p.cfg.VersionLife {
 			oldest = v.Version
 		}
 	}
--- a/core/relay/relay.go
+++ b/core/relay/relay.go
@@ -138,9 +138,6 @@
 // Sends returns the number of attempts made.
 func (r *Request) Sends() int { return r.sends }
 
-// Unknown returns the number of attempts that broke off without an answer.
-func (r *Request) Unknown() int { return r.unknown }
-
 // MayHaveRun reports whether any attempt may have run.
 func (r *Request) MayHaveRun() bool { return r.ran > 0 }
 
--- a/core/serving/config.go
+++ b/core/serving/config.go
@@ -131,8 +131,6 @@
 // Service is a group of endpoints that run the same requests.
 type Service struct {
 	Name string
-	// Connections is the number of connections that an endpoint accepts.
-	Connections int
 	// Engine is set for model engines, Store for a store of cache entries.
 	Engine *Engine
 	Store  *CacheStore
