--- a/app/front/front.go
+++ b/app/front/front.go
@@ -100,9 +100,10 @@
 	budgets  map[string]*relay.RetryBudget
 	budgetMu sync.Mutex
 	// loads holds the engines ordered by this process, for its peers.
-	loads   map[proto.EndpointID]proto.Instant
-	reached map[proto.EndpointID]platform.NamedVersion
-	feeds   map[string]context.CancelFunc
+	loads        map[proto.EndpointID]proto.Instant
+	loadsChanged atomic.Bool
+	reached      map[proto.EndpointID]platform.NamedVersion
+	feeds        map[string]context.CancelFunc
 
 	// wholeUntil is until when all messages to peers are whole.
 	wholeUntil atomic.Int64
--- a/app/front/peers.go
+++ b/app/front/peers.go
@@ -133,7 +133,7 @@
 	// tell of parts saves more than their bytes cost.
 	smallFleet = 8
 	// soonPause is the least time between messages sent before they are due.
-	soonPause = 25 * time.Millisecond
+	soonPause = 40 * time.Millisecond
 )
 
 // audiences are the peers by their distance.
@@ -177,12 +177,17 @@
 
 // tellSoonest tells of attempts and orders that have just begun.
 func (f *Front) tellSoonest(now proto.Instant) {
-	m := f.message(now, false)
-	m.Counts = quota.Counts{Router: proto.RouterID(f.cfg.Settings.Host), Life: f.life}
+	m := peer.Message{Counts: quota.Counts{Router: proto.RouterID(f.cfg.Settings.Host), Life: f.life}}
+	ordered := f.loadsChanged.Swap(false)
+	if ordered {
+		f.mu.Lock()
+		m.Loads, m.Reached = f.loadsFor(now), f.reachedFor()
+		f.mu.Unlock()
+	}
 	m.Attempts = f.placer.Tell()
 	f.send(m, f.peersAt(now, near))
 	m.Attempts = firstReads(m.Attempts)
-	if len(m.Attempts)+len(m.Loads) > 0 {
+	if ordered || len(m.Attempts) > 0 {
 		f.send(m, f.peersAt(now, far))
 	}
 }
--- a/app/front/upgrade.go
+++ b/app/front/upgrade.go
@@ -225,12 +225,17 @@
 	} else if state.Busy {
 		until = now.Add(busyTime)
 	}
+	// Peers that were told a time that still lasts need not be told again.
+	lasts := f.loads[a.Endpoint.ID].Sub(now) > busyTime/2
 	if until > 0 {
-		f.loads[a.Endpoint.ID] = until
+		f.loads[a.Endpoint.ID] = max(until, f.loads[a.Endpoint.ID])
 	}
 	f.mu.Unlock()
 	if until > 0 {
 		f.placer.Loading(a.Endpoint.ID, until)
+	}
+	if until > 0 && !lasts {
+		f.loadsChanged.Store(true)
 		f.tellSoon()
 	}
 	f.noteVersion(a.Endpoint.ID, a.Model, state.Versions[a.Model])
