place: sources and keys once per version; memory set when the configuration comes

(1) A router that lists the endpoints before it has a configuration made each endpoint's cache with a capacity of 0, and nothing set it later: it believed each engine to hold one part. (2) Choose formatted the salt and searched all engines for sources anew for each candidate, so one choice cost O(engines squared); Began then sorted the links and hashed all parts again. (3) An engine that holds nothing of a prompt could be named as its source. (4) Configuration fields that nothing reads (slots, models, feeds, limits of headers and times) were decoded.

Ruled out: the cost of the random part and of the rendezvous hash alone; they are a tenth of the time at 600 engines.

Change: one cachedPrompt per version of a choice holds salt, keys and sources; of equal sources only the two that are free first are looked at. Choice carries keys and transfer time on to Began. Configure resizes the caches. A source must hold a part. Fields without a reader are gone.

Tests: TestConfigurationAfterEndpointsSetsMemory and TestEngineWithoutPartsIsNoSource failed before.

--- a/app/front/serve.go
+++ b/app/front/serve.go
@@ -160,7 +160,7 @@
 }
 
 func (x *request) readBody() bool {
-	limit := x.config.Limits.BodyBytes
+	limit := x.config.MaxBody
 	if limit <= 0 {
 		limit = maxBodyDefault
 	}
@@ -301,7 +301,6 @@
 	}
 	q.Model = x.caller.Model
 	q.Parts = x.caller.Parts
-	q.OutputTokens = x.caller.OutputTokens
 	q.Bytes = int64(len(x.body)) + tokenBytes*x.caller.OutputTokens
 	q.Salt = x.salt
 	return q
--- a/core/place/links.go
+++ b/core/place/links.go
@@ -78,14 +78,7 @@
 	return time.Duration(float64(bytes) * 8 / bitsPerSecond * float64(time.Second))
 }
 
-func (l *links) engineTime(tokens int64, foreign bool) time.Duration {
-	return transferTime(tokens, l.tokenTime, foreign)
-}
-
-func (l *storeLink) time(tokens int64, foreign bool) time.Duration {
-	return transferTime(tokens, l.tokenTime, foreign)
-}
-
+// transferTime returns the time that a transfer takes once both links are free.
 func transferTime(tokens int64, tokenTime time.Duration, foreign bool) time.Duration {
 	if tokens == 0 {
 		return 0
--- a/core/place/load.go
+++ b/core/place/load.go
@@ -26,7 +26,9 @@
 
 // load is what a router knows of one endpoint at the moment.
 type load struct {
-	life     int64
+	life int64
+	// idHash is the hash of the endpoint's id.
+	idHash   uint64
 	version  map[string]int64
 	inFlight int
 	// reading is the number of prompt tokens sent and not yet answered.
--- a/core/place/parts.go
+++ b/core/place/parts.go
@@ -91,6 +91,17 @@
 	}
 	c.byKey[p.key] = c.order.PushFront(p)
 	c.tokens += p.tokens
+	c.evict()
+}
+
+// resize sets the tokens that the endpoint can hold.
+func (c *partCache) resize(capacity int64) {
+	c.capacity = capacity
+	c.evict()
+}
+
+// evict forgets what the endpoint has no room for.
+func (c *partCache) evict() {
 	for c.tokens > c.capacity && c.order.Len() > 1 {
 		c.remove(c.order.Back().Value.(heldPart).key)
 	}
--- a/core/place/place.go
+++ b/core/place/place.go
@@ -7,9 +7,11 @@
 import (
 	"math"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/kumquatsill/kumquatsill/core/discovery"
 	"github.com/kumquatsill/kumquatsill/core/proto"
 	"github.com/kumquatsill/kumquatsill/core/serving"
@@ -74,9 +76,6 @@
 	// oldVersionGrace is how long after a version was named answers on the
 	// version before are as good.
 	oldVersionGrace = 1200 * time.Millisecond
-	// memoryShare is the part of an engine's memory that cached parts are
-	// reckoned to take at most; its events tell what it drops before.
-	memoryShare = 1.0
 )
 
 // Query describes one attempt.
@@ -90,8 +89,6 @@
 	Salt func(version int64) string
 	// Bytes is the size of the request and of the answer expected.
 	Bytes int64
-	// OutputTokens is the greatest number of tokens of the answer.
-	OutputTokens int64
 	// Exclude lists endpoints that were tried before.
 	Exclude []proto.EndpointID
 }
@@ -125,6 +122,11 @@
 	Reading int64
 	// Candidates is the number of endpoints that could have taken the request.
 	Candidates int
+
+	// transfer is the time that moving the parts takes, keys are those of the
+	// prompt's parts.
+	transfer time.Duration
+	keys     []PartKey
 }
 
 // Placer chooses endpoints for one router. It is safe for concurrent use.
@@ -178,6 +180,10 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.config = cfg
+	// Endpoints may have been listed before, and their memory may have changed.
+	for id, e := range p.list.ByID {
+		p.loads[id].parts.resize(p.partCapacity(e))
+	}
 }
 
 // SetStore sets the index of a store of cache entries, by its address.
@@ -217,7 +223,7 @@
 	l := p.loads[e.ID]
 	if l == nil {
 		l = &load{
-			life: e.Started, version: map[string]int64{}, slots: e.Slots,
+			life: e.Started, idHash: xxhash.Sum64String(string(e.ID)), version: map[string]int64{}, slots: e.Slots,
 			unanswered: map[uint64]pending{}, parts: newPartCache(p.partCapacity(e)),
 		}
 		p.loads[e.ID] = l
@@ -225,11 +231,12 @@
 	return l
 }
 
+// partCapacity returns the tokens that an endpoint can hold; mu is held.
 func (p *Placer) partCapacity(e *discovery.Endpoint) int64 {
 	if p.config == nil || p.config.Services[e.Service] == nil || p.config.Services[e.Service].Engine == nil {
 		return 0
 	}
-	return int64(memoryShare * float64(p.config.Services[e.Service].Engine.CacheTokens))
+	return p.config.Services[e.Service].Engine.CacheTokens
 }
 
 // Heard records that an endpoint was heard through the registry.
@@ -267,11 +274,10 @@
 	best := Choice{}
 	bestCost := math.Inf(1)
 	found := 0
-	s := scope{placer: p, now: now, q: q, keys: map[int64][]PartKey{}}
-	s.findLinks()
+	s := newScope(p, now, q)
 	oldest := p.oldest(now, q.Model)
 	for _, e := range p.list.Of(q.Service) {
-		if e.Leaving || excluded(q, e.ID) {
+		if e.Leaving || slices.Contains(q.Exclude, e.ID) {
 			continue
 		}
 		l := p.loadOf(e)
@@ -293,15 +299,6 @@
 	return best, found > 0
 }
 
-func excluded(q *Query, id proto.EndpointID) bool {
-	for _, x := range q.Exclude {
-		if x == id {
-			return true
-		}
-	}
-	return false
-}
-
 // Pressure returns the mean wait at the engines that take work.
 func (p *Placer) Pressure(now proto.Instant) time.Duration {
 	p.mu.Lock()
--- a/core/place/place_test.go
+++ b/core/place/place_test.go
@@ -19,27 +19,19 @@
 
 // rig is a placer over engines in two failure domains, and a cache store.
 type rig struct {
-	t      *testing.T
+	t      testing.TB
 	now    proto.Instant
 	placer *place.Placer
 	table  *discovery.Table
 	store  *place.StoreIndex
 }
 
-func newRig(t *testing.T, engines int) *rig {
+func newRig(t testing.TB, engines int) *rig {
 	r := &rig{
 		t: t, now: start, table: discovery.NewTable(), store: place.NewStoreIndex(),
 		placer: place.New(place.Config{Domain: "a", Costs: place.DefaultCosts(), VersionLife: 6 * time.Second, HeartbeatLimit: 3 * time.Second, Seed: 1}),
 	}
-	cfg, err := serving.New(serving.Content{Services: []*serving.Service{
-		{Name: "s", Engine: &serving.Engine{Slots: 8, CacheTokens: 90_000, TokenBytes: 160_000, LinkBitsPerSecond: 550e9}},
-		{Name: "plain"},
-		{Name: "store", Store: &serving.CacheStore{Addr: storeAddr, Domain: "a", Tokens: 900_000, LinkBitsPerSecond: 230e9}},
-	}})
-	if err != nil {
-		t.Fatal(err)
-	}
-	r.placer.Configure(cfg)
+	r.placer.Configure(config(t))
 	r.placer.SetStore(storeAddr, r.store)
 	for i := range engines {
 		domain := proto.Domain("a")
@@ -47,13 +39,26 @@
 			domain = "b"
 		}
 		r.put(&discovery.Endpoint{
-			ID: engineID(i), Service: "s", Addr: fmt.Sprintf("10.0.0.%d:80", i+1), Domain: domain, Slots: 8, Started: 1,
+			ID: engineID(i), Service: "s", Addr: fmt.Sprintf("10.0.%d.%d:80", i/250, i%250+1), Domain: domain, Slots: 8, Started: 1,
 			Versions: map[string]int64{model: 1},
 		})
 	}
 	return r
 }
 
+func config(t testing.TB) *serving.Config {
+	t.Helper()
+	cfg, err := serving.New(serving.Content{Services: []*serving.Service{
+		{Name: "s", Engine: &serving.Engine{CacheTokens: 90_000, TokenBytes: 160_000, LinkBitsPerSecond: 550e9}},
+		{Name: "plain"},
+		{Name: "store", Store: &serving.CacheStore{Addr: storeAddr, Domain: "a", LinkBitsPerSecond: 230e9}},
+	}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return cfg
+}
+
 func engineID(i int) proto.EndpointID { return proto.EndpointID(fmt.Sprint("e", i)) }
 
 func (r *rig) put(e *discovery.Endpoint) {
@@ -397,3 +402,28 @@
 		t.Fatal("an engine without heartbeat for 4 s got work")
 	}
 }
+
+// Guards against a router that reads the endpoints before the configuration, as
+// its start allows, taking engines for ones without memory.
+func TestConfigurationAfterEndpointsSetsMemory(t *testing.T) {
+	placer := place.New(place.Config{Domain: "a", Costs: place.DefaultCosts(), Seed: 1})
+	table := discovery.NewTable()
+	table.Put(&discovery.Endpoint{ID: "e0", Service: "s", Addr: "10.0.0.1:80", Domain: "a", Slots: 8, Versions: map[string]int64{model: 1}})
+	placer.Update(table.Snapshot())
+	placer.Configure(config(t))
+	r := &rig{t: t, now: start, placer: placer, table: table}
+	r.send(r.query("x"), 300*time.Millisecond)
+	if c := r.choose(r.query("y")); c.Held != 6300 {
+		t.Errorf("the engine counts as holding %d of 6300 shared tokens that it has just read", c.Held)
+	}
+}
+
+// Guards against a dead source or a miss: an engine that holds nothing of a
+// prompt is no source of it.
+func TestEngineWithoutPartsIsNoSource(t *testing.T) {
+	r := newRig(t, 2)
+	r.send(r.query("x"), 300*time.Millisecond)
+	if c := r.choose(r.query("y")); c.Source != "" {
+		t.Errorf("the prompt is held by %s only, and %s is named as its source", c.Endpoint.ID, c.Source)
+	}
+}
--- a/core/place/price.go
+++ b/core/place/price.go
@@ -1,6 +1,9 @@
 package place
 
 import (
+	"cmp"
+	"encoding/binary"
+	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -13,32 +16,120 @@
 	placer *Placer
 	now    proto.Instant
 	q      *Query
-	keys   map[int64][]PartKey
 	links  links
+	// shared are the parts that other requests may have in common; upTo holds
+	// the tokens of the leading 0, 1, ... of them, own the tokens of the rest.
+	shared []Part
+	upTo   []int64
+	own    int64
+	// homeHash is that of the deepest shared part.
+	homeHash uint64
+	prompts  map[int64]*cachedPrompt
 }
 
-func (s *scope) findLinks() {
-	if s.placer.config != nil && s.q.Model != "" {
-		s.links = s.placer.linksOf(s.q.Service)
+// cachedPrompt is the prompt under one version of the model.
+type cachedPrompt struct {
+	salt string
+	// keys are those of all parts of the prompt.
+	keys []PartKey
+	// sources are where leading parts of the prompt can be fetched from.
+	sources []source
+}
+
+// source is an engine or store that holds leading parts of the prompt.
+type source struct {
+	addr string
+	// engine is empty for a store.
+	engine proto.EndpointID
+	domain proto.Domain
+	parts  int
+	// linkBusy is when its link is free, tokenTime the time to send one token.
+	linkBusy  proto.Instant
+	tokenTime time.Duration
+}
+
+func newScope(p *Placer, now proto.Instant, q *Query) *scope {
+	s := &scope{placer: p, now: now, q: q, prompts: map[int64]*cachedPrompt{}}
+	if p.config != nil && q.Model != "" {
+		s.links = p.linksOf(q.Service)
+	}
+	if len(q.Parts) == 0 {
+		return s
+	}
+	last := len(q.Parts) - 1
+	s.shared, s.own = q.Parts[:last], q.Parts[last].Tokens
+	s.upTo = make([]int64, last+1)
+	for i, part := range s.shared {
+		s.upTo[i+1] = s.upTo[i] + part.Tokens
 	}
+	if last > 0 {
+		s.homeHash = xxhash.Sum64String(s.shared[last-1].ID)
+	}
+	return s
 }
 
-// shared returns the parts that other requests may have in common.
-func (s *scope) shared() []Part {
-	if len(s.q.Parts) == 0 {
+// promptFor returns the prompt under a version.
+func (s *scope) promptFor(version int64) *cachedPrompt {
+	c := s.prompts[version]
+	if c == nil {
+		c = &cachedPrompt{salt: s.q.Salt(version)}
+		c.keys = Keys(c.salt, s.q.Parts)
+		c.sources = s.sourcesOf(c)
+		s.prompts[version] = c
+	}
+	return c
+}
+
+// sharedKeys returns the keys of the shared parts.
+func (s *scope) sharedKeys(c *cachedPrompt) []PartKey { return c.keys[:len(s.shared)] }
+
+// sourcesOf returns the engines and stores that have read leading parts of a
+// prompt and answer.
+func (s *scope) sourcesOf(c *cachedPrompt) []source {
+	if len(s.shared) == 0 {
 		return nil
 	}
-	return s.q.Parts[:len(s.q.Parts)-1]
+	var sources []source
+	for _, e := range s.placer.list.Of(s.q.Service) {
+		l := s.placer.loads[e.ID]
+		if l == nil || s.now < l.avoidUntil || l.silent(s.now) || s.now < l.silentUntil || l.isLoading(s.now) {
+			continue
+		}
+		if n := ready(l, s.sharedKeys(c), s.now); n > 0 {
+			sources = append(sources, source{
+				addr: e.Addr, engine: e.ID, domain: e.Domain, parts: n, linkBusy: l.linkBusy, tokenTime: s.links.tokenTime,
+			})
+		}
+	}
+	for _, store := range s.links.stores {
+		if n := store.index.Leading(c.salt, s.shared); n > 0 {
+			sources = append(sources, source{
+				addr: store.addr, domain: store.domain, parts: n, linkBusy: store.busy, tokenTime: store.tokenTime,
+			})
+		}
+	}
+	return leastBusy(sources, s.now)
 }
 
-// keysFor returns the keys of the shared parts under a version.
-func (s *scope) keysFor(version int64) []PartKey {
-	keys, ok := s.keys[version]
-	if !ok {
-		keys = Keys(s.q.Salt(version), s.shared())
-		s.keys[version] = keys
+// leastBusy keeps two sources of each set of equal ones: the one whose link is
+// free first, and the next one for the endpoint that is the first itself.
+func leastBusy(sources []source, now proto.Instant) []source {
+	slices.SortStableFunc(sources, func(a, b source) int {
+		return cmp.Or(a.compare(&b), cmp.Compare(max(a.linkBusy, now), max(b.linkBusy, now)))
+	})
+	kept := sources[:0]
+	for _, from := range sources {
+		if n := len(kept); n < 2 || from.compare(&kept[n-1]) != 0 || from.compare(&kept[n-2]) != 0 {
+			kept = append(kept, from)
+		}
 	}
-	return keys
+	return kept
+}
+
+// compare orders sources by what fetching from them gives and takes apart from
+// the wait.
+func (a *source) compare(b *source) int {
+	return cmp.Or(cmp.Compare(b.parts, a.parts), cmp.Compare(a.tokenTime, b.tokenTime), cmp.Compare(a.domain, b.domain))
 }
 
 // price returns what it costs to send the request to an endpoint.
@@ -50,7 +141,6 @@
 	c.Expected = s.wait(l) + c.Lag
 	if s.q.Model != "" {
 		c.Version = l.version[s.q.Model]
-		c.Salt = s.q.Salt(c.Version)
 		took, extra := s.prompt(&c, l)
 		c.Expected += took
 		weight += extra + s.oldVersion(c.Version)
@@ -59,7 +149,7 @@
 		weight += time.Duration(float64(costs.ForeignKilobyte) * float64(s.q.Bytes) / 1024)
 	}
 	weight += s.doubt(l)
-	return c, float64(c.Expected+weight) - s.home(e)
+	return c, float64(c.Expected+weight) - s.home(l)
 }
 
 // wait returns the time until an endpoint starts on a new request.
@@ -104,20 +194,22 @@
 // prompt returns the time to get and read the prompt, and the weight of the
 // choice beyond that time.
 func (s *scope) prompt(c *Choice, l *load) (took, weight time.Duration) {
-	parts := s.shared()
-	keys := s.keysFor(c.Version)
-	held := leading(l, keys, s.now)
-	c.Shared = tokensOf(parts)
-	c.Held = tokensOf(parts[:held])
-	from := s.source(c, l, keys, held)
-	own := tokensOf(s.q.Parts) - c.Shared
-	c.Moved = tokensOf(parts[held:from.parts])
-	c.Again = tokensOf(parts[from.parts:])
-	c.Reading = own + c.Again
+	cached := s.promptFor(c.Version)
+	c.Salt, c.keys = cached.salt, cached.keys
+	if len(s.q.Parts) == 0 {
+		return 0, 0
+	}
+	held := leading(l, s.sharedKeys(cached), s.now)
+	from := s.fetch(c, l, cached.sources, held)
+	c.Shared, c.Held = s.upTo[len(s.shared)], s.upTo[held]
+	c.Moved = s.upTo[from.parts] - c.Held
+	c.Again = c.Shared - s.upTo[from.parts]
+	c.Reading = s.own + c.Again
 	costs := s.placer.cfg.Costs
 	took = time.Duration(c.Reading) * costs.TokenRead
 	weight = time.Duration(c.Again) * costs.ReadAgain
 	if c.Moved > 0 {
+		c.transfer = from.took
 		took += from.wait + from.took
 		weight += costs.MoveSetup + time.Duration(c.Moved)*costs.MoveToken
 	}
@@ -128,60 +220,36 @@
 	return took, weight
 }
 
-// origin is where parts can be fetched from.
-type origin struct {
-	addr string
-	// engine is empty for a store.
-	engine proto.EndpointID
+// fetched is the outcome of fetching parts from a source.
+type fetched struct {
 	// parts is the number of leading parts that the endpoint then has.
 	parts int
 	// wait is the time until both links are free, took that of the transfer.
 	wait, took time.Duration
 }
 
-// source picks where the endpoint fetches parts from. It is named even if the
-// endpoint is believed to hold everything, as it may have dropped parts
+// fetch picks where the endpoint fetches parts from. A source is named even if
+// the endpoint is believed to hold everything, as it may have dropped parts
 // unnoticed; a source that is not needed costs nothing.
-func (s *scope) source(c *Choice, l *load, keys []PartKey, held int) origin {
-	best := origin{parts: held}
-	consider := func(o origin, tokens int64, linkBusy proto.Instant, took time.Duration) {
-		o.wait = max(0, max(linkBusy, l.linkBusy).Sub(s.now))
-		o.took = took
-		if o.wait+o.took > maxTransferWait && tokens > 0 {
-			return
-		}
-		better := o.parts > best.parts || o.parts == best.parts && (best.addr == "" || o.wait+o.took < best.wait+best.took)
-		if o.parts > 0 && better {
-			best = o
+func (s *scope) fetch(c *Choice, l *load, sources []source, held int) fetched {
+	best := fetched{parts: held}
+	for i := range sources {
+		from := &sources[i]
+		if from.engine == c.Endpoint.ID {
+			continue
 		}
-	}
-	for _, e := range s.placer.list.Of(s.q.Service) {
-		other := s.placer.loads[e.ID]
-		if e.ID == c.Endpoint.ID || other == nil || s.now < other.avoidUntil || other.silent(s.now) || s.now < other.silentUntil || other.isLoading(s.now) {
+		f := fetched{parts: max(from.parts, held), wait: max(0, max(from.linkBusy, l.linkBusy).Sub(s.now))}
+		tokens := s.upTo[f.parts] - s.upTo[held]
+		f.took = transferTime(tokens, from.tokenTime, from.domain != c.Endpoint.Domain)
+		if f.wait+f.took > maxTransferWait && tokens > 0 {
 			continue
 		}
-		n := ready(other, keys, s.now)
-		tokens := s.missing(held, n)
-		consider(origin{addr: e.Addr, engine: e.ID, parts: max(n, held)}, tokens, other.linkBusy,
-			s.links.engineTime(tokens, e.Domain != c.Endpoint.Domain))
-	}
-	for i := range s.links.stores {
-		store := &s.links.stores[i]
-		n := store.index.Leading(c.Salt, s.shared())
-		tokens := s.missing(held, n)
-		consider(origin{addr: store.addr, parts: max(n, held)}, tokens, store.busy,
-			store.time(tokens, store.domain != c.Endpoint.Domain))
-	}
-	c.Source, c.SourceEngine = best.addr, best.engine
-	return best
-}
-
-// missing returns the tokens of the parts beyond held up to n.
-func (s *scope) missing(held, n int) int64 {
-	if n <= held {
-		return 0
+		if f.parts > best.parts || f.parts == best.parts && (c.Source == "" || f.wait+f.took < best.wait+best.took) {
+			best = f
+			c.Source, c.SourceEngine = from.addr, from.engine
+		}
 	}
-	return tokensOf(s.shared()[held:n])
+	return best
 }
 
 // leading returns how many of the leading parts an endpoint holds or is about
@@ -205,21 +273,14 @@
 	return len(keys)
 }
 
-func tokensOf(parts []Part) int64 {
-	total := int64(0)
-	for _, p := range parts {
-		total += p.Tokens
-	}
-	return total
-}
-
 // home returns the bonus of an endpoint by rendezvous hashing on the deepest
 // shared part, from 0 to homeBonus.
-func (s *scope) home(e *discovery.Endpoint) float64 {
-	parts := s.shared()
-	if len(parts) == 0 {
+func (s *scope) home(l *load) float64 {
+	if len(s.shared) == 0 {
 		return 0
 	}
-	h := xxhash.Sum64String(parts[len(parts)-1].ID + "\x00" + string(e.ID))
-	return float64(homeBonus) * float64(h>>11) / (1 << 53)
+	var pair [16]byte
+	binary.LittleEndian.PutUint64(pair[:8], s.homeHash)
+	binary.LittleEndian.PutUint64(pair[8:], l.idHash)
+	return float64(homeBonus) * float64(xxhash.Sum64(pair[:])>>11) / (1 << 53)
 }
--- a/core/place/told.go
+++ b/core/place/told.go
@@ -115,17 +115,16 @@
 // peers; mu is held.
 func (p *Placer) expect(now proto.Instant, l *load, q *Query, c Choice) {
 	ready := now.Add(c.Expected)
-	keys := Keys(c.Salt, q.Parts)
 	t := Told{
 		Endpoint: c.Endpoint.ID, Started: c.Endpoint.Started,
-		InMillis: c.Expected.Milliseconds(), Reading: c.Reading, Transfer: p.transferOf(q, c),
+		InMillis: c.Expected.Milliseconds(), Reading: c.Reading, Transfer: c.movement(),
 		First: c.Again >= minStored,
 	}
 	for i, part := range q.Parts {
-		_, known := l.parts.held(now, keys[i])
-		l.parts.use(expectedPart(keys[i], part.Tokens, ready))
+		_, known := l.parts.held(now, c.keys[i])
+		l.parts.use(expectedPart(c.keys[i], part.Tokens, ready))
 		if isShared := i < len(q.Parts)-1; isShared && !known {
-			t.Held = append(t.Held, Held{Key: keys[i], Tokens: part.Tokens})
+			t.Held = append(t.Held, Held{Key: c.keys[i], Tokens: part.Tokens})
 		}
 	}
 	p.occupy(now, t.Transfer)
@@ -134,23 +133,14 @@
 	}
 }
 
-// transferOf returns the transfer that an attempt causes; mu is held.
-func (p *Placer) transferOf(q *Query, c Choice) Transfer {
-	if c.Moved == 0 || c.Source == "" {
+// movement returns the transfer that an attempt causes.
+func (c *Choice) movement() Transfer {
+	if c.Moved == 0 {
 		return Transfer{}
 	}
-	links := p.linksOf(q.Service)
-	t := Transfer{From: c.SourceEngine, To: c.Endpoint.ID}
+	t := Transfer{From: c.SourceEngine, To: c.Endpoint.ID, ForMillis: c.transfer.Milliseconds()}
 	if c.SourceEngine == "" {
 		t.Store = c.Source
-		for _, store := range links.stores {
-			if store.addr == c.Source {
-				t.ForMillis = store.time(c.Moved, store.domain != c.Endpoint.Domain).Milliseconds()
-			}
-		}
-		return t
 	}
-	from := p.list.ByID[c.SourceEngine]
-	t.ForMillis = links.engineTime(c.Moved, from != nil && from.Domain != c.Endpoint.Domain).Milliseconds()
 	return t
 }
--- a/core/serving/config.go
+++ b/core/serving/config.go
@@ -103,29 +103,19 @@
 
 // Engine describes the model engines of a service.
 type Engine struct {
-	// Slots is the number of requests that an engine runs at once.
-	Slots int
 	// CacheTokens is the memory of an engine in tokens.
 	CacheTokens int64
 	// TokenBytes is the size of the cache entry of one token.
 	TokenBytes int64
 	// LinkBitsPerSecond is the rate at which cache entries move between engines.
 	LinkBitsPerSecond float64
-	Models            []string
-	// CacheFeeds is the number of callers that an engine lets wait for cache
-	// events at once.
-	CacheFeeds int
 }
 
 // CacheStore describes a service that only keeps cache entries.
 type CacheStore struct {
 	Addr              string
 	Domain            proto.Domain
-	Tokens            int64
 	LinkBitsPerSecond float64
-	// CacheFeeds is the number of callers that the store lets wait for cache
-	// events at once.
-	CacheFeeds int
 }
 
 // Service is a group of endpoints that run the same requests.
@@ -164,18 +154,14 @@
 	return a.DefaultTokens
 }
 
-// CallerLimits bound what callers may send.
-type CallerLimits struct {
-	HeaderBytes, BodyBytes     int64
-	HeaderTimeout, IdleTimeout time.Duration
-}
-
 // Config is the configuration in force.
 type Config struct {
 	Revision proto.Revision
 	Services map[string]*Service
 	Accounts map[proto.AccountID]*Account
-	Limits   CallerLimits
+	// MaxBody is the greatest size of a request's body in bytes; 0 if the
+	// operator names none.
+	MaxBody int64
 
 	keys map[proto.KeyHash]*Account
 	// hosts holds the routes of each host, the longest prefix first.
@@ -189,8 +175,9 @@
 	Services []*Service
 	Accounts []*Account
 	// Keys maps the hash of each key to its account.
-	Keys   map[proto.KeyHash]proto.AccountID
-	Limits CallerLimits
+	Keys map[proto.KeyHash]proto.AccountID
+	// MaxBody is that of Config.
+	MaxBody int64
 }
 
 // New builds a configuration. It fails on a route without target or host, on a
@@ -200,7 +187,7 @@
 		Revision: c.Revision,
 		Services: make(map[string]*Service, len(c.Services)),
 		Accounts: make(map[proto.AccountID]*Account, len(c.Accounts)),
-		Limits:   c.Limits,
+		MaxBody:  c.MaxBody,
 		keys:     make(map[proto.KeyHash]*Account, len(c.Keys)),
 		hosts:    map[string][]*Route{},
 	}
