--- a/app/front/attempt.go
+++ b/app/front/attempt.go
@@ -108,6 +108,8 @@
 	sentAt  proto.Instant
 	firstAt proto.Instant
 	status  int
+	// version is the last version that the endpoint told.
+	version int64
 	detail  string
 	broke   bool
 	// answerer is the endpoint that refused a misdirected request.
@@ -246,9 +248,17 @@
 	if a.HasLoad {
 		x.front.placer.Observe(driver.Now(), t.began, a.Load)
 	}
-	if a.Version > 0 && x.caller.Model != "" {
-		x.front.placer.ObserveVersion(t.choice.Endpoint.ID, x.caller.Model, a.Version)
+	t.observeVersion(a.Version)
+}
+
+// observeVersion takes in the version that an answer or event tells; 0 if none.
+func (t *try) observeVersion(version int64) {
+	x := t.request
+	if version == 0 || version == t.version || x.caller.Model == "" {
+		return
 	}
+	t.version = version
+	x.front.placer.ObserveVersion(t.choice.Endpoint.ID, x.caller.Model, version)
 }
 
 // progress records that a part of the answer has come.
@@ -259,7 +269,7 @@
 		t.request.front.placer.FirstByte(now, t.began)
 		return
 	}
-	t.request.front.placer.Progress(now, t.began)
+	t.began.Progress(now)
 }
 
 // whole reads an answer that is no stream and keeps it.
@@ -334,9 +344,7 @@
 		}
 		t.progress()
 		stall.Reset()
-		if version := platform.EventVersion(e.Fields); version > 0 {
-			x.front.placer.ObserveVersion(t.choice.Endpoint.ID, x.caller.Model, version)
-		}
+		t.observeVersion(platform.EventVersion(e.Fields))
 		if e.HasID && x.hasEvent && e.ID <= x.lastEvent {
 			continue // the caller has this event from an earlier attempt
 		}
--- a/app/front/feed.go
+++ b/app/front/feed.go
@@ -2,8 +2,6 @@
 
 import (
 	"context"
-	"fmt"
-	"strconv"
 	"time"
 
 	"github.com/kumquatsill/kumquatsill/app/driver"
@@ -30,13 +28,6 @@
 	farFeedGap = 2 * time.Second
 )
 
-func formatHash(h uint64) string { return strconv.FormatUint(h, 16) }
-
-// cacheSalt returns the name under which cache entries are kept.
-func cacheSalt(model string, version int64, wall string) string {
-	return fmt.Sprintf("%s.%d.%s", model, version, wall)
-}
-
 // followStores starts to follow the events of the stores that a configuration
 // names, and stops following others.
 func (f *Front) followStores(cfg *serving.Config) {
--- a/app/front/front.go
+++ b/app/front/front.go
@@ -21,7 +21,6 @@
 	"github.com/kumquatsill/kumquatsill/core/place"
 	"github.com/kumquatsill/kumquatsill/core/proto"
 	"github.com/kumquatsill/kumquatsill/core/quota"
-	"github.com/kumquatsill/kumquatsill/core/relay"
 	"github.com/kumquatsill/kumquatsill/core/serving"
 	"github.com/kumquatsill/kumquatsill/core/upgrade"
 	"github.com/kumquatsill/kumquatsill/platform"
@@ -64,25 +63,23 @@
 	LogDropped func() int64
 }
 
-// state is what requests are decided on. It is immutable; watchers publish a
-// new one on each change.
-type state struct {
-	config *serving.Config
-}
-
 // Front is one process.
 type Front struct {
-	cfg  Config
-	log  *slog.Logger
-	life int64
-	tomb tomb.Tomb
+	// cfg holds the settings as of the start, which name this process and its
+	// addresses; settings holds those in force.
+	cfg      Config
+	settings atomic.Pointer[platform.Settings]
+	log      *slog.Logger
+	life     int64
+	tomb     tomb.Tomb
 
 	store   *platform.Store
 	engines *platform.Engines
 	client  *upstream.Client
 	metrics *telemetry
 
-	state    atomic.Pointer[state]
+	// config is the configuration in force; nil until the first is read.
+	config   atomic.Pointer[serving.Config]
 	storeAt  atomic.Int64
 	draining atomic.Bool
 	inFlight atomic.Int64
@@ -90,15 +87,15 @@
 	quota   *quota.Tracker
 	placer  *place.Placer
 	crashes *crash.Register
+	// budgets holds the *relay.RetryBudget of each service, by name.
+	budgets sync.Map
 
 	// mu guards the fields below, which only the watchers and the upgrader use.
-	mu       sync.Mutex
-	table    *discovery.Table
-	planner  *upgrade.Planner
-	lease    *duty.Lease
-	peers    map[proto.RouterID]*peerAddr
-	budgets  map[string]*relay.RetryBudget
-	budgetMu sync.Mutex
+	mu      sync.Mutex
+	table   *discovery.Table
+	planner *upgrade.Planner
+	lease   *duty.Lease
+	peers   map[proto.RouterID]*peerAddr
 	// loads holds the engines ordered by this process, for its peers.
 	loads        map[proto.EndpointID]proto.Instant
 	loadsChanged atomic.Bool
@@ -125,13 +122,12 @@
 		store:   platform.NewStore(cfg.Settings.Store),
 		client:  upstream.New(),
 		quota:   quota.New(now, id, life),
-		placer:  newPlacer(cfg.Settings, life),
+		placer:  place.New(place.Config{Domain: cfg.Settings.Domain, Costs: place.DefaultCosts(), Seed: uint64(life)}),
 		crashes: crash.NewRegister(),
 		table:   discovery.NewTable(),
 		planner: upgrade.New(),
-		lease:   newLease(cfg.Settings),
+		lease:   duty.New(cfg.Settings.Host),
 		peers:   map[proto.RouterID]*peerAddr{},
-		budgets: map[string]*relay.RetryBudget{},
 		loads:   map[proto.EndpointID]proto.Instant{},
 		reached: map[proto.EndpointID]platform.NamedVersion{},
 		feeds:   map[string]context.CancelFunc{},
@@ -139,7 +135,7 @@
 	}
 	f.engines = platform.NewEngines(endpointCaller{f.client})
 	f.metrics = newTelemetry(f)
-	f.state.Store(&state{})
+	f.apply(cfg.Settings)
 	f.wholeUntil.Store(int64(now.Add(wholeTime)))
 	if err := f.listen(); err != nil {
 		return nil, err
@@ -147,23 +143,21 @@
 	return f, nil
 }
 
-// newPlacer returns the placement for a host. An endpoint counts as unheard after
-// two heartbeats and the time in which the registry tells them.
-func newPlacer(s platform.Settings, life int64) *place.Placer {
-	return place.New(place.Config{
-		Domain: s.Domain, Costs: place.DefaultCosts(), VersionLife: s.VersionLife - versionMargin,
-		HeartbeatLimit: 2*s.HeartbeatInterval + registryLag, Seed: uint64(life),
-	})
-}
-
-// newLease returns the view of the lease for upgrades. Where engines check
-// fencing tokens, a holder that has given the lease up needs no quiet time.
-func newLease(s platform.Settings) *duty.Lease {
+// apply puts settings in force that may change while the process runs.
+func (f *Front) apply(s platform.Settings) {
+	f.settings.Store(&s)
+	// An endpoint counts as unheard after two heartbeats and the time in which
+	// the registry tells them.
+	f.placer.SetLimits(place.Limits{VersionLife: s.VersionLife - versionMargin, Heartbeat: 2*s.HeartbeatInterval + registryLag})
+	// Where engines check fencing tokens, a holder that has given the lease up
+	// needs no quiet time.
 	afterRelease := s.HolderQuiet
 	if s.EnginesCheckFences {
 		afterRelease = 0
 	}
-	return duty.New(s.Host, s.HolderQuiet, afterRelease)
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.lease.SetQuiet(s.HolderQuiet, afterRelease)
 }
 
 func (f *Front) listen() error {
@@ -180,6 +174,7 @@
 		ErrorLog: slog.NewLogLogger(f.log.Handler(), slog.LevelDebug),
 	}
 	router := bunrouter.New()
+	router.GET("/metrics", f.answerMetrics)
 	router.GET("/*path", f.answerReady)
 	f.ready = &http.Server{
 		Addr: f.cfg.Settings.Ready, Handler: router,
@@ -238,8 +233,9 @@
 func (f *Front) Drain() error {
 	started := time.Now()
 	f.draining.Store(true)
-	f.log.Info("draining", "in_flight", f.inFlight.Load(), "for", f.cfg.Settings.StopTime.String())
-	deadline := started.Add(f.cfg.Settings.StopTime - exitMargin)
+	stopTime := f.settings.Load().StopTime
+	f.log.Info("draining", "in_flight", f.inFlight.Load(), "for", stopTime.String())
+	deadline := started.Add(stopTime - exitMargin)
 	time.Sleep(min(rotationTime, time.Until(deadline)))
 	ctx, cancel := context.WithDeadline(context.Background(), deadline)
 	defer cancel()
@@ -260,24 +256,27 @@
 	return err
 }
 
-// Reload reads the settings file again. What it changes takes effect where it
-// may change while the process runs; listening addresses do not.
+// Reload reads the settings file again and puts it in force, but for the names
+// and addresses of this process, which need a restart. A file with errors
+// changes nothing.
 func (f *Front) Reload() {
 	s, err := platform.ReadSettings(f.cfg.SettingsPath)
 	if err != nil {
 		f.log.Error("settings not reloaded", "error", err.Error())
 		return
 	}
-	old := f.cfg.Settings
-	f.log.Info("settings reloaded", "changed", s != old, "restart_needed", s.Callers != old.Callers || s.Ready != old.Ready || s.Store != old.Store)
+	old := *f.settings.Load()
+	f.apply(s)
+	f.log.Info("settings reloaded", "changed", s != old, "restart_needed", s.Identity() != f.cfg.Settings.Identity())
 }
 
-func (f *Front) answerReady(w http.ResponseWriter, req bunrouter.Request) error {
-	if req.URL.Path == "/metrics" {
-		metrics.WritePrometheus(w, false)
-		f.metrics.set.WritePrometheus(w)
-		return nil
-	}
+func (f *Front) answerMetrics(w http.ResponseWriter, _ bunrouter.Request) error {
+	metrics.WritePrometheus(w, false)
+	f.metrics.set.WritePrometheus(w)
+	return nil
+}
+
+func (f *Front) answerReady(w http.ResponseWriter, _ bunrouter.Request) error {
 	if f.isReady() {
 		w.WriteHeader(http.StatusOK)
 	} else {
@@ -286,7 +285,7 @@
 	return nil
 }
 
-func (f *Front) isReady() bool { return !f.draining.Load() && f.state.Load().config != nil }
+func (f *Front) isReady() bool { return !f.draining.Load() && f.config.Load() != nil }
 
 // every calls a function at intervals until the context ends.
 func every(ctx context.Context, interval time.Duration, f func(now proto.Instant)) error {
@@ -308,8 +307,11 @@
 	if f.table.Expire(now) {
 		f.publishEndpoints()
 	}
+	f.markSilentPeers(now)
+	f.dropOldOrders(now)
 	known := f.knownAddrs()
 	f.mu.Unlock()
+	f.configureBudgets(now)
 	f.client.CloseIdle(func(addr string) bool { return known[addr] })
 }
 
@@ -321,7 +323,7 @@
 			known[e.Addr] = true
 		}
 	}
-	if cfg := f.state.Load().config; cfg != nil {
+	if cfg := f.config.Load(); cfg != nil {
 		for _, s := range cfg.Services {
 			if s.Store != nil {
 				known[s.Store.Addr] = true
--- a/app/front/front_test.go
+++ b/app/front/front_test.go
@@ -9,6 +9,8 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"os"
+	"path/filepath"
 	"strings"
 	"testing"
 	"time"
@@ -111,6 +113,11 @@
 }
 
 func (b *bed) start(name string) *router {
+	return b.startWith(name, "")
+}
+
+// startWith starts a router that reads the settings file at a path on Reload.
+func (b *bed) startWith(name, settingsPath string) *router {
 	r := &router{t: b.t, calls: freeAddr(b.t), ready: freeAddr(b.t)}
 	f, err := front.New(front.Config{
 		Settings: platform.Settings{
@@ -118,7 +125,8 @@
 			StopTime: 4 * time.Second, RetryRatio: 0.2, RetryWindow: 10 * time.Second, RetryReserve: 52,
 			HolderQuiet: time.Second, EnginesCheckFences: true, VersionLife: 8 * time.Second, DrainTime: drainTime, ContactTime: time.Second,
 		},
-		Log: slog.New(slog.DiscardHandler), LogDropped: func() int64 { return 0 },
+		SettingsPath: settingsPath,
+		Log:          slog.New(slog.DiscardHandler), LogDropped: func() int64 { return 0 },
 	})
 	if err != nil {
 		b.t.Fatal(err)
@@ -492,3 +500,43 @@
 		}
 	}
 }
+
+// Guards against a reload that says so and changes nothing, and against one of a
+// bad file that stops the router.
+func TestReloadPutsSettingsInForce(t *testing.T) {
+	b := newBed(t)
+	b.configure(nil)
+	path := filepath.Join(t.TempDir(), "boot.json")
+	write := func(revoke bool) {
+		t.Helper()
+		text := fmt.Sprintf(`{"nodeName": "r1", "zone": "zone-a", "ipAddress": "127.0.0.1",
+			"listenAddresses": {"front": "127.0.0.1:1", "ready": "127.0.0.1:2"}, "internalPortRange": [7600, 7615],
+			"heartbeatIntervalMs": 1000, "limits": {"memoryMb": 100},
+			"bounds": {"gracePeriodS": 4, "budgetWindowS": 10, "revokeWhenPartitioned": %t, "revokeMs": 0},
+			"platform": {"address": "127.0.0.1:3", "form": "log"}}`, revoke)
+		if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+			t.Fatal(err)
+		}
+	}
+	write(true)
+	r := b.startWith("r1", path)
+	served := func() bool {
+		status, _ := r.call("/order/1", "secret")
+		return status == http.StatusOK
+	}
+	eventually(t, "the router serves", served)
+	r.Reload()
+	if served() {
+		t.Error("keys are trusted although the settings in force forbid it")
+	}
+	if err := os.WriteFile(path, []byte("{"), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	r.Reload()
+	if served() {
+		t.Error("a file with errors changed the settings")
+	}
+	write(false)
+	r.Reload()
+	eventually(t, "the router serves again", served)
+}
--- a/app/front/peers.go
+++ b/app/front/peers.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"maps"
 	"net"
 	"net/netip"
 	"time"
@@ -52,7 +53,7 @@
 				registeredAt = time.Now()
 			}
 		}
-		w := &follower{front: f, topic: platform.TopicRouters, apply: f.applyMember, whole: f.listMembers}
+		w := &follower{front: f, topic: platform.TopicRouters, apply: f.applyMember}
 		if err := w.read(ctx, &next, &listed); err != nil {
 			f.log.Debug("registered routers not read", "error", err.Error())
 			sleep(ctx, time.Second)
@@ -71,12 +72,6 @@
 	return f.store.Put(ctx, platform.TopicRouters, f.cfg.Settings.Host, value)
 }
 
-func (f *Front) listMembers(now proto.Instant, records []platform.Record) {
-	for _, r := range records {
-		f.applyMember(now, r)
-	}
-}
-
 func (f *Front) applyMember(now proto.Instant, r platform.Record) {
 	id := proto.RouterID(r.Key)
 	if r.Key == f.cfg.Settings.Host || r.Key == "" {
@@ -166,12 +161,12 @@
 	m.Counts = f.quota.Counts(now, to.near, whole, all)
 	m.Attempts = f.placer.Tell()
 	m.Seen = f.placer.TellSeen(now)
-	f.send(m, f.peersAt(now, near))
+	f.send(m, f.peersAt(near))
 	m.Seen = nil
 	if n%farEvery == 0 || whole {
 		m.Counts = f.quota.Counts(now, to.far, whole, all)
 		m.Attempts = firstReads(m.Attempts)
-		f.send(m, f.peersAt(now, far))
+		f.send(m, f.peersAt(far))
 	}
 }
 
@@ -185,10 +180,10 @@
 		f.mu.Unlock()
 	}
 	m.Attempts = f.placer.Tell()
-	f.send(m, f.peersAt(now, near))
+	f.send(m, f.peersAt(near))
 	m.Attempts = firstReads(m.Attempts)
 	if ordered || len(m.Attempts) > 0 {
-		f.send(m, f.peersAt(now, far))
+		f.send(m, f.peersAt(far))
 	}
 }
 
@@ -214,15 +209,14 @@
 
 // peersAt returns where the peers at a distance take messages. Near are those
 // of the own failure domain, and all in a small fleet.
-func (f *Front) peersAt(now proto.Instant, d distance) []netip.AddrPort {
+func (f *Front) peersAt(d distance) []netip.AddrPort {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	var addrs []netip.AddrPort
-	for id, p := range f.peers {
+	for _, p := range f.peers {
 		isNear := p.domain == f.cfg.Settings.Domain || len(f.peers) <= smallFleet
 		if isNear == (d == near) {
 			addrs = append(addrs, p.addr)
-			f.notePeer(now, id, p)
 		}
 	}
 	return addrs
@@ -239,11 +233,7 @@
 	}
 	m.Addr, m.Domain = f.cfg.Settings.Peers, f.cfg.Settings.Domain
 	m.Crashes = f.crashes.Own(now)
-	for model, versions := range f.placer.Named() {
-		for _, v := range versions {
-			m.Named = append(m.Named, peer.Named{Model: model, Version: v.Version, AgeMillis: now.Sub(v.At).Milliseconds()})
-		}
-	}
+	m.Named = f.placer.Named(now)
 	return m
 }
 
@@ -260,40 +250,47 @@
 	}
 }
 
-// notePeer logs when a router that was heard falls silent; mu is held.
-func (f *Front) notePeer(now proto.Instant, id proto.RouterID, p *peerAddr) {
+// markSilentPeers notes routers that were heard and have fallen silent; mu is
+// held.
+func (f *Front) markSilentPeers(now proto.Instant) {
 	const silence = 2 * time.Second
-	if p.heardAt == 0 || p.lost || now.Sub(p.heardAt) < silence {
-		return
+	for id, p := range f.peers {
+		if p.heardAt == 0 || p.lost || now.Sub(p.heardAt) < silence {
+			continue
+		}
+		p.lost = true
+		share, members := f.quota.Share(now)
+		f.log.Warn("router silent", "router", string(id), "for", now.Sub(p.heardAt).String(), "share", share, "members", members)
 	}
-	p.lost = true
-	share, members := f.quota.Share(now)
-	f.log.Warn("router silent", "router", string(id), "for", now.Sub(p.heardAt).String(), "share", share, "members", members)
+}
+
+// dropOldOrders forgets loads that should have ended and versions that the
+// registrations show by now; mu is held.
+func (f *Front) dropOldOrders(now proto.Instant) {
+	maps.DeleteFunc(f.loads, func(_ proto.EndpointID, until proto.Instant) bool { return now >= until })
+	list := f.table.Snapshot()
+	maps.DeleteFunc(f.reached, func(id proto.EndpointID, v platform.NamedVersion) bool {
+		e := list.ByID[id]
+		return e == nil || e.Versions[v.Model] >= v.Version
+	})
 }
 
 // loadsFor returns the engines that are loading weights; mu is held.
 func (f *Front) loadsFor(now proto.Instant) []peer.Load {
 	var loads []peer.Load
 	for id, until := range f.loads {
-		if now >= until {
-			delete(f.loads, id)
-			continue
+		if now < until {
+			loads = append(loads, peer.Load{Endpoint: id, ForMillis: until.Sub(now).Milliseconds()})
 		}
-		loads = append(loads, peer.Load{Endpoint: id, ForMillis: until.Sub(now).Milliseconds()})
 	}
 	return loads
 }
 
 // reachedFor returns the engines that told a version which their registration
-// does not show yet; mu is held.
+// may not show yet; mu is held.
 func (f *Front) reachedFor() []peer.Reached {
 	var reached []peer.Reached
 	for id, v := range f.reached {
-		e := f.table.Snapshot().ByID[id]
-		if e == nil || e.Versions[v.Model] >= v.Version {
-			delete(f.reached, id)
-			continue
-		}
 		reached = append(reached, peer.Reached{Endpoint: id, Model: v.Model, Version: v.Version})
 	}
 	return reached
@@ -367,17 +364,16 @@
 		f.placer.TakeInSeen(now, s)
 	}
 	for _, v := range m.Named {
-		f.placer.NamedBefore(v.Model, v.Version, now.Add(-time.Duration(v.AgeMillis)*time.Millisecond))
+		f.placer.NamedBefore(v.Model, v.Version, now.Add(-v.Age()))
 	}
 }
 
 // sayLeaving tells the peers that this router stops.
 func (f *Front) sayLeaving() {
-	now := driver.Now()
 	m := peer.Message{Leaving: true, Counts: quota.Counts{Router: proto.RouterID(f.cfg.Settings.Host), Life: f.life}}
 	for range leavingMessages {
-		f.send(m, f.peersAt(now, near))
-		f.send(m, f.peersAt(now, far))
+		f.send(m, f.peersAt(near))
+		f.send(m, f.peersAt(far))
 	}
 }
 
--- a/app/front/serve.go
+++ b/app/front/serve.go
@@ -3,9 +3,11 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"log/slog"
 	"net/http"
+	"strconv"
 	"strings"
 	"time"
 
@@ -86,7 +88,6 @@
 	if !x.admit() {
 		return
 	}
-	x.front.budget(x.service).Request(x.arrived)
 	ctx, cancel := context.WithTimeoutCause(x.r.Context(), x.deadline.Sub(driver.Now()), errDeadline)
 	defer cancel()
 	for {
@@ -104,7 +105,7 @@
 // admit decides whether the request may be served and answers it otherwise.
 func (x *request) admit() bool {
 	f := x.front
-	x.config = f.state.Load().config
+	x.config = f.config.Load()
 	var err error
 	x.caller, err = platform.DecodeCaller(x.r.Header)
 	if x.config == nil {
@@ -130,7 +131,13 @@
 	if f.crashes.Refused(x.arrived, x.print) {
 		return x.reject(http.StatusServiceUnavailable, "crashes_endpoints", crashRetryAfter)
 	}
-	return x.spend()
+	if !x.spend() {
+		return false
+	}
+	budget := f.budget(x.service)
+	budget.Request(x.arrived)
+	x.relay = relay.New(x.route, budget)
+	return true
 }
 
 func (x *request) authenticate() bool {
@@ -138,7 +145,7 @@
 		return true
 	}
 	f := x.front
-	if s := f.cfg.Settings; s.StopsWhenCutOff && x.arrived.Sub(proto.Instant(f.storeAt.Load())) > s.KeyLife {
+	if s := f.settings.Load(); s.StopsWhenCutOff && x.arrived.Sub(proto.Instant(f.storeAt.Load())) > s.KeyLife {
 		return x.reject(http.StatusServiceUnavailable, "keys_not_fresh", notReadyRetryAfter)
 	}
 	if x.account = x.config.AccountOf(x.caller.Key); x.account == nil || x.caller.Key == "" {
@@ -198,12 +205,11 @@
 		_, _ = h.WriteString(part + "\x00") // writes of a hash never fail
 	}
 	_, _ = h.Write(x.body)
-	return proto.Fingerprint(formatHash(h.Sum64()))
+	return proto.Fingerprint(strconv.FormatUint(h.Sum64(), 16))
 }
 
 // spend takes the request's tokens from its account's limit.
 func (x *request) spend() bool {
-	x.relay = relay.New(x.route, x.front.budget(x.service))
 	if x.account == nil {
 		x.logAdmitted("open route", 0, 1)
 		return true
@@ -314,7 +320,7 @@
 	if x.account != nil && x.account.Isolated {
 		wall = string(x.account.ID)
 	}
-	return cacheSalt(x.caller.Model, version, wall)
+	return fmt.Sprintf("%s.%d.%s", x.caller.Model, version, wall)
 }
 
 // priority returns the rank of the request, 0 first.
@@ -327,20 +333,27 @@
 
 // budget returns the retry budget of a service.
 func (f *Front) budget(service string) *relay.RetryBudget {
-	f.budgetMu.Lock()
-	defer f.budgetMu.Unlock()
-	b := f.budgets[service]
-	if b == nil {
-		_, members := f.quota.Share(driver.Now())
-		b = relay.NewRetryBudget(driver.Now(), retryBudgetConfig(f.cfg.Settings, members))
-		f.budgets[service] = b
-	}
-	return b
+	if b, ok := f.budgets.Load(service); ok {
+		return b.(*relay.RetryBudget)
+	}
+	now := driver.Now()
+	b, _ := f.budgets.LoadOrStore(service, relay.NewRetryBudget(now, f.budgetConfig(now)))
+	return b.(*relay.RetryBudget)
+}
+
+// configureBudgets keeps the retry budgets in step with the settings and the
+// number of routers, which a router that starts learns late.
+func (f *Front) configureBudgets(now proto.Instant) {
+	cfg := f.budgetConfig(now)
+	f.budgets.Range(func(_, b any) bool {
+		b.(*relay.RetryBudget).Configure(now, cfg)
+		return true
+	})
 }
 
-// retryBudgetConfig returns this router's part of the further attempts that the
+// budgetConfig returns this router's part of the further attempts that the
 // settings allow for one service.
-func retryBudgetConfig(s platform.Settings, members int) relay.BudgetConfig {
+func (f *Front) budgetConfig(now proto.Instant) relay.BudgetConfig {
 	const (
 		// ratioShare leaves room for the allowance saved up before a window.
 		ratioShare = 0.6
@@ -348,6 +361,8 @@
 		// and for routers that start again.
 		reserveShare = 0.35
 	)
+	s := f.settings.Load()
+	_, members := f.quota.Share(now)
 	return relay.BudgetConfig{
 		Ratio:   s.RetryRatio * ratioShare,
 		Window:  s.RetryWindow,
--- a/app/front/upgrade.go
+++ b/app/front/upgrade.go
@@ -73,33 +73,11 @@
 		f.planner.Forget()
 		return plan
 	}
-	share := loadShare(f.placer.Pressure(now), f.placer.VersionAge(now), f.cfg.Settings.VersionLife)
+	share := upgrade.Share(f.placer.Pressure(now), f.placer.VersionAge(now), f.settings.Load().VersionLife)
 	plan.actions = f.planner.Next(now, share, func(id proto.EndpointID) int { return f.placer.InFlight(now, id) })
 	return plan
 }
 
-// loadShare returns the part of the engines that may load weights at once, by
-// the wait of requests at engines and the age of the newest version. Loads that
-// take the last free engines cost callers more than older weights do, until the
-// older version must not be used any more.
-func loadShare(wait, age, versionLife time.Duration) float64 {
-	const (
-		calm, busy          = 80 * time.Millisecond, 250 * time.Millisecond
-		soon, urgent        = 0.4, 0.6 // of the version's life
-		most, middle, least = 0.5, 0.35, 0.25
-	)
-	old := float64(age) / float64(max(versionLife, 1))
-	switch {
-	case wait < calm:
-		return most
-	case wait < busy || old > urgent:
-		return middle
-	case old > soon:
-		return (middle + least) / 2
-	}
-	return least
-}
-
 // doLease carries out what the lease asks for. The upgrader goes on meanwhile.
 func (f *Front) doLease(ctx context.Context, step duty.Step) {
 	switch step {
@@ -112,7 +90,6 @@
 		f.mu.Lock()
 		end, record := f.lease.End(), f.lease.Record()
 		f.mu.Unlock()
-		record.Named, record.WrittenAt = f.namedForClaim(driver.Now()), time.Now().UnixMilli()
 		f.tomb.Go(func() error {
 			f.claimLease(ctx, end, record)
 			return nil
@@ -149,22 +126,18 @@
 	}
 }
 
-// namedForClaim returns the versions that a claim tells to routers that start.
-func (f *Front) namedForClaim(now proto.Instant) []duty.Named {
-	var named []duty.Named
-	for model, versions := range f.placer.Named() {
-		for _, v := range versions {
-			named = append(named, duty.Named{Model: model, Version: v.Version, AgeMillis: now.Sub(v.At).Milliseconds()})
-		}
+// appendClaim appends a record to the lease's topic if the topic ends at end.
+func (f *Front) appendClaim(ctx context.Context, end int64, record duty.Claim) error {
+	record.Named, record.WrittenAt = f.placer.Named(driver.Now()), time.Now().UnixMilli()
+	value, err := json.Marshal(record)
+	if err != nil {
+		return Error.Wrap(err)
 	}
-	return named
+	return f.store.Append(ctx, platform.TopicDuty, end, value)
 }
 
 func (f *Front) claimLease(ctx context.Context, end int64, record duty.Claim) {
-	value, err := json.Marshal(record)
-	if err == nil {
-		err = f.store.Append(ctx, platform.TopicDuty, end, value)
-	}
+	err := f.appendClaim(ctx, end, record)
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if err != nil {
@@ -185,12 +158,7 @@
 	if !ok {
 		return
 	}
-	record.Named, record.WrittenAt = f.namedForClaim(driver.Now()), time.Now().UnixMilli()
-	value, err := json.Marshal(record)
-	if err == nil {
-		err = f.store.Append(ctx, platform.TopicDuty, end, value)
-	}
-	if err != nil {
+	if err := f.appendClaim(ctx, end, record); err != nil {
 		f.log.Warn("lease not released", "at", end, "error", err.Error())
 		return
 	}
--- a/app/front/watch.go
+++ b/app/front/watch.go
@@ -30,12 +30,15 @@
 type follower struct {
 	front *Front
 	topic string
-	// wait is how long a read waits for a record, pause the time between reads.
-	wait, pause time.Duration
-	// apply takes in one record, whole a listing of all keys.
+	// wait returns how long a read waits for a record, pause the time between
+	// reads; nil stands for no time.
+	wait, pause func() time.Duration
+	// apply takes in one record, whole a listing of all keys. Without whole,
+	// apply takes in each record of a listing.
 	apply func(now proto.Instant, r platform.Record)
 	whole func(now proto.Instant, records []platform.Record)
-	// failed is called on each failed read, done on each that succeeded.
+	// failed is called on each failed read, if it is set, done on each that
+	// succeeded.
 	failed, done func(now proto.Instant)
 }
 
@@ -55,13 +58,15 @@
 			}
 			backoff = 0
 			w.done(now)
-			sleep(ctx, w.pause)
+			sleep(ctx, timeOf(w.pause))
 			continue
 		}
 		if backoff == 0 {
 			w.front.log.Warn("store lost", "topic", w.topic, "next", next, "error", err.Error())
 		}
-		w.failed(now)
+		if w.failed != nil {
+			w.failed(now)
+		}
 		backoff = min(max(2*backoff, firstBackoff), lastBackoff)
 		sleep(ctx, backoff)
 	}
@@ -76,11 +81,11 @@
 		if err != nil {
 			return err
 		}
-		w.whole(driver.Now(), records)
+		w.takeInAll(driver.Now(), records)
 		*next, *listed = end, true
 		return nil
 	}
-	records, after, err := w.front.store.Read(ctx, w.topic, *next, w.wait)
+	records, after, err := w.front.store.Read(ctx, w.topic, *next, timeOf(w.wait))
 	var status *platform.StatusError
 	if errors.As(err, &status) && status.Deleted() {
 		w.front.log.Info("records deleted, listing the topic again", "topic", w.topic, "next", *next, "first", status.First)
@@ -98,6 +103,23 @@
 	return nil
 }
 
+func (w *follower) takeInAll(now proto.Instant, records []platform.Record) {
+	if w.whole != nil {
+		w.whole(now, records)
+		return
+	}
+	for _, r := range records {
+		w.apply(now, r)
+	}
+}
+
+func timeOf(d func() time.Duration) time.Duration {
+	if d == nil {
+		return 0
+	}
+	return d()
+}
+
 func shareOf(d time.Duration, share float64) time.Duration {
 	return max(minPause, time.Duration(share*float64(d)))
 }
@@ -117,15 +139,10 @@
 // watchOperator follows the configuration and the named versions.
 func (f *Front) watchOperator(ctx context.Context) error {
 	w := &follower{
-		front: f, topic: platform.TopicOperator, wait: shareOf(f.cfg.Settings.ContactTime, operatorShare),
+		front: f, topic: platform.TopicOperator,
+		wait:  func() time.Duration { return shareOf(f.settings.Load().ContactTime, operatorShare) },
 		apply: f.applyOperator,
-		whole: func(now proto.Instant, records []platform.Record) {
-			for _, r := range records {
-				f.applyOperator(now, r)
-			}
-		},
-		failed: func(proto.Instant) {},
-		done:   func(now proto.Instant) { f.storeAt.Store(int64(now)) },
+		done:  func(now proto.Instant) { f.storeAt.Store(int64(now)) },
 	}
 	return w.run(ctx)
 }
@@ -145,7 +162,7 @@
 		f.log.Error("configuration ignored", "offset", r.Offset, "error", err.Error())
 		return
 	}
-	old := f.state.Load().config
+	old := f.config.Load()
 	if old != nil && cfg.Revision <= old.Revision {
 		f.log.Info("configuration ignored", "revision", int64(cfg.Revision), "in_force", int64(old.Revision), "offset", r.Offset)
 		return
@@ -156,7 +173,7 @@
 	}
 	f.quota.Configure(now, limits)
 	f.placer.Configure(cfg)
-	f.state.Store(&state{config: cfg})
+	f.config.Store(cfg)
 	f.followStores(cfg)
 	f.log.Info("configuration in force", "revision", int64(cfg.Revision), "offset", r.Offset,
 		"routes", cfg.Routes(), "accounts", len(cfg.Accounts), "keys", cfg.Keys())
@@ -178,7 +195,8 @@
 // watchEndpoints follows the registrations of endpoints.
 func (f *Front) watchEndpoints(ctx context.Context) error {
 	w := &follower{
-		front: f, topic: platform.TopicEndpoints, pause: shareOf(f.cfg.Settings.DrainTime, endpointShare),
+		front: f, topic: platform.TopicEndpoints,
+		pause: func() time.Duration { return shareOf(f.settings.Load().DrainTime, endpointShare) },
 		apply: func(now proto.Instant, r platform.Record) {
 			f.mu.Lock()
 			defer f.mu.Unlock()
--- a/app/upstream/events.go
+++ b/app/upstream/events.go
@@ -80,18 +80,17 @@
 	if !ok {
 		return
 	}
-	text := strings.TrimSpace(string(value))
 	switch string(name) {
 	case "data", "event", "retry", "":
 	case "id":
-		if id, err := strconv.ParseInt(text, 10, 64); err == nil {
+		if id, err := strconv.ParseInt(string(bytes.TrimSpace(value)), 10, 64); err == nil {
 			e.ID, e.HasID = id, true
 		}
 	default:
 		if e.Fields == nil {
 			e.Fields = map[string]string{}
 		}
-		e.Fields[strings.ToLower(string(name))] = text
+		e.Fields[strings.ToLower(string(name))] = string(bytes.TrimSpace(value))
 	}
 }
 
--- a/core/duty/duty.go
+++ b/core/duty/duty.go
@@ -39,32 +39,24 @@
 	// lease up.
 	Released bool `json:"released,omitempty"`
 	// Named tells since when versions are named, for routers that start.
-	Named []Named `json:"named,omitempty"`
+	Named []proto.VersionAge `json:"named,omitempty"`
 	// WrittenAt is the time of day at the holder in Unix milliseconds. It may
 	// be wrong by seconds.
 	WrittenAt int64 `json:"written_at,omitempty"`
 }
 
-// Named is a version of a model, and how long it had been named when the claim
-// was written.
-type Named struct {
-	Model     string `json:"model"`
-	Version   int64  `json:"version"`
-	AgeMillis int64  `json:"age_ms"`
-}
-
 // maxDowntime bounds what is believed of the time since a claim was written.
 const maxDowntime = 5 * time.Second
 
 // Age returns for how long a version has been named, to a reader at a time of
 // day: its age in the claim, and the time since then as far as the times of day
 // of two hosts tell.
-func (c *Claim) Age(n Named, timeOfDay time.Time) time.Duration {
+func (c *Claim) Age(n proto.VersionAge, timeOfDay time.Time) time.Duration {
 	since := time.Duration(0)
 	if c.WrittenAt > 0 {
 		since = min(max(0, timeOfDay.Sub(time.UnixMilli(c.WrittenAt))), maxDowntime)
 	}
-	return time.Duration(n.AgeMillis)*time.Millisecond + since
+	return n.Age() + since
 }
 
 // Step says what a lease asks for.
@@ -103,11 +95,13 @@
 	busy   bool
 }
 
-// New returns the view of a router that has not read the topic. The quiet time
-// separates the orders of two holders, afterRelease those of a holder that has
-// given the lease up and the next one.
-func New(self string, quiet, afterRelease time.Duration) *Lease {
-	return &Lease{self: self, quiet: quiet, afterRelease: afterRelease}
+// New returns the view of a router that has not read the topic.
+func New(self string) *Lease { return &Lease{self: self} }
+
+// SetQuiet sets the time that separates the orders of two holders, and the time
+// that separates those of a holder that has given the lease up and the next one.
+func (l *Lease) SetQuiet(quiet, afterRelease time.Duration) {
+	l.quiet, l.afterRelease = quiet, afterRelease
 }
 
 // Want records whether there is work, and this router's place in the order in
--- a/core/duty/duty_test.go
+++ b/core/duty/duty_test.go
@@ -71,7 +71,7 @@
 		var nodes []*node
 		for i := range 4 {
 			name := fmt.Sprint("h", i)
-			nodes = append(nodes, &node{name: name, lease: duty.New(name, quiet, quiet)})
+			nodes = append(nodes, &node{name: name, lease: newLease(name, quiet)})
 		}
 		lastHolder, lastFence, lastAt := "", int64(0), proto.Instant(0)
 		now := proto.Instant(time.Hour)
@@ -110,8 +110,8 @@
 // lease up.
 func TestReleaseLetsTheNextOneIn(t *testing.T) {
 	log := &topic{}
-	first := &node{name: "a", lease: duty.New("a", quiet, 0)}
-	next := &node{name: "b", lease: duty.New("b", quiet, 0)}
+	first := &node{name: "a", lease: newLease("a", 0)}
+	next := &node{name: "b", lease: newLease("b", 0)}
 	now := proto.Instant(time.Hour)
 	run := func(d time.Duration, nodes ...*node) {
 		for end := now.Add(d); now < end; now = now.Add(20 * time.Millisecond) {
@@ -140,7 +140,7 @@
 // Guards against acting on a claim whose answer came late: the time to live
 // counts from when the claim was sent.
 func TestLateAnswerShortensTheHold(t *testing.T) {
-	l := duty.New("a", quiet, quiet)
+	l := newLease("a", quiet)
 	now := proto.Instant(time.Hour)
 	l.Want(now, true, 0)
 	l.Next(now)
@@ -157,7 +157,7 @@
 
 // Guards against calls to the log while there is no work.
 func TestNoWorkNoCalls(t *testing.T) {
-	l := duty.New("a", quiet, quiet)
+	l := newLease("a", quiet)
 	for i := range 100 {
 		now := proto.Instant(time.Hour).Add(time.Duration(i) * time.Second)
 		l.Want(now, false, 0)
@@ -172,7 +172,7 @@
 func TestAgeOfVersions(t *testing.T) {
 	written := time.UnixMilli(1_000_000)
 	c := duty.Claim{WrittenAt: written.UnixMilli()}
-	n := duty.Named{Model: "m", Version: 2, AgeMillis: 2000}
+	n := proto.VersionAge{Model: "m", Version: 2, AgeMillis: 2000}
 	for elapsed, want := range map[time.Duration]time.Duration{
 		time.Second: 3 * time.Second, -time.Minute: 2 * time.Second, time.Hour: 7 * time.Second,
 	} {
@@ -181,3 +181,9 @@
 		}
 	}
 }
+
+func newLease(name string, afterRelease time.Duration) *duty.Lease {
+	l := duty.New(name)
+	l.SetQuiet(quiet, afterRelease)
+	return l
+}
--- a/core/peer/peer.go
+++ b/core/peer/peer.go
@@ -32,14 +32,6 @@
 	Version  int64            `json:"version"`
 }
 
-// Named is a version that the operator has named.
-type Named struct {
-	Model   string `json:"model"`
-	Version int64  `json:"version"`
-	// AgeMillis is how long ago the sender, or one of its peers, read it.
-	AgeMillis int64 `json:"age_ms"`
-}
-
 // Message is what one router tells its peers.
 type Message struct {
 	Counts quota.Counts `json:"counts"`
@@ -54,7 +46,8 @@
 	Reached []Reached     `json:"reached,omitempty"`
 	// Attempts are those begun since the last message.
 	Attempts []place.Told `json:"attempts,omitempty"`
-	Named    []Named      `json:"named,omitempty"`
+	// Named lists the versions that the operator has named.
+	Named []proto.VersionAge `json:"named,omitempty"`
 	// Seen lists endpoints that have answered the sender lately.
 	Seen []place.Seen `json:"seen,omitempty"`
 	// Silent lists endpoints that have stopped to answer the sender.
--- a/core/place/attempt.go
+++ b/core/place/attempt.go
@@ -8,10 +8,11 @@
 
 // Attempt names one attempt between Began and Finished.
 type Attempt struct {
-	id      uint64
-	choice  Choice
-	model   string
-	life    int64
+	id     uint64
+	choice Choice
+	// load is that of the endpoint's life which the attempt was sent to, or nil
+	// if that life was over before.
+	load    *load
 	sentAt  proto.Instant
 	reading int64
 	first   bool
@@ -22,11 +23,12 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.attempts++
-	a := &Attempt{id: p.attempts, choice: c, model: q.Model, life: c.Endpoint.Started, sentAt: now, reading: c.Reading}
+	a := &Attempt{id: p.attempts, choice: c, sentAt: now, reading: c.Reading}
 	l := p.loads[c.Endpoint.ID]
-	if l == nil || l.life != a.life {
+	if l == nil || l.life != c.Endpoint.Started {
 		return a
 	}
+	a.load = l
 	l.inFlight++
 	l.reading += a.reading
 	l.unanswered[a.id] = newPending(now, c.Expected)
@@ -36,21 +38,13 @@
 	return a
 }
 
-func (p *Placer) find(a *Attempt) *load {
-	l := p.loads[a.choice.Endpoint.ID]
-	if l == nil || l.life != a.life {
-		return nil
-	}
-	return l
-}
-
 // FirstByte records that an attempt got the first part of its answer.
 func (p *Placer) FirstByte(now proto.Instant, a *Attempt) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if l := p.find(a); l != nil {
-		l.answeredAt, l.answered = now, true
-		l.observeFirst(now, now.Sub(a.sentAt), a.choice.Expected-a.choice.Lag)
+	if l := a.load; l != nil {
+		l.answer.record(now)
+		l.mixLag(now, now.Sub(a.sentAt)-(a.choice.Expected-a.choice.Lag))
 		a.gotFirst(l)
 	}
 }
@@ -83,12 +77,11 @@
 	}
 }
 
-// Progress records that an attempt got a further part of its answer.
-func (p *Placer) Progress(now proto.Instant, a *Attempt) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	if l := p.find(a); l != nil {
-		l.answeredAt, l.answered = now, true
+// Progress records that the attempt got a further part of its answer. It takes
+// no lock, as it is called for each event of each stream.
+func (a *Attempt) Progress(now proto.Instant) {
+	if a.load != nil {
+		a.load.answer.record(now)
 	}
 }
 
@@ -113,7 +106,7 @@
 func (p *Placer) Observe(now proto.Instant, a *Attempt, r Report) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	l := p.find(a)
+	l := a.load
 	if l == nil {
 		return
 	}
@@ -129,7 +122,7 @@
 func (p *Placer) Finished(now proto.Instant, a *Attempt, healthy bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	l := p.find(a)
+	l := a.load
 	if l == nil {
 		return
 	}
@@ -137,7 +130,7 @@
 	a.gotFirst(l)
 	l.inFlight = max(0, l.inFlight-1)
 	if healthy {
-		l.answeredAt = now
+		l.answer.refresh(now)
 		l.failures = 0
 		if answered {
 			l.mismatches = 0
--- a/core/place/load.go
+++ b/core/place/load.go
@@ -1,6 +1,7 @@
 package place
 
 import (
+	"sync/atomic"
 	"time"
 
 	"github.com/kumquatsill/kumquatsill/core/proto"
@@ -54,16 +55,43 @@
 	loadingTo               proto.Instant
 	// mismatches counts how often the version was misjudged since an answer.
 	mismatches int
-	// heardAt is when the endpoint was last heard through the registry,
-	// answeredAt when it last sent any part of an answer to this router.
-	heardAt, answeredAt proto.Instant
-	// answered is set until the peers are told of an answer.
-	answered bool
+	// heardAt is when the endpoint was last heard through the registry.
+	heardAt proto.Instant
+	answer  lastAnswer
 	// silentUntil is set while a peer calls the endpoint silent.
 	silentUntil proto.Instant
 	parts       *partCache
 }
 
+// lastAnswer is when an endpoint last sent any part of an answer to this router,
+// or is known to have sent one to a peer. It is safe for concurrent use.
+type lastAnswer struct {
+	instant atomic.Int64
+	// untold is set until the peers are told of an answer.
+	untold atomic.Bool
+}
+
+// at returns the time of the last answer.
+func (a *lastAnswer) at() proto.Instant { return proto.Instant(a.instant.Load()) }
+
+// record takes in an answer to this router, of which the peers are to be told.
+func (a *lastAnswer) record(now proto.Instant) {
+	a.refresh(now)
+	a.untold.Store(true)
+}
+
+// refresh takes in an answer that the peers need not be told of.
+func (a *lastAnswer) refresh(now proto.Instant) {
+	for old := a.instant.Load(); old < int64(now); old = a.instant.Load() {
+		if a.instant.CompareAndSwap(old, int64(now)) {
+			return
+		}
+	}
+}
+
+// tell reports whether the peers are to be told of an answer, once.
+func (a *lastAnswer) tell() bool { return a.untold.Swap(false) }
+
 // setVersion takes in that an endpoint runs a version. Loading new weights
 // drops what the endpoint holds.
 func (l *load) setVersion(model string, version int64) {
@@ -87,7 +115,7 @@
 // sent some time ago.
 func (l *load) silent(now proto.Instant) bool {
 	for _, a := range l.unanswered {
-		if now > a.due && l.answeredAt < a.sentAt {
+		if now > a.due && l.answer.at() < a.sentAt {
 			return true
 		}
 	}
@@ -117,13 +145,8 @@
 	l.avoidUntil = now.Add(min(pause, lastFailurePause))
 }
 
-// observeFirst takes in how long a first byte took, and how long it was
-// expected to take without the lag.
-func (l *load) observeFirst(now proto.Instant, took, expected time.Duration) {
-	l.mixLag(now, took-expected)
-}
-
-// mixLag takes in one observation of the lag.
+// mixLag takes in by how much one first byte was later than expected without the
+// lag.
 func (l *load) mixLag(now proto.Instant, lag time.Duration) {
 	old := l.lagNow(now)
 	l.lag = max(0, old+time.Duration(lagGain*float64(lag-old)))
--- a/core/place/place.go
+++ b/core/place/place.go
@@ -133,6 +133,7 @@
 type Placer struct {
 	mu     sync.Mutex
 	cfg    Config
+	limits Limits
 	list   *discovery.Snapshot
 	config *serving.Config
 	loads  map[proto.EndpointID]*load
@@ -140,7 +141,7 @@
 	// storeBusy is when the link of each store is free, by address.
 	storeBusy map[string]proto.Instant
 	// named holds the versions named of each model, the newest last.
-	named    map[string][]NamedVersion
+	named    map[string][]namedVersion
 	attempts uint64
 	rng      *rand.Rand
 	// told collects what the peers are to be told.
@@ -152,14 +153,18 @@
 	// Domain is the router's failure domain.
 	Domain proto.Domain
 	Costs  Costs
+	// Seed makes the random part of the choices differ between routers.
+	Seed uint64
+}
+
+// Limits bound what a Placer uses. They may change while it runs.
+type Limits struct {
 	// VersionLife is how long a version of a model may be used once a newer one
 	// was named; 0 means always.
 	VersionLife time.Duration
-	// HeartbeatLimit is the silence in the registry after which an endpoint is
-	// used only when nothing better is there; 0 means never.
-	HeartbeatLimit time.Duration
-	// Seed makes the random part of the choices differ between routers.
-	Seed uint64
+	// Heartbeat is the silence in the registry after which an endpoint is used
+	// only when nothing better is there; 0 means never.
+	Heartbeat time.Duration
 }
 
 // New returns a placer without endpoints.
@@ -171,10 +176,17 @@
 		stores: map[string]*StoreIndex{},
 
 		storeBusy: map[string]proto.Instant{},
-		named:     map[string][]NamedVersion{},
+		named:     map[string][]namedVersion{},
 	}
 }
 
+// SetLimits sets the limits in force.
+func (p *Placer) SetLimits(l Limits) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.limits = l
+}
+
 // Configure sets the configuration in force.
 func (p *Placer) Configure(cfg *serving.Config) {
 	p.mu.Lock()
@@ -338,14 +350,14 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	l := p.loads[id]
-	return l == nil || l.silent(now) || now < l.silentUntil || l.inFlight > 0 && now.Sub(l.answeredAt) > quietLimit
+	return l == nil || l.silent(now) || now < l.silentUntil || l.inFlight > 0 && now.Sub(l.answer.at()) > quietLimit
 }
 
 // ToldSilent records that an endpoint has stopped to answer a peer.
 func (p *Placer) ToldSilent(now proto.Instant, id proto.EndpointID) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if l := p.loads[id]; l != nil && now.Sub(l.answeredAt) > silenceLimit {
+	if l := p.loads[id]; l != nil && now.Sub(l.answer.at()) > silenceLimit {
 		l.silentUntil = now.Add(toldSilence)
 	}
 }
--- a/core/place/place_test.go
+++ b/core/place/place_test.go
@@ -29,8 +29,9 @@
 func newRig(t testing.TB, engines int) *rig {
 	r := &rig{
 		t: t, now: start, table: discovery.NewTable(), store: place.NewStoreIndex(),
-		placer: place.New(place.Config{Domain: "a", Costs: place.DefaultCosts(), VersionLife: 6 * time.Second, HeartbeatLimit: 3 * time.Second, Seed: 1}),
+		placer: place.New(place.Config{Domain: "a", Costs: place.DefaultCosts(), Seed: 1}),
 	}
+	r.placer.SetLimits(place.Limits{VersionLife: 6 * time.Second, Heartbeat: 3 * time.Second})
 	r.placer.Configure(config(t))
 	r.placer.SetStore(storeAddr, r.store)
 	for i := range engines {
@@ -427,3 +428,21 @@
 		t.Errorf("the prompt is held by %s only, and %s is named as its source", c.Endpoint.ID, c.Source)
 	}
 }
+
+// Guards against taking an engine for silent that has not answered the last
+// prompt yet but sends the events of other streams.
+func TestEngineThatSendsEventsIsNotSilent(t *testing.T) {
+	r := newRig(t, 1)
+	q := r.query("x")
+	stream := r.placer.Began(r.now, q, r.choose(q))
+	r.placer.FirstByte(r.now, stream)
+	r.placer.Began(r.now, q, r.choose(q))
+	r.now = r.now.Add(3 * time.Second)
+	if !r.placer.IsSilent(r.now, "e0") {
+		t.Fatal("an engine without any answer for 3 s does not count as silent")
+	}
+	stream.Progress(r.now)
+	if r.placer.IsSilent(r.now, "e0") {
+		t.Fatal("an engine that has just sent an event counts as silent")
+	}
+}
--- a/core/place/price.go
+++ b/core/place/price.go
@@ -176,7 +176,7 @@
 	if l.silent(s.now) || s.now < l.silentUntil {
 		cost += silentCost
 	}
-	limit := s.placer.cfg.HeartbeatLimit
+	limit := s.placer.limits.Heartbeat
 	if limit > 0 && l.heardAt != 0 && s.now.Sub(l.heardAt) > limit {
 		cost += unheardCost
 	}
@@ -185,7 +185,7 @@
 
 func (s *scope) oldVersion(version int64) time.Duration {
 	newest := s.placer.newest(s.q.Model)
-	if version >= newest.Version || s.now.Sub(newest.At) < oldVersionGrace {
+	if version >= newest.version || s.now.Sub(newest.at) < oldVersionGrace {
 		return 0
 	}
 	return s.placer.cfg.Costs.OldVersion
--- a/core/place/told.go
+++ b/core/place/told.go
@@ -64,8 +64,7 @@
 	defer p.mu.Unlock()
 	var seen []Seen
 	for id, l := range p.loads {
-		if l.answered {
-			l.answered = false
+		if l.answer.tell() {
 			seen = append(seen, Seen{Endpoint: id, LagMillis: l.lagNow(now).Milliseconds()})
 		}
 	}
@@ -77,7 +76,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if l := p.loads[s.Endpoint]; l != nil {
-		l.answeredAt = max(l.answeredAt, now.Add(-tellingTime))
+		l.answer.refresh(now.Add(-tellingTime))
 		l.mixLag(now, time.Duration(s.LagMillis)*time.Millisecond)
 	}
 }
--- a/core/place/versions.go
+++ b/core/place/versions.go
@@ -16,31 +16,33 @@
 	waitFactor = 2
 )
 
-// NamedVersion is a version that the operator has named.
-type NamedVersion struct {
-	Version int64
-	// At is when this router, or a peer, has read it.
-	At proto.Instant
+// namedVersion is a version that the operator has named.
+type namedVersion struct {
+	version int64
+	// at is when this router, or a peer, has read it.
+	at proto.Instant
 }
 
 // Name records the newest version named of a model.
 func (p *Placer) Name(now proto.Instant, model string, version int64) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if version <= p.newest(model).Version {
+	if version <= p.newest(model).version {
 		return
 	}
-	versions := append(p.named[model], NamedVersion{Version: version, At: now})
+	versions := append(p.named[model], namedVersion{version: version, at: now})
 	p.named[model] = versions[max(0, len(versions)-maxNamed):]
 }
 
-// Named returns the last versions named of each model, and since when.
-func (p *Placer) Named() map[string][]NamedVersion {
+// Named returns the last versions named of each model, and for how long.
+func (p *Placer) Named(now proto.Instant) []proto.VersionAge {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	named := make(map[string][]NamedVersion, len(p.named))
+	var named []proto.VersionAge
 	for model, versions := range p.named {
-		named[model] = slices.Clone(versions)
+		for _, v := range versions {
+			named = append(named, proto.VersionAge{Model: model, Version: v.version, AgeMillis: now.Sub(v.at).Milliseconds()})
+		}
 	}
 	return named
 }
@@ -52,22 +54,22 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	versions := p.named[model]
-	i, known := slices.BinarySearchFunc(versions, version, func(v NamedVersion, version int64) int {
-		return cmp.Compare(v.Version, version)
+	i, known := slices.BinarySearchFunc(versions, version, func(v namedVersion, version int64) int {
+		return cmp.Compare(v.version, version)
 	})
 	if known {
-		versions[i].At = min(versions[i].At, at)
+		versions[i].at = min(versions[i].at, at)
 		return
 	}
-	versions = slices.Insert(versions, i, NamedVersion{Version: version, At: at})
+	versions = slices.Insert(versions, i, namedVersion{version: version, at: at})
 	p.named[model] = versions[max(0, len(versions)-maxNamed):]
 }
 
 // newest returns the newest version named of a model; mu is held.
-func (p *Placer) newest(model string) NamedVersion {
+func (p *Placer) newest(model string) namedVersion {
 	versions := p.named[model]
 	if len(versions) == 0 {
-		return NamedVersion{}
+		return namedVersion{}
 	}
 	return versions[len(versions)-1]
 }
@@ -77,8 +79,8 @@
 func (p *Placer) oldest(now proto.Instant, model string) int64 {
 	oldest := int64(0)
 	for _, v := range p.named[model] {
-		if p.cfg.VersionLife > 0 && now.Sub(v.At) >= p.cfg.VersionLife {
-			oldest = v.Version
+		if p.limits.VersionLife > 0 && now.Sub(v.at) >= p.limits.VersionLife {
+			oldest = v.version
 		}
 	}
 	return oldest
@@ -90,7 +92,7 @@
 	defer p.mu.Unlock()
 	last := proto.Instant(0)
 	for model := range p.named {
-		last = max(last, p.newest(model).At)
+		last = max(last, p.newest(model).at)
 	}
 	return now.Sub(last)
 }
@@ -124,7 +126,7 @@
 	if l == nil || e == nil || l.version[model] != expected {
 		return // the belief has changed meanwhile
 	}
-	if newest := p.newest(model).Version; expected < newest {
+	if newest := p.newest(model).version; expected < newest {
 		l.setVersion(model, newest)
 		return
 	}
--- a/core/relay/budget.go
+++ b/core/relay/budget.go
@@ -36,6 +36,16 @@
 	return &RetryBudget{cfg: cfg, level: cfg.Reserve, at: now}
 }
 
+// Configure sets the bounds in force. What a greater reserve adds comes over a
+// window.
+func (b *RetryBudget) Configure(now proto.Instant, cfg BudgetConfig) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.advance(now)
+	b.cfg = cfg
+	b.level = min(b.level, b.ceiling())
+}
+
 // Request records a request from a caller.
 func (b *RetryBudget) Request(now proto.Instant) {
 	b.mu.Lock()
--- a/core/relay/relay_test.go
+++ b/core/relay/relay_test.go
@@ -133,3 +133,27 @@
 		}
 	}
 }
+
+// Guards against a router keeping the whole fleet's reserve because it made the
+// budget before it knew the other routers.
+func TestBudgetFollowsItsConfiguration(t *testing.T) {
+	cfg := relay.BudgetConfig{Ratio: 0.1, Window: 10 * time.Second, Reserve: 40}
+	b := relay.NewRetryBudget(0, cfg)
+	cfg.Reserve = 2
+	b.Configure(0, cfg)
+	taken := 0
+	for b.Take(0) {
+		taken++
+	}
+	if taken != 2 {
+		t.Errorf("%d further attempts without any request, want the new reserve of 2", taken)
+	}
+	cfg.Reserve = 40
+	b.Configure(0, cfg)
+	if b.Take(0) {
+		t.Error("a greater reserve is there at once; it should come back over the window")
+	}
+	if !b.Take(proto.Instant(time.Second)) {
+		t.Error("a greater reserve does not come back")
+	}
+}
--- a/core/upgrade/upgrade.go
+++ b/core/upgrade/upgrade.go
@@ -91,6 +91,28 @@
 // String returns the name used in logs.
 func (o Outcome) String() string { return outcomeNames[o] }
 
+// Share returns the part of the engines that may load weights at once, by the
+// wait of requests at engines and the age of the newest version. Loads that take
+// the last free engines cost callers more than older weights do, until the older
+// version must not be used any more.
+func Share(wait, age, versionLife time.Duration) float64 {
+	const (
+		calm, busy          = 80 * time.Millisecond, 250 * time.Millisecond
+		soon, urgent        = 0.4, 0.6 // of the version's life
+		most, middle, least = 0.5, 0.35, 0.25
+	)
+	old := float64(age) / float64(max(versionLife, 1))
+	switch {
+	case wait < calm:
+		return most
+	case wait < busy || old > urgent:
+		return middle
+	case old > soon:
+		return (middle + least) / 2
+	}
+	return least
+}
+
 type phase uint8
 
 const (
--- a/core/upgrade/upgrade_test.go
+++ b/core/upgrade/upgrade_test.go
@@ -196,3 +196,15 @@
 		t.Fatal("the engine that started again was left behind")
 	}
 }
+
+// Guards against loads that take the last free engines while callers wait, and
+// against leaving loads until the old version must not be used any more.
+func TestShareFollowsWaitAndAge(t *testing.T) {
+	const life = 8 * time.Second
+	calm := upgrade.Share(10*time.Millisecond, 0, life)
+	busy := upgrade.Share(time.Second, 0, life)
+	late := upgrade.Share(time.Second, life*7/10, life)
+	if busy >= calm || late <= busy || late > calm {
+		t.Errorf("the share is %.2f when calm, %.2f when busy, %.2f when busy and late", calm, busy, late)
+	}
+}
