soak: a mutation of the product for each promise; settings: one check for a missing argument

Cause: the soak's checks each had a test on made-up observations, but nothing showed that the soak as a whole notices a product that breaks a promise.

--- a/app/cmd/kumquatsill/note.go
+++ b/app/cmd/kumquatsill/note.go
@@ -69,9 +69,7 @@
 }
 
 func (a fileArg) check(c *settings.Checker) {
-	if a.File == "" {
-		c.Argument("FILE", "is missing")
-	}
+	c.Required("FILE", a.File)
 }
 
 // readNote reads a note. What is wrong with its form is printed as problems.
@@ -326,9 +324,7 @@
 	var c settings.Checker
 	c.NoArgs(args)
 	f.check(&c)
-	if f.Args.Old == "" {
-		c.Argument("OLD", "is missing")
-	}
+	c.Required("OLD", f.Args.Old)
 	if err := c.Err(); err != nil {
 		return err
 	}
@@ -388,9 +384,7 @@
 	var c settings.Checker
 	c.NoArgs(args)
 	f.check(&c)
-	if f.Args.ID == "" {
-		c.Argument("ID", "is missing")
-	}
+	c.Required("ID", f.Args.ID)
 	if err := c.Err(); err != nil {
 		return err
 	}
--- a/app/cmd/kumquatsill/status.go
+++ b/app/cmd/kumquatsill/status.go
@@ -149,9 +149,7 @@
 	var c settings.Checker
 	c.NoArgs(args)
 	f.check(&c)
-	if f.Args.Request == "" {
-		c.Argument("REQUEST-ID", "is missing")
-	}
+	c.Required("REQUEST-ID", f.Args.Request)
 	if err := c.Err(); err != nil {
 		return err
 	}
@@ -268,12 +266,8 @@
 	var c settings.Checker
 	c.NoArgs(args)
 	f.check(&c)
-	if f.Args.Account == "" {
-		c.Argument("ACCOUNT", "is missing")
-	}
-	if f.Args.Fingerprint == "" {
-		c.Argument("FINGERPRINT", "is missing")
-	}
+	c.Required("ACCOUNT", f.Args.Account)
+	c.Required("FINGERPRINT", f.Args.Fingerprint)
 	if err := c.Err(); err != nil {
 		return err
 	}
--- a/app/settings/settings.go
+++ b/app/settings/settings.go
@@ -77,6 +77,13 @@
 	c.problems = append(c.problems, "argument "+name+" "+fmt.Sprintf(format, args...))
 }
 
+// Required adds a problem if a positional argument is missing.
+func (c *Checker) Required(name, value string) {
+	if value == "" {
+		c.Argument(name, "is missing")
+	}
+}
+
 // NoArgs refuses positional arguments.
 func (c *Checker) NoArgs(args []string) {
 	for _, a := range args {
--- a/proof/cmd/soak/main.go
+++ b/proof/cmd/soak/main.go
@@ -5,7 +5,6 @@
 import (
 	"fmt"
 	"os"
-	"os/exec"
 	"path/filepath"
 	"time"
 
@@ -21,7 +20,9 @@
 	Engines int           `long:"engines" default:"4" description:"model engines"`
 	Plain   int           `long:"plain" default:"2" description:"plain endpoints"`
 	Clients int           `long:"clients" default:"16" description:"clients that send requests"`
-	Dir     string        `long:"dir" description:"folder for settings and logs, kept for seeds that fail"`
+	// Mutations is the root of the workspace whose code is changed.
+	Mutations string `long:"mutations" description:"run the program with a fault for each promise instead, from the workspace at this path; each must be noticed"`
+	Dir       string `long:"dir" description:"folder for settings and logs, kept for seeds that fail"`
 }
 
 func main() {
@@ -45,10 +46,12 @@
 			return 0, err
 		}
 	}
-	binary := filepath.Join(o.Dir, "kumquatsill")
-	build := exec.Command("go", "build", "-o", binary, "github.com/kumquatsill/kumquatsill/app/cmd/kumquatsill")
-	if out, err := build.CombinedOutput(); err != nil {
-		return 0, fmt.Errorf("%w\n%s", err, out)
+	if o.Mutations != "" {
+		return mutate(o)
+	}
+	binary, err := soak.Build(o.Dir)
+	if err != nil {
+		return 0, err
 	}
 	for i := range o.Seeds {
 		seed := o.Seed + uint64(i)
@@ -56,10 +59,7 @@
 		if err := os.MkdirAll(dir, 0o700); err != nil {
 			return failed, err
 		}
-		r, err := soak.Run(soak.Config{
-			Binary: binary, Dir: dir, Seed: seed, Faults: o.Faults, Clients: o.Clients,
-			Size: soak.Size{Routers: o.Routers, Engines: o.Engines, Plain: o.Plain},
-		})
+		r, err := soak.Run(o.config(binary, dir, seed))
 		if err != nil {
 			return failed, fmt.Errorf("seed %d: %w", seed, err)
 		}
@@ -76,3 +76,44 @@
 	fmt.Printf("%d seeds, %d failed\n", o.Seeds, failed)
 	return failed, nil
 }
+
+func (o *options) config(binary, dir string, seed uint64) soak.Config {
+	return soak.Config{
+		Binary: binary, Dir: dir, Seed: seed, Faults: o.Faults, Clients: o.Clients,
+		Size: soak.Size{Routers: o.Routers, Engines: o.Engines, Plain: o.Plain},
+	}
+}
+
+// mutate runs each mutation until a seed notices it. It counts those that no
+// seed noticed as failed.
+func mutate(o options) (failed int, err error) {
+	root, err := filepath.Abs(o.Mutations)
+	if err != nil {
+		return 0, err
+	}
+	for _, m := range soak.Mutations {
+		dir := filepath.Join(o.Dir, m.Promise)
+		if err := os.MkdirAll(dir, 0o700); err != nil {
+			return failed, err
+		}
+		binary, err := m.Build(root, dir)
+		if err != nil {
+			return failed, err
+		}
+		noticed := false
+		for i := 0; i < o.Seeds && !noticed; i++ {
+			seed := o.Seed + uint64(i)
+			r, err := soak.Run(o.config(binary, dir, seed))
+			noticed = m.Notices(r)
+			if err != nil && !noticed {
+				return failed, fmt.Errorf("%s, seed %d: %w", m.Promise, seed, err)
+			}
+			fmt.Printf("%s: seed %d, %d requests, noticed: %t\n", m.Promise, seed, r.Attempts, noticed)
+		}
+		if !noticed {
+			failed++
+		}
+	}
+	fmt.Printf("%d mutations, %d not noticed\n", len(soak.Mutations), failed)
+	return failed, nil
+}
--- a/proof/soak/checks.go
+++ b/proof/soak/checks.go
@@ -25,8 +25,9 @@
 	runs    map[string][]hosting.Run
 	revoked map[string]time.Time
 	events  int
-	// slack is how long a withdrawn key may work, beyond the bound, through a
-	// process that was disturbed.
+	// settled is how long a process must have been undisturbed before a request
+	// for its use of a withdrawn key to count, and how long beyond the bound such
+	// a key may work.
 	settled time.Duration
 }
 
--- a/proof/soak/faults.go
+++ b/proof/soak/faults.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"strings"
 	"syscall"
 	"time"
 
@@ -159,7 +160,7 @@
 		time.Sleep(between(rng, minPause, maxPause))
 		finish(len(open) >= maxOverlap)
 		kind := faults[rng.IntN(len(faults))]
-		if routerFault := len(kind.name) > 7 && kind.name[:7] == "router_"; routerFault {
+		if strings.HasPrefix(kind.name, "router_") {
 			finish(true)
 		}
 		counts[kind.name]++
--- /dev/null
+++ b/proof/soak/mutations.go
@@ -0,0 +1,89 @@
+package soak
+
+import (
+	"encoding/json"
+	"fmt"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+)
+
+// Mutation is a change of the product that breaks one promise, so that a run
+// shows whether the soak notices.
+type Mutation struct {
+	// Promise is the one that the run must report as broken.
+	Promise string
+	edits   []edit
+}
+
+// edit replaces a text that stands once in a file below the root of the
+// workspace.
+type edit struct{ file, old, new string }
+
+// Mutations lists one for each promise.
+var Mutations = []Mutation{
+	{"at-most-once", []edit{{"core/relay/relay.go", "r.ran > 0 && !r.route.Repeatable()", "false"}}},
+	{"true-not-run", []edit{{"app/front/serve.go", "status = http.StatusBadGateway", "status = http.StatusServiceUnavailable"}}},
+	{"answer-match", []edit{{"app/front/attempt.go", "body: body}", "body: []byte(strings.ToUpper(string(body)))}"}}},
+	{"stream-integrity", []edit{{"app/front/attempt.go", "errors.Is(err, io.EOF)", "err != nil"}}},
+	{"key-secrecy", []edit{{"platform/headers.go", "perConnection[name], name == headerKey, ", "perConnection[name], "}}},
+	{"account-binding", []edit{{"platform/headers.go", "h.Set(headerAccount, string(a.Account))", "h.Set(headerAccount, \"\")"}}},
+	{"cache-isolation", []edit{{"app/front/serve.go", "x.caller.Model, version, wall)", "x.caller.Model, 1, wall)"}}},
+	{"key-withdrawal", []edit{{"app/front/watch.go", "old != nil && cfg.Revision <= old.Revision", "old != nil"}}},
+	{"recovery", []edit{{"app/front/watch.go", "		backoff = min(", "		return nil\n		backoff = min("}}},
+	{"no-own-end", []edit{{"app/cmd/kumquatsill/front.go", "		for range hangups {", "		for range hangups {\n			os.Exit(3)"}}},
+}
+
+// Build builds the router's program with the mutation into a folder and returns
+// its path. It fails if a text to replace does not stand in its file once.
+func (m *Mutation) Build(root, dir string) (string, error) {
+	overlay := struct{ Replace map[string]string }{map[string]string{}}
+	for i, e := range m.edits {
+		path := filepath.Join(root, e.file)
+		data, err := os.ReadFile(path)
+		if err != nil {
+			return "", err
+		}
+		if n := strings.Count(string(data), e.old); n != 1 {
+			return "", fmt.Errorf("mutation of %s: the text %q stands %d times in %s", m.Promise, e.old, n, e.file)
+		}
+		mutant := filepath.Join(dir, fmt.Sprintf("mutant-%d.go", i))
+		if err := os.WriteFile(mutant, []byte(strings.Replace(string(data), e.old, e.new, 1)), 0o600); err != nil {
+			return "", err
+		}
+		overlay.Replace[path] = mutant
+	}
+	data, err := json.Marshal(overlay)
+	if err != nil {
+		return "", err
+	}
+	list := filepath.Join(dir, "overlay.json")
+	if err := os.WriteFile(list, data, 0o600); err != nil {
+		return "", err
+	}
+	return build(dir, "-overlay", list)
+}
+
+// Build builds the router's program into a folder and returns its path.
+func Build(dir string) (string, error) { return build(dir) }
+
+func build(dir string, flags ...string) (string, error) {
+	binary := filepath.Join(dir, "kumquatsill")
+	args := append([]string{"build", "-o", binary}, flags...)
+	out, err := exec.Command("go", append(args, "github.com/kumquatsill/kumquatsill/app/cmd/kumquatsill")...).CombinedOutput()
+	if err != nil {
+		return "", fmt.Errorf("%w\n%s", err, out)
+	}
+	return binary, nil
+}
+
+// Notices reports whether a result shows the mutation's promise as broken.
+func (m *Mutation) Notices(r Result) bool {
+	for _, v := range r.Violations {
+		if v.Promise == m.Promise {
+			return true
+		}
+	}
+	return false
+}
--- a/proof/soak/soak_test.go
+++ b/proof/soak/soak_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"os"
-	"os/exec"
 	"path/filepath"
 	"testing"
 	"time"
@@ -20,10 +19,9 @@
 // Guards against broken promises when real processes are killed, paused,
 // stopped and cut off. The schedule of faults follows from the seed.
 func TestShortRun(t *testing.T) {
-	binary := filepath.Join(t.TempDir(), "kumquatsill")
-	build := exec.Command("go", "build", "-o", binary, "github.com/kumquatsill/kumquatsill/app/cmd/kumquatsill")
-	if out, err := build.CombinedOutput(); err != nil {
-		t.Fatalf("%v\n%s", err, out)
+	binary, err := Build(t.TempDir())
+	if err != nil {
+		t.Fatal(err)
 	}
 	for _, seed := range append([]uint64{1}, regressions...) {
 		dir, err := os.MkdirTemp(t.TempDir(), "run")
@@ -77,3 +75,17 @@
 		}
 	}
 }
+
+// Guards against mutations that no longer fit the code, so that nobody would
+// find out whether the soak notices them.
+func TestMutationsBuild(t *testing.T) {
+	root, err := filepath.Abs("../..")
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, m := range Mutations {
+		if _, err := m.Build(root, t.TempDir()); err != nil {
+			t.Error(err)
+		}
+	}
+}
