app/node: a draining agent listens until routers have stopped sending

Cause: Drain stopped listening a fixed second after the last accepted work had ended. A router that has not learned by then that the agent leaves still sends, and its connection is refused or reset.

Ruled out: work in flight (Drained had reported none) and the server's shutdown (it waits for open responses).

--- a/app/node/agent.go
+++ b/app/node/agent.go
@@ -28,10 +28,12 @@
 	EngineAddr string
 	// EngineClient verifies the engine. It may be zero.
 	EngineClient shell.TLSFiles
-	// DrainGrace is how long an agent without work still refuses new work
-	// before it stops listening, so that routers learn that it leaves.
+	// DrainGrace is how long an agent without work goes without new work
+	// before it stops listening. Until then it refuses what arrives, so that
+	// routers learn that it leaves.
 	DrainGrace time.Duration
-	// DrainTimeout bounds the wait for attempts in flight.
+	// DrainTimeout bounds the wait for attempts in flight, and the wait for
+	// routers that keep on sending.
 	DrainTimeout time.Duration
 	// Leave tells the machine to take no new work. It may be nil.
 	Leave func(now proto.Instant)
@@ -105,7 +107,9 @@
 		a.shell.Do(a.cfg.Leave)
 	}
 	a.waitDrained()
-	time.Sleep(a.cfg.DrainGrace)
+	if !waitQuiet(a.cfg.DrainGrace, a.cfg.DrainTimeout, a.shell.Inbound().LastDispatch) {
+		a.cfg.Log.Warn("agent stops while routers still send work", "endpoint", a.cfg.Endpoint)
+	}
 	ctx, cancel := context.WithTimeout(context.Background(), a.cfg.DrainTimeout)
 	defer cancel()
 	err := errors.Join(shutdown(ctx, a.internal), a.shell.Stop(), a.t.Wait())
@@ -127,3 +131,24 @@
 	}
 	a.cfg.Log.Warn("agent stops with work in flight", "endpoint", a.cfg.Endpoint)
 }
+
+// waitQuiet waits until no work has arrived for grace, counted from the call
+// at the earliest, and reports false if that is not so within timeout. last
+// returns when work last arrived.
+func waitQuiet(grace, timeout time.Duration, last func() time.Time) bool {
+	start := time.Now()
+	for {
+		quietSince := start
+		if at := last(); at.After(start) {
+			quietSince = at
+		}
+		wait := time.Until(quietSince.Add(grace))
+		if wait <= 0 {
+			return true
+		}
+		if time.Since(start)+wait > max(timeout, grace) {
+			return false
+		}
+		time.Sleep(wait)
+	}
+}
