front: a request that waits at an engine on old weights is withdrawn in time

The choice leaves 2.5 s of the 10 s, and no such margin bounds what a wait may be.

Ruled out: a late reading of the named version (the version was read at once).

The 2 s in which an old version gets no new requests stay. The stand-in engine reads bodies, so that it notices callers that leave, and can refuse all orders.

--- a/app/front/attempt.go
+++ b/app/front/attempt.go
@@ -47,7 +47,10 @@
 	shedPause = 80 * time.Millisecond
 )
 
-var errStalled = errors.New("no answer in time from an endpoint")
+var (
+	errStalled  = errors.New("no answer in time from an endpoint")
+	errOutdated = errors.New("not begun when the endpoint's version became too old")
+)
 
 // keptAnswer is a whole answer of an endpoint.
 type keptAnswer struct {
@@ -112,6 +115,9 @@
 	version int64
 	detail  string
 	broke   bool
+	// versionTimer withdraws the request if it does not begin in time. It is nil
+	// where versions have no limit.
+	versionTimer *time.Timer
 	// answerer is the endpoint that refused a misdirected request.
 	answerer proto.EndpointID
 }
@@ -123,6 +129,9 @@
 	defer cancel(nil)
 	stall := t.watchStall(cancel)
 	defer stall.Stop()
+	if t.versionTimer = t.watchVersion(cancel); t.versionTimer != nil {
+		defer t.versionTimer.Stop()
+	}
 	resp, err := x.front.client.Send(ctx, t.upstreamRequest())
 	if err != nil {
 		return t.sendFailed(ctx, err)
@@ -192,6 +201,32 @@
 	return s
 }
 
+// watchVersion ends the attempt if it has not begun when the version that it was
+// sent to becomes too old. It returns nil where versions have no limit.
+func (t *try) watchVersion(cancel context.CancelCauseFunc) *time.Timer {
+	if t.choice.Version == 0 {
+		return nil
+	}
+	mayBegin := func() (time.Duration, bool) {
+		x := t.request
+		return x.front.placer.MayBegin(driver.Now(), x.caller.Model, t.choice.Version)
+	}
+	left, limited := mayBegin()
+	if !limited {
+		return nil
+	}
+	var timer *time.Timer
+	timer = time.AfterFunc(left, func() {
+		// A newer version may have been named only after the request was sent.
+		if left, _ := mayBegin(); left > 0 {
+			timer.Reset(left)
+			return
+		}
+		cancel(errOutdated)
+	})
+	return timer
+}
+
 func (t *try) upstreamRequest() *upstream.Request {
 	x := t.request
 	a := platform.Attempt{
@@ -236,6 +271,8 @@
 		return relay.Broken
 	case errors.Is(cause, errStalled):
 		return relay.Stalled
+	case errors.Is(cause, errOutdated):
+		return relay.Outdated
 	case errors.Is(cause, errDeadline):
 		return relay.OutOfTime
 	}
@@ -266,6 +303,9 @@
 	now := driver.Now()
 	if t.firstAt == 0 {
 		t.firstAt = now
+		if t.versionTimer != nil {
+			t.versionTimer.Stop()
+		}
 		t.request.front.placer.FirstByte(now, t.began)
 		return
 	}
--- a/app/front/front.go
+++ b/app/front/front.go
@@ -38,9 +38,12 @@
 	rotationTime = 2500 * time.Millisecond
 	// exitMargin is left of the stop time for the process to end.
 	exitMargin = 700 * time.Millisecond
-	// versionMargin is left of a version's life for a request to wait at a busy
+	// versionWait is left of a version's life for a request to wait at a busy
 	// engine before it begins.
-	versionMargin = 2500 * time.Millisecond
+	versionWait = 2000 * time.Millisecond
+	// versionMargin allows for a new version that is read late from the store,
+	// and for the time until a withdrawn request has left its engine.
+	versionMargin = 500 * time.Millisecond
 	// registryLag is the time until a heartbeat is read from the registry.
 	registryLag = 800 * time.Millisecond
 	// housekeeping is the time between two rounds of housekeeping.
@@ -148,7 +151,10 @@
 	f.settings.Store(&s)
 	// An endpoint counts as unheard after two heartbeats and the time in which
 	// the registry tells them.
-	f.placer.SetLimits(place.Limits{VersionLife: s.VersionLife - versionMargin, Heartbeat: 2*s.HeartbeatInterval + registryLag})
+	f.placer.SetLimits(place.Limits{
+		VersionLife: s.VersionLife - versionMargin, VersionWait: versionWait,
+		Heartbeat: 2*s.HeartbeatInterval + registryLag,
+	})
 	// Where engines check fencing tokens, a holder that has given the lease up
 	// needs no quiet time.
 	afterRelease := s.HolderQuiet
--- a/app/front/front_test.go
+++ b/app/front/front_test.go
@@ -113,21 +113,22 @@
 }
 
 func (b *bed) start(name string) *router {
-	return b.startWith(name, "")
+	return b.startWith(name, func(*front.Config) {})
 }
 
-// startWith starts a router that reads the settings file at a path on Reload.
-func (b *bed) startWith(name, settingsPath string) *router {
+// startWith starts a router with a changed configuration.
+func (b *bed) startWith(name string, change func(*front.Config)) *router {
 	r := &router{t: b.t, calls: freeAddr(b.t), ready: freeAddr(b.t)}
-	f, err := front.New(front.Config{
+	cfg := front.Config{
 		Settings: platform.Settings{
 			Host: name, Domain: "zone-a", Callers: r.calls, Ready: r.ready, Peers: freeAddr(b.t), Store: b.addr,
 			StopTime: 4 * time.Second, RetryRatio: 0.2, RetryWindow: 10 * time.Second, RetryReserve: 52,
 			HolderQuiet: time.Second, EnginesCheckFences: true, VersionLife: 8 * time.Second, DrainTime: drainTime, ContactTime: time.Second,
 		},
-		SettingsPath: settingsPath,
-		Log:          slog.New(slog.DiscardHandler), LogDropped: func() int64 { return 0 },
-	})
+		Log: slog.New(slog.DiscardHandler), LogDropped: func() int64 { return 0 },
+	}
+	change(&cfg)
+	f, err := front.New(cfg)
 	if err != nil {
 		b.t.Fatal(err)
 	}
@@ -159,7 +160,12 @@
 
 func (b *bed) startReady(name string) *router {
 	b.t.Helper()
-	r := b.start(name)
+	return b.start(name).awaitReady(b)
+}
+
+// awaitReady waits until the router serves.
+func (r *router) awaitReady(b *bed) *router {
+	b.t.Helper()
 	eventually(b.t, "the router is ready", r.isReady)
 	eventually(b.t, "all endpoints are known", func() bool {
 		status, _ := r.call("/order/x", "secret")
@@ -441,6 +447,35 @@
 	})
 }
 
+// Guards against a request that begins on an engine's old weights long after
+// newer ones were named: it was sent in time and waited at the engine.
+func TestWaitingRequestLeavesOldWeights(t *testing.T) {
+	const life = 3 * time.Second
+	b := newBed(t)
+	b.configure(nil)
+	for _, e := range b.engines[:2] {
+		e.KeepsWeights = true
+		e.Fail(func(int) hosting.Failure { return hosting.Hang })
+	}
+	r := b.startWith("r1", func(cfg *front.Config) { cfg.Settings.VersionLife = life }).awaitReady(b)
+	waiting := func() int { return b.engines[0].Running() + b.engines[1].Running() }
+	named := time.Now()
+	b.store.PutKey(platform.TopicOperator, "version/m", map[string]any{"model": "m", "version": 2})
+	done := make(chan int)
+	go func() {
+		status, _ := r.call("/chat/1", "secret")
+		done <- status
+	}()
+	eventually(t, "a request waits", func() bool { return waiting() == 1 })
+	if status := <-done; status != http.StatusBadGateway {
+		t.Errorf("status %d", status)
+	}
+	eventually(t, "the engine has dropped the request", func() bool { return waiting() == 0 })
+	if took := time.Since(named); took > life {
+		t.Errorf("the request waited at the engine until %v after the naming", took)
+	}
+}
+
 // Guards against cutting requests in flight at a stop, and against reporting
 // ready while stopping.
 func TestDrainEndsRequests(t *testing.T) {
@@ -519,7 +554,7 @@
 		}
 	}
 	write(true)
-	r := b.startWith("r1", path)
+	r := b.startWith("r1", func(cfg *front.Config) { cfg.SettingsPath = path })
 	served := func() bool {
 		status, _ := r.call("/order/1", "secret")
 		return status == http.StatusOK
--- a/core/place/place.go
+++ b/core/place/place.go
@@ -159,9 +159,12 @@
 
 // Limits bound what a Placer uses. They may change while it runs.
 type Limits struct {
-	// VersionLife is how long a version of a model may be used once a newer one
-	// was named; 0 means always.
+	// VersionLife is how long requests may begin on a version of a model once a
+	// newer one was named; 0 means always.
 	VersionLife time.Duration
+	// VersionWait is the part of VersionLife, at its end, in which a version gets
+	// no new requests, as they may wait at the endpoint before they begin.
+	VersionWait time.Duration
 	// Heartbeat is the silence in the registry after which an endpoint is used
 	// only when nothing better is there; 0 means never.
 	Heartbeat time.Duration
--- a/core/place/place_test.go
+++ b/core/place/place_test.go
@@ -446,3 +446,30 @@
 		t.Fatal("an engine that has just sent an event counts as silent")
 	}
 }
+
+// Guards against requests that are sent to an old version so late that they
+// begin on it after its time, and against ones that wait there longer.
+func TestOldVersionEndsBeforeItsLife(t *testing.T) {
+	r := newRig(t, 2)
+	r.placer.SetLimits(place.Limits{VersionLife: 6 * time.Second, VersionWait: 2 * time.Second})
+	mayBegin := func(after time.Duration, version int64, want time.Duration) {
+		t.Helper()
+		left, ok := r.placer.MayBegin(start.Add(after), model, version)
+		if !ok || left != want {
+			t.Errorf("%v after the start requests may begin on version %d for %v, want %v", after, version, left, want)
+		}
+	}
+	mayBegin(0, 1, 6*time.Second)
+	r.placer.Name(start, model, 2)
+	r.placer.Name(start.Add(time.Second), model, 3)
+	mayBegin(time.Second, 1, 5*time.Second)
+	mayBegin(time.Second, 2, 6*time.Second)
+	mayBegin(7*time.Second, 1, -time.Second)
+	mayBegin(7*time.Second, 3, 6*time.Second)
+	for after, want := range map[time.Duration]bool{3 * time.Second: true, 4100 * time.Millisecond: false} {
+		_, ok := r.placer.Choose(start.Add(after), &place.Query{Service: "s", Model: model, Salt: func(int64) string { return "" }})
+		if ok != want {
+			t.Errorf("%v after a newer version was named the old one is chosen: %v", after, ok)
+		}
+	}
+}
--- a/core/place/versions.go
+++ b/core/place/versions.go
@@ -74,18 +74,37 @@
 	return versions[len(versions)-1]
 }
 
-// oldest returns the oldest version of a model that may still be used; mu is
-// held.
+// oldest returns the oldest version of a model that may still get requests; mu
+// is held.
 func (p *Placer) oldest(now proto.Instant, model string) int64 {
 	oldest := int64(0)
 	for _, v := range p.named[model] {
-		if p.limits.VersionLife > 0 && now.Sub(v.at) >= p.limits.VersionLife {
+		if p.limits.VersionLife > 0 && now.Sub(v.at) >= p.limits.VersionLife-p.limits.VersionWait {
 			oldest = v.version
 		}
 	}
 	return oldest
 }
 
+// MayBegin returns for how long a request may begin on a version of a model, or
+// false if there is no limit. While no newer version is named, that is the time
+// that would be left if one were named now.
+func (p *Placer) MayBegin(now proto.Instant, model string, version int64) (time.Duration, bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.limits.VersionLife <= 0 {
+		return 0, false
+	}
+	named := now
+	for _, v := range p.named[model] {
+		if v.version > version {
+			named = v.at
+			break
+		}
+	}
+	return named.Add(p.limits.VersionLife).Sub(now), true
+}
+
 // VersionAge returns for how long the version named last has been known.
 func (p *Placer) VersionAge(now proto.Instant) time.Duration {
 	p.mu.Lock()
--- a/core/relay/relay.go
+++ b/core/relay/relay.go
@@ -46,6 +46,9 @@
 	Broken
 	// Stalled means that the router gave up waiting.
 	Stalled
+	// Outdated means that the router withdrew the request, as it had not begun
+	// when the endpoint's version of the model became too old.
+	Outdated
 	// CallerGone means that the caller has left.
 	CallerGone
 	// OutOfTime means that the deadline or the route's timeout has passed.
@@ -55,6 +58,7 @@
 var resultNames = [...]string{
 	Answered: "answered", Failed: "failed", Shed: "shed", Misdirected: "misdirected",
 	Unreachable: "unreachable", Broken: "broken", Stalled: "stalled",
+	Outdated:   "outdated",
 	CallerGone: "caller_gone", OutOfTime: "out_of_time",
 }
 
--- a/core/relay/relay_test.go
+++ b/core/relay/relay_test.go
@@ -21,7 +21,7 @@
 
 var results = []relay.Result{
 	relay.Answered, relay.Failed, relay.Shed, relay.Misdirected, relay.Unreachable,
-	relay.Broken, relay.Stalled, relay.CallerGone, relay.OutOfTime,
+	relay.Broken, relay.Stalled, relay.Outdated, relay.CallerGone, relay.OutOfTime,
 }
 
 func resultOf(t *testing.T, name string) relay.Result {
--- a/standin/hosting/engine.go
+++ b/standin/hosting/engine.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"strconv"
@@ -20,6 +21,8 @@
 	// Events is the number of events of a stream, Pause the time between two.
 	Events int
 	Pause  time.Duration
+	// KeepsWeights makes the engine answer each order as busy.
+	KeepsWeights bool
 
 	mu       sync.Mutex
 	born     int64
@@ -157,7 +160,7 @@
 	switch {
 	case order.FencingToken < e.fence:
 		w.WriteHeader(http.StatusPreconditionFailed)
-	case e.target > e.version || order.ExpectedRevision != e.orders:
+	case e.KeepsWeights, e.target > e.version, order.ExpectedRevision != e.orders:
 		w.WriteHeader(http.StatusConflict)
 	case order.Version <= e.version:
 		w.WriteHeader(http.StatusOK)
@@ -180,6 +183,8 @@
 		return
 	}
 	defer e.end()
+	// net/http notices that a caller has left only once its body is read.
+	_, _ = io.Copy(io.Discard, r.Body)
 	failure := e.failureOf(n)
 	switch failure {
 	case Hang:
