app/front: New listens on all addresses; tests show the log of a router that fails

The router opened the addresses of callers and readiness only in its goroutines, so that a taken address ended it without an error from New, and the test discarded the log and the error.

Change: New opens all listeners and returns the error; tests keep the router's log and show it on failure.

Test: TestAddressInUse fails without the change.

--- a/app/front/front.go
+++ b/app/front/front.go
@@ -110,9 +110,9 @@
 	// tellNow asks for a message to the peers before the next one is due.
 	tellNow chan struct{}
 
-	callers *http.Server
-	ready   *http.Server
-	udp     *net.UDPConn
+	callers, ready                 *http.Server
+	callersListener, readyListener net.Listener
+	udp                            *net.UDPConn
 }
 
 // New returns a process that listens on its addresses and serves after Start.
@@ -174,8 +174,14 @@
 	if f.udp, err = net.ListenUDP("udp4", addr); err != nil {
 		return Error.Wrap(err)
 	}
+	if f.callersListener, err = net.Listen("tcp4", f.cfg.Settings.Callers); err != nil {
+		return errors.Join(Error.Wrap(err), f.udp.Close())
+	}
+	if f.readyListener, err = net.Listen("tcp4", f.cfg.Settings.Ready); err != nil {
+		return errors.Join(Error.Wrap(err), f.udp.Close(), f.callersListener.Close())
+	}
 	f.callers = &http.Server{
-		Addr: f.cfg.Settings.Callers, Handler: http.HandlerFunc(f.serve),
+		Handler: http.HandlerFunc(f.serve),
 		ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
 		ErrorLog: slog.NewLogLogger(f.log.Handler(), slog.LevelDebug),
 	}
@@ -183,7 +189,7 @@
 	router.GET("/metrics", f.answerMetrics)
 	router.GET("/*path", f.answerReady)
 	f.ready = &http.Server{
-		Addr: f.cfg.Settings.Ready, Handler: router,
+		Handler:           router,
 		ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout,
 		ErrorLog: slog.NewLogLogger(f.log.Handler(), slog.LevelDebug),
 	}
@@ -196,8 +202,8 @@
 	f.log.Info("started", "host", s.Host, "domain", string(s.Domain), "callers", s.Callers, "ready", s.Ready,
 		"peers", s.Peers, "store", s.Store, "life", f.life)
 	f.tomb.Go(func() error {
-		f.tomb.Go(func() error { return serveHTTP(f.callers) })
-		f.tomb.Go(func() error { return serveHTTP(f.ready) })
+		f.tomb.Go(func() error { return serveHTTP(f.callers, f.callersListener) })
+		f.tomb.Go(func() error { return serveHTTP(f.ready, f.readyListener) })
 		ctx := f.tomb.Context(context.Background())
 		f.tomb.Go(func() error { return f.watchOperator(ctx) })
 		f.tomb.Go(func() error { return f.watchEndpoints(ctx) })
@@ -212,11 +218,7 @@
 	})
 }
 
-func serveHTTP(s *http.Server) error {
-	ln, err := net.Listen("tcp4", s.Addr)
-	if err != nil {
-		return Error.Wrap(err)
-	}
+func serveHTTP(s *http.Server, ln net.Listener) error {
 	if err := s.Serve(ln); !errors.Is(err, http.ErrServerClosed) {
 		return Error.Wrap(err)
 	}
--- a/app/front/front_test.go
+++ b/app/front/front_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"bufio"
+	"bytes"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"log/slog"
@@ -12,6 +14,7 @@
 	"os"
 	"path/filepath"
 	"strings"
+	"syscall"
 	"testing"
 	"time"
 
@@ -119,13 +122,14 @@
 // startWith starts a router with a changed configuration.
 func (b *bed) startWith(name string, change func(*front.Config)) *router {
 	r := &router{t: b.t, calls: freeAddr(b.t), ready: freeAddr(b.t)}
+	log := keepLog(b.t)
 	cfg := front.Config{
 		Settings: platform.Settings{
 			Host: name, Domain: "zone-a", Callers: r.calls, Ready: r.ready, Peers: freeAddr(b.t), Store: b.addr,
 			StopTime: 4 * time.Second, RetryRatio: 0.2, RetryWindow: 10 * time.Second, RetryReserve: 52,
 			HolderQuiet: time.Second, EnginesCheckFences: true, VersionLife: 8 * time.Second, DrainTime: drainTime, ContactTime: time.Second,
 		},
-		Log: slog.New(slog.DiscardHandler), LogDropped: func() int64 { return 0 },
+		Log: log, LogDropped: func() int64 { return 0 },
 	}
 	change(&cfg)
 	f, err := front.New(cfg)
@@ -138,6 +142,17 @@
 	return r
 }
 
+// keepLog returns a log that is shown if the test fails.
+func keepLog(t *testing.T) *slog.Logger {
+	var kept bytes.Buffer
+	t.Cleanup(func() {
+		if t.Failed() {
+			t.Log(kept.String())
+		}
+	})
+	return slog.New(slog.NewJSONHandler(&kept, nil)) // the handler writes one line at a time
+}
+
 // eventually waits until a condition holds.
 func eventually(t *testing.T, what string, holds func() bool) {
 	t.Helper()
@@ -575,3 +590,23 @@
 	r.Reload()
 	eventually(t, "the router serves again", served)
 }
+
+// Guards against a router that starts although it cannot listen: it would run
+// and never be ready, without an error.
+func TestAddressInUse(t *testing.T) {
+	taken, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = taken.Close() }()
+	for name, set := range map[string]func(*platform.Settings){
+		"callers": func(s *platform.Settings) { s.Callers = taken.Addr().String() },
+		"ready":   func(s *platform.Settings) { s.Ready = taken.Addr().String() },
+	} {
+		s := platform.Settings{Callers: freeAddr(t), Ready: freeAddr(t), Peers: freeAddr(t), Store: freeAddr(t)}
+		set(&s)
+		if _, err := front.New(front.Config{Settings: s, Log: slog.New(slog.DiscardHandler)}); !errors.Is(err, syscall.EADDRINUSE) {
+			t.Errorf("%s: %v", name, err)
+		}
+	}
+}
