app/front: early messages to peers are bounded by the size of the fleet

Change: the least time between early messages grows with the number of peers; a waiting early message no longer holds up the regular ones.

--- a/app/front/front.go
+++ b/app/front/front.go
@@ -181,7 +181,7 @@
 		return errors.Join(Error.Wrap(err), f.udp.Close(), f.callersListener.Close())
 	}
 	f.callers = &http.Server{
-		Handler: http.HandlerFunc(f.serve),
+		Handler:           http.HandlerFunc(f.serve),
 		ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
 		ErrorLog: slog.NewLogLogger(f.log.Handler(), slog.LevelDebug),
 	}
--- a/app/front/peers.go
+++ b/app/front/peers.go
@@ -127,10 +127,18 @@
 	// smallFleet is the number of peers up to which all count as near: what they
 	// tell of parts saves more than their bytes cost.
 	smallFleet = 8
-	// soonPause is the least time between messages sent before they are due.
-	soonPause = 40 * time.Millisecond
+	// soonPause is the least time between messages sent before they are due, and
+	// soonPausePerPeer that for each peer: it bounds the datagrams that a router
+	// sends early to 670 a second, whatever the size of the fleet.
+	soonPause        = 40 * time.Millisecond
+	soonPausePerPeer = 1500 * time.Microsecond
 )
 
+// soonPauseFor returns the least time between two early messages to peers.
+func soonPauseFor(peers int) time.Duration {
+	return max(soonPause, time.Duration(peers)*soonPausePerPeer)
+}
+
 // audiences are the peers by their distance.
 type audiences struct{ near, far *quota.Audience }
 
@@ -139,6 +147,8 @@
 	tick := time.NewTicker(quota.Interval)
 	defer tick.Stop()
 	to := audiences{near: quota.NewAudience(), far: quota.NewAudience()}
+	var soon <-chan time.Time
+	var lastSoon proto.Instant
 	for n := 0; ; {
 		select {
 		case <-ctx.Done():
@@ -147,8 +157,12 @@
 			n++
 			f.tellAll(driver.Now(), to, n)
 		case <-f.tellNow:
-			f.tellSoonest(driver.Now())
-			sleep(ctx, soonPause)
+			if soon == nil {
+				soon = time.After(lastSoon.Add(soonPauseFor(f.peerCount())).Sub(driver.Now()))
+			}
+		case <-soon:
+			soon, lastSoon = nil, driver.Now()
+			f.tellSoonest(lastSoon)
 		}
 	}
 }
@@ -222,6 +236,12 @@
 	return addrs
 }
 
+func (f *Front) peerCount() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return len(f.peers)
+}
+
 // message returns what all peers are told, without counts and attempts.
 func (f *Front) message(now proto.Instant, whole bool) peer.Message {
 	m := peer.Message{Silent: f.placer.Silent(now)}
--- a/proof/soak/faults.go
+++ b/proof/soak/faults.go
@@ -72,15 +72,15 @@
 	{"store_path", func(f *Fleet, rng *rand.Rand) func() { return disturb(f.storeProxy, rng) }},
 	{"endpoint_path", func(f *Fleet, rng *rand.Rand) func() { return disturb(pickEndpoint(f, rng).proxy, rng) }},
 	{"endpoint_fails", func(f *Fleet, rng *rand.Rand) func() {
-		e := pickEndpoint(f, rng)
+		service := pickEndpoint(f, rng).engine.Service
 		kind := hosting.Failure(1 + rng.IntN(4))
-		e.engine.Fail(func(run int) hosting.Failure {
+		f.failRuns(service, func(run int) hosting.Failure {
 			if run%3 == 0 {
 				return kind
 			}
 			return hosting.None
 		})
-		return func() { e.engine.Fail(func(int) hosting.Failure { return hosting.None }) }
+		return func() { f.failRuns(service, func(int) hosting.Failure { return hosting.None }) }
 	}},
 	{"endpoint_leaves", func(f *Fleet, rng *rand.Rand) func() {
 		e := pickEndpoint(f, rng)
@@ -97,6 +97,16 @@
 	}},
 }
 
+// failRuns sets how the runs of all endpoints of a service fail. A single one is
+// too seldom met by the few requests that may run once only.
+func (f *Fleet) failRuns(service string, how func(run int) hosting.Failure) {
+	for _, e := range f.endpoints {
+		if e.engine.Service == service {
+			e.engine.Fail(how)
+		}
+	}
+}
+
 func disturb(p *proxy, rng *rand.Rand) func() {
 	p.set(Trouble(1 + rng.IntN(4)))
 	return func() { p.set(Pass) }
