core/place: a store is the safer source of cache entries than an engine

Engines drop cached parts for running requests within a second or two, and routers hear of it up to 2.5 s later.

Change: of two sources of the same parts the engine has 40 ms added in the comparison, so that a store with a free link goes first.

Test: TestStoreIsTheSaferSource.

--- a/core/place/links.go
+++ b/core/place/links.go
@@ -16,6 +16,10 @@
 	// maxTransferWait is the wait beyond which an engine does not start a
 	// transfer and reads the parts instead, less a margin.
 	maxTransferWait = 1500 * time.Millisecond
+	// engineMissRisk weighs that an engine may have dropped parts since it was
+	// last heard: its running requests displace them within a second or two. A
+	// store has room for more.
+	engineMissRisk = 40 * time.Millisecond
 )
 
 // storeLink is the link of a store of cache entries.
--- a/core/place/place_test.go
+++ b/core/place/place_test.go
@@ -258,6 +258,29 @@
 	}
 }
 
+// Guards against fetching from an engine what a store holds, too: the engine may
+// have dropped it for its running requests, and the parts are then read again.
+// While the store's link is taken the engine is the better source.
+func TestStoreIsTheSaferSource(t *testing.T) {
+	r := newRig(t, 4)
+	others := []proto.EndpointID{"e1", "e3"} // of the other failure domain
+	q := r.query("x")
+	q.Exclude = others
+	holder := r.send(q, 300*time.Millisecond).Endpoint
+	r.store.SetAlive(true)
+	r.store.Put("m1", "top")
+	r.store.Put("m1", "thing")
+	q = r.query("y")
+	q.Exclude = append(others, holder.ID)
+	if c := r.choose(q); c.Source != storeAddr || c.Again != 0 {
+		t.Errorf("source %q, %d tokens read again", c.Source, c.Again)
+	}
+	r.placer.TakeIn(r.now, place.Told{Endpoint: holder.ID, Started: 1, Transfer: place.Transfer{Store: storeAddr, ForMillis: 300}})
+	if c := r.choose(q); c.Source != holder.Addr || c.Again != 0 {
+		t.Errorf("source %q while the store's link is taken", c.Source)
+	}
+}
+
 // Guards against sending everything through the store's link again: only what
 // is read for the first time goes there, and nothing while the store is away.
 func TestOnlyFirstReadsGoToTheStore(t *testing.T) {
--- a/core/place/price.go
+++ b/core/place/price.go
@@ -226,8 +226,12 @@
 	parts int
 	// wait is the time until both links are free, took that of the transfer.
 	wait, took time.Duration
+	// risk weighs that the source may have dropped the parts meanwhile.
+	risk time.Duration
 }
 
+func (f *fetched) weight() time.Duration { return f.wait + f.took + f.risk }
+
 // fetch picks where the endpoint fetches parts from. A source is named even if
 // the endpoint is believed to hold everything, as it may have dropped parts
 // unnoticed; a source that is not needed costs nothing.
@@ -244,7 +248,10 @@
 		if f.wait+f.took > maxTransferWait && tokens > 0 {
 			continue
 		}
-		if f.parts > best.parts || f.parts == best.parts && (c.Source == "" || f.wait+f.took < best.wait+best.took) {
+		if from.engine != "" {
+			f.risk = engineMissRisk
+		}
+		if f.parts > best.parts || f.parts == best.parts && (c.Source == "" || f.weight() < best.weight()) {
 			best = f
 			c.Source, c.SourceEngine = from.addr, from.engine
 		}
