front: whole events are passed on though a part of the next one has come

The log shows last_event 2. Events were flushed only when nothing more had been received; a part of the next event counted as more, so that whole events waited for its rest and were lost when the engine broke off within it.

Ruled out: the caller's connection (the router had written the events and not flushed them).

Change: Events.HasNext tells whether a further whole event is there; otherwise the events written so far are flushed.

--- a/app/front/attempt.go
+++ b/app/front/attempt.go
@@ -395,7 +395,7 @@
 		if e.HasID {
 			x.lastEvent, x.hasEvent = e.ID, true
 		}
-		if !events.Buffered() {
+		if !events.HasNext() {
 			if err := control.Flush(); err != nil {
 				return relay.CallerGone
 			}
--- a/app/front/front_test.go
+++ b/app/front/front_test.go
@@ -330,6 +330,30 @@
 	}
 }
 
+// Guards against events that are lost when a stream breaks off, since they came
+// together with a part of the next event and were not passed on at once.
+func TestEventsBeforeABreakReachTheCaller(t *testing.T) {
+	b := newBed(t)
+	b.configure(nil)
+	r := b.startReady("r1")
+	for _, e := range b.engines[:2] {
+		e.Pause = 0
+		e.Fail(func(int) hosting.Failure { return hosting.BreakOff })
+	}
+	for i := range 20 {
+		// The same request again would be refused, as it crashes its endpoints.
+		resp, err := http.DefaultClient.Do(r.request(fmt.Sprint("/chat/", i), "secret"))
+		if err != nil {
+			t.Fatal(err)
+		}
+		body, _ := io.ReadAll(resp.Body) // it breaks off
+		_ = resp.Body.Close()
+		if events(string(body)) != "1,2" {
+			t.Fatalf("events %q before the break", events(string(body)))
+		}
+	}
+}
+
 // Guards against an engine that works on after its caller has left.
 func TestCallerLeaves(t *testing.T) {
 	b := newBed(t)
--- a/app/upstream/client_test.go
+++ b/app/upstream/client_test.go
@@ -315,3 +315,20 @@
 		t.Fatalf("an empty stream ends with %v", err)
 	}
 }
+
+// Guards against whole events that are held back, and lost if the stream breaks
+// off, since a part of the next one has come with them.
+func TestPartOfAnEventIsNotNext(t *testing.T) {
+	for text, want := range map[string]bool{
+		"id: 1\n\n": false, "id: 1\n\nid: 2\ndata: cut": false, "id: 1\n\n\n": false,
+		"id: 1\n\nid: 2\n\n": true, "id: 1\r\n\r\nid: 2\r\n\r\n": true,
+	} {
+		events := upstream.NewEvents(strings.NewReader(text))
+		if _, err := events.Next(); err != nil {
+			t.Fatal(err)
+		}
+		if got := events.HasNext(); got != want {
+			t.Errorf("after the first event of %q: %t", text, got)
+		}
+	}
+}
--- a/app/upstream/events.go
+++ b/app/upstream/events.go
@@ -94,5 +94,10 @@
 	}
 }
 
-// Buffered reports whether more bytes have been received already.
-func (s *Events) Buffered() bool { return s.reader.Buffered() > 0 }
+// HasNext reports whether a further whole event has been received already. A
+// part of one may be all that comes for a while.
+func (s *Events) HasNext() bool {
+	received, _ := s.reader.Peek(s.reader.Buffered()) // never more than is there
+	received = bytes.TrimLeft(received, "\r\n")
+	return bytes.Contains(received, []byte("\n\n")) || bytes.Contains(received, []byte("\n\r\n"))
+}
