--- a/app/cmd/kumquatsill-agent/main.go
+++ b/app/cmd/kumquatsill-agent/main.go
@@ -22,7 +22,7 @@
 	Listen       string       `long:"listen" env:"KUMQUATSILL_AGENT_LISTEN" default:"127.0.0.1:8090" description:"ip:port for routers, operators and metrics"`
 	EngineAddr   string       `long:"engine-addr" env:"KUMQUATSILL_ENGINE_ADDR" description:"ip:port of the engine or plain service"`
 	ChecksFence  bool         `long:"checks-fence" env:"KUMQUATSILL_CHECKS_FENCE" description:"the engine itself refuses orders with an old fencing number"`
-	DrainGrace   string       `long:"drain-grace" env:"KUMQUATSILL_DRAIN_GRACE" default:"1s" description:"time in which a drained agent still refuses work before it stops listening"`
+	DrainGrace   string       `long:"drain-grace" env:"KUMQUATSILL_DRAIN_GRACE" default:"1s" description:"time without new work after which a drained agent stops listening; it refuses what arrives before"`
 	DrainTimeout string       `long:"drain-timeout" env:"KUMQUATSILL_DRAIN_TIMEOUT" default:"15m" description:"longest wait for work in flight after SIGTERM"`
 	InternalTLS  settings.TLS `group:"Mutual TLS between own processes" namespace:"internal-tls" env-namespace:"KUMQUATSILL_INTERNAL_TLS"`
 	EngineTLS    settings.TLS `group:"TLS to the engine" namespace:"engine-tls" env-namespace:"KUMQUATSILL_ENGINE_TLS"`
