core/crash: counts of broken connections carry their age

All refused orders as crashing their endpoints. The time of a peer's message counted as that of the last break, and each router told its own count on, so that they kept each other's counts alive for good.

Ruled out: endpoints that still failed (the last fault had ended, and the refused orders were not sent).

Change: a count carries the age of its last break; older ones than a minute are dropped.

Test: TestPeersDoNotKeepCountsAlive fails without the change.

--- a/core/crash/crash.go
+++ b/core/crash/crash.go
@@ -26,12 +26,15 @@
 type Count struct {
 	Fingerprint proto.Fingerprint `json:"fingerprint"`
 	Breaks      int               `json:"breaks"`
+	// AgeMillis is how long ago the last of them was.
+	AgeMillis int64 `json:"age_ms"`
 }
 
 type entry struct {
 	own   int
 	peers map[proto.RouterID]int
-	at    proto.Instant
+	// ownAt is when the last connection of this router broke, at that of any.
+	ownAt, at proto.Instant
 }
 
 // Register counts broken connections by fingerprint. It is safe for concurrent
@@ -48,8 +51,9 @@
 func (r *Register) Broke(now proto.Instant, f proto.Fingerprint) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if e := r.entry(now, f); e != nil {
+	if e := r.entry(f); e != nil {
 		e.own++
+		e.ownAt, e.at = now, now
 	}
 }
 
@@ -65,8 +69,13 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	for _, c := range counts {
-		if e := r.entry(now, c.Fingerprint); e != nil {
+		at := now.Add(-time.Duration(c.AgeMillis) * time.Millisecond)
+		if now.Sub(at) >= memory {
+			continue
+		}
+		if e := r.entry(c.Fingerprint); e != nil {
 			e.peers[from] = max(e.peers[from], c.Breaks)
+			e.at = max(e.at, at)
 		}
 	}
 }
@@ -89,8 +98,8 @@
 			delete(r.entries, f)
 			continue
 		}
-		if e.own > 0 && len(counts) < maxTold {
-			counts = append(counts, Count{Fingerprint: f, Breaks: e.own})
+		if age := now.Sub(e.ownAt); e.own > 0 && age < memory && len(counts) < maxTold {
+			counts = append(counts, Count{Fingerprint: f, Breaks: e.own, AgeMillis: age.Milliseconds()})
 		}
 	}
 	return counts
@@ -106,7 +115,7 @@
 
 // entry returns the entry of a fingerprint, or nil while the register is full;
 // mu is held.
-func (r *Register) entry(now proto.Instant, f proto.Fingerprint) *entry {
+func (r *Register) entry(f proto.Fingerprint) *entry {
 	e := r.entries[f]
 	if e == nil {
 		if len(r.entries) >= maxEntries {
@@ -115,6 +124,5 @@
 		e = &entry{peers: map[proto.RouterID]int{}}
 		r.entries[f] = e
 	}
-	e.at = now
 	return e
 }
--- a/core/crash/crash_test.go
+++ b/core/crash/crash_test.go
@@ -53,3 +53,21 @@
 		t.Fatal("an old entry still counts")
 	}
 }
+
+// Guards against routers that keep each other's counts alive: the messages that
+// repeat them made a request be refused for good (soak seed 300).
+func TestPeersDoNotKeepCountsAlive(t *testing.T) {
+	a, b := crash.NewRegister(), crash.NewRegister()
+	for range 3 {
+		a.Broke(now, "f")
+		b.Broke(now, "f")
+	}
+	end := now.Add(61 * time.Second)
+	for at := now; at < end; at = at.Add(time.Second) {
+		a.Heard(at, "b", b.Own(at))
+		b.Heard(at, "a", a.Own(at))
+	}
+	if a.Refused(end, "f") || b.Refused(end, "f") {
+		t.Fatal("refused a minute after the last broken connection")
+	}
+}
--- a/proof/soak/soak_test.go
+++ b/proof/soak/soak_test.go
@@ -14,6 +14,10 @@
 	// 107: SIGHUP within 2 ms of a start ended the process, which had no handler
 	// yet. The handler now stands in the program's first lines.
 	107,
+	// 300: all requests had the same content, and routers kept each other's
+	// counts of broken connections alive, so that it was refused for good. Counts
+	// now carry their age, and each request has its own content.
+	300,
 }
 
 // Guards against broken promises when real processes are killed, paused,
