proof/scenario: an operator who let an endpoint leave looks again

Both plain endpoints were still leaving. Answers of appends were lost and the log was silent, so that the notes which let them leave were accepted after the run's operator had looked once, found nothing to bring back, and gone.

Ruled out: routers that did not take up a note (none was submitted).

Change: the run's operator looks again every leave time; an endpoint stays away as long as before. The check of recovery is unchanged.

Test: TestSeedsThatFailed fails without the change.

Conclusion: a fault of the run, not of the routers.

--- a/proof/scenario/more_faults.go
+++ b/proof/scenario/more_faults.go
@@ -77,7 +77,21 @@
 	id := r.pickEndpoint()
 	r.event("endpoint %s leaves by note", id)
 	r.setLeaving(id, true)
-	r.World.After(leaveTime, func() { r.setLeaving(id, false) })
+	_, watched := r.returnAt[id]
+	r.returnAt[id] = r.World.Now().Add(leaveTime)
+	if !watched {
+		r.World.After(leaveTime, func() { r.bringBack(id) })
+	}
+}
+
+// bringBack submits notes that bring an endpoint back when its time has come, as
+// an operator does who looks again: the note that lets it leave may be accepted
+// late, and one that brings it back may be lost with the log.
+func (r *Run) bringBack(id proto.EndpointID) {
+	if r.World.Now() >= r.returnAt[id] {
+		r.setLeaving(id, false)
+	}
+	r.World.After(leaveTime, func() { r.bringBack(id) })
 }
 
 func (r *Run) setLeaving(id proto.EndpointID, leaving bool) {
--- a/proof/scenario/random_test.go
+++ b/proof/scenario/random_test.go
@@ -69,6 +69,21 @@
 	}
 }
 
+// Guards against the faults of seeds that have failed, each with its cause.
+func TestSeedsThatFailed(t *testing.T) {
+	for seed, cause := range map[uint64]string{
+		20371: "a note that lets an endpoint leave was accepted after the operator had looked, and none brought it back",
+	} {
+		r, err := scenario.Random(seed, *duration)
+		if err != nil {
+			t.Fatal(err)
+		}
+		for _, f := range r.Failures {
+			t.Errorf("seed %d (%s) at %v: %s: %s", seed, cause, f.At.Sub(0), f.Invariant, f.Detail)
+		}
+	}
+}
+
 // minSeedsForCounts is the number of runs in which every kind of check occurs.
 const minSeedsForCounts = 10
 
--- a/proof/scenario/scenario.go
+++ b/proof/scenario/scenario.go
@@ -98,6 +98,8 @@
 	clockOffset time.Duration
 	wall        time.Time
 	prefixBase  uint64
+	// returnAt is when the operator brings endpoints back that leave by note.
+	returnAt map[proto.EndpointID]proto.Instant
 
 	requests, keyCount, notes, orders, crashing, crashes int
 }
@@ -122,6 +124,7 @@
 	r := &Run{
 		settings: s,
 		keys:     map[proto.AccountID]proto.KeyHash{},
+		returnAt: map[proto.EndpointID]proto.Instant{},
 		onEnd:    map[proto.RequestID]func(){},
 		crashed:  map[proto.Addr]bool{},
 		truth:    configlog.NewState(nil),
