core/quota: reckon with what peers have spent and not told while an account exceeds its limit

Refused callers come back to all routers at the same moment; each of 27 routers spent the whole balance, 0.9 million units in 0.1 s, before it heard of the others, and the debt beyond the burst was forgiven.

Ruled out: a lower floor alone (the balance would still pass zero by a herd in the worst window, and TestBalanceHasAFloor wants short waits after a partition); predicting the peers' rate from the last half second (it has decayed by the time the callers return).

Change: from a debt until a quarter of the burst is there again, a router asks for a balance that also covers what its peers are expected to have spent: what it has spent itself within 0.4 s, times the proportion of the last two seconds, at most four times that of equal routers. Accounts inside their limit are not touched.

Tests: TestReturningCallersStayWithinLimit 4.74 million units before, 3.80 after, 4.19 allowed.

--- a/core/quota/quota.go
+++ b/core/quota/quota.go
@@ -43,6 +43,17 @@
 	// settleTime is how long after its start a router takes a peer's first
 	// count for spending from before.
 	settleTime = 2 * time.Second
+	// untoldTime is how much of the peers' spending a router has not been told
+	// yet: far peers tell every second Interval.
+	untoldTime = 2 * Interval
+	// averageTime is the time over which own and peers' spending are compared.
+	averageTime = 2 * time.Second
+	// maxPeerRatio bounds the peers' spending reckoned with, as a multiple of what
+	// they would spend if all routers spent alike.
+	maxPeerRatio = 4
+	// recoveredLevel is the part of the burst from which an account that was in
+	// debt counts as inside its limit again.
+	recoveredLevel = 0.25
 	// waitCeiling bounds the time to come back that a refusal tells.
 	waitCeiling = 10 * time.Second
 )
@@ -122,6 +133,14 @@
 	spent int64
 	// share is that of the last refill.
 	share float64
+	// recent is what this router has spent within about untoldTime.
+	recent float64
+	// own and peers are what this router and its peers have spent within about
+	// averageTime.
+	own, peers float64
+	// exceeded is set while the account asks more than its limit: from a debt
+	// until the level has recovered.
+	exceeded bool
 }
 
 // Tracker is one router's view of all accounts. It is safe for concurrent use.
@@ -205,13 +224,13 @@
 	d := Decision{Balance: int64(b.level), Share: share}
 	// A request larger than the burst could never pass; it takes a full bucket.
 	need := min(float64(units), float64(b.limit.Burst)*share)
+	need += b.untold(len(t.members))
 	if b.level < need {
 		d.RetryAfter = b.wait(need, share)
 		return d
 	}
 	d.OK = true
-	b.level -= float64(units)
-	b.spent += units
+	b.take(units)
 	return d
 }
 
@@ -225,8 +244,32 @@
 	}
 	share := t.share(now)
 	t.refill(b, now, share)
-	b.level = min(b.level+float64(units), float64(b.limit.Burst)*share)
-	b.spent -= units
+	b.take(-units)
+	b.level = min(b.level, float64(b.limit.Burst)*share)
+}
+
+// take moves units from the level to what this router has spent; a negative
+// number gives them back.
+func (b *bucket) take(units int64) {
+	b.level -= float64(units)
+	b.spent += units
+	b.recent = max(0, b.recent+float64(units))
+	b.own = max(0, b.own+float64(units))
+}
+
+// untold returns what the peers are expected to have spent and not told yet, by
+// what this router has spent meanwhile and their proportion before. Callers that
+// were refused come back to all routers at the same time. It is 0 for accounts
+// inside their limit, as their peers' spending is covered by the burst.
+func (b *bucket) untold(peers int) float64 {
+	if !b.exceeded {
+		return 0
+	}
+	ratio := float64(maxPeerRatio * peers)
+	if b.own > 0 {
+		ratio = min(ratio, b.peers/b.own)
+	}
+	return ratio * b.recent
 }
 
 // refill adds what has come in since the last time. A router that has just
@@ -241,6 +284,11 @@
 	elapsed := max(0, now.Sub(b.at)).Seconds()
 	b.at = max(now, b.at)
 	b.level = min(b.level+elapsed*float64(b.limit.Rate)*share, float64(b.limit.Burst)*share)
+	b.exceeded = b.level < 0 || b.exceeded && b.level < recoveredLevel*float64(b.limit.Burst)*share
+	b.recent *= math.Exp(-elapsed / untoldTime.Seconds())
+	average := math.Exp(-elapsed / averageTime.Seconds())
+	b.own *= average
+	b.peers *= average
 }
 
 func (b *bucket) wait(need, share float64) time.Duration {
@@ -337,6 +385,7 @@
 		}
 		delta := spent - before
 		t.refill(b, now, share)
+		b.peers += max(0, float64(delta))
 		// The floor keeps counts that were held up by a partition from refusing
 		// the account for long.
 		b.level = max(min(b.level-float64(delta), float64(b.limit.Burst)*share), -float64(b.limit.Burst))
