--- a/core/discovery/discovery.go
+++ b/core/discovery/discovery.go
@@ -76,14 +76,14 @@
 }
 
 // Put adds or updates a registration and reports whether the list changed. It
-// cancels a delayed removal of the endpoint and does not store a registration of an
-// earlier incarnation.
+// cancels a delayed removal of the endpoint. A registration of an earlier
+// incarnation has no effect.
 func (t *Table) Put(e *Endpoint) bool {
-	delete(t.delayedRemovals, e.ID)
 	old := t.endpoints[e.ID]
 	if old != nil && e.Started < old.Started {
 		return false // a delayed registration of an earlier incarnation
 	}
+	delete(t.delayedRemovals, e.ID)
 	if old != nil && equal(old, e) {
 		return false
 	}
--- a/core/discovery/discovery_test.go
+++ b/core/discovery/discovery_test.go
@@ -46,6 +46,21 @@
 	}
 }
 
+// Guards against keeping an endpoint that has gone because a late registration of
+// an earlier incarnation cancelled its removal.
+func TestEarlierIncarnationDoesNotCancelRemoval(t *testing.T) {
+	table := discovery.NewTable()
+	table.Put(endpoint(2))
+	table.RegistryUnreachable(now)
+	table.RegistryReachable(now)
+	table.Remove(now, "e1")
+	table.Put(endpoint(1))
+	table.ApplyDueRemovals(now.Add(time.Minute))
+	if len(table.Snapshot().ForService("s")) != 0 {
+		t.Fatal("the endpoint is still listed")
+	}
+}
+
 // Guards against dropping an endpoint that registered again in time.
 func TestRegistrationCancelsRemoval(t *testing.T) {
 	table := discovery.NewTable()
--- a/core/route/choose.go
+++ b/core/route/choose.go
@@ -206,10 +206,12 @@
 }
 
 // addHomes adds the homes of a prefix that are in use, which are the first spread+1,
-// and one more on standby.
+// and one more on standby. The one on standby counts like the others: it takes over
+// sooner when a home in use is lost or busy, which keeps the tail short.
 func (d *decision) addHomes(g *group, hash uint64, depth, spread int) {
+	standby := spread + 1
 	for rank, index := range g.forBlock(hash) {
-		if rank > spread+1 {
+		if rank > standby {
 			return
 		}
 		c := d.addCandidate(d.snap.endpoints[index])
@@ -217,9 +219,6 @@
 			return
 		}
 		homeProbability := prior(depth)
-		if rank > spread+1 { // never true, because such ranks return above
-			homeProbability *= standbyFactor
-		}
 		if gain := float64(depth) * homeProbability; gain > float64(c.homeAtDepth)*c.homeProbability {
 			c.homeAtDepth, c.homeProbability = depth, homeProbability
 		}
--- a/core/route/cost.go
+++ b/core/route/cost.go
@@ -66,8 +66,8 @@
 	// block, because fewer requests share deeper blocks.
 	homePrior  = 0.9
 	depthDecay = 0.9
-	// standbyFactor is the factor of that probability for a home beyond the
-	// current spread.
+	// standbyFactor is the factor of that probability for the homes that are
+	// considered only when all homes in use are busy.
 	standbyFactor = 0.3
 	// cacheHalfLife is the age of a record at which its block has been evicted
 	// with a probability of one half.
--- a/core/route/view_test.go
+++ b/core/route/view_test.go
@@ -161,6 +161,25 @@
 	}
 }
 
+// Guards against a lost or busy home whose requests wait because the home on standby
+// counts less than a home in use: the homes in use and one more are equal candidates.
+func TestStandbyHomeCountsLikeAHomeInUse(t *testing.T) {
+	v := newTestView(1, 18)
+	q := generateQuery(3, 0, 4, 4)
+	s := v.snap.Load()
+	d := decision{view: v, snap: s, now: second, q: &q, importPeer: -1}
+	const depth, spread = 1, 1
+	d.addHomes(s.group(q), uint64(q.Blocks[depth-1]), depth, spread)
+	if d.count != spread+2 {
+		t.Fatalf("%d candidates, want the %d homes in use and one on standby", d.count, spread+1)
+	}
+	for rank := range d.count {
+		if got := d.candidates[rank].homeProbability; got != prior(depth) {
+			t.Errorf("home of rank %d caches the prefix with probability %v, want %v", rank, got, prior(depth))
+		}
+	}
+}
+
 // Guards against a hot prefix that saturates its home, and against a spread that never
 // narrows or narrows as soon as the load ends.
 func TestHotPrefixSpread(t *testing.T) {
