core/place: heartbeats count only where the registry shows them

The registry shows a registration only when more than its count changes, so the seven engines that had changed earlier counted as without heartbeat (1 s of cost), and after each change of weights the engines that changed last drew all requests. Ruled out: silence and failures (no line of either), loads (all had ended by 20.5 s), a change of the list of endpoints. Change: a heartbeat can be overdue only after two renewals of the same registration were read at new offsets; a listing repeats old ones. Test: TestUnchangedRegistrationIsNoMissedHeartbeat failed before.

--- a/app/front/watch.go
+++ b/app/front/watch.go
@@ -266,7 +266,7 @@
 		return false
 	}
 	changed := f.table.Put(e)
-	f.placer.ObserveHeartbeat(now, e.ID)
+	f.placer.ObserveRegistration(now, e.ID, r.Offset, changed)
 	if changed {
 		f.log.Info("endpoint changed", "endpoint", r.Key, "service", e.Service, "addr", e.Addr, "domain", string(e.Domain),
 			"leaving", e.Leaving, "started", e.Started, "versions", e.Versions, "offset", r.Offset)
--- a/core/place/load.go
+++ b/core/place/load.go
@@ -19,6 +19,9 @@
 	lagSmoothing = 0.3
 	// maxReportAge is how long a reported load counts; it decays linearly.
 	maxReportAge = time.Second
+	// minRenewals is the number of renewals after which an endpoint's heartbeats
+	// are expected to go on.
+	minRenewals = 2
 	// minFailurePause and maxFailurePause bound the exponential backoff from an
 	// endpoint after consecutive failures.
 	minFailurePause = 250 * time.Millisecond
@@ -57,8 +60,11 @@
 	loadingUntil              proto.Instant
 	// mismatches counts version mismatches since the last successful response.
 	mismatches int
-	// lastHeartbeat is the time of the last heartbeat in the registry.
+	// registeredAt is the registry's offset of the last registration, lastHeartbeat
+	// when it was read, and renewals the number of registrations without a change.
+	registeredAt  int64
 	lastHeartbeat proto.Instant
+	renewals      int
 	response      lastResponse
 	// silentUntil is set after a peer has reported the endpoint as silent.
 	silentUntil proto.Instant
@@ -166,5 +172,12 @@
 	return time.Duration(float64(l.lag) * (1 - float64(age)/float64(maxLagAge)))
 }
 
+// heartbeatOverdue reports whether the last heartbeat is older than the limit. A
+// registry may show changed registrations only; then an old one says nothing about
+// the endpoint.
+func (l *load) heartbeatOverdue(now proto.Instant, limit time.Duration) bool {
+	return limit > 0 && l.renewals >= minRenewals && now.Sub(l.lastHeartbeat) > limit
+}
+
 // isLoading reports whether the endpoint is still loading weights as ordered.
 func (l *load) isLoading(now proto.Instant) bool { return l.loading && now < l.loadingUntil }
--- a/core/place/place.go
+++ b/core/place/place.go
@@ -185,7 +185,8 @@
 	VersionStartMargin time.Duration
 	// HeartbeatTimeout is the time since the last heartbeat in the registry after
 	// which the cost of an endpoint rises by missedHeartbeatCost, so that it is
-	// used only if no better one is available; 0 means no timeout.
+	// used only if no better one is available; 0 means no timeout. It applies to
+	// endpoints whose renewals the registry shows.
 	HeartbeatTimeout time.Duration
 }
 
@@ -277,12 +278,19 @@
 	return p.config.Services[e.Service].Engine.CacheTokens
 }
 
-// ObserveHeartbeat records a heartbeat of an endpoint in the registry.
-func (p *Placer) ObserveHeartbeat(now proto.Instant, id proto.EndpointID) {
+// ObserveRegistration records that a registration of an endpoint was read at an
+// offset of the registry. The argument changed is false if it only renews the one
+// before.
+func (p *Placer) ObserveRegistration(now proto.Instant, id proto.EndpointID, offset int64, changed bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if l := p.loads[id]; l != nil {
-		l.lastHeartbeat = now
+	l := p.loads[id]
+	if l == nil || offset <= l.registeredAt {
+		return // a listing repeats registrations that were read before
+	}
+	l.registeredAt, l.lastHeartbeat = offset, now
+	if !changed {
+		l.renewals++
 	}
 }
 
--- a/core/place/score.go
+++ b/core/place/score.go
@@ -182,8 +182,7 @@
 	if l.isSilent(s.now) || s.now < l.silentUntil {
 		cost += silentCost
 	}
-	limit := s.placer.limits.HeartbeatTimeout
-	if limit > 0 && l.lastHeartbeat != 0 && s.now.Sub(l.lastHeartbeat) > limit {
+	if l.heartbeatOverdue(s.now, s.placer.limits.HeartbeatTimeout) {
 		cost += missedHeartbeatCost
 	}
 	return cost
