proof/soak: a failing service shows each kind of failure

Cause: the mutation true-not-run (503 in place of 502) was not noticed, since only one drawn kind of failure in four leads to a 502, on one service in three. Ruled out: the check; it names the case as soon as it comes about.

--- a/proof/soak/faults.go
+++ b/proof/soak/faults.go
@@ -74,13 +74,7 @@
 	{"endpoint_path", func(f *Fleet, rng *rand.Rand) func() { return injectConnectionFault(pickEndpoint(f, rng).proxy, rng) }},
 	{"endpoint_fails", func(f *Fleet, rng *rand.Rand) func() {
 		service := pickEndpoint(f, rng).engine.Service
-		kind := hosting.Failure(1 + rng.IntN(4))
-		f.failRuns(service, func(run int) hosting.Failure {
-			if run%3 == 0 {
-				return kind
-			}
-			return hosting.NoFailure
-		})
+		f.failRuns(service, everyThirdRun(rng.IntN(4)))
 		return func() { f.failRuns(service, func(int) hosting.Failure { return hosting.NoFailure }) }
 	}},
 	{"endpoint_leaves", func(f *Fleet, rng *rand.Rand) func() {
@@ -98,6 +92,17 @@
 	}},
 }
 
+// everyThirdRun fails each third run, by the kinds of failure in turn, so that even
+// a short fault shows each of them to requests of each kind.
+func everyThirdRun(first int) func(run int) hosting.Failure {
+	return func(run int) hosting.Failure {
+		if run%3 != 0 {
+			return hosting.NoFailure
+		}
+		return hosting.Failure(1 + (first+run/3)%hosting.NumFailures)
+	}
+}
+
 // failRuns sets how the runs of all endpoints of a service fail. A failure on a
 // single endpoint would hit too few of the requests that may run only once.
 func (f *Fleet) failRuns(service string, how func(run int) hosting.Failure) {
--- a/standin/hosting/engine.go
+++ b/standin/hosting/engine.go
@@ -52,8 +52,13 @@
 	Hang
 	// ServerError responds with status 500.
 	ServerError
+	// EarlyReset runs the request and resets the connection without a response.
+	EarlyReset
 )
 
+// NumFailures is the number of kinds of Failure other than NoFailure.
+const NumFailures = 5
+
 // Run is one request that an engine has started to process.
 type Run struct {
 	AttemptID string
@@ -194,6 +199,9 @@
 	case Hang:
 		<-r.Context().Done()
 		return
+	case EarlyReset:
+		resetConnection(w)
+		return
 	case ServerError:
 		w.Header().Set("Kumquatsill-Response-Signature", "sig."+e.ID)
 		w.WriteHeader(http.StatusInternalServerError)
