core/upgrade: weights change by retain, at the pace that the fleet shows

An engine that was ordered with wait took no work until its longest stream had ended (3.3 s to its next answer, where a load takes 0.38 s), while expectedLoadTime and the polls fitted one deployment; half of the engines were out at once, though the source of the weights carries two loads; and requests were refused 2 s before old weights may no longer be used, although waiting ones are withdrawn in time. Change: orders say retain; core/upgrade learns the time of a load and how many engines can load at once without slowing each other down, and loads more at once only when time runs out for old versions; the start margin of versions is 0.5 s. Tests: TestHalfLoadedFleetDoesNotQueue names the pattern; three more in pace_test.go. TestMaxLoadingFraction goes with the function that it tested; its two promises (loads do not take the engines that callers wait for, and are not put off until the old version has run out) are held by TestHalfLoadedFleetDoesNotQueue and TestShortTimeLeftRaisesLoadsAtOnce, which play them.

--- a/app/front/front.go
+++ b/app/front/front.go
@@ -41,8 +41,9 @@
 	// exitMargin is the part of the grace period reserved for the process to exit.
 	exitMargin = 700 * time.Millisecond
 	// versionStartMargin is the part of a model version's lifetime reserved for a
-	// request to queue at a busy engine before it begins.
-	versionStartMargin = 2000 * time.Millisecond
+	// request to reach its engine and begin. Requests that are expected to wait
+	// for longer are not sent, and those that do are withdrawn.
+	versionStartMargin = 500 * time.Millisecond
 	// versionMargin covers the delay until a new version is read from the store
 	// and the time until a canceled request has left its engine.
 	versionMargin = 500 * time.Millisecond
--- a/app/front/peers.go
+++ b/app/front/peers.go
@@ -373,7 +373,7 @@
 		p.lastHeardAt, p.silent, p.incarnation = now, false, m.Counts.Incarnation
 	}
 	for _, r := range m.VersionLoaded {
-		f.planner.VersionLoaded(r.Endpoint, r.Model, r.Version)
+		f.planner.VersionLoaded(now, r.Endpoint, r.Model, r.Version)
 	}
 	f.mu.Unlock()
 	f.quota.Merge(now, m.Counts)
--- a/app/front/upgrade.go
+++ b/app/front/upgrade.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"math"
 	"time"
 
 	"github.com/kumquatsill/kumquatsill/app/driver"
@@ -19,13 +20,10 @@
 	// maxLeaseCandidates is the number of routers that compete for the lease.
 	// It is small because each read of the lease is a call to the store.
 	maxLeaseCandidates = 3
-	// expectedLoadTime is how long an engine is expected to take no work after
-	// an order: its current runs finish first, then it loads the weights.
-	expectedLoadTime = 2500 * time.Millisecond
-	// busyExtension is how much longer an engine is expected to take no work if
-	// it reports that it is still busy with its order. It is queried again
-	// before that.
-	busyExtension = 1200 * time.Millisecond
+	// busyExtensionFraction is the fraction of the expected load time for which an
+	// engine is expected to take no work after it has reported that it is still
+	// busy with its order.
+	busyExtensionFraction = 0.5
 )
 
 // upgradeEngines upgrades engines to the newest model versions while this
@@ -75,11 +73,22 @@
 		f.planner.DropTasks()
 		return plan
 	}
-	maxFraction := upgrade.MaxLoadingFraction(f.placer.MeanWait(now), f.placer.NewestVersionAge(now), f.settings.Load().VersionLifetime)
-	plan.actions = f.planner.Next(now, maxFraction, func(id proto.EndpointID) int { return f.placer.InFlight(now, id) })
+	plan.actions = f.planner.Next(now, upgrade.Conditions{
+		InFlight: func(id proto.EndpointID) int { return f.placer.InFlight(now, id) },
+		TimeLeft: func(model string, version int64) time.Duration { return f.versionTimeLeft(now, model, version) },
+	})
 	return plan
 }
 
+// versionTimeLeft returns how long requests may still begin on a version of a
+// model.
+func (f *Front) versionTimeLeft(now proto.Instant, model string, version int64) time.Duration {
+	if f.settings.Load().VersionLifetime <= 0 {
+		return math.MaxInt64
+	}
+	return f.placer.StartTimeLeft(now, model, version)
+}
+
 // runLeaseOp starts the operation that the lease asks for in the background.
 func (f *Front) runLeaseOp(ctx context.Context, op leader.Op) {
 	switch op {
@@ -191,8 +200,10 @@
 	}
 	f.mu.Lock()
 	until := proto.Instant(0)
+	loadTime := f.planner.LoadTime()
+	busyExtension := time.Duration(busyExtensionFraction * float64(loadTime))
 	if f.planner.HandleState(now, a.Endpoint.ID, state) {
-		until = now.Add(expectedLoadTime)
+		until = now.Add(loadTime)
 	} else if state.Busy {
 		until = now.Add(busyExtension)
 	}
@@ -210,16 +221,16 @@
 		f.loadingChanged.Store(true)
 		f.requestEarlySend()
 	}
-	f.recordVersion(a.Endpoint.ID, a.Model, state.Versions[a.Model])
+	f.recordVersion(now, a.Endpoint.ID, a.Model, state.Versions[a.Model])
 }
 
 // recordVersion records the version that an engine reported and passes it on to
 // the peers until the engine's registration shows it.
-func (f *Front) recordVersion(id proto.EndpointID, model string, version int64) {
+func (f *Front) recordVersion(now proto.Instant, id proto.EndpointID, model string, version int64) {
 	f.placer.ObserveVersion(id, model, version)
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.planner.VersionLoaded(id, model, version)
+	f.planner.VersionLoaded(now, id, model, version)
 	if e := f.table.Snapshot().ByID[id]; e != nil && e.Versions[model] < version {
 		f.reportedVersions[id] = platform.AnnouncedVersion{Model: model, Version: version}
 		delete(f.loading, id)
@@ -230,15 +241,16 @@
 	now := driver.Now()
 	f.mu.Lock()
 	current, holds := f.lease.Held(now)
+	until := now.Add(f.planner.LoadTime())
 	if holds && current >= fence {
 		fence = current
-		f.loading[a.Endpoint.ID] = now.Add(expectedLoadTime)
+		f.loading[a.Endpoint.ID] = until
 	}
 	f.mu.Unlock()
 	if !holds {
 		return
 	}
-	f.placer.SetLoading(a.Endpoint.ID, now.Add(expectedLoadTime))
+	f.placer.SetLoading(a.Endpoint.ID, until)
 	outcome, err := f.engines.LoadVersion(ctx, a, f.cfg.Settings.Host, fence)
 	f.logOrder(a, fence, outcome, err)
 	f.mu.Lock()
--- a/core/place/place.go
+++ b/core/place/place.go
@@ -348,27 +348,6 @@
 	return best, found > 0
 }
 
-// MeanWait returns the mean wait, including lag, at the engines that take
-// requests and are healthy.
-func (p *Placer) MeanWait(now proto.Instant) time.Duration {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	s := scorer{placer: p, now: now}
-	total, engines := time.Duration(0), 0
-	for id, l := range p.loads {
-		e := p.list.ByID[id]
-		if e == nil || e.Leaving || len(e.Versions) == 0 || l.isLoading(now) || s.healthPenalty(l) > 0 {
-			continue
-		}
-		total += s.wait(l) + l.currentLag(now)
-		engines++
-	}
-	if engines == 0 {
-		return 0
-	}
-	return total / time.Duration(engines)
-}
-
 // Silent returns the endpoints that no longer respond or are in backoff after
 // failures, to be reported to the peers.
 func (p *Placer) Silent(now proto.Instant) []proto.EndpointID {
--- a/core/place/versions.go
+++ b/core/place/versions.go
@@ -113,17 +113,6 @@
 	return announced.Add(p.limits.VersionLifetime).Sub(now)
 }
 
-// NewestVersionAge returns the time since the latest announcement of a version.
-func (p *Placer) NewestVersionAge(now proto.Instant) time.Duration {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	last := proto.Instant(0)
-	for model := range p.announced {
-		last = max(last, p.newest(model).at)
-	}
-	return now.Sub(last)
-}
-
 // retiresBeforeStart reports whether the version of a choice would be too old by
 // the time that the request begins.
 func (s *scorer) retiresBeforeStart(c Choice) bool {
--- a/core/upgrade/upgrade.go
+++ b/core/upgrade/upgrade.go
@@ -21,13 +21,13 @@
 	// unreachableBackoff is the time until an engine that did not respond is
 	// tried again. Meanwhile other engines use its place.
 	unreachableBackoff = 1200 * time.Millisecond
-	// minTasks is the number of engines that may be upgraded at the same time
-	// even if the fraction allows fewer.
-	minTasks = 2
-	// firstPollDelay is the time from an accepted order to the first query of
-	// the engine's version, pollInterval the time between further queries.
-	firstPollDelay = 700 * time.Millisecond
-	pollInterval   = 350 * time.Millisecond
+	// firstPollFraction is the fraction of the expected load time after which the
+	// engine's version is queried first, pollInterval the time between further
+	// queries.
+	firstPollFraction = 0.6
+	pollInterval      = 100 * time.Millisecond
+	// reportLag is how old the state that an engine reports may be.
+	reportLag = 600 * time.Millisecond
 	// responseTimeout is how long to wait for a response before the engine is
 	// queried again.
 	responseTimeout = time.Second
@@ -95,29 +95,6 @@
 // String returns the name used in logs.
 func (o Outcome) String() string { return outcomeNames[o] }
 
-// MaxLoadingFraction returns the fraction of the engines that may load weights at
-// the same time, given how long requests wait at engines and the age of the
-// newest version. Once the newest version has reached versionLifetime, older ones
-// may no longer be used. Until then, taking the last free engines for loads
-// costs callers more than serving older weights does.
-func MaxLoadingFraction(wait, age, versionLifetime time.Duration) float64 {
-	const (
-		lowWait, highWait                     = 80 * time.Millisecond, 250 * time.Millisecond
-		highAge, criticalAge                  = 0.4, 0.6 // of versionLifetime
-		maxFraction, midFraction, minFraction = 0.5, 0.35, 0.25
-	)
-	ageFraction := float64(age) / float64(max(versionLifetime, 1))
-	switch {
-	case wait < lowWait:
-		return maxFraction
-	case wait < highWait || ageFraction > criticalAge:
-		return midFraction
-	case ageFraction > highAge:
-		return (midFraction + minFraction) / 2
-	}
-	return minFraction
-}
-
 // phase is the state of a task.
 type phase uint8
 
@@ -143,7 +120,13 @@
 	nextAt proto.Instant
 	// orderedAt is when the current order was sent.
 	orderedAt proto.Instant
-	state     State
+	// rounds is the number of rounds of planning since, loads the sum of the
+	// numbers of engines that were loading in each.
+	rounds, loads int
+	// accepted is set from the acceptance of the order until the load was seen
+	// to be complete.
+	accepted bool
+	state    State
 }
 
 // Planner decides which engines are upgraded next. It is not safe for concurrent
@@ -160,6 +143,7 @@
 	// knownVersions holds versions that engines reported and that their
 	// registration may not show yet.
 	knownVersions map[proto.EndpointID]map[string]int64
+	pace          pace
 }
 
 // New returns a Planner without engines.
@@ -194,8 +178,15 @@
 	p.list = list
 }
 
+// LoadTime returns how long an engine is expected to take for a load.
+func (p *Planner) LoadTime() time.Duration { return p.pace.loadTime() }
+
 // VersionLoaded records that an engine has loaded a version of a model.
-func (p *Planner) VersionLoaded(id proto.EndpointID, model string, version int64) {
+func (p *Planner) VersionLoaded(now proto.Instant, id proto.EndpointID, model string, version int64) {
+	if t := p.tasks[id]; t != nil && t.phase == loading && t.model == model && version >= t.version && t.accepted {
+		t.accepted = false
+		p.pace.observe(now.Sub(t.orderedAt), t.meanConcurrent())
+	}
 	if p.knownVersions[id] == nil {
 		p.knownVersions[id] = map[string]int64{}
 	}
@@ -230,15 +221,11 @@
 // not hold the lease, for example after losing it.
 func (p *Planner) DropTasks() { clear(p.tasks) }
 
-// Next returns the messages to send now. The caller must hold the lease. fraction
-// is the fraction of the engines that may be out of service at the same time,
-// which includes engines that finish their requests before they load. inFlight
-// returns the number of requests at an engine; engines with fewer requests load
-// first.
-func (p *Planner) Next(now proto.Instant, fraction float64, inFlight func(proto.EndpointID) int) []Action {
+// Next returns the messages to send now. The caller must hold the lease.
+func (p *Planner) Next(now proto.Instant, c Conditions) []Action {
 	outdated := p.OutdatedEngines()
 	p.dropFinished(outdated)
-	available := p.maxTasks(fraction) - len(p.tasks)
+	available := p.maxTasks(outdated, c) - len(p.tasks)
 	slices.SortStableFunc(outdated, func(a, b Action) int {
 		return cmp.Or(
 			cmp.Compare(p.taskRank(a.Endpoint.ID), p.taskRank(b.Endpoint.ID)),
@@ -246,7 +233,7 @@
 			// The engines with the oldest weights go first, so that none is
 			// left behind.
 			cmp.Compare(p.version(a.Endpoint, a.Model), p.version(b.Endpoint, b.Model)),
-			cmp.Compare(inFlight(a.Endpoint.ID), inFlight(b.Endpoint.ID)),
+			cmp.Compare(c.InFlight(a.Endpoint.ID), c.InFlight(b.Endpoint.ID)),
 		)
 	})
 	var actions []Action
@@ -264,9 +251,30 @@
 			actions = append(actions, a)
 		}
 	}
+	p.countLoads()
 	return actions
 }
 
+// countLoads adds the current number of loads to the statistics of each of them.
+func (p *Planner) countLoads() {
+	n := 0
+	for _, t := range p.tasks {
+		if t.phase == loading {
+			n++
+		}
+	}
+	for _, t := range p.tasks {
+		t.rounds++
+		t.loads += n
+	}
+}
+
+// meanConcurrent returns the mean number of engines that were loading at the same
+// time as this one, itself included.
+func (t *task) meanConcurrent() int {
+	return max(1, (t.loads+t.rounds/2)/max(1, t.rounds))
+}
+
 // taskRank is a sort key that puts engines with a task first.
 func (p *Planner) taskRank(id proto.EndpointID) int {
 	if p.tasks[id] != nil {
@@ -284,15 +292,25 @@
 	maps.DeleteFunc(p.tasks, func(id proto.EndpointID, _ *task) bool { return !isOutdated[id] })
 }
 
-// maxTasks returns how many engines may be upgraded at the same time.
-func (p *Planner) maxTasks(fraction float64) int {
+// maxTasks returns how many engines may be upgraded at the same time, which
+// includes engines that finish their queues before they load.
+func (p *Planner) maxTasks(outdated []Action, c Conditions) int {
+	var timesLeft []time.Duration
+	for _, a := range outdated {
+		timesLeft = append(timesLeft, c.TimeLeft(a.Model, p.version(a.Endpoint, a.Model)))
+	}
+	return p.pace.maxTasks(p.engineCount(), timesLeft)
+}
+
+// engineCount returns the number of model engines that are not leaving.
+func (p *Planner) engineCount() int {
 	engines := 0
 	for _, e := range p.list.ByID {
 		if len(e.Versions) > 0 && !e.Leaving {
 			engines++
 		}
 	}
-	return max(minTasks, int(fraction*float64(engines)+0.5))
+	return engines
 }
 
 // next returns the message to the engine that is due, if any.
@@ -306,7 +324,7 @@
 			break
 		}
 		t.model, t.version = want.Model, want.Version
-		t.orderedAt = now
+		t.orderedAt, t.rounds, t.loads, t.accepted = now, 0, 0, false
 		t.phase, t.nextAt = loading, now.Add(responseTimeout)
 		want.Kind, want.Orders = Order, t.state.Orders
 		return want, true
@@ -327,7 +345,7 @@
 // engine will be ordered next.
 func (p *Planner) HandleState(now proto.Instant, id proto.EndpointID, s State) bool {
 	for model, version := range s.Versions {
-		p.VersionLoaded(id, model, version)
+		p.VersionLoaded(now, id, model, version)
 	}
 	t := p.tasks[id]
 	if t == nil {
@@ -360,7 +378,7 @@
 	}
 	// The reported state is some hundred ms old, so it may not show an order
 	// that was just accepted.
-	if now.Sub(t.orderedAt) > firstPollDelay+pollInterval {
+	if now.Sub(t.orderedAt) > reportLag {
 		t.phase, t.nextAt = ordering, now
 	}
 }
@@ -373,9 +391,10 @@
 	}
 	switch o {
 	case Accepted:
-		t.nextAt = now.Add(firstPollDelay)
+		t.accepted = true
+		t.nextAt = now.Add(time.Duration(firstPollFraction * float64(p.pace.loadTime())))
 	case Done:
-		p.VersionLoaded(id, t.model, t.version)
+		p.VersionLoaded(now, id, t.model, t.version)
 	default:
 		t.phase, t.nextAt = querying, now.Add(retryDelay)
 	}
