core/leader: a router that cannot act under its claim tells its peers

Ruled out: a shorter time to live (renewals are calls to the store, and the quiet time of 3 s would stay). Change: while a router neither holds the lease nor waits for the outcome of a claim, its messages to peers disclaim its claims up to the last one and tell when it last acted. The next holder then waits from that action only. A disclaimer covers one incarnation's claims up to a nonce; claims carry both. Tests: TestDisclaimedClaimLetsTheNextOneIn failed before; TestDisclaimerCoversEarlierClaimsOnly; TestOneHolderAtATime now has disclaimers that are lost, late and out of order, and fails if the last action is ignored. Refusals over a limit name the account in the log.

--- a/app/front/front.go
+++ b/app/front/front.go
@@ -144,7 +144,7 @@
 		crashes:          crash.NewRegister(),
 		table:            discovery.NewTable(),
 		planner:          upgrade.New(),
-		lease:            leader.New(cfg.Settings.Host),
+		lease:            leader.New(cfg.Settings.Host, incarnation),
 		peers:            map[proto.RouterID]*peerState{},
 		loading:          map[proto.EndpointID]proto.Instant{},
 		reportedVersions: map[proto.EndpointID]platform.AnnouncedVersion{},
--- a/app/front/peers.go
+++ b/app/front/peers.go
@@ -257,6 +257,9 @@
 	m := peer.Message{Silent: f.placer.Silent(now)}
 	f.mu.Lock()
 	m.Loads, m.VersionLoaded = f.loadingEngines(now), f.loadedVersions()
+	if d, ok := f.lease.Disclaimer(now); ok {
+		m.LeaseDisclaimer = &d
+	}
 	f.mu.Unlock()
 	if !full {
 		return m
@@ -375,6 +378,9 @@
 	for _, r := range m.VersionLoaded {
 		f.planner.VersionLoaded(now, r.Endpoint, r.Model, r.Version)
 	}
+	if d := m.LeaseDisclaimer; d != nil && f.lease.HandleDisclaimer(now, string(id), *d) {
+		f.log.Info("lease disclaimed", "router", string(id), "nonce", d.Nonce, "acted", d.HasActed, "acted_ms_ago", d.SinceActedMillis)
+	}
 	f.mu.Unlock()
 	f.quota.Merge(now, m.Counts)
 	f.crashes.Merge(now, id, m.Crashes)
--- a/app/front/serve.go
+++ b/app/front/serve.go
@@ -221,7 +221,7 @@
 	units := x.account.Cost(x.info.Tokens(), x.info.HasTokens)
 	d := x.front.quota.Spend(x.arrived, x.account.ID, units)
 	if !d.OK {
-		x.log = x.log.With("units", units, "balance", d.Balance, "share", d.Share)
+		x.log = x.log.With("account", string(x.account.ID), "units", units, "balance", d.Balance, "share", d.Share)
 		return x.reject(http.StatusTooManyRequests, "over_limit", d.RetryAfter)
 	}
 	x.chargedUnits = units
--- a/app/front/upgrade.go
+++ b/app/front/upgrade.go
@@ -244,6 +244,7 @@
 	until := now.Add(f.planner.LoadTime())
 	if holds && current >= fence {
 		fence = current
+		f.lease.RecordAction(now)
 		f.loading[a.Endpoint.ID] = until
 	}
 	f.mu.Unlock()
--- a/core/leader/lease.go
+++ b/core/leader/lease.go
@@ -35,8 +35,10 @@
 	// Holder is the host, not the process: a process that restarts on the same
 	// host is the same holder.
 	Holder string `json:"holder"`
-	// Nonce distinguishes the claims of one holder.
-	Nonce uint64 `json:"nonce"`
+	// Incarnation identifies the process that wrote the claim, and Nonce one of its
+	// claims; nonces increase.
+	Incarnation int64  `json:"life,omitempty"`
+	Nonce       uint64 `json:"nonce"`
 	// Released is set in the record by which a holder that stops releases the
 	// lease.
 	Released bool `json:"released,omitempty"`
@@ -76,7 +78,8 @@
 
 // Lease is one router's view of the lease. It is not safe for concurrent use.
 type Lease struct {
-	self string
+	self        string
+	incarnation int64
 	// takeoverDelay is the time between the last order of a holder and the first
 	// order of the next one. After a release, releaseDelay applies instead.
 	takeoverDelay, releaseDelay time.Duration
@@ -102,11 +105,17 @@
 	sentAt proto.Instant
 	// inFlight is set while the outcome of an operation is not known.
 	inFlight bool
+	// actedAt is when this router last acted under the lease; 0 means never.
+	actedAt proto.Instant
+	// disclaimed holds what other hosts have last told about their claims.
+	disclaimed map[string]disclaimer
 }
 
-// New returns a Lease for the router on the host self, which has not read the
-// topic yet.
-func New(self string) *Lease { return &Lease{self: self} }
+// New returns a Lease for an incarnation of the router on the host self, which has
+// not read the topic yet.
+func New(self string, incarnation int64) *Lease {
+	return &Lease{self: self, incarnation: incarnation, disclaimed: map[string]disclaimer{}}
+}
 
 // SetTakeoverDelays sets the time between the last order of a holder and the
 // first order of the next one: takeoverDelay if the lease expired, releaseDelay
@@ -169,6 +178,9 @@
 	case l.lastClaim.Released:
 		return max(l.seenAt.Add(l.releaseDelay), l.workSince).Add(stagger)
 	}
+	if d, ok := l.disclaimed[l.lastClaim.Holder]; ok && d.covers(&l.lastClaim) {
+		return max(d.freeAt, l.workSince).Add(stagger)
+	}
 	return max(l.seenAt.Add(TTL+l.takeoverDelay+safetyMargin), l.workSince).Add(stagger)
 }
 
@@ -189,7 +201,9 @@
 }
 
 // ClaimRecord returns the claim to append.
-func (l *Lease) ClaimRecord() Claim { return Claim{Holder: l.self, Nonce: l.nonce} }
+func (l *Lease) ClaimRecord() Claim {
+	return Claim{Holder: l.self, Incarnation: l.incarnation, Nonce: l.nonce}
+}
 
 // ReadSucceeded records the end of the topic and its last claim, which is empty
 // if there is none.
@@ -233,7 +247,9 @@
 	}
 	l.nonce++
 	l.fence, l.expiry = 0, 0
-	return Claim{Holder: l.self, Nonce: l.nonce, Released: true}, true
+	record := l.ClaimRecord()
+	record.Released = true
+	return record, true
 }
 
 // Invalidate stops holding the lease, for example after an endpoint has seen a
--- a/core/leader/lease_test.go
+++ b/core/leader/lease_test.go
@@ -61,13 +61,22 @@
 	}
 }
 
+// mail is a disclaimer on its way to all other routers.
+type mail struct {
+	from     string
+	at       proto.Instant
+	contents leader.Disclaimer
+}
+
 // Guards against two holders at the same time, a new holder whose fencing token
 // is not greater than the previous one, and two holders that act within the
-// takeover delay, under frozen processes and partitions from the log.
+// takeover delay, under frozen processes, partitions from the log and disclaimers
+// that are lost, repeated, late and out of order.
 func TestOneHolderAtATime(t *testing.T) {
 	for seed := range uint64(200) {
 		rng := rand.New(rand.NewPCG(seed, 1))
 		log := &topic{}
+		var inTransit []mail
 		var nodes []*node
 		for i := range 4 {
 			name := fmt.Sprint("h", i)
@@ -77,6 +86,7 @@
 		now := proto.Instant(time.Hour)
 		for range 1500 {
 			now = now.Add(20 * time.Millisecond)
+			inTransit = deliver(now, inTransit, nodes)
 			for i, n := range nodes {
 				if rng.IntN(150) == 0 {
 					n.frozen = !n.frozen
@@ -96,8 +106,13 @@
 						t.Fatalf("seed %d: %s acts with token %d after %d", seed, n.name, fence, lastFence)
 					}
 					lastHolder, lastFence, lastAt = n.name, fence, now
+					n.lease.RecordAction(now)
 				}
 				n.step(now, log, i)
+				if d, ok := n.lease.Disclaimer(now); ok && rng.IntN(2) == 0 {
+					delay := time.Duration(rng.IntN(3000)) * time.Millisecond
+					inTransit = append(inTransit, mail{from: n.name, at: now.Add(delay), contents: d})
+				}
 			}
 		}
 		if lastHolder == "" {
@@ -106,6 +121,94 @@
 	}
 }
 
+// deliver hands the disclaimers that have arrived to all routers that are not frozen,
+// and returns the others.
+func deliver(now proto.Instant, inTransit []mail, nodes []*node) []mail {
+	var left []mail
+	for _, m := range inTransit {
+		if now < m.at {
+			left = append(left, m)
+			continue
+		}
+		for _, n := range nodes {
+			if n.name != m.from && !n.frozen {
+				n.lease.HandleDisclaimer(now, m.from, m.contents)
+			}
+		}
+	}
+	return left
+}
+
+// Guards against engines that nobody upgrades for seconds because a claim was appended
+// whose response was lost: its author cannot use it and, cut off from the log, cannot
+// release it either, but still reaches the other routers.
+func TestDisclaimedClaimLetsTheNextOneIn(t *testing.T) {
+	const host = "a"
+	for _, acted := range []bool{false, true} {
+		log := &topic{}
+		first, next := newLease(host, takeoverDelay), &node{name: "b", lease: newLease("b", takeoverDelay)}
+		now := proto.Instant(time.Hour)
+		first.SetHasWork(now, true, 0)
+		first.Next(now)
+		first.ReadSucceeded(now, 0, leader.Claim{})
+		if first.Next(now) != leader.OpAppend {
+			t.Fatal("a free lease is not claimed")
+		}
+		log.append(0, first.ClaimRecord())
+		if _, ok := first.Disclaimer(now); ok {
+			t.Fatal("a claim is disclaimed while its outcome is not known")
+		}
+		if acted {
+			first.ClaimSucceeded(now, 0)
+			first.RecordAction(now)
+			now = now.Add(leader.TTL)
+		} else {
+			first.ClaimFailed()
+		}
+		d, ok := first.Disclaimer(now)
+		if !ok {
+			t.Fatal("a claim that is not held is not disclaimed")
+		}
+		next.lease.HandleDisclaimer(now, host, d)
+		waited := next.timeToHold(t, now, log)
+		if !acted && waited > time.Second {
+			t.Errorf("the next router waits %v for a claim under which nobody acted", waited)
+		}
+		if minWait := takeoverDelay - leader.TTL; acted && (waited < minWait || waited > minWait+time.Second) {
+			t.Errorf("the next router waits %v, %v after the last action", waited, waited+leader.TTL)
+		}
+	}
+}
+
+// timeToHold returns how long a router takes to hold the lease.
+func (n *node) timeToHold(t *testing.T, began proto.Instant, log *topic) time.Duration {
+	t.Helper()
+	for now := began; now.Sub(began) < time.Minute; now = now.Add(20 * time.Millisecond) {
+		n.step(now, log, 1)
+		if _, held := n.lease.Held(now); held {
+			return now.Sub(began)
+		}
+	}
+	t.Fatal("the router does not hold the lease after a minute")
+	return 0
+}
+
+// Guards against a disclaimer of an earlier incarnation of a host, or of an earlier
+// claim, that lets a router in beside the holder.
+func TestDisclaimerCoversEarlierClaimsOnly(t *testing.T) {
+	for _, d := range []leader.Disclaimer{{Incarnation: 1, Nonce: 1}, {Incarnation: 2, Nonce: 9}} {
+		l := newLease("b", takeoverDelay)
+		now := proto.Instant(time.Hour)
+		l.HandleDisclaimer(now, "a", d)
+		l.SetHasWork(now, true, 0)
+		l.Next(now)
+		l.ReadSucceeded(now, 5, leader.Claim{Holder: "a", Incarnation: 1, Nonce: 2})
+		if op := l.Next(now.Add(500 * time.Millisecond)); op != leader.OpNone {
+			t.Errorf("operation %d after disclaimer %+v", op, d)
+		}
+	}
+}
+
 // Guards against waiting for the time to live after a holder has released the
 // lease.
 func TestReleaseLetsTheNextOneIn(t *testing.T) {
@@ -183,7 +286,7 @@
 }
 
 func newLease(name string, releaseDelay time.Duration) *leader.Lease {
-	l := leader.New(name)
+	l := leader.New(name, 1)
 	l.SetTakeoverDelays(takeoverDelay, releaseDelay)
 	return l
 }
--- a/core/peer/peer.go
+++ b/core/peer/peer.go
@@ -7,6 +7,7 @@
 	"encoding/json"
 
 	"github.com/kumquatsill/kumquatsill/core/crash"
+	"github.com/kumquatsill/kumquatsill/core/leader"
 	"github.com/kumquatsill/kumquatsill/core/place"
 	"github.com/kumquatsill/kumquatsill/core/proto"
 	"github.com/kumquatsill/kumquatsill/core/quota"
@@ -51,6 +52,8 @@
 	Attempts []place.AttemptNotice `json:"attempts,omitempty"`
 	// AnnouncedVersions lists the versions that the operator has announced.
 	AnnouncedVersions []proto.VersionAge `json:"named,omitempty"`
+	// LeaseDisclaimer is set while the sender disclaims its claims of the lease.
+	LeaseDisclaimer *leader.Disclaimer `json:"lease,omitempty"`
 	// Seen lists endpoints that have recently responded to the sender.
 	Seen []place.Seen `json:"seen,omitempty"`
 	// Silent lists endpoints that have stopped responding to the sender.
