app/front: messages to other failure domains are forwarded there; fewer store calls

Each router sent its counts to each router of the other domains, which grows with the square of the fleet. Change: core/peer chooses one router of each other domain, in turn and alive, which forwards the message to its domain. Reads of registrations wait for a change as long as the pause between them, which an outage that lets registrations expire still shows; routers are listed every 30 s and written every minute, since those that start announce themselves by messages.

--- a/app/front/front.go
+++ b/app/front/front.go
@@ -127,6 +127,9 @@
 	callerServer, readinessServer     *http.Server
 	callerListener, readinessListener net.Listener
 	peerConn                          *net.UDPConn
+	// farMessages counts the messages to far peers. Only the goroutine that sends
+	// them uses it.
+	farMessages int
 }
 
 // New returns a process that already listens on its addresses but serves only
--- a/app/front/peers.go
+++ b/app/front/peers.go
@@ -19,10 +19,11 @@
 
 const (
 	// registerInterval is the time between two writes of this router's
-	// registration.
-	registerInterval = 15 * time.Second
+	// registration, in case its record was deleted.
+	registerInterval = time.Minute
 	// membersInterval is the time between two reads of the registered routers.
-	membersInterval = 10 * time.Second
+	// Routers that start announce themselves to those that they have read.
+	membersInterval = 30 * time.Second
 	// leavingRepeats is the number of times that a router announces that it
 	// leaves, as datagrams may be lost.
 	leavingRepeats = 2
@@ -188,7 +189,7 @@
 	if n%farPeriod == 0 || full {
 		m.Counts = f.quota.Counts(now, sent.far, full, complete)
 		m.Attempts = firstPrefills(m.Attempts)
-		f.send(m, f.peersAt(far))
+		f.sendFar(now, m)
 	}
 }
 
@@ -205,7 +206,7 @@
 	f.send(m, f.peersAt(near))
 	m.Attempts = firstPrefills(m.Attempts)
 	if ordered || len(m.Attempts) > 0 {
-		f.send(m, f.peersAt(far))
+		f.sendFar(now, m)
 	}
 }
 
@@ -270,12 +271,23 @@
 	return m
 }
 
+// send sends a message to each of the addresses.
 func (f *Front) send(m peer.Message, to []netip.AddrPort) {
+	if data, ok := f.encode(m); ok {
+		f.sendDatagram(data, to)
+	}
+}
+
+// encode returns the encoded message, or false if it cannot be sent.
+func (f *Front) encode(m peer.Message) ([]byte, bool) {
 	data, err := peer.Encode(m)
 	if err != nil {
 		f.log.Error("peer message not encoded", "error", err.Error())
-		return
 	}
+	return data, err == nil
+}
+
+func (f *Front) sendDatagram(data []byte, to []netip.AddrPort) {
 	for _, addr := range to {
 		if _, err := f.peerConn.WriteToUDPAddrPort(data, addr); err != nil {
 			f.metrics.peerSendErrors.Inc()
@@ -342,11 +354,15 @@
 			sleep(ctx, minBackoff)
 			continue
 		}
-		m, err := peer.Decode(buffer[:n])
+		data, forward := peer.Unmark(buffer[:n])
+		m, err := peer.Decode(data)
 		if err != nil {
 			f.metrics.peerBadMessages.Inc()
 			continue
 		}
+		if forward {
+			f.sendDatagram(data, f.domainPeers())
+		}
 		f.handlePeerMessage(driver.Now(), m)
 	}
 	return nil
--- a/app/front/watch.go
+++ b/app/front/watch.go
@@ -17,7 +17,9 @@
 	// dead connection is detected before the router counts as in contact again.
 	operatorWaitFraction = 0.7
 	// endpointPauseFraction is the fraction of DrainTimeout between two reads of
-	// the endpoints' registrations.
+	// the endpoints' registrations, and for which a read waits for a record. If it
+	// waited for longer, an outage in which registrations expire could pass without
+	// a failed read.
 	endpointPauseFraction = 0.45
 	// minPause is the lower limit of both times. It applies if a setting is 0 or
 	// very short.
@@ -204,9 +206,10 @@
 
 // followEndpoints follows the registrations of endpoints.
 func (f *Front) followEndpoints(ctx context.Context) error {
+	pause := func() time.Duration { return fractionOf(f.settings.Load().DrainTimeout, endpointPauseFraction) }
 	w := &topicFollower{
 		front: f, topic: platform.TopicEndpoints,
-		pause:        func() time.Duration { return fractionOf(f.settings.Load().DrainTimeout, endpointPauseFraction) },
+		wait: pause, pause: pause,
 		apply:        f.applyEndpoints,
 		applyListing: f.applyEndpointListing,
 		failed: func(now proto.Instant) {
