app/upstream: endless and stalled bytes are cut off

The rest of an answer that says 'not run' was read to its end, so that an endless or stalled body held the request until its deadline in place of another attempt. Six control calls at once could hold 16 MB each. Ruled out: events (bounded at 1 MB), buffered answers (256 KB), the store's client. Change: a head has at most 64 KB; the rest of an unused answer gets 50 ms; control answers have at most 2 MB.

--- a/app/front/attempt.go
+++ b/app/front/attempt.go
@@ -147,11 +147,11 @@
 	a.observe(head)
 	switch {
 	case head.NotExecuted && resp.Status != http.StatusMisdirectedRequest:
-		_, _ = io.Copy(io.Discard, resp.Body) // so that the connection can be reused
+		resp.Discard()
 		return relay.Shed
 	case head.Misdirected:
 		a.respondent = head.Endpoint
-		_, _ = io.Copy(io.Discard, resp.Body)
+		resp.Discard()
 		return relay.Misdirected
 	case head.Encoded, resp.Status < 300 && !head.HasSignature:
 		a.detail = "not the endpoint's own answer"
--- a/app/front/call.go
+++ b/app/front/call.go
@@ -13,9 +13,9 @@
 	// controlTimeout limits a control call to an endpoint, in addition to the
 	// time that the call asks the endpoint to wait.
 	controlTimeout = 1200 * time.Millisecond
-	// maxControlResponseBytes limits the size of the response to a control
-	// call.
-	maxControlResponseBytes = 16 << 20
+	// maxControlResponseBytes limits the size of the response to a control call.
+	// Several calls run at the same time on hosts with some 100 MB of memory.
+	maxControlResponseBytes = 2 << 20
 )
 
 // endpointCaller sends control calls, which are not requests of callers, to
--- a/app/upstream/client.go
+++ b/app/upstream/client.go
@@ -56,9 +56,13 @@
 	// synchronously, before its response is read. It fits into the socket's send
 	// buffer; larger requests are written by a goroutine of their own.
 	maxInlineRequestBytes = 16 << 10
-	// maxDrainBytes is the largest mismatched response body that is read and
-	// discarded to keep its connection usable.
-	maxDrainBytes = 1 << 20
+	// maxDrainBytes is the largest response body that is read and discarded to keep
+	// its connection usable, discardTimeout how long that may take.
+	maxDrainBytes  = 1 << 20
+	discardTimeout = 50 * time.Millisecond
+	// maxHeadBytes limits the size of a response's head. A faulty server may send
+	// bytes without end.
+	maxHeadBytes = 64 << 10
 )
 
 // Request is one request to one endpoint.
@@ -132,11 +136,34 @@
 	net.Conn
 	addr   string
 	reader *bufio.Reader
+	// limit bounds what reader reads from Conn.
+	limit *limitedReader
 	// idleSince and keepAliveTimeout limit how long an idle connection may be reused.
 	idleSince        time.Time
 	keepAliveTimeout time.Duration
 }
 
+// limitedReader reads from a connection and fails once a limit is used up.
+type limitedReader struct {
+	from net.Conn
+	// left is the number of bytes that may still be read; it applies if limited.
+	left    int
+	limited bool
+}
+
+// Read implements io.Reader.
+func (r *limitedReader) Read(p []byte) (int, error) {
+	if !r.limited {
+		return r.from.Read(p)
+	}
+	if r.left <= 0 {
+		return 0, &invalidResponseError{"the head of the answer is too long"}
+	}
+	n, err := r.from.Read(p[:min(len(p), r.left)])
+	r.left -= n
+	return n, err
+}
+
 // New returns a client with an empty connection pool.
 func New() *Client { return &Client{idle: map[string][]*conn{}} }
 
@@ -192,15 +219,9 @@
 func (c *Client) readHead(cn *conn, req *Request) (*http.Response, error) {
 	mismatched, informational := 0, 0
 	for {
-		if _, err := cn.reader.Peek(1); err != nil {
-			return nil, err
-		}
-		resp, err := http.ReadResponse(cn.reader, &http.Request{Method: req.Method})
+		resp, err := cn.readOneHead(req.Method)
 		if err != nil {
-			if errors.Is(err, io.ErrUnexpectedEOF) || isNetError(err) {
-				return nil, err
-			}
-			return nil, &invalidResponseError{"not an HTTP answer: " + err.Error()}
+			return nil, err
 		}
 		switch {
 		case resp.StatusCode < 200:
@@ -221,6 +242,20 @@
 	}
 }
 
+// readOneHead reads the head of the next response, of at most maxHeadBytes.
+func (cn *conn) readOneHead(method string) (*http.Response, error) {
+	cn.limit.left, cn.limit.limited = maxHeadBytes, true
+	defer func() { cn.limit.limited = false }()
+	if _, err := cn.reader.Peek(1); err != nil {
+		return nil, err
+	}
+	resp, err := http.ReadResponse(cn.reader, &http.Request{Method: method})
+	if err == nil || errors.Is(err, io.ErrUnexpectedEOF) || isNetError(err) {
+		return resp, err
+	}
+	return nil, &invalidResponseError{"not an HTTP answer: " + err.Error()}
+}
+
 func isNetError(err error) bool {
 	var ne net.Error
 	return errors.As(err, &ne) || errors.Is(err, net.ErrClosed) || errors.Is(err, syscall.ECONNRESET)
@@ -312,7 +347,10 @@
 	if err != nil {
 		return nil, Error.Wrap(err)
 	}
-	return &conn{Conn: nc, addr: addr, reader: bufio.NewReaderSize(nc, readBufferBytes), keepAliveTimeout: defaultKeepAlive}, nil
+	limit := &limitedReader{from: nc}
+	return &conn{
+		Conn: nc, addr: addr, reader: bufio.NewReaderSize(limit, readBufferBytes), limit: limit, keepAliveTimeout: defaultKeepAlive,
+	}, nil
 }
 
 func setUserTimeout(_, _ string, raw syscall.RawConn) error {
@@ -401,6 +439,17 @@
 	}
 }
 
+// Discard reads the rest of the body without using it, so that the connection can be
+// reused. It gives up on a body that is long or does not arrive at once.
+func (r *Response) Discard() {
+	// If a deadline cannot be set, the connection is closed already and the read fails.
+	_ = r.conn.SetReadDeadline(time.Now().Add(discardTimeout))
+	_, err := io.Copy(io.Discard, io.LimitReader(r.Body, maxDrainBytes))
+	if err != nil || r.conn.SetReadDeadline(time.Time{}) != nil {
+		r.complete = false
+	}
+}
+
 // Close returns the connection to the pool if the body was read to the end and
 // the connection can be reused, and closes it otherwise.
 func (r *Response) Close() {
--- a/app/upstream/client_test.go
+++ b/app/upstream/client_test.go
@@ -335,3 +335,96 @@
 		}
 	}
 }
+
+// writeForever writes text until the connection is closed, and then sends the number of
+// bytes written.
+func writeForever(text string, written chan<- int) func(net.Conn) {
+	return func(c net.Conn) {
+		total := 0
+		for {
+			n, err := io.WriteString(c, text)
+			total += n
+			if err != nil {
+				written <- total
+				return
+			}
+		}
+	}
+}
+
+// Guards against a process that runs out of memory because a faulty server sends bytes
+// without end where the head of an answer is due.
+func TestEndlessHeadIsCutOff(t *testing.T) {
+	const maxWritten = 8 << 20 // what fits into the buffers of both sockets, and more
+	for name, text := range map[string]string{
+		"no line ends": strings.Repeat("x", 4096), "header lines": strings.Repeat("X-Filler: aaaaaaaaaaaaaaa\r\n", 100),
+	} {
+		t.Run(name, func(t *testing.T) {
+			written := make(chan int, 1)
+			s := serve(t, func(c net.Conn) {
+				_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\n")
+				writeForever(text, written)(c)
+			})
+			began := time.Now()
+			_, err := send(t, upstream.New(), request(s, "1"))
+			if e := asSendError(t, err); e.Verdict != proto.MayHaveRun || e.ConnectionLost {
+				t.Errorf("verdict %v, connection lost %t", e.Verdict, e.ConnectionLost)
+			}
+			if took := time.Since(began); took > 3*time.Second {
+				t.Errorf("given up after %v", took)
+			}
+			if n := <-written; n > maxWritten {
+				t.Errorf("%d bytes were read", n)
+			}
+		})
+	}
+}
+
+// Guards against a caller that waits until its deadline for the rest of an answer that
+// nobody needs, because its body is endless, or stalls.
+func TestDiscardGivesUpOnEndlessBody(t *testing.T) {
+	const head = "HTTP/1.1 503 Busy\r\nId: 1\r\n"
+	written := make(chan int, 1)
+	for name, step := range map[string]func(net.Conn){
+		"endless": func(c net.Conn) {
+			_, _ = io.WriteString(c, head+"\r\n")
+			writeForever(strings.Repeat("x", 4096), written)(c)
+		},
+		"stalled": write(head + "Content-Length: 100\r\n\r\nx"),
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := serve(t, step)
+			client := upstream.New()
+			ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+			defer cancel()
+			resp, err := client.Send(ctx, request(s, "1"))
+			if err != nil {
+				t.Fatal(err)
+			}
+			began := time.Now()
+			resp.Discard()
+			resp.Close()
+			if took := time.Since(began); took > time.Second {
+				t.Errorf("discarded for %v", took)
+			}
+			if err := ctx.Err(); err != nil {
+				t.Error(err)
+			}
+		})
+	}
+}
+
+// Guards against closing a connection that could be reused after a short answer.
+func TestDiscardKeepsTheConnection(t *testing.T) {
+	s := serve(t, write(response("1", "busy")), write(response("2", "answer")))
+	client := upstream.New()
+	resp, err := client.Send(context.Background(), request(s, "1"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	resp.Discard()
+	resp.Close()
+	if body, err := send(t, client, request(s, "2")); err != nil || body != "answer" || client.Stats.Reused.Load() != 1 {
+		t.Errorf("%q, %v, %d connections reused", body, err, client.Stats.Reused.Load())
+	}
+}
