app/front: control calls do not take a late copy of a request's answer

Cause: control calls share connections with requests and took any answer. A late second copy of a request's answer, which says 200, was taken for the answer to an order: the engine counted as loaded and kept its old weights. Ruled out: requests themselves (they compare the id), bytes that came before the call (the connection is not reused). Change: the answer to a control call must not name a request. Tests: TestControlCallSkipsLateCopyOfAnswer got status 200 before, 202 now.

--- a/app/front/call.go
+++ b/app/front/call.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/kumquatsill/kumquatsill/app/upstream"
+	"github.com/kumquatsill/kumquatsill/platform"
 )
 
 const (
@@ -24,7 +25,9 @@
 
 // Call implements platform.EndpointCaller.
 func (c endpointCaller) Call(ctx context.Context, addr, method, target string, h http.Header, body []byte) (int, []byte, error) {
-	resp, err := c.client.Send(ctx, &upstream.Request{Addr: addr, Method: method, Target: target, Host: addr, Header: h, Body: body})
+	resp, err := c.client.Send(ctx, &upstream.Request{
+		Addr: addr, Method: method, Target: target, Host: addr, Header: h, Body: body, Matches: platform.IsControlResponse,
+	})
 	if err != nil {
 		return 0, nil, err
 	}
--- /dev/null
+++ b/app/front/call_test.go
@@ -0,0 +1,62 @@
+package front
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/kumquatsill/kumquatsill/app/upstream"
+)
+
+// Guards against taking a late second copy of a request's answer for the answer to an
+// order that uses the same connection: the router would believe that the engine has
+// loaded its weights.
+func TestControlCallSkipsLateCopyOfAnswer(t *testing.T) {
+	const (
+		answer  = "HTTP/1.1 200 OK\r\nKumquatsill-Attempt-Id: a1\r\nContent-Length: 2\r\n\r\nok"
+		control = "HTTP/1.1 202 Accepted\r\nContent-Length: 0\r\n\r\n"
+	)
+	ln, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = ln.Close() }()
+	go func() {
+		c, err := ln.Accept()
+		if err != nil {
+			return
+		}
+		reader := bufio.NewReader(c)
+		for _, text := range []string{answer, answer + control} {
+			req, err := http.ReadRequest(reader)
+			if err != nil {
+				return
+			}
+			_, _ = io.Copy(io.Discard, req.Body)
+			_, _ = io.WriteString(c, text)
+		}
+	}()
+	client := upstream.New()
+	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+	defer cancel()
+	addr := ln.Addr().String()
+	resp, err := client.Send(ctx, &upstream.Request{Addr: addr, Method: http.MethodGet, Target: "/x", Host: "h"})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := io.Copy(io.Discard, resp.Body); err != nil {
+		t.Fatal(err)
+	}
+	resp.Close()
+	status, _, err := endpointCaller{client}.Call(ctx, addr, http.MethodPost, "/order", http.Header{}, []byte("{}"))
+	if err != nil || status != http.StatusAccepted {
+		t.Errorf("status %d, %v", status, err)
+	}
+	if client.Stats.Reused.Load() != 1 {
+		t.Error("the connection was not reused")
+	}
+}
--- a/app/front/testbed_test.go
+++ b/app/front/testbed_test.go
@@ -220,7 +220,13 @@
 
 func (r *router) call(path, key string) (status int, body string) {
 	r.t.Helper()
-	resp, err := http.DefaultClient.Do(r.request(path, key))
+	return r.do(r.request(path, key))
+}
+
+// do sends a request and returns the status, or 0 if the response is incomplete, and
+// what was received of the body.
+func (r *router) do(req *http.Request) (status int, body string) {
+	resp, err := http.DefaultClient.Do(req)
 	if err != nil {
 		return 0, ""
 	}
--- a/standin/hosting/engine.go
+++ b/standin/hosting/engine.go
@@ -54,9 +54,13 @@
 	ServerError
 	// EarlyReset runs the request and resets the connection without a response.
 	EarlyReset
+	// Trickle sends two events of a stream, and then a byte now and then that is
+	// never a whole event.
+	Trickle
 )
 
-// NumFailures is the number of kinds of Failure other than NoFailure.
+// NumFailures is the number of kinds of Failure that end by themselves or with the
+// caller's timeout: those after NoFailure and before Trickle.
 const NumFailures = 5
 
 // Run is one request that an engine has started to process.
@@ -277,6 +281,10 @@
 	w.Header().Set("Kumquatsill-Response-Signature", "sig."+e.ID)
 	control := http.NewResponseController(w)
 	for i := after + 1; i <= e.Events; i++ {
+		if f == Trickle && i == after+3 {
+			trickle(w, r)
+			return
+		}
 		if f == ConnectionReset && i == after+3 {
 			_, _ = fmt.Fprintf(w, "id: %d\ndata: cut", i)
 			_ = control.Flush()
@@ -295,6 +303,24 @@
 	e.setFinished(n)
 }
 
+// trickleInterval is the time between two bytes of a stream that never gets on.
+const trickleInterval = 50 * time.Millisecond
+
+// trickle sends a byte now and then until the caller leaves.
+func trickle(w http.ResponseWriter, r *http.Request) {
+	control := http.NewResponseController(w)
+	for {
+		if _, err := io.WriteString(w, ":"); err != nil || control.Flush() != nil {
+			return
+		}
+		select {
+		case <-r.Context().Done():
+			return
+		case <-time.After(trickleInterval):
+		}
+	}
+}
+
 // resetConnection resets the connection before the response is complete.
 func resetConnection(w http.ResponseWriter) {
 	conn, _, err := http.NewResponseController(w).Hijack()
