app/front: one router of a failure domain reads an engine's cache events for all

Change: core/peer gives each engine one reader a failure domain by rendezvous hashing among the routers that are heard; it passes the events on to the others of its domain. A router that starts reads each engine once itself.

--- a/app/front/feed.go
+++ b/app/front/feed.go
@@ -6,8 +6,10 @@
 
 	"github.com/kumquatsill/kumquatsill/app/driver"
 	"github.com/kumquatsill/kumquatsill/core/discovery"
+	"github.com/kumquatsill/kumquatsill/core/peer"
 	"github.com/kumquatsill/kumquatsill/core/place"
 	"github.com/kumquatsill/kumquatsill/core/proto"
+	"github.com/kumquatsill/kumquatsill/core/quota"
 	"github.com/kumquatsill/kumquatsill/core/serving"
 	"github.com/kumquatsill/kumquatsill/platform"
 )
@@ -140,9 +142,10 @@
 type engineFeed struct {
 	started     int64
 	epoch, next int64
-	// known is set once a read has returned the epoch.
-	known bool
-	dueAt proto.Instant
+	// known is set once a read has returned the epoch. Only the events of later reads
+	// are passed on, as the others have read the earlier ones themselves.
+	known, passOn bool
+	dueAt         proto.Instant
 }
 
 // followEngines returns a function that reads the events of engines in turn, so
@@ -168,8 +171,9 @@
 // and removes entries of feeds to match the list of engines.
 func (f *Front) enginesDue(now proto.Instant, feeds map[proto.EndpointID]*engineFeed, n int) []*discovery.Endpoint {
 	f.mu.Lock()
-	list := f.table.Snapshot()
+	list, readers := f.table.Snapshot(), f.eventReaders(now)
 	f.mu.Unlock()
+	self := proto.RouterID(f.cfg.Settings.Host)
 	var due []*discovery.Endpoint
 	for id, e := range list.ByID {
 		if len(e.Versions) == 0 || e.Leaving {
@@ -180,6 +184,9 @@
 			feed = &engineFeed{started: e.Started}
 			feeds[id] = feed
 		}
+		if feed.known && len(readers) > 0 && peer.Reader(id, readers) != self {
+			continue
+		}
 		if now >= feed.dueAt && len(due) < n && !f.placer.IsSilent(now, id) {
 			feed.dueAt = now.Add(engineFeedInterval)
 			due = append(due, e)
@@ -193,6 +200,36 @@
 	return due
 }
 
+// eventReaders returns the routers of the own failure domain that share the reading of
+// engines' events, or nil in a small fleet, in which each router reads all of them;
+// mu must be held. A router that has just started reads each engine once itself.
+func (f *Front) eventReaders(now proto.Instant) []proto.RouterID {
+	if len(f.peers) <= maxPeersAllNear {
+		return nil
+	}
+	readers := []proto.RouterID{proto.RouterID(f.cfg.Settings.Host)}
+	for id, p := range f.peers {
+		if p.domain == f.cfg.Settings.Domain && p.lastHeardAt != 0 && now.Sub(p.lastHeardAt) < forwarderTimeout {
+			readers = append(readers, id)
+		}
+	}
+	return readers
+}
+
+// shareEvents passes an engine's events on to the other routers of the failure domain.
+func (f *Front) shareEvents(now proto.Instant, events peer.CacheEvents) {
+	f.mu.Lock()
+	shared := len(f.eventReaders(now)) > 1
+	f.mu.Unlock()
+	if !shared || events.IsEmpty() {
+		return
+	}
+	for _, part := range events.Split() {
+		m := peer.Message{Counts: quota.Counts{Router: proto.RouterID(f.cfg.Settings.Host), Incarnation: f.incarnation}, CacheEvents: &part}
+		f.send(m, f.domainPeers())
+	}
+}
+
 // readEngineFeed reads an engine's events since the last read. Its timeout is
 // shorter than engineFeedInterval, so reads of one engine never overlap.
 func (f *Front) readEngineFeed(ctx context.Context, e *discovery.Endpoint, feed *engineFeed) {
@@ -209,5 +246,10 @@
 	for _, c := range got.Events {
 		events = append(events, place.PartEvent{Added: c.Added, Key: place.KeyOf(c.Salt, c.Part), Tokens: c.Tokens})
 	}
-	f.placer.Events(driver.Now(), e.ID, e.Started, restarted, events)
+	now := driver.Now()
+	f.placer.Events(now, e.ID, e.Started, restarted, events)
+	if feed.passOn {
+		f.shareEvents(now, peer.CacheEvents{Endpoint: e.ID, Started: e.Started, Restarted: restarted, Events: events})
+	}
+	feed.passOn = true
 }
--- a/core/peer/peer.go
+++ b/core/peer/peer.go
@@ -36,6 +36,16 @@
 	Version  int64            `json:"version"`
 }
 
+// CacheEvents passes on events that the sender has read from an engine.
+type CacheEvents struct {
+	Endpoint proto.EndpointID `json:"endpoint"`
+	// Started identifies the incarnation of the engine.
+	Started int64 `json:"started"`
+	// Restarted is set if the engine lost its whole cache before these events.
+	Restarted bool              `json:"restarted,omitempty"`
+	Events    []place.PartEvent `json:"events"`
+}
+
 // Message is the state that one router sends to its peers.
 type Message struct {
 	Counts quota.Counts `json:"counts"`
@@ -56,6 +66,8 @@
 	LeaseDisclaimer *leader.Disclaimer `json:"lease,omitempty"`
 	// Seen lists endpoints that have recently responded to the sender.
 	Seen []place.Seen `json:"seen,omitempty"`
+	// CacheEvents is set in messages of their own.
+	CacheEvents *CacheEvents `json:"cache,omitempty"`
 	// Silent lists endpoints that have stopped responding to the sender.
 	Silent []proto.EndpointID `json:"silent,omitempty"`
 }
--- a/core/place/attempt.go
+++ b/core/place/attempt.go
@@ -51,9 +51,9 @@
 
 // PartEvent is one change of the prompt parts in an engine's cache.
 type PartEvent struct {
-	Added  bool
-	Key    PartKey
-	Tokens int64
+	Added  bool    `json:"add,omitempty"`
+	Key    PartKey `json:"key"`
+	Tokens int64   `json:"n,omitempty"`
 }
 
 // Events applies cache events reported by an engine. The argument restarted is
