app/front: one router of a failure domain reads a cache store for all

Ruled out: reads of engines' events (they wait long enough not to count). Change: core/place StoreFeed keeps the index from own reads or from pages that the domain's reader passes on; a router that misses a page, or hears none for 2.5 s, reads the store itself.

--- a/app/front/feed.go
+++ b/app/front/feed.go
@@ -29,6 +29,11 @@
 	// farStoreFeedInterval is the delay between two reads of a store in another
 	// failure domain if the router's own domain has a store.
 	farStoreFeedInterval = 2 * time.Second
+	// sharedStoreInterval is the time between two checks whether a store that a peer
+	// reads has to be read by this router.
+	sharedStoreInterval = 200 * time.Millisecond
+	// maxSharedStoreEvents keeps a message within a datagram.
+	maxSharedStoreEvents = 500
 )
 
 // followStores starts a follower for each cache store that the configuration
@@ -46,16 +51,18 @@
 		if !wanted[addr] {
 			stop()
 			delete(f.storeFollowers, addr)
+			f.storeFeeds.Delete(addr)
 		}
 	}
 	for addr := range wanted {
 		if f.storeFollowers[addr] == nil {
 			ctx, cancel := context.WithCancel(f.tomb.Context(context.Background()))
 			f.storeFollowers[addr] = cancel
-			index := place.NewStoreIndex()
-			f.placer.SetStore(addr, index)
+			feed := place.NewStoreFeed()
+			f.storeFeeds.Store(addr, feed)
+			f.placer.SetStore(addr, feed.Index)
 			interval := f.storeFeedIntervalOf(cfg, addr)
-			f.tomb.Go(func() error { return f.followStore(ctx, addr, index, interval) })
+			f.tomb.Go(func() error { return f.followStore(ctx, addr, feed, interval) })
 		}
 	}
 }
@@ -80,51 +87,102 @@
 }
 
 // followStore keeps the index of one store up to date.
-func (f *Front) followStore(ctx context.Context, addr string, index *place.StoreIndex, interval time.Duration) error {
-	var epoch, next int64
-	known := false
+func (f *Front) followStore(ctx context.Context, addr string, feed *place.StoreFeed, interval time.Duration) error {
 	for ctx.Err() == nil {
-		feed, err := f.readStoreFeed(ctx, addr, next)
-		if err == nil && known && (feed.Epoch != epoch || feed.Gap) {
-			f.log.Info("rebuilding cache store index", "addr", addr, "restarted", feed.Epoch != epoch, "gap", feed.Gap)
-			index.Reset()
-			feed, err = f.engines.CacheContents(ctx, addr)
+		isReader, shared := f.readsStore(addr)
+		if !feed.NeedsRead(driver.Now(), isReader) {
+			sleep(ctx, sharedStoreInterval)
+			continue
 		}
+		page, err := f.readStore(ctx, addr, feed)
 		if err != nil {
-			if ctx.Err() == nil && index.Alive() {
+			if ctx.Err() == nil && feed.Index.Alive() {
 				f.log.Warn("cache store unreachable", "addr", addr, "error", err.Error())
 			}
-			index.SetAlive(false)
+			feed.Index.SetAlive(false)
 			sleep(ctx, storeFeedRetryDelay)
 			continue
 		}
-		if !index.Alive() {
-			f.log.Info("cache store in use", "addr", addr, "epoch", feed.Epoch, "parts", index.Len())
+		if isReader && shared {
+			f.shareStorePage(addr, page)
 		}
-		applyStoreFeed(index, feed)
-		epoch, next, known = feed.Epoch, feed.NextSequence, true
-		index.SetAlive(true)
 		sleep(ctx, interval)
 	}
 	return nil
 }
 
+// readStore reads a store's events, or its contents if events were missed, and applies
+// them. It returns the page of events.
+func (f *Front) readStore(ctx context.Context, addr string, feed *place.StoreFeed) (place.StorePage, error) {
+	from := feed.Next()
+	read, err := f.readStoreFeed(ctx, addr, from)
+	if err != nil {
+		return place.StorePage{}, err
+	}
+	page := storePage(from, read)
+	listed := feed.MissedEvents(page)
+	if listed {
+		f.log.Info("rebuilding cache store index", "addr", addr, "epoch", page.Epoch, "gap", page.Gap)
+		if read, err = f.engines.CacheContents(ctx, addr); err != nil {
+			return place.StorePage{}, err
+		}
+		page = storePage(read.NextSequence, read)
+	}
+	wasAlive := feed.Index.Alive()
+	feed.ApplyRead(driver.Now(), page, listed)
+	if !wasAlive {
+		f.log.Info("cache store in use", "addr", addr, "epoch", page.Epoch, "parts", feed.Index.Len())
+	}
+	return page, nil
+}
+
+func storePage(from int64, read platform.CacheEventPage) place.StorePage {
+	page := place.StorePage{Epoch: read.Epoch, From: from, Next: read.NextSequence, Gap: read.Gap}
+	for _, e := range read.Events {
+		page.Events = append(page.Events, place.StoreEvent{Added: e.Added, Salt: e.Salt, Part: e.Part})
+	}
+	return page
+}
+
+// readsStore reports whether this router reads a store for its failure domain, and
+// whether there are others there that it passes the events on to.
+func (f *Front) readsStore(addr string) (isReader, shared bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	readers := f.eventReaders(driver.Now())
+	if len(readers) == 0 {
+		return true, false
+	}
+	return peer.Reader(proto.EndpointID(addr), readers) == proto.RouterID(f.cfg.Settings.Host), len(readers) > 1
+}
+
+// shareStorePage passes the events of a store on to the other routers of the failure
+// domain. A page that does not fit into one message is not passed on; they notice that
+// and read the store themselves.
+func (f *Front) shareStorePage(addr string, page place.StorePage) {
+	if len(page.Events) > maxSharedStoreEvents {
+		return
+	}
+	m := peer.Message{
+		Counts:    quota.Counts{Router: proto.RouterID(f.cfg.Settings.Host), Incarnation: f.incarnation},
+		StorePage: &peer.StorePage{Addr: addr, Page: page},
+	}
+	f.send(m, f.domainPeers())
+}
+
+// handleStorePage applies the events of a store that a peer has read.
+func (f *Front) handleStorePage(now proto.Instant, p *peer.StorePage) {
+	if feed, ok := f.storeFeeds.Load(p.Addr); ok {
+		feed.(*place.StoreFeed).ApplyShared(now, p.Page)
+	}
+}
+
 func (f *Front) readStoreFeed(ctx context.Context, addr string, next int64) (platform.CacheEventPage, error) {
 	ctx, cancel := context.WithTimeout(ctx, storeFeedTimeout)
 	defer cancel()
 	return f.engines.CacheEvents(ctx, addr, next, storeFeedWait)
 }
 
-func applyStoreFeed(index *place.StoreIndex, feed platform.CacheEventPage) {
-	for _, e := range feed.Events {
-		if e.Added {
-			index.Put(e.Salt, e.Part)
-		} else {
-			index.Remove(e.Salt, e.Part)
-		}
-	}
-}
-
 const (
 	// engineFeedInterval is the time between two reads of an engine's events.
 	engineFeedInterval = 2500 * time.Millisecond
--- a/app/front/front.go
+++ b/app/front/front.go
@@ -117,6 +117,8 @@
 	// storeFollowers holds the functions that stop the followers of cache stores,
 	// by the stores' addresses.
 	storeFollowers map[string]context.CancelFunc
+	// storeFeeds maps the addresses of cache stores to their *place.StoreFeed.
+	storeFeeds sync.Map
 
 	// fullUntil is the time until which all periodic messages to peers are full;
 	// see fullPeriod.
--- a/app/front/peers.go
+++ b/app/front/peers.go
@@ -415,6 +415,9 @@
 	for _, s := range m.Seen {
 		f.placer.HandleSeen(now, s)
 	}
+	if m.StorePage != nil {
+		f.handleStorePage(now, m.StorePage)
+	}
 	if c := m.CacheEvents; c != nil {
 		f.placer.Events(now, c.Endpoint, c.Started, c.Restarted, c.Events)
 	}
--- a/core/peer/peer.go
+++ b/core/peer/peer.go
@@ -46,6 +46,12 @@
 	Events    []place.PartEvent `json:"events"`
 }
 
+// StorePage passes on events that the sender has read from a cache store.
+type StorePage struct {
+	Addr string          `json:"addr"`
+	Page place.StorePage `json:"page"`
+}
+
 // Message is the state that one router sends to its peers.
 type Message struct {
 	Counts quota.Counts `json:"counts"`
@@ -66,8 +72,9 @@
 	LeaseDisclaimer *leader.Disclaimer `json:"lease,omitempty"`
 	// Seen lists endpoints that have recently responded to the sender.
 	Seen []place.Seen `json:"seen,omitempty"`
-	// CacheEvents is set in messages of their own.
+	// CacheEvents and StorePage are set in messages of their own.
 	CacheEvents *CacheEvents `json:"cache,omitempty"`
+	StorePage   *StorePage   `json:"store,omitempty"`
 	// Silent lists endpoints that have stopped responding to the sender.
 	Silent []proto.EndpointID `json:"silent,omitempty"`
 }
