app/front: one flag for a feed that was read, one function for a message without content

Cause: the read-through. engineFeed held the same fact in three fields (known, passOn, wasRead), and the sender of a message was written out in four places. Change: one atomic field; emptyMessage. Nothing else changes. Ruled out for now: the reader of each engine is computed for each check, ten times a second; that is bounded by engines times routers of one domain and off the path of a request.

--- a/app/front/feed.go
+++ b/app/front/feed.go
@@ -10,7 +10,6 @@
 	"github.com/kumquatsill/kumquatsill/core/peer"
 	"github.com/kumquatsill/kumquatsill/core/place"
 	"github.com/kumquatsill/kumquatsill/core/proto"
-	"github.com/kumquatsill/kumquatsill/core/quota"
 	"github.com/kumquatsill/kumquatsill/core/serving"
 	"github.com/kumquatsill/kumquatsill/platform"
 )
@@ -164,10 +163,8 @@
 	if len(page.Events) > maxSharedStoreEvents {
 		return
 	}
-	m := peer.Message{
-		Counts:    quota.Counts{Router: proto.RouterID(f.cfg.Settings.Host), Incarnation: f.incarnation},
-		StorePage: &peer.StorePage{Addr: addr, Page: page},
-	}
+	m := f.emptyMessage()
+	m.StorePage = &peer.StorePage{Addr: addr, Page: page}
 	f.send(m, f.domainPeers())
 }
 
@@ -201,13 +198,10 @@
 type engineFeed struct {
 	started     int64
 	epoch, next int64
-	// known is set once a read has returned the epoch. Only the events of later reads
-	// are passed on, as the others have read the earlier ones themselves.
-	known, passOn bool
-	// wasRead is set with known. Unlike the fields above, it is also used between
-	// reads, while another may be under way.
-	wasRead atomic.Bool
-	dueAt   proto.Instant
+	// known is set once a read has returned the epoch. It is also used while a read
+	// is under way.
+	known atomic.Bool
+	dueAt proto.Instant
 }
 
 // followEngines returns a function that reads the events of engines in turn, so
@@ -246,7 +240,7 @@
 			feed = &engineFeed{started: e.Started}
 			feeds[id] = feed
 		}
-		if feed.wasRead.Load() && len(readers) > 0 && peer.Reader(id, readers) != self {
+		if feed.known.Load() && len(readers) > 0 && peer.Reader(id, readers) != self {
 			continue
 		}
 		if now >= feed.dueAt && len(due) < n && !f.placer.IsSilent(now, id) {
@@ -287,7 +281,8 @@
 		return
 	}
 	for _, part := range events.Split() {
-		m := peer.Message{Counts: quota.Counts{Router: proto.RouterID(f.cfg.Settings.Host), Incarnation: f.incarnation}, CacheEvents: &part}
+		m := f.emptyMessage()
+		m.CacheEvents = &part
 		f.send(m, f.domainPeers())
 	}
 }
@@ -302,17 +297,16 @@
 		f.log.Debug("cache events not read", "endpoint", string(e.ID), "error", err.Error())
 		return
 	}
-	restarted := feed.known && got.Epoch != feed.epoch
-	feed.epoch, feed.next, feed.known = got.Epoch, got.NextSequence, true
-	feed.wasRead.Store(true)
+	wasKnown := feed.known.Swap(true)
+	restarted := wasKnown && got.Epoch != feed.epoch
+	feed.epoch, feed.next = got.Epoch, got.NextSequence
 	events := make([]place.PartEvent, 0, len(got.Events))
 	for _, c := range got.Events {
 		events = append(events, place.PartEvent{Added: c.Added, Key: place.KeyOf(c.Salt, c.Part), Tokens: c.Tokens})
 	}
 	now := driver.Now()
 	f.placer.Events(now, e.ID, e.Started, restarted, events)
-	if feed.passOn {
+	if wasKnown { // the others have read the earlier events themselves
 		f.shareEvents(now, peer.CacheEvents{Endpoint: e.ID, Started: e.Started, Restarted: restarted, Events: events})
 	}
-	feed.passOn = true
 }
--- a/app/front/peers.go
+++ b/app/front/peers.go
@@ -195,7 +195,7 @@
 
 // sendEarly reports attempts and load orders that have just begun.
 func (f *Front) sendEarly(now proto.Instant) {
-	m := peer.Message{Counts: quota.Counts{Router: proto.RouterID(f.cfg.Settings.Host), Incarnation: f.incarnation}}
+	m := f.emptyMessage()
 	ordered := f.loadingChanged.Swap(false)
 	if ordered {
 		f.mu.Lock()
@@ -252,6 +252,11 @@
 	return len(f.peers)
 }
 
+// emptyMessage returns a message that only names its sender.
+func (f *Front) emptyMessage() peer.Message {
+	return peer.Message{Counts: quota.Counts{Router: proto.RouterID(f.cfg.Settings.Host), Incarnation: f.incarnation}}
+}
+
 // newMessage returns the content common to all peers, without counts and
 // attempts.
 func (f *Front) newMessage(now proto.Instant, full bool) peer.Message {
@@ -428,7 +433,8 @@
 
 // announceLeaving tells the peers that this router leaves.
 func (f *Front) announceLeaving() {
-	m := peer.Message{Leaving: true, Counts: quota.Counts{Router: proto.RouterID(f.cfg.Settings.Host), Incarnation: f.incarnation}}
+	m := f.emptyMessage()
+	m.Leaving = true
 	for range leavingRepeats {
 		f.send(m, f.peersAt(near))
 		f.send(m, f.peersAt(far))
