app/front: log what a request had in common with others when its connection was lost

The logs could not decide between the three hypotheses on the crashing part: they named neither the parts of a request nor the counts of the crash register. One line for each lost connection now has model, parts, fingerprint, the count of all routers and whether the answer had begun. No decision changes.

--- a/app/front/attempt.go
+++ b/app/front/attempt.go
@@ -424,12 +424,31 @@
 	f.placer.EndAttempt(now, a.placement, healthy)
 	switch {
 	case a.connectionLost && result == relay.Broken:
-		f.crashes.ConnectionLost(now, a.request.print)
+		a.recordLoss(now)
 	case result == relay.Completed:
 		f.crashes.Completed(a.request.print)
 	}
 }
 
+// recordLoss records that the connection was lost while the request was running,
+// and logs what the request has in common with others.
+func (a *attempt) recordLoss(now proto.Instant) {
+	x := a.request
+	x.front.crashes.ConnectionLost(now, x.print)
+	x.front.log.Info("connection lost during a request", "id", x.info.ID, "endpoint", string(a.choice.Endpoint.ID),
+		"model", x.info.Model, "parts", partIDs(x.info.Parts), "fingerprint", string(x.print),
+		"losses", x.front.crashes.Losses(x.print), "answer_begun", a.firstByteAt != 0)
+}
+
+// partIDs returns the IDs of prompt parts, separated by commas.
+func partIDs(parts []place.Part) string {
+	ids := make([]string, len(parts))
+	for i, p := range parts {
+		ids[i] = p.ID
+	}
+	return strings.Join(ids, ",")
+}
+
 func (a *attempt) log(now proto.Instant, result relay.Result, next relay.Decision) {
 	x := a.request
 	firstMillis := int64(-1)
--- a/core/crash/crash.go
+++ b/core/crash/crash.go
@@ -92,6 +92,17 @@
 	return e != nil && now.Sub(e.lastAt) < retention && e.total() >= refusalThreshold
 }
 
+// Losses returns the number of connections that all routers have lost while running
+// requests of a fingerprint.
+func (r *Register) Losses(f proto.Fingerprint) int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if e := r.entries[f]; e != nil {
+		return e.total()
+	}
+	return 0
+}
+
 // LocalCounts returns the recent counts of this router, to be sent to its peers,
 // and removes expired entries.
 func (r *Register) LocalCounts(now proto.Instant) []Count {
