app/front: a failing test of a prompt part that crashes engine after engine

Three routers, requests of which no two are alike but which share one part, and sound requests of the same account, route and first part. The stand-in engine can now break off every run with a given part.

--- /dev/null
+++ b/app/front/crash_test.go
@@ -0,0 +1,79 @@
+package front_test
+
+import (
+	"fmt"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+)
+
+// crashingTraffic sends requests with a crashing part and sound ones of the same
+// account, route and first part through several routers.
+type crashingTraffic struct {
+	b       *testbed
+	routers []*router
+	sent    int
+	// soundSent and soundServed count the sound requests.
+	soundSent, soundServed int
+}
+
+func (c *crashingTraffic) send(part string) (status int) {
+	r := c.routers[c.sent%len(c.routers)]
+	c.sent++
+	req := r.request(fmt.Sprint("/chat/", c.sent), "secret")
+	req.Header.Set("Kumquatsill-Prompt-Prefix", fmt.Sprintf("aa:10,%s:5,last%d:5", part, c.sent))
+	status, _ = r.do(req)
+	return status
+}
+
+// runFor alternates both kinds of requests for a while.
+func (c *crashingTraffic) runFor(d time.Duration) {
+	for end := time.Now().Add(d); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
+		c.send("bad")
+		c.soundSent++
+		if c.send("good") == http.StatusOK {
+			c.soundServed++
+		}
+	}
+}
+
+// crashes returns how many requests with the part have reached engines.
+func (b *testbed) crashes(part string) int {
+	n := 0
+	for _, e := range b.engines {
+		for _, run := range e.Runs() {
+			if strings.Contains(run.Parts, part+":") {
+				n++
+			}
+		}
+	}
+	return n
+}
+
+// Guards against engines that crash one after the other under requests of which no
+// two are alike, but which share one part of their prompts (incident inc1): once all
+// routers know of five crashes, hardly any such request may reach an engine, while
+// sound requests of the same account and first part are served.
+func TestPartThatCrashesEnginesIsRefused(t *testing.T) {
+	const contactTimeout = time.Second
+	b := newTestbed(t)
+	b.configure(func(cfg map[string]any) { cfg["tenants"].([]any)[0].(map[string]any)["ratePerS"] = 0 })
+	traffic := &crashingTraffic{b: b, routers: []*router{b.startReady("r1"), b.startReady("r2"), b.startReady("r3")}}
+	for _, e := range b.engines[:2] {
+		e.SetCrashingPart("bad")
+	}
+	for b.crashes("bad") < 5 {
+		traffic.runFor(100 * time.Millisecond)
+	}
+	traffic.runFor(contactTimeout)
+	before := b.crashes("bad")
+	traffic.soundSent, traffic.soundServed = 0, 0
+	traffic.runFor(3 * time.Second)
+	if n := b.crashes("bad") - before; n > 3 {
+		t.Errorf("%d more requests with the part reached engines, %d in all", n, before+n)
+	}
+	if traffic.soundServed < traffic.soundSent/2 {
+		t.Errorf("%d of %d sound requests were served", traffic.soundServed, traffic.soundSent)
+	}
+}
--- a/standin/hosting/engine.go
+++ b/standin/hosting/engine.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"strconv"
+	"strings"
 	"sync"
 	"time"
 )
@@ -34,6 +35,7 @@
 	loadDoneAt       time.Time
 	runs             []Run
 	failureForRun    func(run int) Failure
+	crashingPart     string
 	running          int
 }
 
@@ -72,6 +74,8 @@
 	Version   int64
 	Target    string
 	LastEvent string
+	// Parts is the request's list of prompt parts.
+	Parts string
 	// Finished is set once the complete response has been written.
 	Finished bool
 }
@@ -91,6 +95,21 @@
 	e.failureForRun = f
 }
 
+// SetCrashingPart makes the engine break off, after the head of the response, each
+// run whose prompt contains a part.
+func (e *Engine) SetCrashingPart(id string) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.crashingPart = id
+}
+
+// crashes reports whether a request makes the engine break off.
+func (e *Engine) crashes(r *http.Request) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.crashingPart != "" && strings.Contains(r.Header.Get("Kumquatsill-Prompt-Prefix"), e.crashingPart+":")
+}
+
 // Runs returns the runs so far.
 func (e *Engine) Runs() []Run {
 	e.mu.Lock()
@@ -235,6 +254,7 @@
 	e.runs = append(e.runs, Run{
 		AttemptID: r.Header.Get("Kumquatsill-Attempt-Id"), Account: r.Header.Get("Kumquatsill-Tenant"), Key: r.Header.Get("Authorization"),
 		Salt: r.Header.Get("Kumquatsill-Cache-Salt"), Version: e.version, Target: r.RequestURI, LastEvent: r.Header.Get("Last-Event-Id"),
+		Parts: r.Header.Get("Kumquatsill-Prompt-Prefix"),
 	})
 	e.running++
 	return len(e.runs) - 1, 0
@@ -280,6 +300,11 @@
 	w.Header().Set("Content-Type", "text/event-stream")
 	w.Header().Set("Kumquatsill-Response-Signature", "sig."+e.ID)
 	control := http.NewResponseController(w)
+	if e.crashes(r) {
+		_ = control.Flush() // the connection ends in any case
+		resetConnection(w)
+		return
+	}
 	for i := after + 1; i <= e.Events; i++ {
 		if f == Trickle && i == after+3 {
 			trickle(w, r)
