core/crash: what crashes endpoints is looked for in what requests have in common

Cause: the register counted lost connections by a fingerprint of the whole request. Requests of which no two are alike, but which share one part of their prompts, never counted together. Class: the key of a counter is narrower than the cause it is to find.

Change: a request has traits, its content and each part but the last. The endpoints that closed connections at the beginning of an answer are recorded for each trait; an answer that began later and goes on for 0.5 s clears it. Three rounds of crashes with no such answer, over a second, block the trait in all routers. Endpoints that crash at the same moment are one round. Crashes that rarer blocked traits explain do not count against a part that most requests share. One request is tried after 1.5 s, the next ones after 2 minutes, 10 minutes and so on, so that a mistake heals.

The old tests of the register are replaced by ones as strict for its new terms.

--- a/app/front/attempt.go
+++ b/app/front/attempt.go
@@ -11,6 +11,7 @@
 
 	"github.com/kumquatsill/kumquatsill/app/driver"
 	"github.com/kumquatsill/kumquatsill/app/upstream"
+	"github.com/kumquatsill/kumquatsill/core/crash"
 	"github.com/kumquatsill/kumquatsill/core/place"
 	"github.com/kumquatsill/kumquatsill/core/proto"
 	"github.com/kumquatsill/kumquatsill/core/relay"
@@ -85,6 +86,13 @@
 	if limit := overloadFactor * x.route.TargetLatency; q.Model != "" && limit > 0 && choice.ExpectedTTFB > limit {
 		return x.relay.NoEndpoint("overload", min(choice.ExpectedTTFB-x.route.TargetLatency, maxOverloadRetryAfter))
 	}
+	if a := x.front.crashes.Admit(now, x.traits); !a.Allowed {
+		x.log = x.log.With("trait", string(a.Trait), "rounds", a.Rounds)
+		return x.relay.NoEndpoint("crashes_endpoints", a.RetryAfter)
+	} else if a.Trial {
+		x.front.log.Info("trial of a blocked trait", "id", x.info.ID, "trait", string(a.Trait), "rounds", a.Rounds)
+		x.front.requestEarlySend()
+	}
 	x.relay.AttemptStarted()
 	x.triedEndpoints = append(x.triedEndpoints, choice.Endpoint.ID)
 	placement := x.front.placer.StartAttempt(now, q, choice)
@@ -122,6 +130,9 @@
 	version        int64
 	detail         string
 	connectionLost bool
+	// survived is set once the answer has shown that its request does not crash the
+	// endpoint.
+	survived bool
 	// versionTimer cancels the request if it does not begin in time.
 	versionTimer *cancelTimer
 	// respondent is the endpoint that rejected a misdirected request.
@@ -311,6 +322,9 @@
 		return
 	}
 	a.placement.RecordProgress(now)
+	if !a.survived && now.Sub(a.firstByteAt) >= crash.BeginPhase {
+		a.recordSurvival(now)
+	}
 }
 
 // readResponse reads and buffers a response that is not a stream.
@@ -426,18 +440,35 @@
 	case a.connectionLost && result == relay.Broken:
 		a.recordLoss(now)
 	case result == relay.Completed:
-		f.crashes.Completed(a.request.print)
+		a.recordSurvival(now)
 	}
 }
 
-// recordLoss records that the connection was lost while the request was running,
-// and logs what the request has in common with others.
+// recordLoss logs what the request has in common with others whose connection was lost,
+// and records it as a possible cause if the answer had just begun.
 func (a *attempt) recordLoss(now proto.Instant) {
 	x := a.request
-	x.front.crashes.ConnectionLost(now, x.print)
 	x.front.log.Info("connection lost during a request", "id", x.info.ID, "endpoint", string(a.choice.Endpoint.ID),
-		"model", x.info.Model, "parts", partIDs(x.info.Parts), "fingerprint", string(x.print),
-		"losses", x.front.crashes.Losses(x.print), "answer_begun", a.firstByteAt != 0)
+		"model", x.info.Model, "parts", partIDs(x.info.Parts), "traits", x.traits, "possible_cause", !a.isBeyondBegin(now))
+	if a.isBeyondBegin(now) {
+		return
+	}
+	x.front.crashes.ConnectionLost(now, a.choice.Endpoint.ID, x.traits)
+	x.front.reportCrashChanges()
+	x.front.requestEarlySend()
+}
+
+// isBeyondBegin reports whether the answer began long enough ago that it did not crash
+// the endpoint.
+func (a *attempt) isBeyondBegin(now proto.Instant) bool {
+	return a.firstByteAt != 0 && now.Sub(a.firstByteAt) >= crash.BeginPhase
+}
+
+// recordSurvival records that the request does not crash the endpoint.
+func (a *attempt) recordSurvival(now proto.Instant) {
+	a.survived = true
+	a.request.front.crashes.Survived(now, a.firstByteAt, a.request.traits)
+	a.request.front.reportCrashChanges()
 }
 
 // partIDs returns the IDs of prompt parts, separated by commas.
--- a/app/front/front.go
+++ b/app/front/front.go
@@ -342,6 +342,8 @@
 	known := f.knownAddrs()
 	f.mu.Unlock()
 	f.configureRetryBudgets(now)
+	f.crashes.Expire(now)
+	f.reportCrashChanges()
 	f.client.CloseIdle(func(addr string) bool { return known[addr] })
 }
 
--- a/app/front/peers.go
+++ b/app/front/peers.go
@@ -124,8 +124,8 @@
 	// failure domains, as traffic between failure domains is expensive.
 	farPeriod = 2
 	// fullPeriod is the number of intervals between full messages, which also
-	// carry the sender's address, the routers that it hears, its crash counts and
-	// the announced versions.
+	// carry the sender's address, the routers that it hears, all that it knows of
+	// blocked traits and the announced versions.
 	fullPeriod = 10
 	// fullMessageTime is how long every periodic message is full after the start
 	// of this router or of a peer, so that routers soon know who receives whose
@@ -193,7 +193,8 @@
 	}
 }
 
-// sendEarly reports attempts and load orders that have just begun.
+// sendEarly reports attempts and load orders that have just begun, and endpoints that
+// have just crashed.
 func (f *Front) sendEarly(now proto.Instant) {
 	m := f.emptyMessage()
 	ordered := f.loadingChanged.Swap(false)
@@ -202,10 +203,10 @@
 		m.Loads, m.VersionLoaded = f.loadingEngines(now), f.loadedVersions()
 		f.mu.Unlock()
 	}
-	m.Attempts = f.placer.TakeAttemptNotices()
+	m.Attempts, m.Suspects = f.placer.TakeAttemptNotices(), f.crashes.Observations(now)
 	f.send(m, f.peersAt(near))
 	m.Attempts = firstPrefills(m.Attempts)
-	if ordered || len(m.Attempts) > 0 {
+	if ordered || len(m.Attempts) > 0 || len(m.Suspects) > 0 {
 		f.sendFar(now, m)
 	}
 }
@@ -268,10 +269,11 @@
 	}
 	f.mu.Unlock()
 	if !full {
+		m.Suspects = f.crashes.Observations(now)
 		return m
 	}
 	m.Addr, m.Domain = f.cfg.Settings.PeerAddr, f.cfg.Settings.Domain
-	m.Crashes = f.crashes.LocalCounts(now)
+	m.Suspects = f.crashes.State(now)
 	m.AnnouncedVersions = f.placer.AnnouncedVersions(now)
 	return m
 }
@@ -404,7 +406,8 @@
 	}
 	f.mu.Unlock()
 	f.quota.Merge(now, m.Counts)
-	f.crashes.Merge(now, id, m.Crashes)
+	f.crashes.Merge(now, m.Suspects)
+	f.reportCrashChanges()
 	for _, l := range m.Loads {
 		f.placer.SetLoading(l.Endpoint, now.Add(time.Duration(l.RemainingMillis)*time.Millisecond))
 	}
--- a/app/front/serve.go
+++ b/app/front/serve.go
@@ -13,6 +13,7 @@
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/kumquatsill/kumquatsill/app/driver"
+	"github.com/kumquatsill/kumquatsill/core/crash"
 	"github.com/kumquatsill/kumquatsill/core/place"
 	"github.com/kumquatsill/kumquatsill/core/proto"
 	"github.com/kumquatsill/kumquatsill/core/relay"
@@ -31,9 +32,6 @@
 	// request. Endpoints that load weights return after some hundred
 	// milliseconds.
 	noEndpointRetryAfter = 400 * time.Millisecond
-	// crashRetryAfter is the Retry-After time for a request that crashes the
-	// endpoints that run it.
-	crashRetryAfter = 10 * time.Second
 	// defaultMaxBody limits request bodies if the configuration sets no limit.
 	defaultMaxBody = 4 << 20
 	// defaultResponseBytes is the response size assumed for requests without
@@ -58,8 +56,8 @@
 	body    []byte
 	config  *serving.Config
 	relay   *relay.Request
-	// print is the result of computeFingerprint.
-	print proto.Fingerprint
+	// traits is what the request has in common with others that may crash endpoints.
+	traits []crash.Trait
 	// deadline is the time at which the request ends in any case.
 	deadline       proto.Instant
 	triedEndpoints []proto.EndpointID
@@ -130,10 +128,7 @@
 	if !x.readBody() {
 		return false
 	}
-	x.print = x.computeFingerprint()
-	if f.crashes.ShouldRefuse(x.arrived, x.print) {
-		return x.reject(http.StatusServiceUnavailable, "crashes_endpoints", crashRetryAfter)
-	}
+	x.traits = x.crashTraits()
 	if !x.chargeQuota() {
 		return false
 	}
@@ -212,6 +207,18 @@
 	return proto.Fingerprint(strconv.FormatUint(h.Sum64(), 16))
 }
 
+// crashTraits returns the request's content and the parts of its prompt that other
+// requests may share, which are all but the last one.
+func (x *request) crashTraits() []crash.Trait {
+	traits := []crash.Trait{crash.ContentTrait(x.computeFingerprint())}
+	for i, p := range x.info.Parts {
+		if i < len(x.info.Parts)-1 {
+			traits = append(traits, crash.PartTrait(x.info.Model, p.ID))
+		}
+	}
+	return traits
+}
+
 // chargeQuota charges the request's tokens to its account's limit.
 func (x *request) chargeQuota() bool {
 	if x.account == nil {
@@ -299,7 +306,7 @@
 	if decision.Action == relay.Deliver {
 		verdict = proto.Ran
 	}
-	x.front.log.Info("finished", "id", x.info.ID, "outcome", decision.Action.String(), "reason", decision.Reason, "status", status,
+	x.log.Info("finished", "id", x.info.ID, "outcome", decision.Action.String(), "reason", decision.Reason, "status", status,
 		"verdict", verdict.String(), "sends", x.relay.Sends(), "last_event", x.lastEvent,
 		"retry_after_ms", decision.RetryAfter.Milliseconds(), "took_ms", driver.Now().Sub(x.arrived).Milliseconds())
 }
--- /dev/null
+++ b/core/crash/register_test.go
@@ -0,0 +1,182 @@
+package crash_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/kumquatsill/kumquatsill/core/crash"
+	"github.com/kumquatsill/kumquatsill/core/proto"
+)
+
+const now = proto.Instant(time.Hour)
+
+var (
+	bad   = crash.PartTrait("m", "bad")
+	first = crash.PartTrait("m", "first")
+)
+
+// lose records n crashes of different endpoints, one second apart, and returns the
+// time of the last one.
+func lose(r *crash.Register, n int, traits ...crash.Trait) proto.Instant {
+	at := now
+	for i := range n {
+		at = now.Add(time.Duration(i) * time.Second)
+		r.ConnectionLost(at, proto.EndpointID(fmt.Sprint("e", i)), traits)
+	}
+	return at
+}
+
+// allows reports whether a request with the traits may be sent, other than as a trial.
+func allows(r *crash.Register, at proto.Instant, traits ...crash.Trait) bool {
+	a := r.Admit(at, traits)
+	return a.Allowed && !a.Trial
+}
+
+// Guards against missing what crashes endpoints through several routers: the crashes
+// that all routers have observed must add up, and repeated messages must not.
+func TestCrashesOfAllRoutersAddUp(t *testing.T) {
+	r1, r2, r3 := crash.NewRegister(), crash.NewRegister(), crash.NewRegister()
+	traits := []crash.Trait{bad}
+	r1.ConnectionLost(now, "e1", traits)
+	r2.ConnectionLost(now.Add(time.Second), "e2", traits)
+	at := now.Add(2 * time.Second)
+	for range 3 {
+		r1.Merge(at, r2.Observations(at))
+	}
+	if !allows(r1, at, bad) {
+		t.Fatal("blocked after two crashes, which other requests may explain")
+	}
+	r3.ConnectionLost(at, "e3", traits)
+	r1.Merge(at, r3.Observations(at))
+	if a := r1.Admit(at, traits); a.Allowed || a.Rounds != 3 || a.RetryAfter <= 0 {
+		t.Fatalf("after three crashes: %+v", a)
+	}
+}
+
+// Guards against counting the crash of one endpoint once for each request that was
+// running there.
+func TestOneCrashCountsOnce(t *testing.T) {
+	r := crash.NewRegister()
+	for i := range 10 {
+		r.ConnectionLost(now.Add(time.Duration(i)*time.Millisecond), "e1", []crash.Trait{bad})
+	}
+	if n := r.Rounds(bad); n != 1 {
+		t.Fatalf("%d rounds", n)
+	}
+}
+
+// Guards against blaming requests for endpoints that crash together, as with the loss
+// of a failure domain.
+func TestCrashesAtTheSameMomentAreOneRound(t *testing.T) {
+	r := crash.NewRegister()
+	for i := range 10 {
+		r.ConnectionLost(now.Add(time.Duration(i)*time.Millisecond), proto.EndpointID(fmt.Sprint("e", i)), []crash.Trait{first})
+	}
+	if !allows(r, now, first) {
+		t.Fatal("blocked after one moment")
+	}
+}
+
+// Guards against permanently refusing requests that were only running at endpoints
+// while others crashed them.
+func TestAnswerReleases(t *testing.T) {
+	r := crash.NewRegister()
+	last := lose(r, 3, bad, first)
+	r.Survived(last.Add(time.Second), last.Add(time.Millisecond), []crash.Trait{first})
+	if !allows(r, last, first) {
+		t.Error("refused although an answer has begun since")
+	}
+	if allows(r, last, bad) {
+		t.Error("an answer to another request released the trait")
+	}
+	r.Survived(last.Add(time.Second), now.Add(-time.Second), []crash.Trait{bad})
+	if allows(r, last, bad) {
+		t.Error("an answer that began before the crashes released the trait")
+	}
+}
+
+// Guards against a peer that never hears of a release, or that undoes it with its own
+// old evidence.
+func TestReleaseReachesPeers(t *testing.T) {
+	r1, r2 := crash.NewRegister(), crash.NewRegister()
+	last := lose(r1, 3, first)
+	r2.Merge(last, r1.State(last))
+	r1.Survived(last.Add(time.Second), last.Add(time.Millisecond), []crash.Trait{first})
+	at := last.Add(20 * time.Second) // r2 has missed all messages in between
+	r1.Merge(at, r2.State(at))
+	r2.Merge(at, r1.State(at))
+	r1.Merge(at, r2.State(at))
+	if !allows(r1, at, first) || !allows(r2, at, first) {
+		t.Fatal("still refused after the release")
+	}
+}
+
+// Guards against a trait that stays blocked by mistake, and against trials that crash
+// many endpoints: one request in the fleet is tried, with growing delays.
+func TestTrials(t *testing.T) {
+	r1, r2 := crash.NewRegister(), crash.NewRegister()
+	at := lose(r1, 3, bad)
+	trials, lastTrial := 0, at
+	for end := at.Add(time.Hour); at < end; at = at.Add(100 * time.Millisecond) {
+		r1.Merge(at, r2.Observations(at))
+		r2.Merge(at, r1.Observations(at))
+		for _, r := range []*crash.Register{r1, r2} {
+			if a := r.Admit(at, []crash.Trait{bad}); a.Allowed {
+				if trials++; trials > 1 && at.Sub(lastTrial) < 2*time.Minute {
+					t.Fatalf("trial %d only %v after the one before", trials, at.Sub(lastTrial))
+				}
+				lastTrial = at
+				r.ConnectionLost(at.Add(time.Millisecond), proto.EndpointID(fmt.Sprint("t", trials)), []crash.Trait{bad})
+				r1.Merge(at, r2.Observations(at))
+				r2.Merge(at, r1.Observations(at))
+			}
+		}
+	}
+	if trials < 3 || trials > 4 {
+		t.Fatalf("%d trials in an hour", trials)
+	}
+}
+
+// Guards against entries that are never removed, and against refusing requests long
+// after the last crash and the last of them.
+func TestEntriesExpire(t *testing.T) {
+	r := crash.NewRegister()
+	later := lose(r, 5, bad).Add(11 * time.Minute)
+	r.Expire(later)
+	if !allows(r, later, bad) || len(r.State(later)) != 0 {
+		t.Fatal("an expired entry still counts")
+	}
+}
+
+// Guards against routers that extend each other's entries: messages that repeat them
+// must not refresh them, or requests are refused forever (soak seed 300).
+func TestPeersDoNotKeepEntriesAlive(t *testing.T) {
+	a, b := crash.NewRegister(), crash.NewRegister()
+	end := lose(a, 5, bad).Add(11 * time.Minute)
+	lose(b, 5, bad)
+	const delay = 5 * time.Millisecond
+	for at := now.Add(5 * time.Second); at < end; at = at.Add(2 * time.Second) {
+		a.Merge(at.Add(delay), b.State(at))
+		b.Merge(at.Add(delay), a.State(at))
+	}
+	a.Expire(end)
+	b.Expire(end)
+	if !allows(a, end, bad) || !allows(b, end, bad) {
+		t.Fatal("refused ten minutes after the last crash")
+	}
+}
+
+// Guards against losing the evidence on a harmful part when more is suspected than a
+// register or a message holds.
+func TestBlockedTraitsOutlastOthers(t *testing.T) {
+	r, peer := crash.NewRegister(), crash.NewRegister()
+	at := lose(r, 3, bad)
+	for i := range 10_000 {
+		r.ConnectionLost(at, "e9", []crash.Trait{crash.PartTrait("m", fmt.Sprint(i))})
+	}
+	peer.Merge(at, r.Observations(at))
+	if allows(r, at, bad) || allows(peer, at, bad) {
+		t.Fatal("no longer blocked")
+	}
+}
--- a/core/peer/peer.go
+++ b/core/peer/peer.go
@@ -60,10 +60,11 @@
 	Addr   string       `json:"addr,omitempty"`
 	Domain proto.Domain `json:"domain,omitempty"`
 	// Leaving is set in the last messages of a router that shuts down.
-	Leaving       bool            `json:"leaving,omitempty"`
-	Crashes       []crash.Count   `json:"crashes,omitempty"`
-	Loads         []Load          `json:"loads,omitempty"`
-	VersionLoaded []VersionLoaded `json:"reached,omitempty"`
+	Leaving bool `json:"leaving,omitempty"`
+	// Suspects is the evidence on what makes requests crash endpoints.
+	Suspects      []crash.Evidence `json:"suspects,omitempty"`
+	Loads         []Load           `json:"loads,omitempty"`
+	VersionLoaded []VersionLoaded  `json:"reached,omitempty"`
 	// Attempts lists the attempts that were started since the last message.
 	Attempts []place.AttemptNotice `json:"attempts,omitempty"`
 	// AnnouncedVersions lists the versions that the operator has announced.
