app/front: a stream without length that ends before its first event was broken off

What callers saw: an empty stream with status 200 from an engine that crashed at the beginning of the answer. If its answer had neither a length nor chunks, the end of the connection passed for the end of the stream. The request counted as completed, so that it was not retried where it could be, and nothing was held against what had crashed the engine.

Cause: such an answer has no mark of its end, and a stream without any event was taken as whole. Class: an absence of errors taken as success.

Evidence: TestUnframedStreamWithoutEventsIsBroken fails on the code before: 200 with no event on a stream and on a resumable one.

Change: it counts as a lost connection, except for a stream that continues another, which may have no event left. One that ends between two events cannot be told from a whole one and is passed on as before.

After: both requests pass, the second one from another engine.

--- a/app/front/attempt.go
+++ b/app/front/attempt.go
@@ -54,6 +54,7 @@
 
 var (
 	errStalled  = errors.New("no answer in time from an endpoint")
+	errNoEvent  = errors.New("the connection ended before the first event")
 	errOutdated = errors.New("not begun when the endpoint's version became too old")
 )
 
@@ -388,6 +389,9 @@
 	control := http.NewResponseController(x.w)
 	for {
 		e, err := events.Next()
+		if errors.Is(err, io.EOF) && a.endedBeforeBegin(resp) {
+			err = errNoEvent
+		}
 		if errors.Is(err, io.EOF) {
 			x.writeHead(resp)
 			return relay.Completed
@@ -418,6 +422,12 @@
 	}
 }
 
+// endedBeforeBegin reports whether a stream that ended with its connection was broken
+// off before its first event. One that continues another may have no event left.
+func (a *attempt) endedBeforeBegin(resp *upstream.Response) bool {
+	return a.firstByteAt == 0 && !a.request.hasLastEvent && resp.EndsWithConnection()
+}
+
 // recordOutcome reports the outcome of the attempt to the placement and the
 // crash register.
 func (a *attempt) recordOutcome(now proto.Instant, result relay.Result) {
--- a/app/front/crash_test.go
+++ b/app/front/crash_test.go
@@ -4,8 +4,11 @@
 	"fmt"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
+
+	"github.com/kumquatsill/kumquatsill/standin/hosting"
 )
 
 // crashingTraffic sends requests with a crashing part and sound ones of the same
@@ -77,3 +80,32 @@
 		t.Errorf("%d of %d sound requests were served", traffic.soundServed, traffic.soundSent)
 	}
 }
+
+// Guards against an engine that crashes at the beginning of a stream without length and
+// chunks: the end of the connection must not pass for the end of the stream, nor clear
+// what crashed the engine.
+func TestUnframedStreamWithoutEventsIsBroken(t *testing.T) {
+	b := newTestbed(t)
+	b.configure(nil)
+	r := b.startReady("r1")
+	if status, body := callWithUnframedEnd(b, r, "/chat/1"); status == http.StatusOK {
+		t.Errorf("a stream that broke off before its first event: %d %q", status, body)
+	}
+	if status, body := callWithUnframedEnd(b, r, "/sheet/1"); status != http.StatusOK || eventIDs(body) != "1,2,3,4,5" {
+		t.Errorf("a resumable stream: %d %q", status, eventIDs(body))
+	}
+}
+
+// callAfterUnframedEnd sends a request whose first run breaks off.
+func callWithUnframedEnd(b *testbed, r *router, path string) (status int, body string) {
+	var asked atomic.Int32
+	for _, e := range b.engines[:2] {
+		e.SetFailure(func(int) hosting.Failure {
+			if asked.Add(1) == 2 { // an engine asks once at admission and once at the run
+				return hosting.UnframedEnd
+			}
+			return hosting.NoFailure
+		})
+	}
+	return r.call(path, "secret")
+}
--- a/app/upstream/client.go
+++ b/app/upstream/client.go
@@ -463,12 +463,17 @@
 	})
 }
 
+// EndsWithConnection reports whether the body is delimited by the end of the connection
+// alone, so that one that was broken off may look complete.
+func (r *Response) EndsWithConnection() bool {
+	return r.BodyLength < 0 && len(r.resp.TransferEncoding) == 0
+}
+
 // reusable reports whether the connection may carry another request. It may not
 // if the response is delimited by the end of the connection, or if more bytes
 // were received than belong to the response.
 func (r *Response) reusable() bool {
-	endsWithConn := r.BodyLength < 0 && len(r.resp.TransferEncoding) == 0
-	if !r.complete || r.resp.Close || endsWithConn || r.conn.reader.Buffered() > 0 {
+	if !r.complete || r.resp.Close || r.EndsWithConnection() || r.conn.reader.Buffered() > 0 {
 		return false
 	}
 	r.conn.keepAliveTimeout = keepAliveTimeout(r.Header)
--- a/standin/hosting/engine.go
+++ b/standin/hosting/engine.go
@@ -59,6 +59,9 @@
 	// Trickle sends two events of a stream, and then a byte now and then that is
 	// never a whole event.
 	Trickle
+	// UnframedEnd sends the head of a stream without length and chunks, and closes the
+	// connection.
+	UnframedEnd
 )
 
 // NumFailures is the number of kinds of Failure that end by themselves or with the
@@ -296,6 +299,10 @@
 }
 
 func (e *Engine) stream(w http.ResponseWriter, r *http.Request, n int, f Failure) {
+	if f == UnframedEnd {
+		e.endUnframed(w, r)
+		return
+	}
 	after, _ := strconv.Atoi(r.Header.Get("Last-Event-Id")) // absent means from the start
 	w.Header().Set("Content-Type", "text/event-stream")
 	w.Header().Set("Kumquatsill-Response-Signature", "sig."+e.ID)
@@ -328,6 +335,17 @@
 	e.setFinished(n)
 }
 
+// endUnframed sends the head of a response that ends with its connection, and ends it.
+func (e *Engine) endUnframed(w http.ResponseWriter, r *http.Request) {
+	conn, _, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		panic(http.ErrAbortHandler)
+	}
+	_, _ = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nKumquatsill-Response-Signature: sig.%s\r\nKumquatsill-Attempt-Id: %s\r\n\r\n",
+		e.ID, r.Header.Get("Kumquatsill-Attempt-Id")) // the connection ends in any case
+	_ = conn.Close()
+}
+
 // trickleInterval is the time between two bytes of a stream that never gets on.
 const trickleInterval = 50 * time.Millisecond
 
