app/front: what crashes endpoints outlasts a restart of all routers

What callers saw: nothing yet; found while looking for other ways in which engines crash again under a known part. The register is kept in memory and by peers. If all routers lose power at the same moment, which the deployments bear, it is empty, and as many engines crash again.

Evidence: TestBlockedPartOutlastsARestartOfAllRouters on the code before: 30 requests with the part reach engines after the restart, as many as before it; 3 are allowed.

Ruled out: waiting for peers after a start. There may be none that knows.

Change: the router that has observed a failed trial writes the trait to a topic of the store, and the one that has observed a sound answer deletes it: one call for each such change. Routers read the topic once, at their start, in the background. A record counts for ten minutes. Traits without a failed trial are not written, as they may be blocked by mistake.

After: the test passes, also under the race detector.

--- a/app/front/crash_test.go
+++ b/app/front/crash_test.go
@@ -109,3 +109,30 @@
 	}
 	return r.call(path, "secret")
 }
+
+// Guards against routers that forget after a restart of all of them which part crashes
+// engines, so that as many engines crash again.
+func TestBlockedPartOutlastsARestartOfAllRouters(t *testing.T) {
+	b := newTestbed(t)
+	b.configure(func(cfg map[string]any) { cfg["tenants"].([]any)[0].(map[string]any)["ratePerS"] = 0 })
+	traffic := &crashingTraffic{b: b, routers: []*router{b.startReady("r1"), b.startReady("r2")}}
+	for _, e := range b.engines[:2] {
+		e.SetCrashingPart("bad")
+	}
+	traffic.runFor(4 * time.Second)
+	for _, r := range traffic.routers {
+		if err := r.Drain(); err != nil {
+			t.Fatal(err)
+		}
+	}
+	traffic.routers = []*router{b.startReady("r1"), b.startReady("r2")}
+	before := b.crashes("bad")
+	traffic.soundSent, traffic.soundServed = 0, 0
+	traffic.runFor(3 * time.Second)
+	if n := b.crashes("bad") - before; n > 3 {
+		t.Errorf("%d requests with the part reached engines after the restart, %d before", n, before)
+	}
+	if traffic.soundServed < traffic.soundSent/2 {
+		t.Errorf("%d of %d sound requests were served", traffic.soundServed, traffic.soundSent)
+	}
+}
--- a/app/front/crashes.go
+++ b/app/front/crashes.go
@@ -1,8 +1,35 @@
 package front
 
-import "github.com/kumquatsill/kumquatsill/app/driver"
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"net/http"
+	"time"
 
-// reportCrashChanges logs the traits that were blocked or released.
+	"github.com/kumquatsill/kumquatsill/app/driver"
+	"github.com/kumquatsill/kumquatsill/core/crash"
+	"github.com/kumquatsill/kumquatsill/platform"
+)
+
+const (
+	// storedTraitLifetime is how long a stored trait counts, by the time of day.
+	storedTraitLifetime = 10 * time.Minute
+	// storeTraitRetry is the delay after a failed write or read of stored traits.
+	storeTraitRetry = time.Second
+	// maxUnsavedTraits bounds the traits that wait to be written.
+	maxUnsavedTraits = 256
+)
+
+// storedTrait is the value of a record in the topic of crashing traits.
+type storedTrait struct {
+	Rounds int `json:"rounds"`
+	// At is the time of the last crash in Unix milliseconds.
+	At int64 `json:"at"`
+}
+
+// reportCrashChanges logs the traits that were blocked or released, and has those
+// written to the store that this router has observed.
 func (f *Front) reportCrashChanges() {
 	for _, c := range f.crashes.TakeChanges(driver.Now()) {
 		msg := "trait released"
@@ -10,5 +37,87 @@
 			msg = "trait blocked"
 		}
 		f.log.Info(msg, "trait", string(c.Trait), "rounds", c.Rounds, "crashes", c.Crashes, "observed", c.Observed)
+		if c.Observed && (!c.Blocked || c.Certain()) {
+			f.saveTrait(c)
+		}
+	}
+}
+
+// saveTrait has a change written to the store. It drops the change if too many wait.
+func (f *Front) saveTrait(c crash.Change) {
+	select {
+	case f.unsavedTraits <- c:
+	default:
+		f.log.Warn("trait not saved", "trait", string(c.Trait))
+	}
+}
+
+// keepTraits reads the traits that were blocked before this router started, then writes
+// changes to the store. Without the store, peers tell what they know.
+func (f *Front) keepTraits(ctx context.Context) error {
+	for ctx.Err() == nil {
+		err := f.restoreTraits(ctx)
+		if err == nil {
+			break
+		}
+		f.log.Warn("blocked traits not read", "error", err.Error())
+		sleep(ctx, storeTraitRetry)
+	}
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case c := <-f.unsavedTraits:
+			f.writeTrait(ctx, c)
+		}
+	}
+}
+
+// restoreTraits blocks the traits that the store holds, and deletes those that are too
+// old.
+func (f *Front) restoreTraits(ctx context.Context) error {
+	records, _, err := f.store.Newest(ctx, platform.TopicCrashes)
+	var status *platform.StatusError
+	if errors.As(err, &status) && status.Status == http.StatusNotFound {
+		return nil // nothing was ever written
+	}
+	if err != nil {
+		return err
+	}
+	for _, r := range records {
+		var stored storedTrait
+		if err := json.Unmarshal(r.Value, &stored); err != nil {
+			f.log.Warn("stored trait ignored", "trait", r.Key, "error", err.Error())
+			continue
+		}
+		trait := crash.Trait(r.Key)
+		if age := time.Since(time.UnixMilli(stored.At)); age > storedTraitLifetime {
+			f.saveTrait(crash.Change{Trait: trait})
+			continue
+		}
+		f.log.Info("trait restored", "trait", r.Key, "rounds", stored.Rounds)
+		f.crashes.Restore(driver.Now(), trait, stored.Rounds)
+	}
+	f.reportCrashChanges()
+	return nil
+}
+
+// writeTrait writes a change to the store until it succeeds or the context ends.
+func (f *Front) writeTrait(ctx context.Context, c crash.Change) {
+	value := []byte(nil) // deletes the record
+	if c.Blocked {
+		var err error
+		if value, err = json.Marshal(storedTrait{Rounds: c.Rounds, At: time.Now().UnixMilli()}); err != nil {
+			f.log.Error("trait not encoded", "trait", string(c.Trait), "error", err.Error())
+			return
+		}
+	}
+	for ctx.Err() == nil {
+		err := f.store.Put(ctx, platform.TopicCrashes, string(c.Trait), value)
+		if err == nil {
+			return
+		}
+		f.log.Warn("trait not saved", "trait", string(c.Trait), "error", err.Error())
+		sleep(ctx, storeTraitRetry)
 	}
 }
--- a/app/front/front.go
+++ b/app/front/front.go
@@ -96,6 +96,8 @@
 	quota   *quota.Tracker
 	placer  *place.Placer
 	crashes *crash.Register
+	// unsavedTraits holds the changes of blocked traits that wait to be written.
+	unsavedTraits chan crash.Change
 	// retryBudgets maps a service's name to its *relay.RetryBudget.
 	retryBudgets sync.Map
 
@@ -147,6 +149,7 @@
 		quota:            quota.New(now, id, incarnation),
 		placer:           place.New(place.Config{Domain: cfg.Settings.Domain, Costs: place.DefaultCosts(), Seed: uint64(incarnation)}),
 		crashes:          crash.NewRegister(),
+		unsavedTraits:    make(chan crash.Change, maxUnsavedTraits),
 		table:            discovery.NewTable(),
 		planner:          upgrade.New(),
 		lease:            leader.New(cfg.Settings.Host, incarnation),
@@ -229,6 +232,7 @@
 		f.tomb.Go(func() error { return f.followOperator(ctx) })
 		f.tomb.Go(func() error { return f.followEndpoints(ctx) })
 		f.tomb.Go(func() error { return f.followRouters(ctx) })
+		f.tomb.Go(func() error { return f.keepTraits(ctx) })
 		f.tomb.Go(func() error { return f.receivePeerMessages(ctx) })
 		f.tomb.Go(func() error { return f.sendPeerMessages(ctx) })
 		f.tomb.Go(func() error { return f.upgradeEngines(ctx) })
--- a/core/crash/register.go
+++ b/core/crash/register.go
@@ -56,6 +56,9 @@
 	Observed bool
 }
 
+// Certain reports whether a trial has shown that a blocked trait crashes endpoints.
+func (c Change) Certain() bool { return c.Blocked && c.Rounds > blockThreshold }
+
 const (
 	// blameInterval is the minimum time between two calls of assignBlame.
 	blameInterval = 50 * time.Millisecond
