app/front: log the limit that an endpoint names in its answer

The logs could not decide between the hypotheses on the endpoint limit: no line held what an engine named. The attempt's line now does, -1 if it named none. The header is decoded in platform. No decision changes.

--- a/app/front/attempt.go
+++ b/app/front/attempt.go
@@ -52,6 +52,9 @@
 	shedPause = 80 * time.Millisecond
 )
 
+// noLimit is logged for an answer that named no limit.
+const noLimit = -1
+
 var (
 	errStalled  = errors.New("no answer in time from an endpoint")
 	errNoEvent  = errors.New("the connection ended before the first event")
@@ -100,7 +103,7 @@
 	if choice.Urgent() {
 		x.front.requestEarlySend()
 	}
-	attempt := &attempt{request: x, choice: choice, placement: placement, sentAt: now}
+	attempt := &attempt{request: x, choice: choice, placement: placement, sentAt: now, limit: noLimit}
 	result := attempt.run(ctx)
 	ended := driver.Now()
 	attempt.recordOutcome(ended, result)
@@ -127,6 +130,8 @@
 	sentAt      proto.Instant
 	firstByteAt proto.Instant
 	status      int
+	// limit is the number of requests per second that the endpoint named, or -1.
+	limit float64
 	// version is the last model version that the endpoint reported.
 	version        int64
 	detail         string
@@ -299,6 +304,9 @@
 	if head.HasLoad {
 		x.front.placer.ObserveLoad(driver.Now(), a.placement, head.Load)
 	}
+	if head.HasLimit {
+		a.limit = head.Limit
+	}
 	a.observeVersion(head.Version)
 }
 
@@ -500,7 +508,7 @@
 	x.front.log.Info("attempt", "id", x.info.ID, "n", x.relay.Sends(), "endpoint", string(c.Endpoint.ID),
 		"domain", string(c.Endpoint.Domain), "version", c.Version, "candidates", c.Candidates,
 		"expected_ms", c.ExpectedTTFB.Milliseconds(), "held_tokens", c.CachedTokens, "shared_tokens", c.SharedTokens, "moved_tokens", c.FetchedTokens, "again_tokens", c.RecomputedTokens, "source", c.Source,
-		"result", result.String(), "status", a.status, "detail", a.detail, "first_ms", firstMillis,
+		"result", result.String(), "status", a.status, "limit", a.limit, "detail", a.detail, "first_ms", firstMillis,
 		"took_ms", now.Sub(a.sentAt).Milliseconds(), "next", next.Action.String())
 	x.front.metrics.attempted(x.service, result, a)
 }
