--- a/standin/hosting/engine.go
+++ b/standin/hosting/engine.go
@@ -36,6 +36,7 @@
 	runs             []Run
 	failureForRun    func(run int) Failure
 	crashingPart     string
+	namedLimit       string
 	running          int
 }
 
@@ -79,6 +80,8 @@
 	LastEvent string
 	// Parts is the request's list of prompt parts.
 	Parts string
+	// At is when the run began.
+	At time.Time
 	// Finished is set once the complete response has been written.
 	Finished bool
 }
@@ -113,6 +116,24 @@
 	return e.crashingPart != "" && strings.Contains(r.Header.Get("Kumquatsill-Prompt-Prefix"), e.crashingPart+":")
 }
 
+// NameLimit makes the engine name a number of requests per second in its answers. An
+// empty string ends that.
+func (e *Engine) NameLimit(limit string) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.namedLimit = limit
+}
+
+// setResponseHeader sets what all answers of the engine itself have in common.
+func (e *Engine) setResponseHeader(h http.Header) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	h.Set("Kumquatsill-Response-Signature", "sig."+e.ID)
+	if e.namedLimit != "" {
+		h.Set("Kumquatsill-Server-Limit", e.namedLimit)
+	}
+}
+
 // Runs returns the runs so far.
 func (e *Engine) Runs() []Run {
 	e.mu.Lock()
@@ -229,7 +250,7 @@
 		resetConnection(w)
 		return
 	case ServerError:
-		w.Header().Set("Kumquatsill-Response-Signature", "sig."+e.ID)
+		e.setResponseHeader(w.Header())
 		w.WriteHeader(http.StatusInternalServerError)
 		return
 	}
@@ -257,7 +278,7 @@
 	e.runs = append(e.runs, Run{
 		AttemptID: r.Header.Get("Kumquatsill-Attempt-Id"), Account: r.Header.Get("Kumquatsill-Tenant"), Key: r.Header.Get("Authorization"),
 		Salt: r.Header.Get("Kumquatsill-Cache-Salt"), Version: e.version, Target: r.RequestURI, LastEvent: r.Header.Get("Last-Event-Id"),
-		Parts: r.Header.Get("Kumquatsill-Prompt-Prefix"),
+		Parts: r.Header.Get("Kumquatsill-Prompt-Prefix"), At: time.Now(),
 	})
 	e.running++
 	return len(e.runs) - 1, 0
@@ -293,7 +314,7 @@
 		resetConnection(w)
 		return
 	}
-	w.Header().Set("Kumquatsill-Response-Signature", "sig."+e.ID)
+	e.setResponseHeader(w.Header())
 	_, _ = fmt.Fprintf(w, "answer to %s", r.Header.Get("Kumquatsill-Attempt-Id"))
 	e.setFinished(n)
 }
@@ -305,7 +326,7 @@
 	}
 	after, _ := strconv.Atoi(r.Header.Get("Last-Event-Id")) // absent means from the start
 	w.Header().Set("Content-Type", "text/event-stream")
-	w.Header().Set("Kumquatsill-Response-Signature", "sig."+e.ID)
+	e.setResponseHeader(w.Header())
 	control := http.NewResponseController(w)
 	if e.crashes(r) {
 		_ = control.Flush() // the connection ends in any case
