core/throttle: routers keep the limits that endpoints name together

What callers saw: answers of an engine in need that got more requests than it had asked for: 13 in 4 s at a limit of 1 a second, 14 at 1.1.

Cause: the header with the limit was not read. Class: a statement of an endpoint about itself that nothing acts on.

TestLimitThatAnEngineNames: 92 requests in 4 s at 1.6 a second, 14 are allowed.

Change: a router tells its peers at once of a limit that an answer names or no longer names. As many routers share it as it allows requests in a second, those of the endpoint's failure domain first, chosen by rendezvous hashing; each may send one request beyond its rate, and the others send nothing. So the sum holds for any number of routers. The placement leaves out an endpoint beyond its limit. If all are, the request is refused at once with the time to come back. A limit of 0 is tried every 10 s, as only an answer tells that it has ended.

--- a/app/front/attempt.go
+++ b/app/front/attempt.go
@@ -1,6 +1,7 @@
 package front
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"io"
@@ -85,7 +86,7 @@
 	q := x.query()
 	choice, ok := x.front.placer.Choose(now, q)
 	if !ok {
-		return x.relay.NoEndpoint("no_endpoint", noEndpointRetryAfter)
+		return x.noEndpoint(choice)
 	}
 	if limit := overloadFactor * x.route.TargetLatency; q.Model != "" && limit > 0 && choice.ExpectedTTFB > limit {
 		return x.relay.NoEndpoint("overload", min(choice.ExpectedTTFB-x.route.TargetLatency, maxOverloadRetryAfter))
@@ -112,6 +113,15 @@
 	return decision
 }
 
+// noEndpoint returns what to do if the placement found no endpoint.
+func (x *request) noEndpoint(choice place.Choice) relay.Decision {
+	if choice.Throttled == 0 {
+		return x.relay.NoEndpoint("no_endpoint", noEndpointRetryAfter)
+	}
+	x.log = x.log.With("throttled", choice.Throttled)
+	return x.relay.NoEndpoint("endpoint_limits", min(cmp.Or(choice.ThrottledFor, noEndpointRetryAfter), maxOverloadRetryAfter))
+}
+
 // requestEarlySend requests a message to the peers before the next periodic
 // one.
 func (f *Front) requestEarlySend() {
@@ -304,6 +314,7 @@
 	if head.HasLoad {
 		x.front.placer.ObserveLoad(driver.Now(), a.placement, head.Load)
 	}
+	x.front.observeLimit(driver.Now(), a.choice.Endpoint, head)
 	if head.HasLimit {
 		a.limit = head.Limit
 	}
@@ -506,7 +517,7 @@
 	}
 	c := a.choice
 	x.front.log.Info("attempt", "id", x.info.ID, "n", x.relay.Sends(), "endpoint", string(c.Endpoint.ID),
-		"domain", string(c.Endpoint.Domain), "version", c.Version, "candidates", c.Candidates,
+		"domain", string(c.Endpoint.Domain), "version", c.Version, "candidates", c.Candidates, "throttled", c.Throttled,
 		"expected_ms", c.ExpectedTTFB.Milliseconds(), "held_tokens", c.CachedTokens, "shared_tokens", c.SharedTokens, "moved_tokens", c.FetchedTokens, "again_tokens", c.RecomputedTokens, "source", c.Source,
 		"result", result.String(), "status", a.status, "limit", a.limit, "detail", a.detail, "first_ms", firstMillis,
 		"took_ms", now.Sub(a.sentAt).Milliseconds(), "next", next.Action.String())
--- a/app/front/front.go
+++ b/app/front/front.go
@@ -23,6 +23,7 @@
 	"github.com/kumquatsill/kumquatsill/core/proto"
 	"github.com/kumquatsill/kumquatsill/core/quota"
 	"github.com/kumquatsill/kumquatsill/core/serving"
+	"github.com/kumquatsill/kumquatsill/core/throttle"
 	"github.com/kumquatsill/kumquatsill/core/upgrade"
 	"github.com/kumquatsill/kumquatsill/platform"
 	"github.com/uptrace/bunrouter"
@@ -93,9 +94,10 @@
 	draining    atomic.Bool
 	inFlight    atomic.Int64
 
-	quota   *quota.Tracker
-	placer  *place.Placer
-	crashes *crash.Register
+	quota    *quota.Tracker
+	placer   *place.Placer
+	throttle *throttle.Throttle
+	crashes  *crash.Register
 	// unsavedTraits holds the changes of blocked traits that wait to be written.
 	unsavedTraits chan crash.Change
 	// retryBudgets maps a service's name to its *relay.RetryBudget.
@@ -142,12 +144,14 @@
 	now := driver.Now()
 	incarnation := time.Now().UnixNano()
 	id := proto.RouterID(cfg.Settings.Host)
+	limits := throttle.New(throttle.Router{ID: id, Domain: cfg.Settings.Domain})
 	f := &Front{
 		cfg: cfg, log: cfg.Log, incarnation: incarnation,
 		store:            platform.NewLogStore(cfg.Settings.Store),
 		client:           upstream.New(),
 		quota:            quota.New(now, id, incarnation),
-		placer:           place.New(place.Config{Domain: cfg.Settings.Domain, Costs: place.DefaultCosts(), Seed: uint64(incarnation)}),
+		placer:           place.New(place.Config{Domain: cfg.Settings.Domain, Costs: place.DefaultCosts(), Seed: uint64(incarnation), Throttle: limits}),
+		throttle:         limits,
 		crashes:          crash.NewRegister(),
 		unsavedTraits:    make(chan crash.Change, maxUnsavedTraits),
 		table:            discovery.NewTable(),
@@ -342,6 +346,7 @@
 		f.publishEndpoints()
 	}
 	f.markSilentPeers(now)
+	f.updateLimitSharers(now)
 	f.expireLoading(now)
 	known := f.knownAddrs()
 	f.mu.Unlock()
--- a/app/front/limit_test.go
+++ b/app/front/limit_test.go
@@ -76,3 +76,30 @@
 		t.Errorf("only %d requests in %v after the limit has ended", got, window)
 	}
 }
+
+// Guards against a request that waits until its deadline, or runs, although all endpoints
+// have named a limit that is used up: it is refused at once, with the time to come back.
+func TestRequestBeyondAllLimitsIsRefusedAtOnce(t *testing.T) {
+	b := newTestbed(t)
+	b.configure(nil)
+	r := b.startReady("r1")
+	for _, e := range b.engines[2:] {
+		e.NameLimit("0")
+	}
+	for range 20 {
+		r.call("/look/1", "secret") // until the limits of both are known
+	}
+	before := len(b.engines[2].Runs()) + len(b.engines[3].Runs())
+	started := time.Now()
+	resp, err := http.DefaultClient.Do(r.request("/look/1", "secret"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	_ = resp.Body.Close()
+	if resp.StatusCode != http.StatusServiceUnavailable || resp.Header.Get("Retry-After") == "" || time.Since(started) > time.Second {
+		t.Errorf("status %d, Retry-After %q after %v", resp.StatusCode, resp.Header.Get("Retry-After"), time.Since(started))
+	}
+	if runs := len(b.engines[2].Runs()) + len(b.engines[3].Runs()); runs != before {
+		t.Errorf("%d runs", runs-before)
+	}
+}
--- a/app/front/peers.go
+++ b/app/front/peers.go
@@ -125,7 +125,7 @@
 	farPeriod = 2
 	// fullPeriod is the number of intervals between full messages, which also
 	// carry the sender's address, the routers that it hears, all that it knows of
-	// blocked traits and the announced versions.
+	// blocked traits and of limits, and the announced versions.
 	fullPeriod = 10
 	// fullMessageTime is how long every periodic message is full after the start
 	// of this router or of a peer, so that routers soon know who receives whose
@@ -193,8 +193,8 @@
 	}
 }
 
-// sendEarly reports attempts and load orders that have just begun, and endpoints that
-// have just crashed.
+// sendEarly reports attempts and load orders that have just begun, endpoints that
+// have just crashed, and limits that have just changed.
 func (f *Front) sendEarly(now proto.Instant) {
 	m := f.emptyMessage()
 	ordered := f.loadingChanged.Swap(false)
@@ -203,10 +203,11 @@
 		m.Loads, m.VersionLoaded = f.loadingEngines(now), f.loadedVersions()
 		f.mu.Unlock()
 	}
-	m.Attempts, m.Suspects = f.placer.TakeAttemptNotices(), f.crashes.Observations(now)
+	m.Attempts = f.placer.TakeAttemptNotices()
+	m.Suspects, m.Limits = f.crashes.Observations(now), f.throttle.Changes(now)
 	f.send(m, f.peersAt(near))
 	m.Attempts = firstPrefills(m.Attempts)
-	if ordered || len(m.Attempts) > 0 || len(m.Suspects) > 0 {
+	if ordered || len(m.Attempts) > 0 || len(m.Suspects) > 0 || len(m.Limits) > 0 {
 		f.sendFar(now, m)
 	}
 }
@@ -269,11 +270,11 @@
 	}
 	f.mu.Unlock()
 	if !full {
-		m.Suspects = f.crashes.Observations(now)
+		m.Suspects, m.Limits = f.crashes.Observations(now), f.throttle.Changes(now)
 		return m
 	}
 	m.Addr, m.Domain = f.cfg.Settings.PeerAddr, f.cfg.Settings.Domain
-	m.Suspects = f.crashes.State(now)
+	m.Suspects, m.Limits = f.crashes.State(now), f.throttle.State(now)
 	m.AnnouncedVersions = f.placer.AnnouncedVersions(now)
 	return m
 }
@@ -408,6 +409,7 @@
 	f.quota.Merge(now, m.Counts)
 	f.crashes.Merge(now, m.Suspects)
 	f.reportCrashChanges()
+	f.mergeLimits(now, m.Limits)
 	for _, l := range m.Loads {
 		f.placer.SetLoading(l.Endpoint, now.Add(time.Duration(l.RemainingMillis)*time.Millisecond))
 	}
--- a/core/peer/peer.go
+++ b/core/peer/peer.go
@@ -11,6 +11,7 @@
 	"github.com/kumquatsill/kumquatsill/core/place"
 	"github.com/kumquatsill/kumquatsill/core/proto"
 	"github.com/kumquatsill/kumquatsill/core/quota"
+	"github.com/kumquatsill/kumquatsill/core/throttle"
 	"github.com/zeebo/errs"
 )
 
@@ -62,9 +63,11 @@
 	// Leaving is set in the last messages of a router that shuts down.
 	Leaving bool `json:"leaving,omitempty"`
 	// Suspects is the evidence on what makes requests crash endpoints.
-	Suspects      []crash.Evidence `json:"suspects,omitempty"`
-	Loads         []Load           `json:"loads,omitempty"`
-	VersionLoaded []VersionLoaded  `json:"reached,omitempty"`
+	Suspects []crash.Evidence `json:"suspects,omitempty"`
+	// Limits lists the limits that endpoints have named to the sender.
+	Limits        []throttle.Notice `json:"limits,omitempty"`
+	Loads         []Load            `json:"loads,omitempty"`
+	VersionLoaded []VersionLoaded   `json:"reached,omitempty"`
 	// Attempts lists the attempts that were started since the last message.
 	Attempts []place.AttemptNotice `json:"attempts,omitempty"`
 	// AnnouncedVersions lists the versions that the operator has announced.
--- a/core/place/attempt.go
+++ b/core/place/attempt.go
@@ -29,6 +29,9 @@
 		return a
 	}
 	a.load = l
+	if p.cfg.Throttle != nil {
+		p.cfg.Throttle.Take(now, throttledEndpoint(c.Endpoint))
+	}
 	l.inFlight++
 	l.prefillTokens += a.prefillTokens
 	l.awaitingFirstByte[a.id] = newPendingAttempt(now, c.ExpectedTTFB)
--- a/core/place/place.go
+++ b/core/place/place.go
@@ -19,6 +19,7 @@
 	"github.com/kumquatsill/kumquatsill/core/discovery"
 	"github.com/kumquatsill/kumquatsill/core/proto"
 	"github.com/kumquatsill/kumquatsill/core/serving"
+	"github.com/kumquatsill/kumquatsill/core/throttle"
 )
 
 // Costs are the parameters of the cost function. All costs are expressed as
@@ -137,8 +138,12 @@
 	// StartWithin is the time within which the request has to begin, so that it
 	// does not run on a version that is too old; 0 means no limit.
 	StartWithin time.Duration
-	// Candidates is the number of endpoints that were eligible.
-	Candidates int
+	// Candidates is the number of endpoints that were eligible, Throttled the number of
+	// those that were not because of a limit that they name.
+	Candidates, Throttled int
+	// ThrottledFor is the least time until one of the latter may be eligible; 0 if other
+	// routers share their limits.
+	ThrottledFor time.Duration
 
 	// transfer is how long the transfer of the fetched parts takes; keys holds
 	// the key of each part of the prompt.
@@ -172,6 +177,8 @@
 	Costs  Costs
 	// Seed seeds the jitter, so that it differs between routers.
 	Seed uint64
+	// Throttle keeps the limits that endpoints name; nil means that there are none.
+	Throttle *throttle.Throttle
 }
 
 // Limits are the time limits of a Placer. They may change while it runs.
@@ -320,7 +327,7 @@
 	defer p.mu.Unlock()
 	best := Choice{}
 	bestCost := math.Inf(1)
-	found := 0
+	found, throttled := 0, throttling{}
 	s := newScorer(p, now, q)
 	oldestUsable := p.oldestUsable(now, q.Model)
 	for _, e := range p.list.ForService(q.Service) {
@@ -328,7 +335,7 @@
 			continue
 		}
 		l := p.loadFor(e)
-		if l.isLoading(now) || l.version[q.Model] < oldestUsable {
+		if l.isLoading(now) || l.version[q.Model] < oldestUsable || p.isThrottled(now, e, &throttled) {
 			continue
 		}
 		c, cost := s.score(e, l)
@@ -343,11 +350,40 @@
 			best, bestCost = c, cost
 		}
 	}
-	best.Candidates = found
+	best.Candidates, best.Throttled, best.ThrottledFor = found, throttled.endpoints, throttled.wait
 	best.StartWithin = p.startTimeLeft(now, q.Model, best.Version)
 	return best, found > 0
 }
 
+// throttling sums up the endpoints that a request was not sent to because of their
+// limits.
+type throttling struct {
+	endpoints int
+	// wait is the least time until one of them may be used, 0 if unknown.
+	wait time.Duration
+}
+
+// isThrottled reports whether the limit that an endpoint names allows no request of this
+// router now, and adds that to the sum.
+func (p *Placer) isThrottled(now proto.Instant, e *discovery.Endpoint, sum *throttling) bool {
+	if p.cfg.Throttle == nil {
+		return false
+	}
+	permission := p.cfg.Throttle.Check(now, throttledEndpoint(e))
+	if permission.OK {
+		return false
+	}
+	sum.endpoints++
+	if w := permission.Wait; w > 0 && (sum.wait == 0 || w < sum.wait) {
+		sum.wait = w
+	}
+	return true
+}
+
+func throttledEndpoint(e *discovery.Endpoint) throttle.Endpoint {
+	return throttle.Endpoint{ID: e.ID, Started: e.Started, Domain: e.Domain}
+}
+
 // Silent returns the endpoints that no longer respond or are in backoff after
 // failures, to be reported to the peers.
 func (p *Placer) Silent(now proto.Instant) []proto.EndpointID {
--- a/core/place/place_test.go
+++ b/core/place/place_test.go
@@ -9,6 +9,7 @@
 	"github.com/kumquatsill/kumquatsill/core/place"
 	"github.com/kumquatsill/kumquatsill/core/proto"
 	"github.com/kumquatsill/kumquatsill/core/serving"
+	"github.com/kumquatsill/kumquatsill/core/throttle"
 )
 
 const (
@@ -24,13 +25,15 @@
 	placer *place.Placer
 	table  *discovery.Table
 	store  *place.StoreIndex
+	limits *throttle.Throttle
 }
 
 func newFixture(t testing.TB, engines int) *fixture {
 	r := &fixture{
 		t: t, now: start, table: discovery.NewTable(), store: place.NewStoreIndex(),
-		placer: place.New(place.Config{Domain: "a", Costs: place.DefaultCosts(), Seed: 1}),
+		limits: throttle.New(throttle.Router{ID: "r", Domain: "a"}),
 	}
+	r.placer = place.New(place.Config{Domain: "a", Costs: place.DefaultCosts(), Seed: 1, Throttle: r.limits})
 	r.placer.SetLimits(place.Limits{VersionLifetime: 6 * time.Second, HeartbeatTimeout: 3 * time.Second})
 	r.placer.Configure(config(t))
 	r.placer.SetStore(storeAddr, r.store)
--- /dev/null
+++ b/core/throttle/throttle_test.go
@@ -0,0 +1,120 @@
+package throttle_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/kumquatsill/kumquatsill/core/proto"
+	"github.com/kumquatsill/kumquatsill/core/throttle"
+)
+
+const now = proto.Instant(time.Hour)
+
+var endpoint = throttle.Endpoint{ID: "e", Started: 1, Domain: "d0"}
+
+func named(perSecond float64) throttle.Limit {
+	return throttle.Limit{PerSecond: perSecond, Named: true}
+}
+
+// send sends as much as a router may for a while and returns the number of requests.
+func send(t *throttle.Throttle, from proto.Instant, d time.Duration) int {
+	n := 0
+	for at := from; at < from.Add(d); at = at.Add(10 * time.Millisecond) {
+		if t.Check(at, endpoint).OK {
+			t.Take(at, endpoint)
+			n++
+		}
+	}
+	return n
+}
+
+// Guards against sending more than the limit, or much less, through the only router.
+func TestOneRouterKeepsTheLimit(t *testing.T) {
+	for _, limit := range []float64{0.5, 1, 1.6, 20} {
+		r := throttle.New(throttle.Router{ID: "r", Domain: "d0"})
+		if !r.Check(now, endpoint).OK {
+			t.Fatal("throttled without a limit")
+		}
+		r.Observe(now, endpoint, named(limit))
+		if got, want := send(r, now, 20*time.Second), int(20*limit); got > want+1 || got < want-1 {
+			t.Errorf("limit %v: %d requests in 20 s, want %d", limit, got, want)
+		}
+	}
+}
+
+// Guards against an endpoint that is never asked again after it has named a limit of 0,
+// so that nobody learns when the limit ends.
+func TestLimitOfZeroIsTriedNowAndThen(t *testing.T) {
+	r := throttle.New(throttle.Router{ID: "r", Domain: "d0"})
+	r.Observe(now, endpoint, named(0))
+	if got := send(r, now, time.Minute); got < 1 || got > 10 {
+		t.Errorf("%d requests in a minute", got)
+	}
+}
+
+// Guards against a limit that outlasts its end, its endpoint or the endpoint's
+// incarnation.
+func TestLimitEnds(t *testing.T) {
+	ends := map[string]func(r *throttle.Throttle) throttle.Endpoint{
+		"an answer without limit": func(r *throttle.Throttle) throttle.Endpoint {
+			r.Observe(now.Add(time.Second), endpoint, throttle.Limit{})
+			return endpoint
+		},
+		"a peer's notice": func(r *throttle.Throttle) throttle.Endpoint {
+			r.Merge(now.Add(time.Second), []throttle.Notice{{Endpoint: endpoint.ID, Started: endpoint.Started, Ended: true}})
+			return endpoint
+		},
+		"deregistration": func(r *throttle.Throttle) throttle.Endpoint {
+			r.Retain(func(proto.EndpointID, int64) bool { return false })
+			return endpoint
+		},
+		"a restart": func(*throttle.Throttle) throttle.Endpoint {
+			return throttle.Endpoint{ID: endpoint.ID, Started: 2, Domain: "d0"}
+		},
+	}
+	for name, end := range ends {
+		r := throttle.New(throttle.Router{ID: "r", Domain: "d0"})
+		r.Observe(now, endpoint, named(1))
+		if !r.Check(now.Add(time.Second), end(r)).OK {
+			t.Errorf("%s: still throttled", name)
+		}
+	}
+}
+
+// Guards against an old notice that replaces a later observation.
+func TestLaterObservationCounts(t *testing.T) {
+	r := throttle.New(throttle.Router{ID: "r", Domain: "d0"})
+	r.Observe(now, endpoint, named(1))
+	r.Observe(now.Add(time.Second), endpoint, throttle.Limit{})
+	r.Merge(now.Add(2*time.Second), []throttle.Notice{{Endpoint: endpoint.ID, Started: endpoint.Started, PerSecond: 1, AgeMillis: 2000}})
+	if !r.Check(now.Add(2*time.Second), endpoint).OK {
+		t.Error("throttled by an old notice")
+	}
+}
+
+// Guards against an endpoint that nobody may use, or that too many routers share: of any
+// fleet, at least one router sends and at most as many as the limit allows in a second.
+func TestFewRoutersShareALimit(t *testing.T) {
+	const limit = 3
+	for _, size := range []int{1, 2, 3, 5, 103, 320} {
+		for _, domains := range []int{1, 3} {
+			senders := 0
+			var fleet []throttle.Router
+			for i := range size {
+				fleet = append(fleet, throttle.Router{ID: proto.RouterID(fmt.Sprint("r", i)), Domain: proto.Domain(fmt.Sprint("d", i%domains))})
+			}
+			for i, self := range fleet {
+				r := throttle.New(self)
+				r.SetRouters(append(append([]throttle.Router(nil), fleet[:i]...), fleet[i+1:]...))
+				r.Observe(now, endpoint, named(limit))
+				if send(r, now, 10*time.Second) > 0 {
+					senders++
+				}
+			}
+			if senders < 1 || senders > limit {
+				t.Errorf("%d of %d routers in %d failure domains send", senders, size, domains)
+			}
+		}
+	}
+}
