app/front: an error response does not clear what crashes endpoints

What callers saw: nothing yet; found in a review of the crash register. An endpoint that rejects a request with a status of 4xx has not begun the answer, but the response counted as one that did no harm. A harmful part would have been released and have crashed further engines.

Evidence: TestErrorResponseDoesNotReleaseABlockedPart on the code before: 15, 14 and 14 more requests with the part reach engines in three runs, where one trial is allowed.

Change: only an answer with a status below 300 clears the traits of its request.

After: the test passes, three times.

--- a/app/front/attempt.go
+++ b/app/front/attempt.go
@@ -468,7 +468,7 @@
 	switch {
 	case a.connectionLost && result == relay.Broken:
 		a.recordLoss(now)
-	case result == relay.Completed:
+	case result == relay.Completed && a.status < http.StatusMultipleChoices:
 		a.recordSurvival(now)
 	}
 }
--- a/app/front/crash_test.go
+++ b/app/front/crash_test.go
@@ -136,3 +136,33 @@
 		t.Errorf("%d of %d sound requests were served", traffic.soundServed, traffic.soundSent)
 	}
 }
+
+// Guards against an error response that clears a part which crashes engines: the engine
+// rejected the request before it began the answer.
+func TestErrorResponseDoesNotReleaseABlockedPart(t *testing.T) {
+	b := newTestbed(t)
+	b.configure(func(cfg map[string]any) { cfg["tenants"].([]any)[0].(map[string]any)["ratePerS"] = 0 })
+	traffic := &crashingTraffic{b: b, routers: []*router{b.startReady("r1")}}
+	for _, e := range b.engines[:2] {
+		e.SetCrashingPart("bad")
+	}
+	var rejects atomic.Bool
+	for _, e := range b.engines[:2] {
+		e.SetFailure(func(int) hosting.Failure {
+			if rejects.Load() {
+				return hosting.ClientError
+			}
+			return hosting.NoFailure
+		})
+	}
+	traffic.runFor(900 * time.Millisecond) // crashes, but not yet for long enough
+	rejects.Store(true)
+	traffic.runFor(50 * time.Millisecond)
+	rejects.Store(false)
+	traffic.runFor(500 * time.Millisecond)
+	before := b.crashes("bad")
+	traffic.runFor(2 * time.Second)
+	if n := b.crashes("bad") - before; n > 1 {
+		t.Errorf("%d more requests with the part reached engines, %d in all", n, before+n)
+	}
+}
--- a/standin/hosting/engine.go
+++ b/standin/hosting/engine.go
@@ -63,6 +63,8 @@
 	// UnframedEnd sends the head of a stream without length and chunks, and closes the
 	// connection.
 	UnframedEnd
+	// ClientError responds with status 400.
+	ClientError
 )
 
 // NumFailures is the number of kinds of Failure that end by themselves or with the
@@ -249,9 +251,9 @@
 	case EarlyReset:
 		resetConnection(w)
 		return
-	case ServerError:
+	case ServerError, ClientError:
 		e.setResponseHeader(w.Header())
-		w.WriteHeader(http.StatusInternalServerError)
+		w.WriteHeader(map[Failure]int{ServerError: http.StatusInternalServerError, ClientError: http.StatusBadRequest}[failure])
 		return
 	}
 	if e.Model == "" {
