core/crash: evidence takes at most a third of a datagram

What callers saw: nothing yet; found in a review. A message that outgrows a datagram is not sent at all, and with it the counts of limits would be missing. Evidence on 128 traits and 400 crashes takes up to 30 KB beside counts of up to 36 KB at 1,200 accounts.

Change: 64 traits and 200 crashes in a message, the most suspected first.

After: TestEvidenceFitsIntoAMessage, 100 endpoints that crash under 100 traits: below 20 KB.

--- a/core/crash/evidence.go
+++ b/core/crash/evidence.go
@@ -16,8 +16,8 @@
 	// tells of a trait that did no harm.
 	releaseRepeatTime = 30 * time.Second
 	// maxSharedTraits and maxSharedCrashes bound the size of a message.
-	maxSharedTraits  = 128
-	maxSharedCrashes = 400
+	maxSharedTraits  = 64
+	maxSharedCrashes = 200
 )
 
 // EndpointCrash is an endpoint that closed its connections some time ago.
--- a/core/crash/register_test.go
+++ b/core/crash/register_test.go
@@ -1,6 +1,7 @@
 package crash_test
 
 import (
+	"encoding/json"
 	"fmt"
 	"testing"
 	"time"
@@ -180,3 +181,27 @@
 		t.Fatal("no longer blocked")
 	}
 }
+
+// Guards against messages to peers that outgrow a datagram, and so are not sent at all,
+// when many endpoints crash under many requests.
+func TestEvidenceFitsIntoAMessage(t *testing.T) {
+	const maxBytes = 20_000 // a third of a datagram
+	r := crash.NewRegister()
+	for i := range 100 {
+		var traits []crash.Trait
+		for j := range 100 {
+			traits = append(traits, crash.PartTrait("m", fmt.Sprint("part", j)))
+		}
+		r.ConnectionLost(now.Add(time.Duration(i)*20*time.Millisecond), proto.EndpointID(fmt.Sprint("i-0123456789", i)), traits)
+	}
+	at := now.Add(2 * time.Second)
+	for name, evidence := range map[string][]crash.Evidence{"observations": r.Observations(at), "state": r.State(at)} {
+		data, err := json.Marshal(evidence)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if len(evidence) == 0 || len(data) > maxBytes {
+			t.Errorf("%s: %d bytes for %d traits", name, len(data), len(evidence))
+		}
+	}
+}
