core/throttle: notices take at most 10 KB of a message

What callers saw: nothing yet; found in a review. If all endpoints of a large fleet name limits, the notices of one router could crowd out the rest of its messages, which are not sent at all beyond the size of a datagram.

After: TestNoticesFitIntoAMessage with 600 endpoints: below 10 KB.

--- a/core/throttle/notices.go
+++ b/core/throttle/notices.go
@@ -16,7 +16,7 @@
 	// of a limit that has ended.
 	endRepeatTime = 30 * time.Second
 	// maxNotices bounds the notices in one message.
-	maxNotices = 256
+	maxNotices = 64
 )
 
 // Notice tells the peers of a limit that the sender has observed.
--- a/core/throttle/throttle_test.go
+++ b/core/throttle/throttle_test.go
@@ -1,6 +1,7 @@
 package throttle_test
 
 import (
+	"encoding/json"
 	"fmt"
 	"testing"
 	"time"
@@ -118,3 +119,24 @@
 		}
 	}
 }
+
+// Guards against messages to peers that outgrow a datagram when all endpoints of a large
+// fleet name a limit.
+func TestNoticesFitIntoAMessage(t *testing.T) {
+	const maxBytes = 10_000
+	r := throttle.New(throttle.Router{ID: "r", Domain: "d0"})
+	for i := range 600 {
+		e := throttle.Endpoint{ID: proto.EndpointID(fmt.Sprint("i-0123456789", i)), Started: 1770535996212, Domain: "d0"}
+		r.Observe(now, e, named(1.25))
+	}
+	at := now.Add(time.Second)
+	for name, notices := range map[string][]throttle.Notice{"changes": r.Changes(at), "state": r.State(at)} {
+		data, err := json.Marshal(notices)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if len(notices) == 0 || len(data) > maxBytes {
+			t.Errorf("%s: %d bytes for %d limits", name, len(data), len(notices))
+		}
+	}
+}
