core/place: an endpoint is asked now and then whether its limit still holds

What callers saw: nothing yet; found in a review. Only an answer without a limit tells that it has ended. Where another endpoint is always a little cheaper, nobody asks, and the endpoint stays out of use for most routers.

Evidence: TestEngineWithALimitIsAskedNowAndThen without the bonus: not asked within 5 s.

Change: a router that shares a limit of which nobody has heard for 2 s prefers the endpoint by 100 ms, less than what reading a long prompt again costs.

After: the test passes.

--- a/core/place/place.go
+++ b/core/place/place.go
@@ -86,6 +86,9 @@
 	// jitter is the greatest random addition to the cost, as a fraction of the
 	// expected time.
 	jitter = 0.3
+	// limitCheckBonus makes an endpoint preferred of which it is not known whether its
+	// limit still holds.
+	limitCheckBonus = 100 * time.Millisecond
 	// oldVersionGrace is how long after a version was announced responses of the
 	// previous version incur no cost.
 	oldVersionGrace = 1200 * time.Millisecond
@@ -335,10 +338,18 @@
 			continue
 		}
 		l := p.loadFor(e)
-		if l.isLoading(now) || l.version[q.Model] < oldestUsable || p.isThrottled(now, e, &throttled) {
+		if l.isLoading(now) || l.version[q.Model] < oldestUsable {
+			continue
+		}
+		permission := p.permission(now, e)
+		if !permission.OK {
+			throttled.add(permission)
 			continue
 		}
 		c, cost := s.score(e, l)
+		if permission.CheckDue {
+			cost -= float64(limitCheckBonus)
+		}
 		if s.retiresBeforeStart(c) {
 			continue
 		}
@@ -363,21 +374,21 @@
 	wait time.Duration
 }
 
-// isThrottled reports whether the limit that an endpoint names allows no request of this
-// router now, and adds that to the sum.
-func (p *Placer) isThrottled(now proto.Instant, e *discovery.Endpoint, sum *throttling) bool {
-	if p.cfg.Throttle == nil {
-		return false
+// add adds an endpoint whose limit allows no request now.
+func (t *throttling) add(permission throttle.Permission) {
+	t.endpoints++
+	if w := permission.Wait; w > 0 && (t.wait == 0 || w < t.wait) {
+		t.wait = w
 	}
-	permission := p.cfg.Throttle.Check(now, throttledEndpoint(e))
-	if permission.OK {
-		return false
-	}
-	sum.endpoints++
-	if w := permission.Wait; w > 0 && (sum.wait == 0 || w < sum.wait) {
-		sum.wait = w
+}
+
+// permission returns whether the limit that an endpoint names allows a request of this
+// router now.
+func (p *Placer) permission(now proto.Instant, e *discovery.Endpoint) throttle.Permission {
+	if p.cfg.Throttle == nil {
+		return throttle.Permission{OK: true}
 	}
-	return true
+	return p.cfg.Throttle.Check(now, throttledEndpoint(e))
 }
 
 func throttledEndpoint(e *discovery.Endpoint) throttle.Endpoint {
--- a/core/place/throttle_test.go
+++ b/core/place/throttle_test.go
@@ -4,6 +4,7 @@
 	"testing"
 	"time"
 
+	"github.com/kumquatsill/kumquatsill/core/place"
 	"github.com/kumquatsill/kumquatsill/core/throttle"
 )
 
@@ -48,3 +49,24 @@
 		t.Fatalf("ok %t, throttled %d, wait %v", ok, c.Throttled, c.ThrottledFor)
 	}
 }
+
+// Guards against an engine that stays limited after its limit has ended, because another
+// one is always a little cheaper and nobody asks.
+func TestEngineWithALimitIsAskedNowAndThen(t *testing.T) {
+	r := newFixture(t, 2)
+	first := r.choose(r.query("x")).Endpoint.ID
+	other := -1
+	for i := range 2 {
+		if engineID(i) != first {
+			other = i
+		}
+	}
+	r.nameLimit(other)
+	for range 50 {
+		r.now = r.now.Add(100 * time.Millisecond)
+		if r.choose(&place.Query{Service: "s", Model: model, Salt: r.query("x").Salt}).Endpoint.ID == engineID(other) {
+			return
+		}
+	}
+	t.Fatal("not asked within 5 s")
+}
--- a/core/throttle/throttle.go
+++ b/core/throttle/throttle.go
@@ -14,9 +14,14 @@
 	"github.com/kumquatsill/kumquatsill/core/proto"
 )
 
-// minRate is the rate in requests per second at which an endpoint is tried that names a
-// lower limit. Only its answers tell when the limit ends.
-const minRate = 0.1
+const (
+	// minRate is the rate in requests per second at which an endpoint is tried that names
+	// a lower limit. Only its answers tell when the limit ends.
+	minRate = 0.1
+	// checkInterval is the time since the last answer after which an endpoint with a limit
+	// is to be asked again, as the limit may have ended.
+	checkInterval = 2 * time.Second
+)
 
 // Router is a router that takes part in sharing the limits.
 type Router struct {
@@ -171,6 +176,8 @@
 	OK bool
 	// Wait is the time until it may, 0 if other routers share the limit.
 	Wait time.Duration
+	// CheckDue is set if nobody has heard for some time whether the limit still holds.
+	CheckDue bool
 }
 
 // Check returns whether this router may send a request to an endpoint now.
@@ -189,7 +196,7 @@
 	case rate == 0:
 		return Permission{}
 	case s.tokens >= 1:
-		return Permission{OK: true}
+		return Permission{OK: true, CheckDue: now.Sub(s.observedAt) >= checkInterval}
 	}
 	return Permission{Wait: time.Duration((1 - s.tokens) / rate * float64(time.Second))}
 }
