proof/soak: a harmful part and a limited endpoint beside the injected faults

Each run now has one part of prompts that crashes engines and one endpoint that names a limit of 2 a second, from its start to its end. The soak checks that at most three requests with the part reach engines once the contact time has passed after five crashes, and that the endpoint gets at most 17 requests in 4 s (1.5 times the limit, and 5), from routers that were undisturbed. The schedule of faults of each seed stays as it was.

A mutation for each shows that the checks notice; the one for stream integrity names its line again.

--- a/proof/soak/checks.go
+++ b/proof/soak/checks.go
@@ -29,6 +29,7 @@
 	// counts as a violation. It is also how long the router must have been
 	// undisturbed before the request was sent for that check to apply.
 	keyCheckMargin time.Duration
+	conditions     conditions
 }
 
 func (f *Fleet) observations(attempts []attempt) observations {
@@ -66,6 +67,8 @@
 			checkRun(a, r, fail)
 		}
 	}
+	o.checkHarmfulPart(fail)
+	o.checkLimit(fail)
 	return out
 }
 
--- a/proof/soak/clients.go
+++ b/proof/soak/clients.go
@@ -5,7 +5,6 @@
 	"io"
 	"math/rand/v2"
 	"net/http"
-	"strconv"
 	"strings"
 	"sync"
 	"time"
@@ -89,7 +88,7 @@
 	if a.kind == "sheet" || a.kind == "chat" {
 		req.Header.Set("Kumquatsill-Model", "m")
 		req.Header.Set("Kumquatsill-Token-Counts", "20,10")
-		req.Header.Set("Kumquatsill-Prompt-Prefix", "top:10,"+strconv.Itoa(rng.IntN(9))+":5,"+id+":5")
+		req.Header.Set("Kumquatsill-Prompt-Prefix", promptParts(rng, id))
 	}
 	a.sentAt = time.Now()
 	resp, err := client.Do(req)
--- a/proof/soak/mutations.go
+++ b/proof/soak/mutations.go
@@ -26,12 +26,14 @@
 	{"at-most-once", []edit{{"core/relay/relay.go", "r.ran > 0 && !r.route.Repeatable()", "false"}}},
 	{"true-not-run", []edit{{"app/front/serve.go", "status = http.StatusBadGateway", "status = http.StatusServiceUnavailable"}}},
 	{"answer-match", []edit{{"app/front/attempt.go", "body: body}", "body: []byte(strings.ToUpper(string(body)))}"}}},
-	{"stream-integrity", []edit{{"app/front/attempt.go", "errors.Is(err, io.EOF)", "err != nil"}}},
+	{"stream-integrity", []edit{{"app/front/attempt.go", "if errors.Is(err, io.EOF) {", "if err != nil {"}}},
 	{"key-secrecy", []edit{{"platform/headers.go", "perConnection[name], name == headerAuthorization, ", "perConnection[name], "}}},
 	{"account-binding", []edit{{"platform/headers.go", "h.Set(headerAccount, string(a.Account))", "h.Set(headerAccount, \"\")"}}},
 	{"cache-isolation", []edit{{"app/front/serve.go", "x.info.Model, version, isolation)", "x.info.Model, 1, isolation)"}}},
 	{"key-withdrawal", []edit{{"app/front/watch.go", "old != nil && cfg.Revision <= old.Revision", "old != nil"}}},
 	{"recovery", []edit{{"app/front/watch.go", "		backoff = min(", "		return nil\n		backoff = min("}}},
+	{"harmful-part", []edit{{"core/crash/entry.go", "blockThreshold = 3", "blockThreshold = 3000"}}},
+	{"endpoint-limit", []edit{{"core/throttle/senders.go", "return rate / float64(senders)", "return 50 * rate / float64(senders)"}}},
 	{"no-own-end", []edit{{"app/cmd/kumquatsill/front.go", "		for range hangups {", "		for range hangups {\n			os.Exit(3)"}}},
 }
 
--- a/proof/soak/soak.go
+++ b/proof/soak/soak.go
@@ -53,12 +53,14 @@
 	if !f.waitServing(readyTimeout) {
 		return result, fmt.Errorf("the fleet is not serving %v after its start", readyTimeout)
 	}
+	lasting := f.startConditions(rand.New(rand.NewPCG(cfg.Seed, 0xc0)))
 	c := startClients(f, cfg.Clients, cfg.Seed)
 	result.FaultCounts = f.injectFaults(rand.New(rand.NewPCG(cfg.Seed, 0xfa)), cfg.FaultDuration)
 	recovered := f.waitServing(recoveryTimeout)
 	attempts := c.end()
 	time.Sleep(trailingRunTime)
 	o := f.observations(attempts)
+	o.conditions = lasting
 	result.Violations = o.check()
 	f.mu.Lock()
 	for _, end := range f.unexpectedExits {
--- a/proof/soak/soak_test.go
+++ b/proof/soak/soak_test.go
@@ -1,6 +1,9 @@
 package soak
 
 import (
+	"fmt"
+	"net/http"
+	"net/http/httptest"
 	"os"
 	"path/filepath"
 	"testing"
@@ -80,6 +83,33 @@
 	}
 }
 
+// Guards against checks of the lasting conditions that cannot fail.
+func TestConditionChecksNotice(t *testing.T) {
+	router := &process{disturbedAt: time.Now().Add(-time.Hour)}
+	o := observations{runs: map[string][]hosting.Run{}}
+	for i := range 2 * knownCrashes {
+		id := fmt.Sprint("a", i)
+		at := time.Now().Add(-time.Minute + time.Duration(i)*time.Second)
+		o.attempts = append(o.attempts, attempt{id: id, kind: "chat", status: 502, router: router, sentAt: at})
+		o.runs[id] = []hosting.Run{{AttemptID: id, Account: "t1", Parts: "top:10," + harmfulPart + ":5", At: at}}
+	}
+	if v := o.check(); len(v) != 1 || v[0].Guarantee != "harmful-part" {
+		t.Errorf("harmful runs: got %v", v)
+	}
+	engine := hosting.NewEngine("i-0", "plain", "")
+	o = observations{runs: map[string][]hosting.Run{}, conditions: conditions{limited: engine, since: time.Now().Add(-time.Minute)}}
+	for i := range maxRunsInWindow + 1 {
+		req := httptest.NewRequest(http.MethodGet, "/look/x", nil)
+		req.Header.Set("Kumquatsill-Attempt-Id", fmt.Sprint("b", i))
+		req.Header.Set("Kumquatsill-Expected-Instance", "i-0")
+		engine.ServeHTTP(httptest.NewRecorder(), req)
+		o.attempts = append(o.attempts, attempt{id: fmt.Sprint("b", i), kind: "look", router: router, sentAt: time.Now()})
+	}
+	if v := o.check(); len(v) != 1 || v[0].Guarantee != "endpoint-limit" {
+		t.Errorf("runs beyond the limit: got %v", v)
+	}
+}
+
 // Guards against mutations whose text no longer occurs in the source: the checks
 // could then not be tested with them.
 func TestMutationsBuild(t *testing.T) {
