--- a/app/front/crashes.go
+++ b/app/front/crashes.go
@@ -32,11 +32,12 @@
 // written to the store that this router has observed.
 func (f *Front) reportCrashChanges() {
 	for _, c := range f.crashes.TakeChanges(driver.Now()) {
-		msg := "trait released"
+		log := f.log.With("trait", string(c.Trait), "rounds", c.Rounds, "crashes", c.Crashes, "observed", c.Observed)
 		if c.Blocked {
-			msg = "trait blocked"
+			log.Info("trait blocked")
+		} else {
+			log.Info("trait released")
 		}
-		f.log.Info(msg, "trait", string(c.Trait), "rounds", c.Rounds, "crashes", c.Crashes, "observed", c.Observed)
 		if c.Observed && (!c.Blocked || c.Certain()) {
 			f.saveTrait(c)
 		}
