--- a/app/front/attempt.go
+++ b/app/front/attempt.go
@@ -4,10 +4,7 @@
 	"cmp"
 	"context"
 	"errors"
-	"io"
 	"net/http"
-	"strconv"
-	"strings"
 	"time"
 
 	"github.com/kumquatsill/kumquatsill/app/driver"
@@ -33,13 +30,6 @@
 	// gapStallFactor is the multiple of the route's target gap between
 	// events after which the first such check is made within a stream.
 	gapStallFactor = 3
-	// maxBufferedResponse is the size up to which a response is buffered in
-	// full before it is forwarded, so that one that breaks off can be retried.
-	maxBufferedResponse = 256 << 10
-	// misdirectedPause is how long other endpoints are preferred to one at whose
-	// address another endpoint responded. It covers the time until the registry
-	// shows the new one.
-	misdirectedPause = 1500 * time.Millisecond
 	// overloadFactor is the multiple of the route's target latency above which the
 	// expected time to the first event is too long for the work to be
 	// worthwhile: callers give up on a stream after four times
@@ -48,35 +38,13 @@
 	// maxOverloadRetryAfter limits the Retry-After time of a refusal due to
 	// overload.
 	maxOverloadRetryAfter = 2 * time.Second
-	// shedPause is how long other endpoints are preferred to one that refused a
-	// request because it was too busy.
-	shedPause = 80 * time.Millisecond
 )
 
-// noLimit is logged for an answer that named no limit.
-const noLimit = -1
-
 var (
 	errStalled  = errors.New("no answer in time from an endpoint")
-	errNoEvent  = errors.New("the connection ended before the first event")
 	errOutdated = errors.New("not begun when the endpoint's version became too old")
 )
 
-// savedResponse is a complete response of an endpoint.
-type savedResponse struct {
-	status int
-	header http.Header
-	body   []byte
-}
-
-// write delivers the response to the caller.
-func (s *savedResponse) write(w http.ResponseWriter) {
-	platform.CopyResponseHeader(w.Header(), s.header, true)
-	w.Header().Set("Content-Length", strconv.Itoa(len(s.body)))
-	w.WriteHeader(s.status)
-	_, _ = w.Write(s.body) // a write only fails if the caller has left
-}
-
 // nextAttempt sends the request to one endpoint and decides what follows.
 func (x *request) nextAttempt(ctx context.Context) relay.Decision {
 	now := driver.Now()
@@ -346,180 +314,3 @@
 		a.recordSurvival(now)
 	}
 }
-
-// readResponse reads and buffers a response that is not a stream.
-func (a *attempt) readResponse(ctx context.Context, resp *upstream.Response) relay.Result {
-	a.progress()
-	x := a.request
-	body, err := io.ReadAll(io.LimitReader(resp.Body, maxBufferedResponse))
-	if err != nil {
-		a.detail = err.Error()
-		a.connectionLost = ctx.Err() == nil
-		return a.interrupted(ctx)
-	}
-	if len(body) == maxBufferedResponse {
-		return a.forwardResponse(ctx, resp, body)
-	}
-	x.saved = &savedResponse{status: resp.Status, header: resp.Header, body: body}
-	if resp.Status >= 500 {
-		return relay.Failed
-	}
-	return relay.Completed
-}
-
-// forwardResponse forwards a response that is too long to be buffered.
-func (a *attempt) forwardResponse(ctx context.Context, resp *upstream.Response, prefix []byte) relay.Result {
-	x := a.request
-	x.saved = nil
-	x.writeHead(resp)
-	if _, err := x.w.Write(prefix); err != nil {
-		return relay.CallerGone
-	}
-	_, err := io.Copy(x.w, resp.Body)
-	switch {
-	case err == nil:
-		return relay.Completed
-	case ctx.Err() == nil && x.r.Context().Err() != nil:
-		return relay.CallerGone
-	}
-	a.detail = err.Error()
-	return a.interrupted(ctx)
-}
-
-// writeHead writes the head of a response that is forwarded as it arrives.
-func (x *request) writeHead(resp *upstream.Response) {
-	if x.headWritten {
-		return
-	}
-	x.headWritten = true
-	platform.CopyResponseHeader(x.w.Header(), resp.Header, x.route.Kind != serving.Stream)
-	x.w.WriteHeader(resp.Status)
-	x.relay.ResponseStarted()
-}
-
-// forwardStream forwards complete events as they arrive.
-func (a *attempt) forwardStream(ctx context.Context, resp *upstream.Response, stall *cancelTimer) relay.Result {
-	x := a.request
-	if !strings.HasPrefix(resp.Header.Get("Content-Type"), "text/event-stream") {
-		a.detail = "not a stream"
-		return relay.Broken
-	}
-	events := upstream.NewEventReader(resp.Body)
-	control := http.NewResponseController(x.w)
-	for {
-		e, err := events.Next()
-		if errors.Is(err, io.EOF) && a.endedBeforeBegin(resp) {
-			err = errNoEvent
-		}
-		if errors.Is(err, io.EOF) {
-			x.writeHead(resp)
-			return relay.Completed
-		}
-		if err != nil {
-			a.detail = err.Error()
-			a.connectionLost = ctx.Err() == nil
-			return a.interrupted(ctx)
-		}
-		a.progress()
-		stall.Reset()
-		a.observeVersion(platform.EventVersion(e.Fields))
-		if e.HasID && x.hasLastEvent && e.ID <= x.lastEvent {
-			continue // an earlier attempt has delivered this event
-		}
-		x.writeHead(resp)
-		if _, err := x.w.Write(e.Raw); err != nil {
-			return relay.CallerGone
-		}
-		if e.HasID {
-			x.lastEvent, x.hasLastEvent = e.ID, true
-		}
-		if !events.NextBuffered() {
-			if err := control.Flush(); err != nil {
-				return relay.CallerGone
-			}
-		}
-	}
-}
-
-// endedBeforeBegin reports whether a stream that ended with its connection was broken
-// off before its first event. One that continues another may have no event left.
-func (a *attempt) endedBeforeBegin(resp *upstream.Response) bool {
-	return a.firstByteAt == 0 && !a.request.hasLastEvent && resp.EndsWithConnection()
-}
-
-// recordOutcome reports the outcome of the attempt to the placement and the
-// crash register.
-func (a *attempt) recordOutcome(now proto.Instant, result relay.Result) {
-	f := a.request.front
-	healthy := true
-	switch result {
-	case relay.Unreachable, relay.Broken, relay.Stalled:
-		healthy = false
-	case relay.Shed:
-		f.placer.Pause(now, a.choice.Endpoint.ID, shedPause)
-	case relay.Misdirected:
-		if a.respondent == a.choice.Endpoint.ID && a.choice.Version > 0 {
-			f.placer.HandleVersionMismatch(now, a.choice.Endpoint.ID, a.request.info.Model, a.choice.Version)
-		} else {
-			f.placer.Pause(now, a.choice.Endpoint.ID, misdirectedPause)
-		}
-	}
-	f.placer.EndAttempt(now, a.placement, healthy)
-	switch {
-	case a.connectionLost && result == relay.Broken:
-		a.recordLoss(now)
-	case result == relay.Completed && a.status < http.StatusMultipleChoices:
-		a.recordSurvival(now)
-	}
-}
-
-// recordLoss logs what the request has in common with others whose connection was lost,
-// and records it as a possible cause if the answer had just begun.
-func (a *attempt) recordLoss(now proto.Instant) {
-	x := a.request
-	x.front.log.Info("connection lost during a request", "id", x.info.ID, "endpoint", string(a.choice.Endpoint.ID),
-		"model", x.info.Model, "parts", partIDs(x.info.Parts), "traits", x.traits, "possible_cause", !a.isBeyondBegin(now))
-	if a.isBeyondBegin(now) {
-		return
-	}
-	x.front.crashes.ConnectionLost(now, a.choice.Endpoint.ID, x.traits)
-	x.front.reportCrashChanges()
-	x.front.requestEarlySend()
-}
-
-// isBeyondBegin reports whether the answer began long enough ago that it did not crash
-// the endpoint.
-func (a *attempt) isBeyondBegin(now proto.Instant) bool {
-	return a.firstByteAt != 0 && now.Sub(a.firstByteAt) >= crash.BeginPhase
-}
-
-// recordSurvival records that the request does not crash the endpoint.
-func (a *attempt) recordSurvival(now proto.Instant) {
-	a.survived = true
-	a.request.front.crashes.Survived(now, a.firstByteAt, a.request.traits)
-	a.request.front.reportCrashChanges()
-}
-
-// partIDs returns the IDs of prompt parts, separated by commas.
-func partIDs(parts []place.Part) string {
-	ids := make([]string, len(parts))
-	for i, p := range parts {
-		ids[i] = p.ID
-	}
-	return strings.Join(ids, ",")
-}
-
-func (a *attempt) log(now proto.Instant, result relay.Result, next relay.Decision) {
-	x := a.request
-	firstMillis := int64(-1)
-	if a.firstByteAt != 0 {
-		firstMillis = a.firstByteAt.Sub(a.sentAt).Milliseconds()
-	}
-	c := a.choice
-	x.front.log.Info("attempt", "id", x.info.ID, "n", x.relay.Sends(), "endpoint", string(c.Endpoint.ID),
-		"domain", string(c.Endpoint.Domain), "version", c.Version, "candidates", c.Candidates, "throttled", c.Throttled,
-		"expected_ms", c.ExpectedTTFB.Milliseconds(), "held_tokens", c.CachedTokens, "shared_tokens", c.SharedTokens, "moved_tokens", c.FetchedTokens, "again_tokens", c.RecomputedTokens, "source", c.Source,
-		"result", result.String(), "status", a.status, "limit", a.limit, "detail", a.detail, "first_ms", firstMillis,
-		"took_ms", now.Sub(a.sentAt).Milliseconds(), "next", next.Action.String())
-	x.front.metrics.attempted(x.service, result, a)
-}
--- /dev/null
+++ b/app/front/outcome.go
@@ -0,0 +1,102 @@
+package front
+
+import (
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/kumquatsill/kumquatsill/core/crash"
+	"github.com/kumquatsill/kumquatsill/core/place"
+	"github.com/kumquatsill/kumquatsill/core/proto"
+	"github.com/kumquatsill/kumquatsill/core/relay"
+)
+
+const (
+	// misdirectedPause is how long other endpoints are preferred to one at whose
+	// address another endpoint responded. It covers the time until the registry
+	// shows the new one.
+	misdirectedPause = 1500 * time.Millisecond
+	// shedPause is how long other endpoints are preferred to one that refused a
+	// request because it was too busy.
+	shedPause = 80 * time.Millisecond
+)
+
+// noLimit is logged for an answer that named no limit.
+const noLimit = -1
+
+// recordOutcome reports the outcome of the attempt to the placement and the
+// crash register.
+func (a *attempt) recordOutcome(now proto.Instant, result relay.Result) {
+	f := a.request.front
+	healthy := true
+	switch result {
+	case relay.Unreachable, relay.Broken, relay.Stalled:
+		healthy = false
+	case relay.Shed:
+		f.placer.Pause(now, a.choice.Endpoint.ID, shedPause)
+	case relay.Misdirected:
+		if a.respondent == a.choice.Endpoint.ID && a.choice.Version > 0 {
+			f.placer.HandleVersionMismatch(now, a.choice.Endpoint.ID, a.request.info.Model, a.choice.Version)
+		} else {
+			f.placer.Pause(now, a.choice.Endpoint.ID, misdirectedPause)
+		}
+	}
+	f.placer.EndAttempt(now, a.placement, healthy)
+	switch {
+	case a.connectionLost && result == relay.Broken:
+		a.recordLoss(now)
+	case result == relay.Completed && a.status < http.StatusMultipleChoices:
+		a.recordSurvival(now)
+	}
+}
+
+// recordLoss logs what the request has in common with others whose connection was lost,
+// and records it as a possible cause if the answer had just begun.
+func (a *attempt) recordLoss(now proto.Instant) {
+	x := a.request
+	x.front.log.Info("connection lost during a request", "id", x.info.ID, "endpoint", string(a.choice.Endpoint.ID),
+		"model", x.info.Model, "parts", partIDs(x.info.Parts), "traits", x.traits, "possible_cause", !a.isBeyondBegin(now))
+	if a.isBeyondBegin(now) {
+		return
+	}
+	x.front.crashes.ConnectionLost(now, a.choice.Endpoint.ID, x.traits)
+	x.front.reportCrashChanges()
+	x.front.requestEarlySend()
+}
+
+// isBeyondBegin reports whether the answer began long enough ago that it did not crash
+// the endpoint.
+func (a *attempt) isBeyondBegin(now proto.Instant) bool {
+	return a.firstByteAt != 0 && now.Sub(a.firstByteAt) >= crash.BeginPhase
+}
+
+// recordSurvival records that the request does not crash the endpoint.
+func (a *attempt) recordSurvival(now proto.Instant) {
+	a.survived = true
+	a.request.front.crashes.Survived(now, a.firstByteAt, a.request.traits)
+	a.request.front.reportCrashChanges()
+}
+
+// partIDs returns the IDs of prompt parts, separated by commas.
+func partIDs(parts []place.Part) string {
+	ids := make([]string, len(parts))
+	for i, p := range parts {
+		ids[i] = p.ID
+	}
+	return strings.Join(ids, ",")
+}
+
+func (a *attempt) log(now proto.Instant, result relay.Result, next relay.Decision) {
+	x := a.request
+	firstMillis := int64(-1)
+	if a.firstByteAt != 0 {
+		firstMillis = a.firstByteAt.Sub(a.sentAt).Milliseconds()
+	}
+	c := a.choice
+	x.front.log.Info("attempt", "id", x.info.ID, "n", x.relay.Sends(), "endpoint", string(c.Endpoint.ID),
+		"domain", string(c.Endpoint.Domain), "version", c.Version, "candidates", c.Candidates, "throttled", c.Throttled,
+		"expected_ms", c.ExpectedTTFB.Milliseconds(), "held_tokens", c.CachedTokens, "shared_tokens", c.SharedTokens, "moved_tokens", c.FetchedTokens, "again_tokens", c.RecomputedTokens, "source", c.Source,
+		"result", result.String(), "status", a.status, "limit", a.limit, "detail", a.detail, "first_ms", firstMillis,
+		"took_ms", now.Sub(a.sentAt).Milliseconds(), "next", next.Action.String())
+	x.front.metrics.attempted(x.service, result, a)
+}
--- a/proof/soak/mutations.go
+++ b/proof/soak/mutations.go
@@ -25,8 +25,8 @@
 var Mutations = []Mutation{
 	{"at-most-once", []edit{{"core/relay/relay.go", "r.ran > 0 && !r.route.Repeatable()", "false"}}},
 	{"true-not-run", []edit{{"app/front/serve.go", "status = http.StatusBadGateway", "status = http.StatusServiceUnavailable"}}},
-	{"answer-match", []edit{{"app/front/attempt.go", "body: body}", "body: []byte(strings.ToUpper(string(body)))}"}}},
-	{"stream-integrity", []edit{{"app/front/attempt.go", "if errors.Is(err, io.EOF) {", "if err != nil {"}}},
+	{"answer-match", []edit{{"app/front/response.go", "body: body}", "body: []byte(strings.ToUpper(string(body)))}"}}},
+	{"stream-integrity", []edit{{"app/front/response.go", "if errors.Is(err, io.EOF) {", "if err != nil {"}}},
 	{"key-secrecy", []edit{{"platform/headers.go", "perConnection[name], name == headerAuthorization, ", "perConnection[name], "}}},
 	{"account-binding", []edit{{"platform/headers.go", "h.Set(headerAccount, string(a.Account))", "h.Set(headerAccount, \"\")"}}},
 	{"cache-isolation", []edit{{"app/front/serve.go", "x.info.Model, version, isolation)", "x.info.Model, 1, isolation)"}}},
