core/crash: trials of a blocked trait without outcome grow rarer

What callers saw: nothing yet; found in a review. If the caller of a trial leaves before the engine crashes, no router sees the outcome. The next trial came 1.5 s later, so that a harmful part could go on crashing engines under impatient callers.

Change: the second trial comes 20 s after one without outcome, the next ones as after a failed one. A trial that has not run does not count.

After: at most 2 trials in a minute and 5 in an hour; TestTrialThatDidNotRunIsRepeated holds for sound traits.

--- a/app/front/attempt.go
+++ b/app/front/attempt.go
@@ -59,11 +59,13 @@
 	if limit := overloadFactor * x.route.TargetLatency; q.Model != "" && limit > 0 && choice.ExpectedTTFB > limit {
 		return x.relay.NoEndpoint("overload", min(choice.ExpectedTTFB-x.route.TargetLatency, maxOverloadRetryAfter))
 	}
-	if a := x.front.crashes.Admit(now, x.traits); !a.Allowed {
-		x.log = x.log.With("trait", string(a.Trait), "rounds", a.Rounds)
-		return x.relay.NoEndpoint("crashes_endpoints", a.RetryAfter)
-	} else if a.Trial {
-		x.front.log.Info("trial of a blocked trait", "id", x.info.ID, "trait", string(a.Trait), "rounds", a.Rounds)
+	admission := x.front.crashes.Admit(now, x.traits)
+	if !admission.Allowed {
+		x.log = x.log.With("trait", string(admission.Trait), "rounds", admission.Rounds)
+		return x.relay.NoEndpoint("crashes_endpoints", admission.RetryAfter)
+	}
+	if admission.Trial {
+		x.front.log.Info("trial of a blocked trait", "id", x.info.ID, "trait", string(admission.Trait), "rounds", admission.Rounds)
 		x.front.requestEarlySend()
 	}
 	x.relay.AttemptStarted()
@@ -72,7 +74,7 @@
 	if choice.Urgent() {
 		x.front.requestEarlySend()
 	}
-	attempt := &attempt{request: x, choice: choice, placement: placement, sentAt: now, limit: noLimit}
+	attempt := &attempt{request: x, choice: choice, placement: placement, sentAt: now, limit: noLimit, isTrial: admission.Trial}
 	result := attempt.run(ctx)
 	ended := driver.Now()
 	attempt.recordOutcome(ended, result)
@@ -114,6 +116,8 @@
 	version        int64
 	detail         string
 	connectionLost bool
+	// isTrial is set if the attempt is a trial of a blocked trait.
+	isTrial bool
 	// survived is set once the answer has shown that its request does not crash the
 	// endpoint.
 	survived bool
--- a/app/front/outcome.go
+++ b/app/front/outcome.go
@@ -47,6 +47,8 @@
 		a.recordLoss(now)
 	case result == relay.Completed && a.status < http.StatusMultipleChoices:
 		a.recordSurvival(now)
+	case a.isTrial && result.Verdict() == proto.NotRun:
+		f.crashes.TrialNotRun(a.request.traits)
 	}
 }
 
--- a/core/crash/entry.go
+++ b/core/crash/entry.go
@@ -26,11 +26,15 @@
 	// firstTrialDelay is the delay from the crash at which a trait is blocked to its
 	// first trial. It may be blocked by mistake.
 	firstTrialDelay = 1500 * time.Millisecond
-	// laterTrialDelay is the delay after that trial has failed. It grows by
-	// trialDelayFactor with each further crash, up to maxTrialDelay.
+	// secondTrialDelay is the delay after a trial whose outcome nobody has seen.
+	secondTrialDelay = 20 * time.Second
+	// laterTrialDelay is the delay after a trial that has failed, or a second one without
+	// outcome. It grows by trialDelayFactor with each further one, up to maxTrialDelay.
 	laterTrialDelay  = 2 * time.Minute
 	trialDelayFactor = 5
 	maxTrialDelay    = 6 * time.Hour
+	// sameTrialWindow is the time within which reports of a trial are about the same one.
+	sameTrialWindow = 500 * time.Millisecond
 )
 
 // endpointCrash is an endpoint that closed its connections.
@@ -49,6 +53,8 @@
 	soundAt proto.Instant
 	// trialAt is when the last trial began, refusedAt when a request was refused last.
 	trialAt, refusedAt proto.Instant
+	// trials is the number of trials since the last sound answer.
+	trials int
 	// restored is the number of rounds before the start of this router, as of
 	// restoredAt.
 	restored   int
@@ -95,7 +101,7 @@
 	if begunAt <= e.soundAt {
 		return false
 	}
-	e.soundAt, e.ownSound = begunAt, false
+	e.soundAt, e.ownSound, e.trials = begunAt, false, 0
 	e.crashes = slices.DeleteFunc(e.crashes, func(c endpointCrash) bool { return c.at <= begunAt })
 	if e.restoredAt <= begunAt {
 		e.restored = 0
@@ -136,20 +142,36 @@
 	if n := len(e.crashes); n > 0 {
 		last = max(last, e.crashes[n-1].at)
 	}
-	return last.Add(trialDelay(e.rounds()))
+	return last.Add(e.trialDelay())
 }
 
-func trialDelay(rounds int) time.Duration {
-	if rounds <= blockThreshold {
+// trialDelay returns the delay of the next trial after the last crash or trial.
+func (e *entry) trialDelay() time.Duration {
+	failed := e.rounds() - blockThreshold
+	switch {
+	case failed <= 0 && e.trials == 0:
 		return firstTrialDelay
+	case failed <= 0 && e.trials == 1:
+		return secondTrialDelay
 	}
 	d := laterTrialDelay
-	for range rounds - blockThreshold - 1 {
+	for range max(failed, e.trials-1) - 1 {
 		d = min(d*trialDelayFactor, maxTrialDelay)
 	}
 	return d
 }
 
+// startTrial records a trial that began at the given time, of this router if own is set.
+func (e *entry) startTrial(at proto.Instant, own bool) {
+	if at <= e.trialAt {
+		return
+	}
+	if e.trialAt == 0 || at.Sub(e.trialAt) >= sameTrialWindow {
+		e.trials++
+	}
+	e.trialAt, e.ownTrial = at, own
+}
+
 // lastAt returns the time of the last event.
 func (e *entry) lastAt() proto.Instant {
 	last := max(e.soundAt, e.trialAt, e.refusedAt, e.restoredAt)
--- a/core/crash/evidence.go
+++ b/core/crash/evidence.go
@@ -195,9 +195,7 @@
 		e.restored, e.restoredAt = ev.Restored, now
 		changed = true
 	}
-	if at := instantOf(now, ev.Trial); at > e.trialAt {
-		e.trialAt, e.ownTrial = at, false
-	}
+	e.startTrial(instantOf(now, ev.Trial), false)
 	e.refusedAt = max(e.refusedAt, instantOf(now, ev.Refused))
 	return changed
 }
--- a/core/crash/register.go
+++ b/core/crash/register.go
@@ -136,7 +136,8 @@
 	}
 	for _, e := range blocked {
 		if a.Allowed {
-			e.trialAt, e.ownTrial, e.observedAt = now, true, now
+			e.startTrial(now, true)
+			e.observedAt = now
 		} else {
 			e.refusedAt = now
 		}
@@ -144,6 +145,18 @@
 	return a
 }
 
+// TrialNotRun records that the trial of a request with these traits has not run, so that
+// it says nothing about them.
+func (r *Register) TrialNotRun(traits []Trait) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, t := range traits {
+		if e := r.entries[t]; e != nil && e.blocked {
+			e.trials = max(0, e.trials-1)
+		}
+	}
+}
+
 // countSent counts a request that is let through; mu must be held.
 func (r *Register) countSent(traits []Trait) {
 	for _, t := range traits {
--- a/core/crash/register_test.go
+++ b/core/crash/register_test.go
@@ -205,3 +205,43 @@
 		}
 	}
 }
+
+// Guards against trial after trial of a harmful request whose callers leave before its
+// engine crashes, so that no router sees the outcome.
+func TestTrialsWithoutOutcome(t *testing.T) {
+	r1, r2 := crash.NewRegister(), crash.NewRegister()
+	start := lose(r1, 3, bad)
+	trials := map[time.Duration]int{time.Minute: 0, time.Hour: 0}
+	for at := start; at < start.Add(time.Hour); at = at.Add(100 * time.Millisecond) {
+		r1.Merge(at, r2.State(at))
+		r2.Merge(at, r1.State(at))
+		for _, r := range []*crash.Register{r1, r2} {
+			if !r.Admit(at, []crash.Trait{bad}).Allowed {
+				continue
+			}
+			r1.Merge(at, r2.Observations(at))
+			r2.Merge(at, r1.Observations(at))
+			for within := range trials {
+				if at.Sub(start) < within {
+					trials[within]++
+				}
+			}
+		}
+	}
+	if trials[time.Minute] > 2 || trials[time.Hour] > 5 {
+		t.Fatalf("%d trials in a minute, %d in an hour", trials[time.Minute], trials[time.Hour])
+	}
+}
+
+// Guards against a sound trait that stays blocked because its trial did not run.
+func TestTrialThatDidNotRunIsRepeated(t *testing.T) {
+	r := crash.NewRegister()
+	at := lose(r, 3, first)
+	for range 5 {
+		at = at.Add(2 * time.Second)
+		if a := r.Admit(at, []crash.Trait{first}); !a.Trial {
+			t.Fatalf("no trial: %+v", a)
+		}
+		r.TrialNotRun([]crash.Trait{first})
+	}
+}
