core/crash: releases are told before the many suspects of one crash

What callers saw: nothing yet; found in a review. A message holds a bounded number of traits, those with most rounds first, so that a trait that did no harm came last. While endpoints crash under many requests, peers would have gone on refusing sound requests until a trial of their own.

Evidence: TestReleaseIsToldAmongManySuspects with the order by rounds: the peer still refuses.

After: the test passes.

--- a/core/crash/evidence.go
+++ b/core/crash/evidence.go
@@ -16,7 +16,7 @@
 	// tells of a trait that did no harm.
 	releaseRepeatTime = 30 * time.Second
 	// maxSharedTraits and maxSharedCrashes bound the size of a message.
-	maxSharedTraits  = 64
+	maxSharedTraits  = 128
 	maxSharedCrashes = 200
 )
 
@@ -60,6 +60,18 @@
 	return r.collect(now, selected, report)
 }
 
+// importance orders the traits in a message: those with several rounds by their number,
+// then those that did no harm, and last the many that were present at one crash.
+func (e *entry) importance() int {
+	switch n := e.rounds(); {
+	case n > 1:
+		return n
+	case n == 0:
+		return 1
+	}
+	return 0
+}
+
 // collect returns the evidence on the selected traits, the most important ones first.
 func (r *Register) collect(now proto.Instant, selected func(*entry) bool, report func(*entry, proto.Instant) Evidence) []Evidence {
 	r.mu.Lock()
@@ -75,7 +87,7 @@
 		}
 	}
 	slices.SortFunc(chosen, func(a, b candidate) int {
-		return cmp.Or(cmp.Compare(b.entry.rounds(), a.entry.rounds()), cmp.Compare(b.entry.lastAt(), a.entry.lastAt()), cmp.Compare(a.trait, b.trait))
+		return cmp.Or(cmp.Compare(b.entry.importance(), a.entry.importance()), cmp.Compare(b.entry.lastAt(), a.entry.lastAt()), cmp.Compare(a.trait, b.trait))
 	})
 	var evidence []Evidence
 	crashes := 0
--- a/core/crash/register_test.go
+++ b/core/crash/register_test.go
@@ -245,3 +245,20 @@
 		r.TrialNotRun([]crash.Trait{first})
 	}
 }
+
+// Guards against a peer that never hears that a trait did no harm, because many others
+// were present at one crash each.
+func TestReleaseIsToldAmongManySuspects(t *testing.T) {
+	r, peer := crash.NewRegister(), crash.NewRegister()
+	last := lose(r, 3, first)
+	peer.Merge(last, r.State(last))
+	for i := range 1000 {
+		r.ConnectionLost(last, "e9", []crash.Trait{crash.PartTrait("m", fmt.Sprint(i))})
+	}
+	at := last.Add(time.Second)
+	r.Survived(at, last.Add(time.Millisecond), []crash.Trait{first})
+	peer.Merge(at, r.Observations(at))
+	if !allows(peer, at, first) {
+		t.Fatal("still refused by the peer")
+	}
+}
