--- a/app/front/crash_test.go
+++ b/app/front/crash_test.go
@@ -55,7 +55,7 @@
 }
 
 // Guards against engines that crash one after the other under requests of which no
-// two are alike, but which share one part of their prompts (incident inc1): once all
+// two are alike, but which share one part of their prompts (incident crashing-part): once all
 // routers know of five crashes, hardly any such request may reach an engine, while
 // sound requests of the same account and first part are served.
 func TestPartThatCrashesEnginesIsRefused(t *testing.T) {
--- a/app/front/limit_test.go
+++ b/app/front/limit_test.go
@@ -32,7 +32,7 @@
 }
 
 // Guards against engines in need that get more requests, from all routers together, than
-// the limit that they name (incident second1), and against a limit that outlasts its end.
+// the limit that they name (incident endpoint-limit), and against a limit that outlasts its end.
 func TestLimitThatAnEngineNames(t *testing.T) {
 	const (
 		window   = 4 * time.Second
--- a/core/crash/fleet_test.go
+++ b/core/crash/fleet_test.go
@@ -220,7 +220,7 @@
 }
 
 // Pattern: requests with one harmful part come at all routers, densely, in a burst or
-// now and then, among sound requests that share their first part (incident inc1).
+// now and then, among sound requests that share their first part (incident crashing-part).
 // Guards against engines that crash one after the other, and against refusing the sound
 // requests.
 func TestFleetStopsAHarmfulPart(t *testing.T) {
--- a/core/throttle/fleet_test.go
+++ b/core/throttle/fleet_test.go
@@ -176,7 +176,7 @@
 }
 
 // Pattern: an endpoint names a limit far below what all routers together want to send
-// (incident second1), while one of them is replaced. Guards against a sum that grows with
+// (incident endpoint-limit), while one of them is replaced. Guards against a sum that grows with
 // the number of routers, and against a limit that is hardly used.
 func TestFleetKeepsALimitTogether(t *testing.T) {
 	for _, size := range []struct {
