app/front: the attempt's log line tells silence from a lost begin

To tell apart, for a lost answer, an endpoint that was silent from one that was not, and an answer that had begun from one that had not: silent_ms and begun on each attempt.

--- a/app/front/attempt.go
+++ b/app/front/attempt.go
@@ -106,10 +106,12 @@
 	request *request
 	choice  place.Choice
 	// placement is the placer's record of this attempt.
-	placement   *place.Attempt
-	sentAt      proto.Instant
-	firstByteAt proto.Instant
-	status      int
+	placement *place.Attempt
+	sentAt    proto.Instant
+	// firstByteAt and lastByteAt are when the first and the last part of the response
+	// arrived, or 0.
+	firstByteAt, lastByteAt proto.Instant
+	status                  int
 	// limit is the number of requests per second that the endpoint named, or -1.
 	limit float64
 	// version is the last model version that the endpoint reported.
@@ -307,6 +309,7 @@
 // progress records that a part of the response has arrived.
 func (a *attempt) progress() {
 	now := driver.Now()
+	a.lastByteAt = now
 	if a.firstByteAt == 0 {
 		a.firstByteAt = now
 		a.versionTimer.Stop()
--- a/app/front/outcome.go
+++ b/app/front/outcome.go
@@ -94,11 +94,12 @@
 	if a.firstByteAt != 0 {
 		firstMillis = a.firstByteAt.Sub(a.sentAt).Milliseconds()
 	}
+	silentFor := now.Sub(max(a.sentAt, a.lastByteAt))
 	c := a.choice
 	x.front.log.Info("attempt", "id", x.info.ID, "n", x.relay.Sends(), "endpoint", string(c.Endpoint.ID),
 		"domain", string(c.Endpoint.Domain), "version", c.Version, "candidates", c.Candidates, "throttled", c.Throttled,
 		"expected_ms", c.ExpectedTTFB.Milliseconds(), "held_tokens", c.CachedTokens, "shared_tokens", c.SharedTokens, "moved_tokens", c.FetchedTokens, "again_tokens", c.RecomputedTokens, "source", c.Source,
 		"result", result.String(), "status", a.status, "limit", a.limit, "detail", a.detail, "first_ms", firstMillis,
-		"took_ms", now.Sub(a.sentAt).Milliseconds(), "next", next.Action.String())
+		"silent_ms", silentFor.Milliseconds(), "begun", x.headWritten, "took_ms", now.Sub(a.sentAt).Milliseconds(), "next", next.Action.String())
 	x.front.metrics.attempted(x.service, result, a)
 }
