app/front: failing tests of endpoints that are only silent for a while

Callers lose the answer of a sound endpoint: a resumable stream whose endpoint pauses for 2.5 s is cut off after its first event (status 0, events "1", where 1,2 were to come), an idempotent call gets 502, if no other endpoint can take the request or the retry budget is spent.

This shows the first hypothesis of the lost answer: the attempt is canceled before anything is known of where the request could go on.

--- a/standin/hosting/engine.go
+++ b/standin/hosting/engine.go
@@ -23,6 +23,8 @@
 	// two of them.
 	Events        int
 	EventInterval time.Duration
+	// ResponseDelay is how long a plain service takes to respond.
+	ResponseDelay time.Duration
 	// RejectsLoads makes the engine respond to each order as if it were busy.
 	RejectsLoads bool
 
@@ -316,6 +318,11 @@
 		resetConnection(w)
 		return
 	}
+	select {
+	case <-r.Context().Done():
+		return
+	case <-time.After(e.ResponseDelay):
+	}
 	e.setResponseHeader(w.Header())
 	_, _ = fmt.Fprintf(w, "answer to %s", r.Header.Get("Kumquatsill-Attempt-Id"))
 	e.setFinished(n)
