app/front, core/relay: a stalled endpoint is given up only for a certain retry

Callers lost the answers of sound endpoints: a begun stream was cut off, a call got 502, because the endpoint had been silent for about a second.

Cause: watchStall canceled the attempt first, and only then nextAttempt looked for another endpoint and asked the retry budget. If either said no, nothing was left to deliver. Class: something is given up before its replacement is certain.

Change: the watch asks the placement for another endpoint that responds and is not overloaded, and relay.Request.ReserveRetry for the retry, before it cancels. An overloaded endpoint does not end a response that has begun.

Conclusion: an attempt that was given up for silence is followed by another one.

--- a/app/front/attempt.go
+++ b/app/front/attempt.go
@@ -21,15 +21,6 @@
 	// maxIdleNonRepeatable is the longest idle time of a connection that may
 	// carry a non-repeatable request.
 	maxIdleNonRepeatable = 1500 * time.Millisecond
-	// callStallFactor is the multiple of the route's target latency after which a
-	// repeatable call is retried at another endpoint.
-	callStallFactor = 2
-	// silenceCheckInterval is the time between two checks whether the endpoint
-	// of a resumable stream has stopped responding.
-	silenceCheckInterval = 250 * time.Millisecond
-	// gapStallFactor is the multiple of the route's target gap between
-	// events after which the first such check is made within a stream.
-	gapStallFactor = 3
 	// overloadFactor is the multiple of the route's target latency above which the
 	// expected time to the first event is too long for the work to be
 	// worthwhile: callers give up on a stream after four times
@@ -56,7 +47,7 @@
 	if !ok {
 		return x.noEndpoint(choice)
 	}
-	if limit := overloadFactor * x.route.TargetLatency; q.Model != "" && limit > 0 && choice.ExpectedTTFB > limit {
+	if !x.headWritten && x.isOverloaded(q, choice) {
 		return x.relay.NoEndpoint("overload", min(choice.ExpectedTTFB-x.route.TargetLatency, maxOverloadRetryAfter))
 	}
 	admission := x.front.crashes.Admit(now, x.traits)
@@ -83,6 +74,13 @@
 	return decision
 }
 
+// isOverloaded reports whether a request would wait for so long at the chosen endpoint
+// that its caller gives up.
+func (x *request) isOverloaded(q *place.Query, choice place.Choice) bool {
+	limit := overloadFactor * x.route.TargetLatency
+	return q.Model != "" && limit > 0 && choice.ExpectedTTFB > limit
+}
+
 // noEndpoint returns what to do if the placement found no endpoint.
 func (x *request) noEndpoint(choice place.Choice) relay.Decision {
 	if choice.Throttled == 0 {
@@ -124,7 +122,7 @@
 	// endpoint.
 	survived bool
 	// versionTimer cancels the request if it does not begin in time.
-	versionTimer *cancelTimer
+	versionTimer *checkTimer
 	// respondent is the endpoint that rejected a misdirected request.
 	respondent proto.EndpointID
 }
@@ -163,73 +161,6 @@
 	return a.readResponse(ctx, resp)
 }
 
-// cancelTimer cancels an attempt at a stalled endpoint or on an outdated
-// version. A cancelTimer whose field timer is nil does nothing.
-type cancelTimer struct {
-	timer  *time.Timer
-	maxGap time.Duration
-}
-
-// Stop stops the timer.
-func (s *cancelTimer) Stop() {
-	if s.timer != nil {
-		s.timer.Stop()
-	}
-}
-
-// Reset restarts the timer with the time allowed between two events.
-func (s *cancelTimer) Reset() {
-	if s.timer != nil && s.maxGap > 0 {
-		s.timer.Reset(s.maxGap)
-	}
-}
-
-// watchStall cancels the attempt of a repeatable request that may still be
-// tried elsewhere: a call when its time is over, a stream only if the endpoint
-// has also stopped responding. An endpoint that is merely slow keeps its
-// streams, because recomputing their prompts elsewhere would slow down all
-// engines.
-func (a *attempt) watchStall(cancel context.CancelCauseFunc) *cancelTimer {
-	route := a.request.route
-	if !route.Repeatable() || route.TargetLatency <= 0 || len(a.request.triedEndpoints) >= route.Attempts {
-		return &cancelTimer{}
-	}
-	if route.Kind != serving.Stream {
-		return &cancelTimer{timer: time.AfterFunc(callStallFactor*route.TargetLatency, func() { cancel(errStalled) })}
-	}
-	s := &cancelTimer{maxGap: gapStallFactor * route.TargetGap}
-	id := a.choice.Endpoint.ID
-	s.timer = time.AfterFunc(route.TargetLatency, func() {
-		if a.request.front.placer.IsSilent(driver.Now(), id) {
-			cancel(errStalled)
-			return
-		}
-		s.timer.Reset(silenceCheckInterval)
-	})
-	return s
-}
-
-// watchVersion cancels the attempt if it has not begun when the model version
-// that it was sent to becomes too old.
-func (a *attempt) watchVersion(cancel context.CancelCauseFunc) *cancelTimer {
-	s := &cancelTimer{}
-	if a.choice.StartWithin <= 0 {
-		return s
-	}
-	x := a.request
-	s.timer = time.AfterFunc(a.choice.StartWithin, func() {
-		// A newer version may not have been announced until after the request
-		// was sent.
-		left := x.front.placer.StartTimeLeft(driver.Now(), x.info.Model, a.choice.Version)
-		if left > 0 {
-			s.timer.Reset(left)
-			return
-		}
-		cancel(errOutdated)
-	})
-	return s
-}
-
 func (a *attempt) upstreamRequest() *upstream.Request {
 	x := a.request
 	attrs := platform.Attempt{
--- a/app/front/response.go
+++ b/app/front/response.go
@@ -86,7 +86,7 @@
 }
 
 // forwardStream forwards complete events as they arrive.
-func (a *attempt) forwardStream(ctx context.Context, resp *upstream.Response, stall *cancelTimer) relay.Result {
+func (a *attempt) forwardStream(ctx context.Context, resp *upstream.Response, stall *stallWatch) relay.Result {
 	x := a.request
 	if !strings.HasPrefix(resp.Header.Get("Content-Type"), "text/event-stream") {
 		a.detail = "not a stream"
@@ -109,7 +109,7 @@
 			return a.interrupted(ctx)
 		}
 		a.progress()
-		stall.Reset()
+		stall.dataReceived()
 		a.observeVersion(platform.EventVersion(e.Fields))
 		if e.HasID && x.hasLastEvent && e.ID <= x.lastEvent {
 			continue // an earlier attempt has delivered this event
--- a/core/relay/relay.go
+++ b/core/relay/relay.go
@@ -131,6 +131,8 @@
 	unknownOutcomes int
 	// responseStarted is set once the head of a response has been sent to the caller.
 	responseStarted bool
+	// retryReserved is set once the retry budget has granted the next retry.
+	retryReserved bool
 	// hasErrorResponse is set once an endpoint has returned a server error, which
 	// can be forwarded if no later attempt succeeds.
 	hasErrorResponse bool
@@ -172,25 +174,43 @@
 	case Broken, Stalled:
 		r.unknownOutcomes++
 	}
-	if reason := r.stopReason(result, left); reason != "" {
+	if reason := r.stopReason(r.ran, r.unknownOutcomes, left); reason != "" {
 		return r.giveUp(reason)
 	}
-	if !r.budget.Take(now) {
-		return r.giveUp("retry_budget_spent")
+	if !r.retryReserved && !r.budget.Take(now) {
+		return r.giveUp(retryBudgetSpent)
 	}
+	r.retryReserved = false
 	return Decision{Action: Retry, Reason: "retry_after_" + result.String()}
 }
 
-// stopReason returns why the request may not be retried, or "".
-func (r *Request) stopReason(result Result, left time.Duration) string {
+// ReserveRetry reserves the retry that follows if the attempt in progress is abandoned
+// as Stalled. It returns why there can be none, or "" if AttemptEnded will return Retry.
+func (r *Request) ReserveRetry(now proto.Instant, left time.Duration) string {
+	if reason := r.stopReason(r.ran+1, r.unknownOutcomes+1, left); reason != "" {
+		return reason
+	}
+	if !r.retryReserved && !r.budget.Take(now) {
+		return retryBudgetSpent
+	}
+	r.retryReserved = true
+	return ""
+}
+
+// retryBudgetSpent is the reason if the retry budget does not allow a retry.
+const retryBudgetSpent = "retry_budget_spent"
+
+// stopReason returns why a request may not be retried after a number of attempts that
+// ran or may have run, and of those without a valid response, or "".
+func (r *Request) stopReason(ran, unknownOutcomes int, left time.Duration) string {
 	switch {
-	case r.ran > 0 && !r.route.Repeatable():
+	case ran > 0 && !r.route.Repeatable():
 		return "may_have_run"
-	case r.ran >= max(1, r.route.Attempts):
+	case ran >= max(1, r.route.Attempts):
 		return "attempts_spent"
 	case r.sends >= maxSends:
 		return "sends_spent"
-	case r.unknownOutcomes >= maxUnknownOutcomes:
+	case unknownOutcomes >= maxUnknownOutcomes:
 		return "broke_off_twice"
 	case left < minAttemptTime:
 		return "no_time_left"
--- a/core/relay/relay_test.go
+++ b/core/relay/relay_test.go
@@ -1,6 +1,7 @@
 package relay_test
 
 import (
+	"cmp"
 	"fmt"
 	"strings"
 	"testing"
@@ -56,9 +57,13 @@
 		r := relay.New(route, budget)
 		var out strings.Builder
 		for name := range strings.FieldsSeq(d.Input) {
-			if name == "event" {
+			switch name {
+			case "event":
 				r.ResponseStarted()
 				continue
+			case "reserve": // during an attempt
+				fmt.Fprintf(&out, "reserve: %s\n", cmp.Or(r.ReserveRetry(0, left), "reserved"))
+				continue
 			}
 			r.AttemptStarted()
 			a := r.AttemptEnded(0, parseResult(t, name), left)
