core/place: a begun answer stalls by its endpoint's silence alone

Callers of resumable streams were moved to another endpoint, at the price of a pause and a prompt that was computed again, although their own endpoint was sending.

Cause: IsSilent, made for choosing endpoints, decided on cutting streams too. It is true for an endpoint that has left the list, which may serve on until its drain is over, and for one at which some other request waits for longer than expected. Class: an estimate that is cheap to get wrong when choosing decides on what cannot be undone.

Change: HasStalled asks for the attempt, not the endpoint's ID.

--- a/app/front/stall.go
+++ b/app/front/stall.go
@@ -82,7 +82,7 @@
 
 func (w *stallWatch) hasStalled(now proto.Instant) bool {
 	x := w.attempt.request
-	return x.route.Kind != serving.Stream || x.front.placer.IsSilent(now, w.attempt.choice.Endpoint.ID)
+	return x.route.Kind != serving.Stream || x.front.placer.HasStalled(now, w.attempt.placement)
 }
 
 // obstacle returns why the request cannot be attempted elsewhere now, or "" after it has
--- a/core/place/load.go
+++ b/core/place/load.go
@@ -131,6 +131,18 @@
 	return false
 }
 
+// responseOverdue reports whether an endpoint with requests in flight has sent no data
+// for maxResponseGap.
+func (l *load) responseOverdue(now proto.Instant) bool {
+	return l.inFlight > 0 && now.Sub(l.response.at()) > maxResponseGap
+}
+
+// isUnresponsive reports whether the endpoint no longer responds to this router or to a
+// peer.
+func (l *load) isUnresponsive(now proto.Instant) bool {
+	return l.isSilent(now) || now < l.silentUntil || l.responseOverdue(now)
+}
+
 // pendingAttempt is an attempt without a first byte; due is when it becomes
 // overdue.
 type pendingAttempt struct{ sentAt, due proto.Instant }
--- a/core/place/place.go
+++ b/core/place/place.go
@@ -414,7 +414,22 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	l := p.loads[id]
-	return l == nil || l.isSilent(now) || now < l.silentUntil || l.inFlight > 0 && now.Sub(l.response.at()) > maxResponseGap
+	return l == nil || l.isUnresponsive(now)
+}
+
+// HasStalled reports whether the endpoint of an attempt no longer responds. One that has
+// begun to respond to the attempt counts as responsive for maxResponseGap after its last
+// data. An endpoint that is no longer listed may still serve.
+func (p *Placer) HasStalled(now proto.Instant, a *Attempt) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	switch {
+	case a.load == nil:
+		return false
+	case a.gotFirstByte:
+		return a.load.responseOverdue(now)
+	}
+	return a.load.isUnresponsive(now)
 }
 
 // HandleSilent records that an endpoint no longer responds to a peer.
