app/front, core/relay: a begun response waits for an endpoint instead of ending

Callers of resumable streams lost the rest of an answer: its endpoint broke off, or was given up, and at that moment no other endpoint could take it (all were leaving, loading or tried already). The connection was closed.

Cause: a response that has begun can neither be refused nor fail, and the only thing left was to abort it at once. Class: a decision for good on a state that lasts for moments.

Change: relay's new action Wait, only for responses that have begun. The router looks for an endpoint every 50 ms, tried ones included, until the deadline or until the caller has left; sends, attempts and the retry budget count as before.

--- a/app/front/attempt.go
+++ b/app/front/attempt.go
@@ -39,8 +39,11 @@
 // nextAttempt sends the request to one endpoint and decides what follows.
 func (x *request) nextAttempt(ctx context.Context) relay.Decision {
 	now := driver.Now()
-	if x.deadline.Sub(now) <= 0 {
+	switch {
+	case x.deadline.Sub(now) <= 0:
 		return x.relay.Expired()
+	case x.r.Context().Err() != nil:
+		return x.relay.CallerGone()
 	}
 	q := x.query()
 	choice, ok := x.front.placer.Choose(now, q)
--- a/app/front/serve.go
+++ b/app/front/serve.go
@@ -92,11 +92,16 @@
 	defer cancel()
 	for {
 		decision := x.nextAttempt(ctx)
-		if decision.Action == relay.Retry {
-			continue
+		switch decision.Action {
+		case relay.Retry:
+		case relay.Wait:
+			// Endpoints that could not take the request before may do so now.
+			x.triedEndpoints = nil
+			sleep(ctx, decision.RetryAfter)
+		default:
+			x.finish(decision)
+			return
 		}
-		x.finish(decision)
-		return
 	}
 }
 
--- a/app/front/silence_test.go
+++ b/app/front/silence_test.go
@@ -79,3 +79,21 @@
 		}
 	}
 }
+
+// Guards against cutting off a stream that broke off while no other endpoint could take it
+// for a moment: it goes on as soon as one can.
+func TestBegunStreamWaitsForAnEndpoint(t *testing.T) {
+	b := newTestbed(t)
+	b.configure(nil)
+	b.register(1, "draining")
+	b.engines[0].SetFailure(func(run int) hosting.Failure {
+		if run == 0 {
+			return hosting.ConnectionReset
+		}
+		return hosting.NoFailure
+	})
+	r := b.awaitEndpoints(b.start("r1"))
+	if status, body := r.callPatiently("/sheet/1"); status != http.StatusOK || eventIDs(body) != "1,2,3,4,5" {
+		t.Errorf("status %d, events %q", status, eventIDs(body))
+	}
+}
--- a/core/relay/relay.go
+++ b/core/relay/relay.go
@@ -24,6 +24,9 @@
 	// shortRetryAfter is the Retry-After value for failures that may not recur
 	// shortly after or at another router.
 	shortRetryAfter = 200 * time.Millisecond
+	// endpointPollInterval is how long a response that has begun waits between two
+	// searches for an endpoint that goes on with it.
+	endpointPollInterval = 50 * time.Millisecond
 )
 
 // Result is how an attempt ended.
@@ -83,6 +86,8 @@
 const (
 	// Retry makes another attempt at a different endpoint.
 	Retry Action = iota
+	// Wait makes another attempt after RetryAfter.
+	Wait
 	// Deliver forwards the endpoint's response.
 	Deliver
 	// Refuse tells the caller that the request did not run and will not run.
@@ -98,7 +103,7 @@
 )
 
 var actionNames = [...]string{
-	Retry: "send", Deliver: "deliver", Refuse: "refuse", Fail: "fail", Expire: "expire", Abort: "abort", Drop: "drop",
+	Retry: "send", Wait: "wait", Deliver: "deliver", Refuse: "refuse", Fail: "fail", Expire: "expire", Abort: "abort", Drop: "drop",
 }
 
 // String returns the name used in logs and metrics.
@@ -109,8 +114,8 @@
 	Action Action
 	// Reason is a short identifier for logs.
 	Reason string
-	// RetryAfter is how long the caller should wait before a retry; used only with
-	// Refuse.
+	// RetryAfter is how long the caller should wait before a retry; with Wait, how long
+	// the router waits. It is not used with other actions.
 	RetryAfter time.Duration
 }
 
@@ -166,7 +171,7 @@
 	case Completed:
 		return Decision{Action: Deliver, Reason: "answered"}
 	case CallerGone:
-		return Decision{Action: Drop, Reason: "caller_gone"}
+		return r.CallerGone()
 	case DeadlineExceeded:
 		return r.expired()
 	case Failed:
@@ -218,13 +223,22 @@
 	return ""
 }
 
-// NoEndpoint returns what to do when no endpoint can take the next attempt.
+// NoEndpoint returns what to do when no endpoint can take the next attempt. A response
+// that has begun cannot be refused any more and waits for an endpoint.
 func (r *Request) NoEndpoint(reason string, retryAfter time.Duration) Decision {
+	if r.responseStarted {
+		return Decision{Action: Wait, Reason: reason, RetryAfter: endpointPollInterval}
+	}
 	d := r.giveUp(reason)
 	d.RetryAfter = retryAfter
 	return d
 }
 
+// CallerGone returns what to do when the caller leaves between two attempts.
+func (r *Request) CallerGone() Decision {
+	return Decision{Action: Drop, Reason: CallerGone.String()}
+}
+
 // Expired returns what to do when the deadline passes between two attempts.
 func (r *Request) Expired() Decision { return r.expired() }
 
