core/relay: what the caller has been sent decides what may follow

Callers saw the text of an error, at times of half a megabyte, at the end of a stream that looked complete; streams that ended as complete after a part of their events, or that lacked events or had them twice; and a long response followed by a second copy of itself.

Cause: a response that had begun was known only as a flag that kept a second head from being written. Whatever a later attempt returned was written behind it: the saved answer of an engine that rejected the request, a saved server error although another attempt had streamed to the end meanwhile, and the second copy of a long plain response that broke off. Nothing compared the events of a second attempt with the caller's position: a gap, a stream that ends before that position, one that ends with its connection without any event, or one that follows events without ids all passed.

Change: relay.Delivery holds what was sent (nothing, a stream up to an event, a part of another body) and alone decides what may follow. The decisions on retries use it, an attempt whose response cannot follow ends with the result "unusable", and a saved response is delivered only if nothing was sent.

--- a/app/front/attempt.go
+++ b/app/front/attempt.go
@@ -240,9 +240,7 @@
 	if x.route.PromptParts {
 		attrs.Priority, attrs.HasPriority = x.priority(), true
 	}
-	if x.hasLastEvent {
-		attrs.LastEvent, attrs.HasLastEvent = x.lastEvent, true
-	}
+	attrs.LastEvent, attrs.HasLastEvent = x.relay.Delivery().LastEvent()
 	req := &upstream.Request{
 		Addr: a.choice.Endpoint.Addr, Method: x.r.Method, Target: x.r.RequestURI, Host: x.r.Host,
 		Header: platform.RequestHeader(x.r.Header, attrs), Body: x.body,
--- a/app/front/response.go
+++ b/app/front/response.go
@@ -18,7 +18,12 @@
 // full before it is forwarded, so that one that breaks off can be retried.
 const maxBufferedResponse = 256 << 10
 
-var errNoEvent = errors.New("the connection ended before the first event")
+var (
+	errNoEvent       = errors.New("the connection ended before the first event")
+	errCannotFollow  = errors.New("the answer cannot follow the part of a stream that the caller has")
+	errEventNotNext  = errors.New("an event does not follow those that the caller has")
+	errShorterStream = errors.New("the stream ended before the caller's position in it")
+)
 
 // savedResponse is a complete response of an endpoint.
 type savedResponse struct {
@@ -39,11 +44,13 @@
 func (a *attempt) readResponse(ctx context.Context, resp *upstream.Response) relay.Result {
 	a.progress()
 	x := a.request
+	if !x.relay.Delivery().IsEmpty() {
+		resp.Discard()
+		return a.unusable(errCannotFollow)
+	}
 	body, err := io.ReadAll(io.LimitReader(resp.Body, maxBufferedResponse))
 	if err != nil {
-		a.detail = err.Error()
-		a.connectionLost = ctx.Err() == nil
-		return a.interrupted(ctx)
+		return a.brokenOff(ctx, err)
 	}
 	if len(body) == maxBufferedResponse {
 		return a.forwardResponse(ctx, resp, body)
@@ -58,7 +65,7 @@
 // forwardResponse forwards a response that is too long to be buffered.
 func (a *attempt) forwardResponse(ctx context.Context, resp *upstream.Response, prefix []byte) relay.Result {
 	x := a.request
-	x.saved = nil
+	x.relay.Delivery().BeginBody()
 	x.writeHead(resp)
 	if _, err := x.w.Write(prefix); err != nil {
 		return relay.CallerGone
@@ -76,13 +83,16 @@
 
 // writeHead writes the head of a response that is forwarded as it arrives.
 func (x *request) writeHead(resp *upstream.Response) {
-	if x.headWritten {
-		return
-	}
-	x.headWritten = true
 	platform.CopyResponseHeader(x.w.Header(), resp.Header, x.route.Kind != serving.Stream)
 	x.w.WriteHeader(resp.Status)
-	x.relay.ResponseStarted()
+}
+
+// beginStream writes the head of a stream unless an earlier attempt has done so.
+func (x *request) beginStream(resp *upstream.Response) {
+	if delivery := x.relay.Delivery(); delivery.IsEmpty() {
+		delivery.BeginStream()
+		x.writeHead(resp)
+	}
 }
 
 // forwardStream forwards complete events as they arrive.
@@ -93,44 +103,69 @@
 		return relay.Broken
 	}
 	events := upstream.NewEventReader(resp.Body)
-	control := http.NewResponseController(x.w)
 	for {
 		e, err := events.Next()
-		if errors.Is(err, io.EOF) && a.endedBeforeBegin(resp) {
-			err = errNoEvent
-		}
 		if errors.Is(err, io.EOF) {
-			x.writeHead(resp)
-			return relay.Completed
+			return a.endStream(ctx, resp)
 		}
 		if err != nil {
-			a.detail = err.Error()
-			a.connectionLost = ctx.Err() == nil
-			return a.interrupted(ctx)
+			return a.brokenOff(ctx, err)
 		}
 		a.progress()
 		stall.Reset()
 		a.observeVersion(platform.EventVersion(e.Fields))
-		if e.HasID && x.hasLastEvent && e.ID <= x.lastEvent {
-			continue // an earlier attempt has delivered this event
+		switch x.relay.Delivery().ReceiveEvent(deliveryEvent(e)) {
+		case relay.SkipEvent:
+			continue
+		case relay.RejectEvent:
+			return a.unusable(errEventNotNext)
 		}
-		x.writeHead(resp)
-		if _, err := x.w.Write(e.Raw); err != nil {
+		x.beginStream(resp)
+		if err := x.forwardEvent(e, !events.NextBuffered()); err != nil {
 			return relay.CallerGone
 		}
-		if e.HasID {
-			x.lastEvent, x.hasLastEvent = e.ID, true
-		}
-		if !events.NextBuffered() {
-			if err := control.Flush(); err != nil {
-				return relay.CallerGone
-			}
-		}
 	}
 }
 
-// endedBeforeBegin reports whether a stream that ended with its connection was broken
-// off before its first event. One that continues another may have no event left.
-func (a *attempt) endedBeforeBegin(resp *upstream.Response) bool {
-	return a.firstByteAt == 0 && !a.request.hasLastEvent && resp.EndsWithConnection()
+// forwardEvent sends an event to the caller, at once if flush is set.
+func (x *request) forwardEvent(e upstream.Event, flush bool) error {
+	if _, err := x.w.Write(e.Raw); err != nil {
+		return Error.Wrap(err)
+	}
+	x.relay.Delivery().EventSent(deliveryEvent(e))
+	if !flush {
+		return nil
+	}
+	return Error.Wrap(http.NewResponseController(x.w).Flush())
+}
+
+func deliveryEvent(e upstream.Event) relay.Event {
+	return relay.Event{ID: e.ID, HasID: e.HasID, HasData: e.HasData}
+}
+
+// endStream returns the result of an attempt whose stream has come to its end. The end of
+// the connection alone does not show that a stream without any event is complete.
+func (a *attempt) endStream(ctx context.Context, resp *upstream.Response) relay.Result {
+	delivery := a.request.relay.Delivery()
+	switch {
+	case !delivery.HasEvents() && resp.EndsWithConnection():
+		return a.brokenOff(ctx, errNoEvent)
+	case !delivery.CanEnd():
+		return a.unusable(errShorterStream)
+	}
+	a.request.beginStream(resp)
+	return relay.Completed
+}
+
+// brokenOff returns the result of an attempt whose response ended with an error.
+func (a *attempt) brokenOff(ctx context.Context, err error) relay.Result {
+	a.detail = err.Error()
+	a.connectionLost = ctx.Err() == nil
+	return a.interrupted(ctx)
+}
+
+// unusable returns the result of an attempt whose response cannot be delivered.
+func (a *attempt) unusable(err error) relay.Result {
+	a.detail = err.Error()
+	return relay.Unusable
 }
--- a/app/front/serve.go
+++ b/app/front/serve.go
@@ -64,12 +64,8 @@
 	// chargedUnits is the amount charged to the account's limit.
 	chargedUnits int64
 	// saved is a buffered response. That of a failed attempt is delivered if no
-	// other attempt succeeds.
+	// other attempt succeeds and nothing was sent to the caller meanwhile.
 	saved *savedResponse
-	// lastEvent is the ID of the last event that was sent to the caller.
-	lastEvent    int64
-	hasLastEvent bool
-	headWritten  bool
 }
 
 // serve handles a request of a caller.
@@ -276,7 +272,7 @@
 	status := 0
 	switch decision.Action {
 	case relay.Deliver:
-		if x.saved != nil {
+		if x.saved != nil && x.relay.Delivery().IsEmpty() {
 			status = x.saved.status
 			x.saved.write(x.w)
 		}
@@ -293,7 +289,7 @@
 	}
 	x.logFinished(decision, status)
 	x.front.metrics.finished(x.route, decision, driver.Now().Sub(x.arrived))
-	if decision.Action == relay.Abort || decision.Action == relay.Drop && x.headWritten {
+	if decision.Action == relay.Abort || decision.Action == relay.Drop && !x.relay.Delivery().IsEmpty() {
 		panic(http.ErrAbortHandler) // net/http closes the connection without completing the body
 	}
 }
@@ -306,8 +302,9 @@
 	if decision.Action == relay.Deliver {
 		verdict = proto.Ran
 	}
+	lastEvent, _ := x.relay.Delivery().LastEvent()
 	x.log.Info("finished", "id", x.info.ID, "outcome", decision.Action.String(), "reason", decision.Reason, "status", status,
-		"verdict", verdict.String(), "sends", x.relay.Sends(), "last_event", x.lastEvent,
+		"verdict", verdict.String(), "sends", x.relay.Sends(), "last_event", lastEvent,
 		"retry_after_ms", decision.RetryAfter.Milliseconds(), "took_ms", driver.Now().Sub(x.arrived).Milliseconds())
 }
 
--- a/app/upstream/events.go
+++ b/app/upstream/events.go
@@ -16,6 +16,8 @@
 	// ID is the event's numeric ID; HasID is false if it has none.
 	ID    int64
 	HasID bool
+	// HasData is false if the event only has comments or other fields.
+	HasData bool
 	// Raw is the event as received, including the terminating blank line. It is
 	// valid until the next call to Next.
 	Raw []byte
@@ -82,7 +84,9 @@
 		return
 	}
 	switch string(name) {
-	case "data", "event", "retry", "":
+	case "data":
+		e.HasData = true
+	case "event", "retry", "":
 	case "id":
 		if id, err := strconv.ParseInt(string(bytes.TrimSpace(value)), 10, 64); err == nil {
 			e.ID, e.HasID = id, true
--- a/core/relay/relay.go
+++ b/core/relay/relay.go
@@ -34,6 +34,9 @@
 	Completed Result = iota
 	// Failed means that the endpoint ran the request and returned a server error.
 	Failed
+	// Unusable means that the endpoint ran the request and returned a response that
+	// cannot follow what the caller has been sent.
+	Unusable
 	// Shed means that the endpoint was overloaded and did not run the request.
 	Shed
 	// Misdirected means that a different endpoint, or one with a different model
@@ -57,7 +60,7 @@
 )
 
 var resultNames = [...]string{
-	Completed: "answered", Failed: "failed", Shed: "shed", Misdirected: "misdirected",
+	Completed: "answered", Failed: "failed", Unusable: "unusable", Shed: "shed", Misdirected: "misdirected",
 	Unreachable: "unreachable", Broken: "broken", Stalled: "stalled",
 	Outdated:   "outdated",
 	CallerGone: "caller_gone", DeadlineExceeded: "out_of_time",
@@ -69,7 +72,7 @@
 // Verdict returns whether the request ran in an attempt with this result.
 func (r Result) Verdict() proto.Verdict {
 	switch r {
-	case Completed, Failed:
+	case Completed, Failed, Unusable:
 		return proto.Ran
 	case Shed, Misdirected, Unreachable:
 		return proto.NotRun
@@ -83,7 +86,8 @@
 const (
 	// Retry makes another attempt at a different endpoint.
 	Retry Action = iota
-	// Deliver forwards the endpoint's response.
+	// Deliver forwards the endpoint's response, or ends one that was forwarded as it
+	// arrived.
 	Deliver
 	// Refuse tells the caller that the request did not run and will not run.
 	Refuse
@@ -129,8 +133,7 @@
 	ran int
 	// unknownOutcomes counts attempts that ended without a valid response.
 	unknownOutcomes int
-	// responseStarted is set once the head of a response has been sent to the caller.
-	responseStarted bool
+	delivery        Delivery
 	// hasErrorResponse is set once an endpoint has returned a server error, which
 	// can be forwarded if no later attempt succeeds.
 	hasErrorResponse bool
@@ -147,12 +150,14 @@
 // MayHaveRun reports whether any attempt may have run.
 func (r *Request) MayHaveRun() bool { return r.ran > 0 }
 
-// AttemptStarted records the start of an attempt.
-func (r *Request) AttemptStarted() { r.sends++ }
+// Delivery returns what the caller has been sent of the response.
+func (r *Request) Delivery() *Delivery { return &r.delivery }
 
-// ResponseStarted records that the head of a response has been sent to the caller,
-// so that no other response can be sent.
-func (r *Request) ResponseStarted() { r.responseStarted = true }
+// AttemptStarted records the start of an attempt.
+func (r *Request) AttemptStarted() {
+	r.sends++
+	r.delivery.startAttempt()
+}
 
 // AttemptEnded records the result of an attempt and returns what to do next. left
 // is the time until the request's deadline.
@@ -184,6 +189,8 @@
 // stopReason returns why the request may not be retried, or "".
 func (r *Request) stopReason(result Result, left time.Duration) string {
 	switch {
+	case !r.delivery.CanContinue():
+		return "response_begun"
 	case r.ran > 0 && !r.route.Repeatable():
 		return "may_have_run"
 	case r.ran >= max(1, r.route.Attempts):
@@ -218,7 +225,7 @@
 
 func (r *Request) giveUp(reason string) Decision {
 	switch {
-	case r.responseStarted:
+	case !r.delivery.IsEmpty():
 		return Decision{Action: Abort, Reason: reason}
 	case r.hasErrorResponse:
 		return Decision{Action: Deliver, Reason: reason}
--- a/core/relay/relay_test.go
+++ b/core/relay/relay_test.go
@@ -20,7 +20,7 @@
 }
 
 var results = []relay.Result{
-	relay.Completed, relay.Failed, relay.Shed, relay.Misdirected, relay.Unreachable,
+	relay.Completed, relay.Failed, relay.Unusable, relay.Shed, relay.Misdirected, relay.Unreachable,
 	relay.Broken, relay.Stalled, relay.Outdated, relay.CallerGone, relay.DeadlineExceeded,
 }
 
@@ -56,8 +56,7 @@
 		r := relay.New(route, budget)
 		var out strings.Builder
 		for name := range strings.FieldsSeq(d.Input) {
-			if name == "event" {
-				r.ResponseStarted()
+			if begin(r.Delivery(), name) {
 				continue
 			}
 			r.AttemptStarted()
@@ -68,6 +67,26 @@
 	})
 }
 
+// begin records that a part of a response was sent, if the name is one of a part.
+func begin(d *relay.Delivery, name string) bool {
+	switch name {
+	case "event":
+		d.BeginStream()
+		d.EventSent(relay.Event{ID: 1, HasID: true, HasData: true})
+	case "event-without-id":
+		d.BeginStream()
+		d.EventSent(relay.Event{HasData: true})
+	case "comment":
+		d.BeginStream()
+		d.EventSent(relay.Event{})
+	case "body":
+		d.BeginBody()
+	default:
+		return false
+	}
+	return true
+}
+
 // Guards against reporting a request as not run, and against retrying one that
 // must not be repeated, after an attempt that may have run. Covers every sequence
 // of three results and every kind of route.
