--- a/app/front/attempt.go
+++ b/app/front/attempt.go
@@ -50,7 +50,7 @@
 	if !ok {
 		return x.noEndpoint(choice)
 	}
-	if !x.headWritten && x.isOverloaded(q, choice) {
+	if x.relay.Delivery().IsEmpty() && x.isOverloaded(q, choice) {
 		return x.relay.NoEndpoint("overload", min(choice.ExpectedTTFB-x.route.TargetLatency, maxOverloadRetryAfter))
 	}
 	admission := x.front.crashes.Admit(now, x.traits)
@@ -161,7 +161,7 @@
 	case x.route.Kind == serving.Stream && resp.Status < 300:
 		return a.forwardStream(ctx, resp, stall)
 	}
-	return a.readResponse(ctx, resp)
+	return a.readResponse(ctx, resp, stall)
 }
 
 func (a *attempt) upstreamRequest() *upstream.Request {
@@ -176,9 +176,7 @@
 	if x.route.PromptParts {
 		attrs.Priority, attrs.HasPriority = x.priority(), true
 	}
-	if x.hasLastEvent {
-		attrs.LastEvent, attrs.HasLastEvent = x.lastEvent, true
-	}
+	attrs.LastEvent, attrs.HasLastEvent = x.relay.Delivery().LastEvent()
 	req := &upstream.Request{
 		Addr: a.choice.Endpoint.Addr, Method: x.r.Method, Target: x.r.RequestURI, Host: x.r.Host,
 		Header: platform.RequestHeader(x.r.Header, attrs), Body: x.body,
--- a/app/front/outcome.go
+++ b/app/front/outcome.go
@@ -100,6 +100,6 @@
 		"domain", string(c.Endpoint.Domain), "version", c.Version, "candidates", c.Candidates, "throttled", c.Throttled,
 		"expected_ms", c.ExpectedTTFB.Milliseconds(), "held_tokens", c.CachedTokens, "shared_tokens", c.SharedTokens, "moved_tokens", c.FetchedTokens, "again_tokens", c.RecomputedTokens, "source", c.Source,
 		"result", result.String(), "status", a.status, "limit", a.limit, "detail", a.detail, "first_ms", firstMillis,
-		"silent_ms", silentFor.Milliseconds(), "begun", x.headWritten, "took_ms", now.Sub(a.sentAt).Milliseconds(), "next", next.Action.String())
+		"silent_ms", silentFor.Milliseconds(), "begun", !x.relay.Delivery().IsEmpty(), "took_ms", now.Sub(a.sentAt).Milliseconds(), "next", next.Action.String())
 	x.front.metrics.attempted(x.service, result, a)
 }
--- a/app/front/stall.go
+++ b/app/front/stall.go
@@ -110,16 +110,12 @@
 		"reason", reason, "waited_ms", now.Sub(w.attempt.sentAt).Milliseconds())
 }
 
-// dataReceived records that an event has arrived.
-func (w *stallWatch) dataReceived() {
-	if w.maxGap > 0 {
-		w.timer.Reset(w.maxGap)
-	}
-}
-
-// Stop ends the watch.
+// Stop ends the watch until Resume. Once it has returned, no check is running.
 func (w *stallWatch) Stop() { w.timer.Stop() }
 
+// Resume continues the watch after an event was passed on.
+func (w *stallWatch) Resume() { w.timer.Resume(max(w.maxGap, stallCheckInterval)) }
+
 // watchVersion cancels the attempt if it has not begun when the model version that it was
 // sent to becomes too old.
 func (a *attempt) watchVersion(cancel context.CancelCauseFunc) *checkTimer {
--- a/app/front/timer.go
+++ b/app/front/timer.go
@@ -5,13 +5,13 @@
 	"time"
 )
 
-// checkTimer runs a check again and again until the check or Stop ends it. Once Stop has
-// returned, the check is not running and does not run again. A nil checkTimer does
-// nothing.
+// checkTimer runs a check again and again until the check or Stop ends it. A nil
+// checkTimer does nothing.
 type checkTimer struct {
-	mu      sync.Mutex
-	timer   *time.Timer
-	check   func() time.Duration
+	mu    sync.Mutex
+	timer *time.Timer
+	check func() time.Duration
+	// stopped is set while no check may run.
 	stopped bool
 }
 
@@ -36,25 +36,24 @@
 	}
 }
 
-// Reset sets the time until the next check.
-func (t *checkTimer) Reset(d time.Duration) {
+// Stop ends the checks until Resume. Once it has returned, the check is not running.
+func (t *checkTimer) Stop() {
 	if t == nil {
 		return
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if !t.stopped {
-		t.timer.Reset(d)
-	}
+	t.stopped = true
+	t.timer.Stop()
 }
 
-// Stop ends the checks.
-func (t *checkTimer) Stop() {
+// Resume continues the checks after the given time.
+func (t *checkTimer) Resume(after time.Duration) {
 	if t == nil {
 		return
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.stopped = true
-	t.timer.Stop()
+	t.stopped = false
+	t.timer.Reset(after)
 }
--- a/core/relay/relay.go
+++ b/core/relay/relay.go
@@ -37,6 +37,9 @@
 	Completed Result = iota
 	// Failed means that the endpoint ran the request and returned a server error.
 	Failed
+	// Unusable means that the endpoint ran the request and returned a response that
+	// cannot follow what the caller has been sent.
+	Unusable
 	// Shed means that the endpoint was overloaded and did not run the request.
 	Shed
 	// Misdirected means that a different endpoint, or one with a different model
@@ -60,7 +63,7 @@
 )
 
 var resultNames = [...]string{
-	Completed: "answered", Failed: "failed", Shed: "shed", Misdirected: "misdirected",
+	Completed: "answered", Failed: "failed", Unusable: "unusable", Shed: "shed", Misdirected: "misdirected",
 	Unreachable: "unreachable", Broken: "broken", Stalled: "stalled",
 	Outdated:   "outdated",
 	CallerGone: "caller_gone", DeadlineExceeded: "out_of_time",
@@ -72,7 +75,7 @@
 // Verdict returns whether the request ran in an attempt with this result.
 func (r Result) Verdict() proto.Verdict {
 	switch r {
-	case Completed, Failed:
+	case Completed, Failed, Unusable:
 		return proto.Ran
 	case Shed, Misdirected, Unreachable:
 		return proto.NotRun
@@ -88,7 +91,8 @@
 	Retry Action = iota
 	// Wait makes another attempt after RetryAfter.
 	Wait
-	// Deliver forwards the endpoint's response.
+	// Deliver forwards the endpoint's response, or ends one that was forwarded as it
+	// arrived.
 	Deliver
 	// Refuse tells the caller that the request did not run and will not run.
 	Refuse
@@ -134,8 +138,7 @@
 	ran int
 	// unknownOutcomes counts attempts that ended without a valid response.
 	unknownOutcomes int
-	// responseStarted is set once the head of a response has been sent to the caller.
-	responseStarted bool
+	delivery        Delivery
 	// retryReserved is set once the retry budget has granted the next retry.
 	retryReserved bool
 	// hasErrorResponse is set once an endpoint has returned a server error, which
@@ -154,12 +157,14 @@
 // MayHaveRun reports whether any attempt may have run.
 func (r *Request) MayHaveRun() bool { return r.ran > 0 }
 
-// AttemptStarted records the start of an attempt.
-func (r *Request) AttemptStarted() { r.sends++ }
+// Delivery returns what the caller has been sent of the response.
+func (r *Request) Delivery() *Delivery { return &r.delivery }
 
-// ResponseStarted records that the head of a response has been sent to the caller,
-// so that no other response can be sent.
-func (r *Request) ResponseStarted() { r.responseStarted = true }
+// AttemptStarted records the start of an attempt.
+func (r *Request) AttemptStarted() {
+	r.sends++
+	r.delivery.startAttempt()
+}
 
 // AttemptEnded records the result of an attempt and returns what to do next. left
 // is the time until the request's deadline.
@@ -191,6 +196,7 @@
 
 // ReserveRetry reserves the retry that follows if the attempt in progress is abandoned
 // as Stalled. It returns why there can be none, or "" if AttemptEnded will return Retry.
+// Another goroutine may call it while the delivery does not change.
 func (r *Request) ReserveRetry(now proto.Instant, left time.Duration) string {
 	if reason := r.stopReason(r.ran+1, r.unknownOutcomes+1, left); reason != "" {
 		return reason
@@ -209,6 +215,8 @@
 // ran or may have run, and of those without a valid response, or "".
 func (r *Request) stopReason(ran, unknownOutcomes int, left time.Duration) string {
 	switch {
+	case !r.delivery.CanContinue():
+		return "response_begun"
 	case ran > 0 && !r.route.Repeatable():
 		return "may_have_run"
 	case ran >= max(1, r.route.Attempts):
@@ -223,10 +231,10 @@
 	return ""
 }
 
-// NoEndpoint returns what to do when no endpoint can take the next attempt. A response
-// that has begun cannot be refused any more and waits for an endpoint.
+// NoEndpoint returns what to do when no endpoint can take the next attempt. A stream that
+// has begun cannot be refused any more and waits for an endpoint.
 func (r *Request) NoEndpoint(reason string, retryAfter time.Duration) Decision {
-	if r.responseStarted {
+	if !r.delivery.IsEmpty() && r.delivery.CanContinue() {
 		return Decision{Action: Wait, Reason: reason, RetryAfter: endpointPollInterval}
 	}
 	d := r.giveUp(reason)
@@ -252,7 +260,7 @@
 
 func (r *Request) giveUp(reason string) Decision {
 	switch {
-	case r.responseStarted:
+	case !r.delivery.IsEmpty():
 		return Decision{Action: Abort, Reason: reason}
 	case r.hasErrorResponse:
 		return Decision{Action: Deliver, Reason: reason}
