app/front: panics and errors of the HTTP servers are logged at warn

For a lost answer, hypothesis 3 (a panic on the path of a request closes its connection) could not be told from the others: net/http reports a panic only to the server's error log, which was written at debug and so not at all by default.

--- a/app/front/front.go
+++ b/app/front/front.go
@@ -211,7 +211,7 @@
 	f.callerServer = &http.Server{
 		Handler:           http.HandlerFunc(f.serve),
 		ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
-		ErrorLog: slog.NewLogLogger(f.log.Handler(), slog.LevelDebug),
+		ErrorLog: slog.NewLogLogger(f.log.Handler(), slog.LevelWarn),
 	}
 	router := bunrouter.New()
 	router.GET("/metrics", f.handleMetrics)
@@ -219,7 +219,7 @@
 	f.readinessServer = &http.Server{
 		Handler:           router,
 		ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout,
-		ErrorLog: slog.NewLogLogger(f.log.Handler(), slog.LevelDebug),
+		ErrorLog: slog.NewLogLogger(f.log.Handler(), slog.LevelWarn),
 	}
 	return nil
 }
