app/front: a caller that has left gets no empty success

A caller that closes its side of the connection and still reads got "HTTP/1.1 200 OK" with an empty body for a request that its router had dropped: the handler returned without a response, for which net/http writes that head.

Evidence: TestCallerThatLeavesGetsNoEmptySuccess received the head before, nothing now.

Change: a dropped request always closes its connection, as one whose response has begun already did.

--- a/app/front/serve.go
+++ b/app/front/serve.go
@@ -294,7 +294,7 @@
 	}
 	x.logFinished(decision, status)
 	x.front.metrics.finished(x.route, decision, driver.Now().Sub(x.arrived))
-	if decision.Action == relay.Abort || decision.Action == relay.Drop && !x.relay.Delivery().IsEmpty() {
+	if decision.Action == relay.Abort || decision.Action == relay.Drop {
 		panic(http.ErrAbortHandler) // net/http closes the connection without completing the body
 	}
 }
