app/upstream: a refusal that names no request is not taken on a reused connection

Callers were told 503 (not run) for orders that an engine ran meanwhile, or such an order ran at a second engine, if an engine wrote an earlier refusal without the ID of its request once more where the answer to the next one was due.

Cause: a response without an ID belonged to the request in flight if it stated that the request did not run, or named its endpoint. On a connection that has carried another request it may as well be a copy of an earlier response.

The same copy with the ID of its request was skipped before, too.

Change: the match of a response knows whether its connection has carried another request; if so, only the ID counts. What does not match is skipped, as the answer to the request follows it, and the connection is not reused. Without an answer the outcome stays unknown.

--- a/app/front/attempt.go
+++ b/app/front/attempt.go
@@ -244,7 +244,7 @@
 	req := &upstream.Request{
 		Addr: a.choice.Endpoint.Addr, Method: x.r.Method, Target: x.r.RequestURI, Host: x.r.Host,
 		Header: platform.RequestHeader(x.r.Header, attrs), Body: x.body,
-		Matches: func(h http.Header) bool { return platform.MatchesRequest(h, x.info.ID) },
+		Matches: func(h http.Header, alone bool) bool { return platform.MatchesRequest(h, x.info.ID, alone) },
 	}
 	if !x.route.Repeatable() {
 		req.MaxIdle = maxIdleNonRepeatable
--- a/app/front/delivery_test.go
+++ b/app/front/delivery_test.go
@@ -108,18 +108,18 @@
 		status  int
 		events  string
 	}{
-		"client error":           {[]answer{brokenStream(1, 2), errorAnswer(400, 20)}, incomplete, "1,2"},
-		"long client error":      {[]answer{brokenStream(1, 2), errorAnswer(404, longBody)}, incomplete, "1,2"},
-		"server error":           {[]answer{brokenStream(1, 2), errorAnswer(500, 20)}, incomplete, "1,2"},
-		"redirect":               {[]answer{brokenStream(1, 2), errorAnswer(302, 20)}, incomplete, "1,2"},
-		"no stream":              {[]answer{brokenStream(1, 2), errorAnswer(200, 20)}, incomplete, "1,2"},
-		"stream after an error":  {[]answer{errorAnswer(500, 20), eventStream(1, 5)}, http.StatusOK, "1,2,3,4,5"},
-		"gap":                    {[]answer{brokenStream(1, 2), eventStream(4, 5)}, incomplete, "1,2"},
-		"repeated events":        {[]answer{brokenStream(1, 2), eventStream(1, 5)}, http.StatusOK, "1,2,3,4,5"},
-		"shorter stream":         {[]answer{brokenStream(1, 3), eventStream(1, 2)}, incomplete, "1,2,3"},
-		"nothing left":           {[]answer{brokenStream(1, 5), eventStream(6, 5)}, http.StatusOK, "1,2,3,4,5"},
-		"end of the connection":  {[]answer{brokenStream(1, 2), unframedEnd}, incomplete, "1,2"},
-		"events without IDs":     {[]answer{brokenUnnumberedStream, eventStream(1, 5)}, incomplete, ""},
+		"client error":          {[]answer{brokenStream(1, 2), errorAnswer(400, 20)}, incomplete, "1,2"},
+		"long client error":     {[]answer{brokenStream(1, 2), errorAnswer(404, longBody)}, incomplete, "1,2"},
+		"server error":          {[]answer{brokenStream(1, 2), errorAnswer(500, 20)}, incomplete, "1,2"},
+		"redirect":              {[]answer{brokenStream(1, 2), errorAnswer(302, 20)}, incomplete, "1,2"},
+		"no stream":             {[]answer{brokenStream(1, 2), errorAnswer(200, 20)}, incomplete, "1,2"},
+		"stream after an error": {[]answer{errorAnswer(500, 20), eventStream(1, 5)}, http.StatusOK, "1,2,3,4,5"},
+		"gap":                   {[]answer{brokenStream(1, 2), eventStream(4, 5)}, incomplete, "1,2"},
+		"repeated events":       {[]answer{brokenStream(1, 2), eventStream(1, 5)}, http.StatusOK, "1,2,3,4,5"},
+		"shorter stream":        {[]answer{brokenStream(1, 3), eventStream(1, 2)}, incomplete, "1,2,3"},
+		"nothing left":          {[]answer{brokenStream(1, 5), eventStream(6, 5)}, http.StatusOK, "1,2,3,4,5"},
+		"end of the connection": {[]answer{brokenStream(1, 2), unframedEnd}, incomplete, "1,2"},
+		"events without IDs":    {[]answer{brokenUnnumberedStream, eventStream(1, 5)}, incomplete, ""},
 	} {
 		t.Run(name, func(t *testing.T) {
 			b := newTestbed(t)
--- a/app/upstream/client.go
+++ b/app/upstream/client.go
@@ -81,8 +81,9 @@
 	// connection that was lost unnoticed leaves their outcome unknown.
 	MaxIdle time.Duration
 	// Matches reports whether a response with this header belongs to this
-	// request. Nil accepts every response.
-	Matches func(http.Header) bool
+	// request. The argument alone is set if its connection has carried no other request.
+	// Nil accepts every response.
+	Matches func(h http.Header, alone bool) bool
 }
 
 // SendError reports how far a request got that received no response.
@@ -138,6 +139,9 @@
 	reader *bufio.Reader
 	// limit bounds what reader reads from Conn.
 	limit *limitedReader
+	// reused is set if another request was sent before, strayed once a response was
+	// received that did not match its request.
+	reused, strayed bool
 	// idleSince and keepAliveTimeout limit how long an idle connection may be reused.
 	idleSince        time.Time
 	keepAliveTimeout time.Duration
@@ -226,10 +230,11 @@
 		switch {
 		case resp.StatusCode < 200:
 			informational++
-		case req.Matches == nil || req.Matches(resp.Header):
+		case req.Matches == nil || req.Matches(resp.Header, !cn.reused):
 			return resp, nil
 		default:
 			mismatched++
+			cn.strayed = true
 			c.Stats.Mismatched.Add(1)
 			n, err := io.Copy(io.Discard, io.LimitReader(resp.Body, maxDrainBytes))
 			if err != nil || n == maxDrainBytes || resp.Close {
@@ -305,6 +310,7 @@
 		idleFor := now.Sub(cn.idleSince)
 		if idleFor < cn.keepAliveTimeout && (req.MaxIdle == 0 || idleFor < req.MaxIdle) && cn.isUsable() {
 			c.Stats.Reused.Add(1)
+			cn.reused = true
 			return cn, nil
 		}
 		c.Stats.Stale.Add(1)
@@ -470,10 +476,13 @@
 }
 
 // reusable reports whether the connection may carry another request. It may not
-// if the response is delimited by the end of the connection, or if more bytes
-// were received than belong to the response.
+// if the response is delimited by the end of the connection, or if more was received
+// than the response.
 func (r *Response) reusable() bool {
-	if !r.complete || r.resp.Close || r.EndsWithConnection() || r.conn.reader.Buffered() > 0 {
+	if !r.complete || r.resp.Close || r.EndsWithConnection() {
+		return false
+	}
+	if r.conn.strayed || r.conn.reader.Buffered() > 0 {
 		return false
 	}
 	r.conn.keepAliveTimeout = keepAliveTimeout(r.Header)
--- a/app/upstream/client_test.go
+++ b/app/upstream/client_test.go
@@ -83,7 +83,7 @@
 func request(s *server, id string) *upstream.Request {
 	return &upstream.Request{
 		Addr: s.addr, Method: http.MethodGet, Target: "/x", Host: "h", Header: http.Header{},
-		Matches: func(h http.Header) bool { return h.Get("Id") == id },
+		Matches: func(h http.Header, _ bool) bool { return h.Get("Id") == id },
 	}
 }
 
@@ -428,3 +428,32 @@
 		t.Errorf("%q, %v, %d connections reused", body, err, client.Stats.Reused.Load())
 	}
 }
+
+// matchesUnlessUnnamed accepts a response without ID if its connection has carried no
+// other request.
+func matchesUnlessUnnamed(id string) func(http.Header, bool) bool {
+	return func(h http.Header, alone bool) bool { return h.Get("Id") == id || alone && h.Get("Id") == "" }
+}
+
+// Guards against taking a late copy of an earlier response that names no request for the
+// response to the next one, and against further use of a connection that returned it.
+func TestUnnamedCopyOnKeptConnection(t *testing.T) {
+	const refusal = "HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n"
+	s := serve(t, write(refusal), write(refusal+response("2", "two")))
+	c := upstream.New()
+	for _, want := range []string{"", "two"} {
+		r := request(s, "2")
+		r.Matches = matchesUnlessUnnamed("2")
+		if body, err := send(t, c, r); err != nil || body != want {
+			t.Fatalf("%q, %v, want %q", body, err, want)
+		}
+	}
+	if reused := c.Stats.Reused.Load(); reused != 1 {
+		t.Fatalf("%d connections reused, want 1", reused)
+	}
+	r := request(s, "2")
+	r.Matches = matchesUnlessUnnamed("2")
+	if _, err := send(t, c, r); err != nil || c.Stats.Reused.Load() != 1 {
+		t.Errorf("%v; the connection with a copy was reused: %d", err, c.Stats.Reused.Load())
+	}
+}
