app/upstream: a retry at the same address has a connection of its own

Callers were told 503 (not run) for an order that an engine ran meanwhile.

Cause: an endpoint can be listed under two IDs with one address, as after a restart that the registry does not show yet. The first attempt is misdirected, the second one goes to the same process, mostly on the same connection and with the same request ID. A copy of the refusal of the first attempt then passes for the refusal of the second one.

Evidence: TestRepeatedRefusalOfTheSameRequest on the code before:

status 503 for an order that ran 1 times

Change: an attempt at an address that the request has tried before is exclusive: its connection carries nothing else, before and after.

After: the test passes, so does TestExclusiveRequest; go test -race of app/upstream passes.

--- a/app/front/attempt.go
+++ b/app/front/attempt.go
@@ -5,6 +5,7 @@
 	"context"
 	"errors"
 	"net/http"
+	"slices"
 	"time"
 
 	"github.com/kumquatsill/kumquatsill/app/driver"
@@ -246,6 +247,9 @@
 		Header: platform.RequestHeader(x.r.Header, attrs), Body: x.body,
 		Matches: func(h http.Header, alone bool) bool { return platform.MatchesRequest(h, x.info.ID, alone) },
 	}
+	// A copy of the refusal of an earlier attempt would bear the same ID.
+	req.Exclusive = slices.Contains(x.triedAddrs, req.Addr)
+	x.triedAddrs = append(x.triedAddrs, req.Addr)
 	if !x.route.Repeatable() {
 		req.MaxIdle = maxIdleNonRepeatable
 	}
--- a/app/front/refusal_test.go
+++ b/app/front/refusal_test.go
@@ -139,3 +139,29 @@
 		})
 	}
 }
+
+// Guards against a refusal that is written once more while the same request is run under
+// another ID of the endpoint, as after a restart that the registry does not show yet.
+func TestRepeatedRefusalOfTheSameRequest(t *testing.T) {
+	b := newTestbed(t)
+	var refused atomic.Int32
+	var ready atomic.Bool
+	e := &refusingEngine{
+		ids: []string{"raw-old", "raw-new"}, status: http.StatusMisdirectedRequest, namesRequest: true,
+		refuses: func(r *http.Request) bool {
+			refuse := ready.Load() && r.Header.Get("Kumquatsill-Expected-Instance") == "raw-old"
+			if refuse {
+				refused.Add(1)
+			}
+			return refuse
+		},
+	}
+	b.replacePlainEngines(e)
+	b.configure(nil)
+	r := b.startReady("r1")
+	ready.Store(true)
+	eventually(t, "a request was misdirected", func() bool {
+		checkOrders(t, r, 1, e)
+		return refused.Load() > 0
+	})
+}
--- a/app/front/serve.go
+++ b/app/front/serve.go
@@ -61,6 +61,9 @@
 	// deadline is the time at which the request ends in any case.
 	deadline       proto.Instant
 	triedEndpoints []proto.EndpointID
+	// triedAddrs holds the addresses of the attempts so far. An endpoint may have the
+	// address of another one that has ended.
+	triedAddrs []string
 	// chargedUnits is the amount charged to the account's limit.
 	chargedUnits int64
 	// saved is a buffered response. That of a failed attempt is delivered if no
--- a/app/upstream/client.go
+++ b/app/upstream/client.go
@@ -80,6 +80,9 @@
 	// as long as the server allows. Non-repeatable requests set it, because a
 	// connection that was lost unnoticed leaves their outcome unknown.
 	MaxIdle time.Duration
+	// Exclusive requests use a connection that carries nothing else, on which no late
+	// response to another request can arrive.
+	Exclusive bool
 	// Matches reports whether a response with this header belongs to this
 	// request. The argument alone is set if its connection has carried no other request.
 	// Nil accepts every response.
@@ -116,7 +119,9 @@
 	resp     *http.Response
 	stop     func() bool
 	complete bool
-	once     sync.Once
+	// exclusive is set if the connection must not carry another request.
+	exclusive bool
+	once      sync.Once
 }
 
 // Stats counts dialled, reused and discarded stale connections and mismatched
@@ -198,7 +203,7 @@
 	}
 	r := &Response{
 		Status: resp.StatusCode, Header: resp.Header, BodyLength: resp.ContentLength,
-		conn: cn, client: c, resp: resp, stop: stop,
+		conn: cn, client: c, resp: resp, stop: stop, exclusive: req.Exclusive,
 	}
 	r.Body = &responseBody{response: r, written: written}
 	return r, nil
@@ -299,8 +304,11 @@
 }
 
 // connect returns a pooled connection that still appears usable, or dials a new
-// one.
+// one, as it always does for an exclusive request.
 func (c *Client) connect(ctx context.Context, req *Request) (*conn, error) {
+	if req.Exclusive {
+		return c.dial(ctx, req.Addr)
+	}
 	now := time.Now()
 	for {
 		cn := c.take(req.Addr)
@@ -476,10 +484,10 @@
 }
 
 // reusable reports whether the connection may carry another request. It may not
-// if the response is delimited by the end of the connection, or if more was received
-// than the response.
+// if the request was exclusive, if the response is delimited by the end of the
+// connection, or if more was received than the response.
 func (r *Response) reusable() bool {
-	if !r.complete || r.resp.Close || r.EndsWithConnection() {
+	if r.exclusive || !r.complete || r.resp.Close || r.EndsWithConnection() {
 		return false
 	}
 	if r.conn.strayed || r.conn.reader.Buffered() > 0 {
--- a/app/upstream/client_test.go
+++ b/app/upstream/client_test.go
@@ -457,3 +457,20 @@
 		t.Errorf("%v; the connection with a copy was reused: %d", err, c.Stats.Reused.Load())
 	}
 }
+
+// Guards against an exclusive request on a connection on which a late copy may arrive, and
+// against a later request on its connection.
+func TestExclusiveRequest(t *testing.T) {
+	s := serve(t, write(response("1", "")), write(response("1", "")))
+	c := upstream.New()
+	for _, exclusive := range []bool{false, true, false} {
+		r := request(s, "1")
+		r.Exclusive = exclusive
+		if _, err := send(t, c, r); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if dials, reused := c.Stats.Dials.Load(), c.Stats.Reused.Load(); dials != 2 || reused != 1 {
+		t.Errorf("%d dials, %d connections reused, want 2 and 1", dials, reused)
+	}
+}
