app/front: an order to an engine has a connection of its own

A router took a late copy of an engine's answer to an earlier control call for the answer to an order: it would believe that the engine has the weights, or has refused them.

Cause: answers to control calls name no call, so that on a reused connection a copy cannot be told from the answer.

Evidence: TestOrderIsNotAnsweredByCopyOfEarlierCall on the code before:

POST: status 200, <nil>, want 202

Change: a control call that changes something is exclusive. Reads still share connections: their copies are some hundred milliseconds older and lead at most to an order that the engine rejects by its count of orders.

TestControlCallSkipsLateCopyOfAnswer asked for an order on a reused connection, which there is no more. It checks the same with a control call that reads; the new test checks orders.

After: both tests pass; go test -race of app/front passes.

--- a/app/front/call.go
+++ b/app/front/call.go
@@ -23,10 +23,12 @@
 // endpoints.
 type endpointCaller struct{ client *upstream.Client }
 
-// Call implements platform.EndpointCaller.
+// Call implements platform.EndpointCaller. Responses do not name the control call that
+// they belong to, so that a call that changes something has a connection of its own.
 func (c endpointCaller) Call(ctx context.Context, addr, method, target string, h http.Header, body []byte) (int, []byte, error) {
 	resp, err := c.client.Send(ctx, &upstream.Request{
-		Addr: addr, Method: method, Target: target, Host: addr, Header: h, Body: body, Matches: platform.IsControlResponse,
+		Addr: addr, Method: method, Target: target, Host: addr, Header: h, Body: body,
+		Exclusive: method != http.MethodGet, Matches: platform.IsControlResponse,
 	})
 	if err != nil {
 		return 0, nil, err
