--- a/standin/hosting/store.go
+++ b/standin/hosting/store.go
@@ -85,6 +85,22 @@
 	s.append(name, [][]byte{content})
 }
 
+// PutBytes appends a record for a key whose value may be any bytes, as another writer
+// does.
+func (s *LogStore) PutBytes(name, key string, value []byte) {
+	content := append([]byte{byte(len(key))}, key...)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.append(name, [][]byte{append(content, value...)})
+}
+
+// PutContent appends a record without regard to the format of keyed records.
+func (s *LogStore) PutContent(name string, content []byte) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.append(name, [][]byte{content})
+}
+
 // Truncate deletes all records of a topic, including the newest of each key.
 func (s *LogStore) Truncate(name string) {
 	s.mu.Lock()
@@ -110,7 +126,7 @@
 func (s *LogStore) append(name string, records [][]byte) {
 	t := s.topic(name)
 	for _, r := range records {
-		if strings.HasPrefix(name, "keyed.") && len(r) > int(r[0]) {
+		if strings.HasPrefix(name, "keyed.") && len(r) > 0 && len(r) > int(r[0]) {
 			t.newest[string(r[1:1+r[0]])] = t.end()
 		}
 		t.records = append(t.records, r)
