--- a/core/crash/register_test.go
+++ b/core/crash/register_test.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"math"
 	"testing"
 	"time"
 
@@ -262,3 +263,24 @@
 		t.Fatal("still refused by the peer")
 	}
 }
+
+// Guards against a router that never gets on, because a stored trait that another writer
+// has changed has a huge number of rounds.
+func TestRestoredRoundsAreBounded(t *testing.T) {
+	for _, rounds := range []int{math.MaxInt, math.MinInt, 0} {
+		done := make(chan crash.Admission, 1)
+		go func() {
+			r := crash.NewRegister()
+			r.Restore(now, bad, rounds)
+			done <- r.Admit(now.Add(time.Second), []crash.Trait{bad})
+		}()
+		select {
+		case a := <-done:
+			if a.Allowed != (rounds <= 0) {
+				t.Errorf("%d rounds: %+v", rounds, a)
+			}
+		case <-time.After(5 * time.Second):
+			t.Errorf("%d rounds: no decision within 5 s", rounds)
+		}
+	}
+}
