--- a/app/front/attempt.go
+++ b/app/front/attempt.go
@@ -5,6 +5,7 @@
 	"context"
 	"errors"
 	"net/http"
+	"slices"
 	"time"
 
 	"github.com/kumquatsill/kumquatsill/app/driver"
@@ -180,8 +181,11 @@
 	req := &upstream.Request{
 		Addr: a.choice.Endpoint.Addr, Method: x.r.Method, Target: x.r.RequestURI, Host: x.r.Host,
 		Header: platform.RequestHeader(x.r.Header, attrs), Body: x.body,
-		Matches: func(h http.Header) bool { return platform.MatchesRequest(h, x.info.ID) },
+		Matches: func(h http.Header, alone bool) bool { return platform.MatchesRequest(h, x.info.ID, alone) },
 	}
+	// A copy of the refusal of an earlier attempt would bear the same ID.
+	req.Exclusive = slices.Contains(x.triedAddrs, req.Addr)
+	x.triedAddrs = append(x.triedAddrs, req.Addr)
 	if !x.route.Repeatable() {
 		req.MaxIdle = maxIdleNonRepeatable
 	}
--- a/app/upstream/client.go
+++ b/app/upstream/client.go
@@ -80,9 +80,13 @@
 	// as long as the server allows. Non-repeatable requests set it, because a
 	// connection that was lost unnoticed leaves their outcome unknown.
 	MaxIdle time.Duration
+	// Exclusive requests use a connection that carries nothing else, on which no late
+	// response to another request can arrive.
+	Exclusive bool
 	// Matches reports whether a response with this header belongs to this
-	// request. Nil accepts every response.
-	Matches func(http.Header) bool
+	// request. The argument alone is set if its connection has carried no other request.
+	// Nil accepts every response.
+	Matches func(h http.Header, alone bool) bool
 }
 
 // SendError reports how far a request got that received no response.
@@ -115,7 +119,9 @@
 	resp     *http.Response
 	stop     func() bool
 	complete bool
-	once     sync.Once
+	// exclusive is set if the connection must not carry another request.
+	exclusive bool
+	once      sync.Once
 }
 
 // Stats counts dialled, reused and discarded stale connections and mismatched
@@ -138,6 +144,9 @@
 	reader *bufio.Reader
 	// limit bounds what reader reads from Conn.
 	limit *limitedReader
+	// reused is set if another request was sent before, strayed once a response was
+	// received that did not match its request.
+	reused, strayed bool
 	// idleSince and keepAliveTimeout limit how long an idle connection may be reused.
 	idleSince        time.Time
 	keepAliveTimeout time.Duration
@@ -194,7 +203,7 @@
 	}
 	r := &Response{
 		Status: resp.StatusCode, Header: resp.Header, BodyLength: resp.ContentLength,
-		conn: cn, client: c, resp: resp, stop: stop,
+		conn: cn, client: c, resp: resp, stop: stop, exclusive: req.Exclusive,
 	}
 	r.Body = &responseBody{response: r, written: written}
 	return r, nil
@@ -226,10 +235,11 @@
 		switch {
 		case resp.StatusCode < 200:
 			informational++
-		case req.Matches == nil || req.Matches(resp.Header):
+		case req.Matches == nil || req.Matches(resp.Header, !cn.reused):
 			return resp, nil
 		default:
 			mismatched++
+			cn.strayed = true
 			c.Stats.Mismatched.Add(1)
 			n, err := io.Copy(io.Discard, io.LimitReader(resp.Body, maxDrainBytes))
 			if err != nil || n == maxDrainBytes || resp.Close {
@@ -294,8 +304,11 @@
 }
 
 // connect returns a pooled connection that still appears usable, or dials a new
-// one.
+// one, as it always does for an exclusive request.
 func (c *Client) connect(ctx context.Context, req *Request) (*conn, error) {
+	if req.Exclusive {
+		return c.dial(ctx, req.Addr)
+	}
 	now := time.Now()
 	for {
 		cn := c.take(req.Addr)
@@ -305,6 +318,7 @@
 		idleFor := now.Sub(cn.idleSince)
 		if idleFor < cn.keepAliveTimeout && (req.MaxIdle == 0 || idleFor < req.MaxIdle) && cn.isUsable() {
 			c.Stats.Reused.Add(1)
+			cn.reused = true
 			return cn, nil
 		}
 		c.Stats.Stale.Add(1)
@@ -470,10 +484,13 @@
 }
 
 // reusable reports whether the connection may carry another request. It may not
-// if the response is delimited by the end of the connection, or if more bytes
-// were received than belong to the response.
+// if the request was exclusive, if the response is delimited by the end of the
+// connection, or if more was received than the response.
 func (r *Response) reusable() bool {
-	if !r.complete || r.resp.Close || r.EndsWithConnection() || r.conn.reader.Buffered() > 0 {
+	if r.exclusive || !r.complete || r.resp.Close || r.EndsWithConnection() {
+		return false
+	}
+	if r.conn.strayed || r.conn.reader.Buffered() > 0 {
 		return false
 	}
 	r.conn.keepAliveTimeout = keepAliveTimeout(r.Header)
