standin/hosting: an engine says that it leaves, and refuses with a Retry-After time

SayLeaving sets Server-Leaving in all answers, RefuseWithRetryAfter lets the engine answer 503 with a Retry-After time, Restart begins another incarnation. Arrivals holds what has reached an engine, refused requests and control calls included.

--- a/standin/hosting/engine.go
+++ b/standin/hosting/engine.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -37,7 +38,22 @@
 	failureForRun    func(run int) Failure
 	crashingPart     string
 	namedLimit       string
-	running          int
+	leaving          bool
+	// retryAfter returns the Retry-After time with which the engine refuses a request,
+	// or "" if it takes the request.
+	retryAfter func() string
+	arrivals   []Arrival
+	running    int
+}
+
+// Arrival is one request or control call that has reached an engine.
+type Arrival struct {
+	// AttemptID is empty for control calls.
+	AttemptID string
+	Path      string
+	At        time.Time
+	// RetryAfter is the time with which the engine refused the request, or "".
+	RetryAfter string
 }
 
 // Failure is the way in which an engine fails a run.
@@ -93,6 +109,7 @@
 	return &Engine{
 		ID: id, Service: service, Model: model, Events: 5, EventInterval: 2 * time.Millisecond,
 		startedAt: time.Now().UnixMilli(), version: 1, targetVersion: 1, failureForRun: func(int) Failure { return NoFailure },
+		retryAfter: func() string { return "" },
 	}
 }
 
@@ -126,6 +143,63 @@
 	e.namedLimit = limit
 }
 
+// SayLeaving makes the engine say in all its answers whether it leaves.
+func (e *Engine) SayLeaving(leaving bool) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.leaving = leaving
+}
+
+// Restart begins a new incarnation of the engine, which does not leave.
+func (e *Engine) Restart() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.startedAt = max(e.startedAt+1, time.Now().UnixMilli())
+	e.leaving = false
+}
+
+// RefuseWithRetryAfter makes the engine refuse requests and control calls with status
+// 503. The function returns the Retry-After time, or "" to take the request.
+func (e *Engine) RefuseWithRetryAfter(f func() string) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.retryAfter = f
+}
+
+// RefusePeriodically makes the engine refuse requests for the first part of each period.
+func (e *Engine) RefusePeriodically(period, part time.Duration, retryAfter string) {
+	began := time.Now()
+	e.RefuseWithRetryAfter(func() string {
+		if time.Since(began)%period < part {
+			return retryAfter
+		}
+		return ""
+	})
+}
+
+// Arrivals returns the requests and control calls so far.
+func (e *Engine) Arrivals() []Arrival {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return slices.Clone(e.arrivals)
+}
+
+// arrive records a request and returns the Retry-After time of its refusal, or "".
+func (e *Engine) arrive(r *http.Request) string {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	a := Arrival{AttemptID: r.Header.Get("Kumquatsill-Attempt-Id"), Path: r.URL.Path, At: time.Now(), RetryAfter: e.retryAfter()}
+	e.arrivals = append(e.arrivals, a)
+	return a.RetryAfter
+}
+
+// isLeaving reports whether the engine says that it leaves.
+func (e *Engine) isLeaving() bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.leaving
+}
+
 // setResponseHeader sets what all answers of the engine itself have in common.
 func (e *Engine) setResponseHeader(h http.Header) {
 	e.mu.Lock()
@@ -176,6 +250,14 @@
 
 // ServeHTTP implements http.Handler.
 func (e *Engine) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if e.isLeaving() {
+		w.Header().Set("Server-Leaving", "1")
+	}
+	if retryAfter := e.arrive(r); retryAfter != "" {
+		w.Header().Set("Retry-After", retryAfter)
+		e.refuse(w, r, http.StatusServiceUnavailable)
+		return
+	}
 	switch r.URL.Path {
 	case "/kumquatsill/report":
 		e.serveReport(w)
@@ -230,15 +312,12 @@
 }
 
 func (e *Engine) serveRun(w http.ResponseWriter, r *http.Request) {
-	id := r.Header.Get("Kumquatsill-Attempt-Id")
-	w.Header().Set("Kumquatsill-Attempt-Id", id)
 	n, status := e.admit(r)
 	if status != 0 {
-		w.Header().Set("Kumquatsill-Not-Executed", "1")
-		w.Header().Set("Kumquatsill-Instance", e.ID)
-		w.WriteHeader(status)
+		e.refuse(w, r, status)
 		return
 	}
+	w.Header().Set("Kumquatsill-Attempt-Id", r.Header.Get("Kumquatsill-Attempt-Id"))
 	defer e.end()
 	// net/http detects that a client has disconnected only after the body was
 	// read.
@@ -263,6 +342,16 @@
 	e.stream(w, r, n, failure)
 }
 
+// refuse answers that the engine does not run a request.
+func (e *Engine) refuse(w http.ResponseWriter, r *http.Request, status int) {
+	if id := r.Header.Get("Kumquatsill-Attempt-Id"); id != "" {
+		w.Header().Set("Kumquatsill-Attempt-Id", id)
+	}
+	w.Header().Set("Kumquatsill-Not-Executed", "1")
+	w.Header().Set("Kumquatsill-Instance", e.ID)
+	w.WriteHeader(status)
+}
+
 // admit starts a run and returns its number, or refuses the request and returns
 // the status of the refusal.
 func (e *Engine) admit(r *http.Request) (n, status int) {
