core/endpointstate: one place for what endpoints say about themselves

core/throttle held limits alone. It becomes core/endpointstate: a Report of one answer in, one question (Check) a candidate out, states by incarnation. Limits are one kind of statement among others to come, in files of their own. core/place asks it once an endpoint; Choose and the counts of excluded endpoints by reason move to files of their own (choose.go, exclusions.go).

The lines 'attempt' and 'finished' hold 'excluded', e.g. 'limit:1 tried:1', beside 'throttled'. The load that endpoints report stays in core/place: its cost function needs it together with the router's own attempts.

--- a/app/front/attempt.go
+++ b/app/front/attempt.go
@@ -85,11 +85,12 @@
 
 // noEndpoint returns what to do if the placement found no endpoint.
 func (x *request) noEndpoint(choice place.Choice) relay.Decision {
-	if choice.Throttled == 0 {
-		return x.relay.NoEndpoint("no_endpoint", noEndpointRetryAfter)
+	limited, wait := choice.Excluded.Limited()
+	x.log = x.log.With("throttled", limited, "excluded", choice.Excluded.String())
+	if limited > 0 {
+		return x.relay.NoEndpoint("endpoint_limits", min(cmp.Or(wait, noEndpointRetryAfter), maxOverloadRetryAfter))
 	}
-	x.log = x.log.With("throttled", choice.Throttled)
-	return x.relay.NoEndpoint("endpoint_limits", min(cmp.Or(choice.ThrottledFor, noEndpointRetryAfter), maxOverloadRetryAfter))
+	return x.relay.NoEndpoint("no_endpoint", noEndpointRetryAfter)
 }
 
 // requestEarlySend requests a message to the peers before the next periodic
--- a/app/front/limits.go
+++ b/app/front/endpoint_states.go
@@ -4,8 +4,8 @@
 	"time"
 
 	"github.com/kumquatsill/kumquatsill/core/discovery"
+	"github.com/kumquatsill/kumquatsill/core/endpointstate"
 	"github.com/kumquatsill/kumquatsill/core/proto"
-	"github.com/kumquatsill/kumquatsill/core/throttle"
 	"github.com/kumquatsill/kumquatsill/platform"
 )
 
@@ -20,17 +20,22 @@
 	if head.Misdirected || !head.HasSignature && !refusalWithLimit {
 		return
 	}
-	limit := throttle.Limit{PerSecond: head.Limit, Named: head.HasLimit}
-	if !f.throttle.Observe(now, throttle.Endpoint{ID: e.ID, Started: e.Started, Domain: e.Domain}, limit) {
+	limit := endpointstate.Limit{PerSecond: head.Limit, Named: head.HasLimit}
+	report := endpointstate.Report{Limit: limit, HasLimit: true}
+	if change := f.endpointStates.Observe(now, stateKey(e), report); !change.Limit {
 		return
 	}
 	f.log.Info("endpoint limit changed", "endpoint", string(e.ID), "per_s", limit.PerSecond, "named", limit.Named, "observed", true)
 	f.requestEarlySend()
 }
 
+func stateKey(e *discovery.Endpoint) endpointstate.Endpoint {
+	return endpointstate.Endpoint{ID: e.ID, Started: e.Started, Domain: e.Domain}
+}
+
 // mergeLimits applies the limits that a peer has observed.
-func (f *Front) mergeLimits(now proto.Instant, notices []throttle.Notice) {
-	for _, n := range f.throttle.Merge(now, notices) {
+func (f *Front) mergeLimits(now proto.Instant, notices []endpointstate.Notice) {
+	for _, n := range f.endpointStates.Merge(now, notices) {
 		f.log.Info("endpoint limit changed", "endpoint", string(n.Endpoint), "per_s", n.PerSecond, "named", !n.Ended, "observed", false,
 			"age_ms", n.AgeMillis)
 	}
@@ -39,18 +44,18 @@
 // updateLimitSharers sets the routers that share the limits of endpoints; mu must be
 // held.
 func (f *Front) updateLimitSharers(now proto.Instant) {
-	var routers []throttle.Router
+	var routers []endpointstate.Router
 	for id, p := range f.peers {
 		if p.lastHeardAt != 0 && now.Sub(p.lastHeardAt) < limitSharerTimeout {
-			routers = append(routers, throttle.Router{ID: id, Domain: p.domain})
+			routers = append(routers, endpointstate.Router{ID: id, Domain: p.domain})
 		}
 	}
-	f.throttle.SetRouters(routers)
+	f.endpointStates.SetRouters(routers)
 }
 
 // forgetLimits forgets the limits of endpoints that are no longer listed.
 func (f *Front) forgetLimits(list *discovery.Snapshot) {
-	f.throttle.Retain(func(id proto.EndpointID, started int64) bool {
+	f.endpointStates.Retain(func(id proto.EndpointID, started int64) bool {
 		e := list.ByID[id]
 		return e != nil && e.Started <= started
 	})
--- a/app/front/front.go
+++ b/app/front/front.go
@@ -18,12 +18,12 @@
 	"github.com/kumquatsill/kumquatsill/app/upstream"
 	"github.com/kumquatsill/kumquatsill/core/crash"
 	"github.com/kumquatsill/kumquatsill/core/discovery"
+	"github.com/kumquatsill/kumquatsill/core/endpointstate"
 	"github.com/kumquatsill/kumquatsill/core/leader"
 	"github.com/kumquatsill/kumquatsill/core/place"
 	"github.com/kumquatsill/kumquatsill/core/proto"
 	"github.com/kumquatsill/kumquatsill/core/quota"
 	"github.com/kumquatsill/kumquatsill/core/serving"
-	"github.com/kumquatsill/kumquatsill/core/throttle"
 	"github.com/kumquatsill/kumquatsill/core/upgrade"
 	"github.com/kumquatsill/kumquatsill/platform"
 	"github.com/uptrace/bunrouter"
@@ -94,10 +94,11 @@
 	draining    atomic.Bool
 	inFlight    atomic.Int64
 
-	quota    *quota.Tracker
-	placer   *place.Placer
-	throttle *throttle.Throttle
-	crashes  *crash.Register
+	quota  *quota.Tracker
+	placer *place.Placer
+	// endpointStates keeps what endpoints say about themselves.
+	endpointStates *endpointstate.Tracker
+	crashes        *crash.Register
 	// unsavedTraits holds the changes of blocked traits that wait to be written.
 	unsavedTraits chan crash.Change
 	// retryBudgets maps a service's name to its *relay.RetryBudget.
@@ -144,14 +145,14 @@
 	now := driver.Now()
 	incarnation := time.Now().UnixNano()
 	id := proto.RouterID(cfg.Settings.Host)
-	limits := throttle.New(throttle.Router{ID: id, Domain: cfg.Settings.Domain})
+	states := endpointstate.New(endpointstate.Router{ID: id, Domain: cfg.Settings.Domain})
 	f := &Front{
 		cfg: cfg, log: cfg.Log, incarnation: incarnation,
 		store:            platform.NewLogStore(cfg.Settings.Store),
 		client:           upstream.New(),
 		quota:            quota.New(now, id, incarnation),
-		placer:           place.New(place.Config{Domain: cfg.Settings.Domain, Costs: place.DefaultCosts(), Seed: uint64(incarnation), Throttle: limits}),
-		throttle:         limits,
+		placer:           place.New(place.Config{Domain: cfg.Settings.Domain, Costs: place.DefaultCosts(), Seed: uint64(incarnation), States: states}),
+		endpointStates:   states,
 		crashes:          crash.NewRegister(),
 		unsavedTraits:    make(chan crash.Change, maxUnsavedTraits),
 		table:            discovery.NewTable(),
--- a/app/front/outcome.go
+++ b/app/front/outcome.go
@@ -95,8 +95,9 @@
 		firstMillis = a.firstByteAt.Sub(a.sentAt).Milliseconds()
 	}
 	c := a.choice
+	limited, _ := c.Excluded.Limited()
 	x.front.log.Info("attempt", "id", x.info.ID, "n", x.relay.Sends(), "endpoint", string(c.Endpoint.ID),
-		"domain", string(c.Endpoint.Domain), "version", c.Version, "candidates", c.Candidates, "throttled", c.Throttled,
+		"domain", string(c.Endpoint.Domain), "version", c.Version, "candidates", c.Candidates, "throttled", limited, "excluded", c.Excluded.String(),
 		"expected_ms", c.ExpectedTTFB.Milliseconds(), "held_tokens", c.CachedTokens, "shared_tokens", c.SharedTokens, "moved_tokens", c.FetchedTokens, "again_tokens", c.RecomputedTokens, "source", c.Source,
 		"result", result.String(), "status", a.status, "limit", a.limit, "detail", a.detail, "first_ms", firstMillis,
 		"took_ms", now.Sub(a.sentAt).Milliseconds(), "next", next.Action.String())
--- a/app/front/peers.go
+++ b/app/front/peers.go
@@ -204,7 +204,7 @@
 		f.mu.Unlock()
 	}
 	m.Attempts = f.placer.TakeAttemptNotices()
-	m.Suspects, m.Limits = f.crashes.Observations(now), f.throttle.Changes(now)
+	m.Suspects, m.Limits = f.crashes.Observations(now), f.endpointStates.Changes(now)
 	f.send(m, f.peersAt(near))
 	m.Attempts = firstPrefills(m.Attempts)
 	if ordered || len(m.Attempts) > 0 || len(m.Suspects) > 0 || len(m.Limits) > 0 {
@@ -270,11 +270,11 @@
 	}
 	f.mu.Unlock()
 	if !full {
-		m.Suspects, m.Limits = f.crashes.Observations(now), f.throttle.Changes(now)
+		m.Suspects, m.Limits = f.crashes.Observations(now), f.endpointStates.Changes(now)
 		return m
 	}
 	m.Addr, m.Domain = f.cfg.Settings.PeerAddr, f.cfg.Settings.Domain
-	m.Suspects, m.Limits = f.crashes.State(now), f.throttle.State(now)
+	m.Suspects, m.Limits = f.crashes.State(now), f.endpointStates.State(now)
 	m.AnnouncedVersions = f.placer.AnnouncedVersions(now)
 	return m
 }
--- a/core/throttle/fleet_test.go
+++ b/core/endpointstate/fleet_test.go
@@ -1,4 +1,4 @@
-package throttle_test
+package endpointstate_test
 
 import (
 	"fmt"
@@ -6,8 +6,8 @@
 	"testing"
 	"time"
 
+	"github.com/kumquatsill/kumquatsill/core/endpointstate"
 	"github.com/kumquatsill/kumquatsill/core/proto"
-	"github.com/kumquatsill/kumquatsill/core/throttle"
 )
 
 // The bound of the operators: from contactTimeout after a limit was first named, an
@@ -30,24 +30,24 @@
 
 // router is a router of the simulated fleet.
 type router struct {
-	throttle.Router
-	throttle *throttle.Throttle
-	heard    map[int]proto.Instant
-	early    proto.Instant
-	toldAt   proto.Instant
-	down     bool
+	endpointstate.Router
+	tracker *endpointstate.Tracker
+	heard   map[int]proto.Instant
+	early   proto.Instant
+	toldAt  proto.Instant
+	down    bool
 }
 
 type message struct {
 	at       proto.Instant
 	from, to int
-	notices  []throttle.Notice
+	notices  []endpointstate.Notice
 }
 
 type answer struct {
 	at     proto.Instant
 	router int
-	limit  throttle.Limit
+	limit  endpointstate.Limit
 }
 
 // fleet simulates routers that all want to send to one endpoint that names a limit.
@@ -57,7 +57,7 @@
 	routers  []*router
 	messages []message
 	answers  []answer
-	limit    throttle.Limit
+	limit    endpointstate.Limit
 	// sent lists when requests were sent, counted those by routers that were told.
 	sent, counted []proto.Instant
 }
@@ -65,8 +65,8 @@
 func newFleet(seed uint64, size, domains int) *fleet {
 	f := &fleet{rng: rand.New(rand.NewPCG(seed, 1)), now: now}
 	for i := range size {
-		r := &router{Router: throttle.Router{ID: proto.RouterID(fmt.Sprint("r", i)), Domain: proto.Domain(fmt.Sprint("d", i%domains))}, heard: map[int]proto.Instant{}}
-		r.throttle = throttle.New(r.Router)
+		r := &router{Router: endpointstate.Router{ID: proto.RouterID(fmt.Sprint("r", i)), Domain: proto.Domain(fmt.Sprint("d", i%domains))}, heard: map[int]proto.Instant{}}
+		r.tracker = endpointstate.New(r.Router)
 		f.routers = append(f.routers, r)
 	}
 	return f
@@ -87,10 +87,10 @@
 
 func (f *fleet) request(i int) {
 	r := f.routers[i]
-	if r.down || !r.throttle.Check(f.now, endpoint).OK {
+	if r.down || !r.tracker.Check(f.now, endpoint).OK {
 		return
 	}
-	r.throttle.Take(f.now, endpoint)
+	r.tracker.Take(f.now, endpoint)
 	f.sent = append(f.sent, f.now)
 	if r.toldAt != 0 && f.now.Sub(r.toldAt) >= tellTime {
 		f.counted = append(f.counted, f.now)
@@ -107,7 +107,7 @@
 		switch {
 		case a.at > f.now:
 			answers = append(answers, a)
-		case r.throttle.Observe(f.now, endpoint, a.limit):
+		case observeLimit(r.tracker, f.now, endpoint, a.limit):
 			r.early = f.now.Add(earlyDelay)
 			fallthrough
 		default:
@@ -125,7 +125,7 @@
 		}
 		to := f.routers[m.to]
 		to.heard[m.from] = f.now
-		to.throttle.Merge(f.now, m.notices)
+		to.tracker.Merge(f.now, m.notices)
 	}
 	f.messages = messages
 }
@@ -141,22 +141,22 @@
 			continue
 		}
 		r.early = 0
-		notices := r.throttle.Changes(f.now)
+		notices := r.tracker.Changes(f.now)
 		if (tick+i)%int(5*period/step) == 0 {
-			notices = r.throttle.State(f.now)
+			notices = r.tracker.State(f.now)
 		}
 		for to := range f.routers {
 			if to != i && f.rng.IntN(20) > 0 {
 				f.messages = append(f.messages, message{f.now.Add(time.Duration(f.rng.Int64N(int64(transitTime)))), i, to, notices})
 			}
 		}
-		var alive []throttle.Router
+		var alive []endpointstate.Router
 		for id, at := range r.heard {
 			if f.now.Sub(at) < aliveTimeout {
 				alive = append(alive, f.routers[id].Router)
 			}
 		}
-		r.throttle.SetRouters(alive)
+		r.tracker.SetRouters(alive)
 	}
 }
 
@@ -219,10 +219,10 @@
 		f := newFleet(1, size, 3)
 		f.limit = named(1)
 		f.play(6*time.Second, 60)
-		f.limit = throttle.Limit{}
+		f.limit = endpointstate.Limit{}
 		f.play(6*time.Second, 60)
 		for _, r := range f.routers {
-			if !r.throttle.Check(f.now, endpoint).OK {
+			if !r.tracker.Check(f.now, endpoint).OK {
 				t.Errorf("%d routers: %s is still throttled", size, r.ID)
 			}
 		}
--- a/core/throttle/notices.go
+++ b/core/endpointstate/notices.go
@@ -1,4 +1,4 @@
-package throttle
+package endpointstate
 
 import (
 	"cmp"
@@ -33,47 +33,47 @@
 
 // Changes returns the limits that this router has seen change lately, for each message
 // to its peers.
-func (t *Throttle) Changes(now proto.Instant) []Notice {
-	return t.notices(now, func(s *state) bool { return now.Sub(s.changedAt) < repeatTime })
+func (t *Tracker) Changes(now proto.Instant) []Notice {
+	return t.notices(now, func(l *limitState) bool { return now.Sub(l.changedAt) < repeatTime })
 }
 
 // State returns all limits that this router has observed last, for routers that have
 // missed earlier messages.
-func (t *Throttle) State(now proto.Instant) []Notice {
-	return t.notices(now, func(s *state) bool { return s.limit.Named || now.Sub(s.observedAt) < endRepeatTime })
+func (t *Tracker) State(now proto.Instant) []Notice {
+	return t.notices(now, func(l *limitState) bool { return l.Named || now.Sub(l.observedAt) < endRepeatTime })
 }
 
 // notices returns the selected limits, the latest observations first.
-func (t *Throttle) notices(now proto.Instant, selected func(*state) bool) []Notice {
+func (t *Tracker) notices(now proto.Instant, selected func(*limitState) bool) []Notice {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	var chosen []*state
 	for _, s := range t.states {
-		if s.own && selected(s) {
+		if s.limit.own && selected(&s.limit) {
 			chosen = append(chosen, s)
 		}
 	}
 	slices.SortFunc(chosen, func(a, b *state) int {
-		return cmp.Or(cmp.Compare(b.observedAt, a.observedAt), cmp.Compare(a.endpoint, b.endpoint))
+		return cmp.Or(cmp.Compare(b.limit.observedAt, a.limit.observedAt), cmp.Compare(a.id, b.id))
 	})
 	var notices []Notice
 	for _, s := range chosen[:min(len(chosen), maxNotices)] {
 		notices = append(notices, Notice{
-			Endpoint: s.endpoint, Started: s.started, PerSecond: s.limit.PerSecond, Ended: !s.limit.Named,
-			AgeMillis: now.Sub(s.observedAt).Milliseconds(),
+			Endpoint: s.id, Started: s.started, PerSecond: s.limit.PerSecond, Ended: !s.limit.Named,
+			AgeMillis: now.Sub(s.limit.observedAt).Milliseconds(),
 		})
 	}
 	return notices
 }
 
 // Merge applies the notices of a peer and returns those that changed a limit.
-func (t *Throttle) Merge(now proto.Instant, notices []Notice) []Notice {
+func (t *Tracker) Merge(now proto.Instant, notices []Notice) []Notice {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	var changes []Notice
 	for _, n := range notices {
 		at := now.Add(-time.Duration(n.AgeMillis) * time.Millisecond)
-		if t.apply(now, observation{n.Endpoint, n.Started, Limit{PerSecond: n.PerSecond, Named: !n.Ended}, at, false}) {
+		if t.applyLimit(now, limitObservation{incarnation{n.Endpoint, n.Started}, Limit{PerSecond: n.PerSecond, Named: !n.Ended}, at, false}) {
 			changes = append(changes, n)
 		}
 	}
--- a/core/throttle/senders.go
+++ b/core/endpointstate/senders.go
@@ -1,4 +1,4 @@
-package throttle
+package endpointstate
 
 import (
 	"cmp"
@@ -15,7 +15,7 @@
 // may send one request beyond its rate, so no more of them share a limit than it allows
 // requests in a second. Those of the endpoint's failure domain come first; mu must be
 // held.
-func (t *Throttle) share(e Endpoint, rate float64) float64 {
+func (t *Tracker) share(e Endpoint, rate float64) float64 {
 	before := 0
 	for _, r := range t.routers {
 		if precedes(e, r, t.self) {
--- a/core/peer/peer.go
+++ b/core/peer/peer.go
@@ -7,11 +7,11 @@
 	"encoding/json"
 
 	"github.com/kumquatsill/kumquatsill/core/crash"
+	"github.com/kumquatsill/kumquatsill/core/endpointstate"
 	"github.com/kumquatsill/kumquatsill/core/leader"
 	"github.com/kumquatsill/kumquatsill/core/place"
 	"github.com/kumquatsill/kumquatsill/core/proto"
 	"github.com/kumquatsill/kumquatsill/core/quota"
-	"github.com/kumquatsill/kumquatsill/core/throttle"
 	"github.com/zeebo/errs"
 )
 
@@ -65,9 +65,9 @@
 	// Suspects is the evidence on what makes requests crash endpoints.
 	Suspects []crash.Evidence `json:"suspects,omitempty"`
 	// Limits lists the limits that endpoints have named to the sender.
-	Limits        []throttle.Notice `json:"limits,omitempty"`
-	Loads         []Load            `json:"loads,omitempty"`
-	VersionLoaded []VersionLoaded   `json:"reached,omitempty"`
+	Limits        []endpointstate.Notice `json:"limits,omitempty"`
+	Loads         []Load                 `json:"loads,omitempty"`
+	VersionLoaded []VersionLoaded        `json:"reached,omitempty"`
 	// Attempts lists the attempts that were started since the last message.
 	Attempts []place.AttemptNotice `json:"attempts,omitempty"`
 	// AnnouncedVersions lists the versions that the operator has announced.
--- a/core/place/attempt.go
+++ b/core/place/attempt.go
@@ -29,8 +29,8 @@
 		return a
 	}
 	a.load = l
-	if p.cfg.Throttle != nil {
-		p.cfg.Throttle.Take(now, throttledEndpoint(c.Endpoint))
+	if p.cfg.States != nil {
+		p.cfg.States.Take(now, stateKey(c.Endpoint))
 	}
 	l.inFlight++
 	l.prefillTokens += a.prefillTokens
--- /dev/null
+++ b/core/place/choose.go
@@ -0,0 +1,118 @@
+package place
+
+import (
+	"math"
+	"time"
+
+	"github.com/kumquatsill/kumquatsill/core/discovery"
+	"github.com/kumquatsill/kumquatsill/core/endpointstate"
+	"github.com/kumquatsill/kumquatsill/core/proto"
+)
+
+// Choice is the endpoint chosen for one attempt and the estimates behind it.
+type Choice struct {
+	Endpoint *discovery.Endpoint
+	// Version is the version of the model that the endpoint has to run; 0 for
+	// plain services.
+	Version int64
+	Salt    string
+	// Source is the address of an engine or store to fetch parts from, or "".
+	// SourceEngine is empty for a store.
+	Source       string
+	SourceEngine proto.EndpointID
+	// Destination is the address of the store that the engine copies the parts
+	// to, or "".
+	Destination string
+	// ExpectedTTFB is the expected time to first byte.
+	ExpectedTTFB time.Duration
+	// Lag is the share of ExpectedTTFB that stems from recent lag of the endpoint.
+	Lag time.Duration
+	// SharedTokens is the number of tokens of the shared parts, CachedTokens the
+	// number of those that the endpoint holds.
+	CachedTokens, SharedTokens int64
+	// FetchedTokens is the number of shared tokens that the endpoint fetches.
+	FetchedTokens int64
+	// RecomputedTokens is the number of shared tokens that the endpoint neither
+	// holds nor fetches and therefore prefills.
+	RecomputedTokens int64
+	// PrefillTokens is the number of prompt tokens that the endpoint prefills.
+	PrefillTokens int64
+	// StartWithin is the time within which the request has to begin, so that it
+	// does not run on a version that is too old; 0 means no limit.
+	StartWithin time.Duration
+	// Candidates is the number of endpoints that were eligible. Excluded tells why others
+	// were not.
+	Candidates int
+	Excluded   Exclusions
+
+	// transfer is how long the transfer of the fetched parts takes; keys holds
+	// the key of each part of the prompt.
+	transfer time.Duration
+	keys     []PartKey
+}
+
+// Choose returns the endpoint of the least cost, or false if none can take the
+// request.
+func (p *Placer) Choose(now proto.Instant, q *Query) (Choice, bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	best, excluded := newCheapest(), Exclusions{}
+	s := newScorer(p, now, q)
+	oldestUsable := p.oldestUsable(now, q.Model)
+	for _, e := range p.list.ForService(q.Service) {
+		permission := p.permission(now, e)
+		if reason := exclusionOf(e, permission, q); reason != notExcluded {
+			excluded.add(reason, permission.Wait)
+			continue
+		}
+		l := p.loadFor(e)
+		if l.isLoading(now) || l.version[q.Model] < oldestUsable {
+			excluded.add(excludedVersion, 0)
+			continue
+		}
+		c, cost := s.score(e, l)
+		if permission.CheckDue {
+			cost -= float64(limitCheckBonus)
+		}
+		if s.retiresBeforeStart(c) {
+			excluded.add(excludedVersion, 0)
+			continue
+		}
+		// Without jitter, routers with the same knowledge would all choose the
+		// same engine at once.
+		best.offer(c, cost+jitter*float64(c.ExpectedTTFB)*p.rng.Float64())
+	}
+	choice := best.choice
+	choice.Candidates, choice.Excluded = best.offers, excluded
+	choice.StartWithin = p.startTimeLeft(now, q.Model, choice.Version)
+	return choice, best.offers > 0
+}
+
+// cheapest keeps the choice of the least cost of those that were offered.
+type cheapest struct {
+	choice Choice
+	cost   float64
+	offers int
+}
+
+func newCheapest() cheapest { return cheapest{cost: math.Inf(1)} }
+
+func (b *cheapest) offer(c Choice, cost float64) {
+	b.offers++
+	if cost < b.cost {
+		b.choice, b.cost = c, cost
+	}
+}
+
+// permission returns whether an endpoint takes a request of this router now, by what it
+// says about itself.
+func (p *Placer) permission(now proto.Instant, e *discovery.Endpoint) endpointstate.Permission {
+	if p.cfg.States == nil {
+		return endpointstate.Permission{OK: true}
+	}
+	return p.cfg.States.Check(now, stateKey(e))
+}
+
+func stateKey(e *discovery.Endpoint) endpointstate.Endpoint {
+	return endpointstate.Endpoint{ID: e.ID, Started: e.Started, Domain: e.Domain}
+}
--- /dev/null
+++ b/core/place/exclusions.go
@@ -0,0 +1,85 @@
+package place
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/kumquatsill/kumquatsill/core/discovery"
+	"github.com/kumquatsill/kumquatsill/core/endpointstate"
+)
+
+// exclusion is why an endpoint could not take a request.
+type exclusion uint8
+
+const (
+	notExcluded exclusion = iota
+	// excludedLimit means that this router's share of the endpoint's limit is used up.
+	excludedLimit
+	// excludedLeaving means that the endpoint leaves.
+	excludedLeaving
+	// excludedTried means that an attempt was already sent to the endpoint.
+	excludedTried
+	// excludedVersion means that the endpoint loads weights or has none that the request
+	// may run on.
+	excludedVersion
+	numExclusions
+)
+
+var exclusionNames = [numExclusions]string{
+	excludedLimit: "limit", excludedLeaving: "leaving", excludedTried: "tried", excludedVersion: "version",
+}
+
+// exclusionOf returns why an endpoint cannot take a request, apart from its version.
+func exclusionOf(e *discovery.Endpoint, p endpointstate.Permission, q *Query) exclusion {
+	switch {
+	case e.Leaving:
+		return excludedLeaving
+	case p.Reason == endpointstate.LimitReached:
+		return excludedLimit
+	case slices.Contains(q.Exclude, e.ID):
+		return excludedTried
+	}
+	return notExcluded
+}
+
+// Exclusions counts the endpoints of a service that could not take a request, by reason.
+type Exclusions struct {
+	counts [numExclusions]int
+	// limitWait is the least time until a limit allows a request; 0 if unknown.
+	limitWait time.Duration
+}
+
+// add counts an endpoint. wait is the time until it may take a request, or 0.
+func (x *Exclusions) add(reason exclusion, wait time.Duration) {
+	x.counts[reason]++
+	if reason == excludedLimit {
+		x.limitWait = leastKnown(x.limitWait, wait)
+	}
+}
+
+// leastKnown returns the lesser of two times of which 0 is unknown.
+func leastKnown(a, b time.Duration) time.Duration {
+	if a == 0 || b > 0 && b < a {
+		return b
+	}
+	return a
+}
+
+// Limited returns the number of endpoints that were excluded by the limits that they
+// name, and the least time until one of them may take a request, 0 if unknown.
+func (x *Exclusions) Limited() (endpoints int, wait time.Duration) {
+	return x.counts[excludedLimit], x.limitWait
+}
+
+// String returns the counts that are not 0, for logs.
+func (x *Exclusions) String() string {
+	var words []string
+	for reason, n := range x.counts {
+		if n > 0 {
+			words = append(words, fmt.Sprint(exclusionNames[reason], ":", n))
+		}
+	}
+	return strings.Join(words, " ")
+}
--- a/core/place/throttle_test.go
+++ b/core/place/exclusions_test.go
@@ -4,14 +4,19 @@
 	"testing"
 	"time"
 
+	"github.com/kumquatsill/kumquatsill/core/endpointstate"
 	"github.com/kumquatsill/kumquatsill/core/place"
-	"github.com/kumquatsill/kumquatsill/core/throttle"
 )
 
+// observe records what an engine says about itself.
+func (r *fixture) observe(i int, report endpointstate.Report) {
+	e := r.table.Snapshot().ByID[engineID(i)]
+	r.states.Observe(r.now, endpointstate.Endpoint{ID: e.ID, Started: e.Started, Domain: e.Domain}, report)
+}
+
 // nameLimit lets an engine name a limit of one request per second.
 func (r *fixture) nameLimit(i int) {
-	e := r.table.Snapshot().ByID[engineID(i)]
-	r.limits.Observe(r.now, throttle.Endpoint{ID: e.ID, Started: e.Started, Domain: e.Domain}, throttle.Limit{PerSecond: 1, Named: true})
+	r.observe(i, endpointstate.Report{Limit: endpointstate.Limit{PerSecond: 1, Named: true}, HasLimit: true})
 }
 
 // Guards against requests to an engine beyond the limit that it names, and against
@@ -45,8 +50,8 @@
 	r.nameLimit(0)
 	r.nameLimit(1)
 	c, ok := r.placer.Choose(r.now, r.query("x"))
-	if ok || c.Throttled != 2 || c.ThrottledFor <= 0 || c.ThrottledFor > time.Second {
-		t.Fatalf("ok %t, throttled %d, wait %v", ok, c.Throttled, c.ThrottledFor)
+	if n, wait := c.Excluded.Limited(); ok || n != 2 || wait <= 0 || wait > time.Second {
+		t.Fatalf("ok %t, %d beyond their limits, wait %v", ok, n, wait)
 	}
 }
 
--- a/core/place/place.go
+++ b/core/place/place.go
@@ -9,17 +9,15 @@
 package place
 
 import (
-	"math"
 	"math/rand/v2"
-	"slices"
 	"sync"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/kumquatsill/kumquatsill/core/discovery"
+	"github.com/kumquatsill/kumquatsill/core/endpointstate"
 	"github.com/kumquatsill/kumquatsill/core/proto"
 	"github.com/kumquatsill/kumquatsill/core/serving"
-	"github.com/kumquatsill/kumquatsill/core/throttle"
 )
 
 // Costs are the parameters of the cost function. All costs are expressed as
@@ -110,50 +108,6 @@
 	Exclude []proto.EndpointID
 }
 
-// Choice is the endpoint chosen for one attempt and the estimates behind it.
-type Choice struct {
-	Endpoint *discovery.Endpoint
-	// Version is the version of the model that the endpoint has to run; 0 for
-	// plain services.
-	Version int64
-	Salt    string
-	// Source is the address of an engine or store to fetch parts from, or "".
-	// SourceEngine is empty for a store.
-	Source       string
-	SourceEngine proto.EndpointID
-	// Destination is the address of the store that the engine copies the parts
-	// to, or "".
-	Destination string
-	// ExpectedTTFB is the expected time to first byte.
-	ExpectedTTFB time.Duration
-	// Lag is the share of ExpectedTTFB that stems from recent lag of the endpoint.
-	Lag time.Duration
-	// SharedTokens is the number of tokens of the shared parts, CachedTokens the
-	// number of those that the endpoint holds.
-	CachedTokens, SharedTokens int64
-	// FetchedTokens is the number of shared tokens that the endpoint fetches.
-	FetchedTokens int64
-	// RecomputedTokens is the number of shared tokens that the endpoint neither
-	// holds nor fetches and therefore prefills.
-	RecomputedTokens int64
-	// PrefillTokens is the number of prompt tokens that the endpoint prefills.
-	PrefillTokens int64
-	// StartWithin is the time within which the request has to begin, so that it
-	// does not run on a version that is too old; 0 means no limit.
-	StartWithin time.Duration
-	// Candidates is the number of endpoints that were eligible, Throttled the number of
-	// those that were not because of a limit that they name.
-	Candidates, Throttled int
-	// ThrottledFor is the least time until one of the latter may be eligible; 0 if other
-	// routers share their limits.
-	ThrottledFor time.Duration
-
-	// transfer is how long the transfer of the fetched parts takes; keys holds
-	// the key of each part of the prompt.
-	transfer time.Duration
-	keys     []PartKey
-}
-
 // Placer chooses endpoints for one router. It is safe for concurrent use.
 type Placer struct {
 	mu     sync.Mutex
@@ -180,8 +134,8 @@
 	Costs  Costs
 	// Seed seeds the jitter, so that it differs between routers.
 	Seed uint64
-	// Throttle keeps the limits that endpoints name; nil means that there are none.
-	Throttle *throttle.Throttle
+	// States keeps what endpoints say about themselves; nil means that they say nothing.
+	States *endpointstate.Tracker
 }
 
 // Limits are the time limits of a Placer. They may change while it runs.
@@ -323,78 +277,6 @@
 	}
 }
 
-// Choose returns the endpoint of the least cost, or false if none can take the
-// request.
-func (p *Placer) Choose(now proto.Instant, q *Query) (Choice, bool) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	best := Choice{}
-	bestCost := math.Inf(1)
-	found, throttled := 0, throttling{}
-	s := newScorer(p, now, q)
-	oldestUsable := p.oldestUsable(now, q.Model)
-	for _, e := range p.list.ForService(q.Service) {
-		if e.Leaving || slices.Contains(q.Exclude, e.ID) {
-			continue
-		}
-		l := p.loadFor(e)
-		if l.isLoading(now) || l.version[q.Model] < oldestUsable {
-			continue
-		}
-		permission := p.permission(now, e)
-		if !permission.OK {
-			throttled.add(permission)
-			continue
-		}
-		c, cost := s.score(e, l)
-		if permission.CheckDue {
-			cost -= float64(limitCheckBonus)
-		}
-		if s.retiresBeforeStart(c) {
-			continue
-		}
-		found++
-		// Without jitter, routers with the same knowledge would all choose the
-		// same engine at once.
-		cost += jitter * float64(c.ExpectedTTFB) * p.rng.Float64()
-		if cost < bestCost {
-			best, bestCost = c, cost
-		}
-	}
-	best.Candidates, best.Throttled, best.ThrottledFor = found, throttled.endpoints, throttled.wait
-	best.StartWithin = p.startTimeLeft(now, q.Model, best.Version)
-	return best, found > 0
-}
-
-// throttling sums up the endpoints that a request was not sent to because of their
-// limits.
-type throttling struct {
-	endpoints int
-	// wait is the least time until one of them may be used, 0 if unknown.
-	wait time.Duration
-}
-
-// add adds an endpoint whose limit allows no request now.
-func (t *throttling) add(permission throttle.Permission) {
-	t.endpoints++
-	if w := permission.Wait; w > 0 && (t.wait == 0 || w < t.wait) {
-		t.wait = w
-	}
-}
-
-// permission returns whether the limit that an endpoint names allows a request of this
-// router now.
-func (p *Placer) permission(now proto.Instant, e *discovery.Endpoint) throttle.Permission {
-	if p.cfg.Throttle == nil {
-		return throttle.Permission{OK: true}
-	}
-	return p.cfg.Throttle.Check(now, throttledEndpoint(e))
-}
-
-func throttledEndpoint(e *discovery.Endpoint) throttle.Endpoint {
-	return throttle.Endpoint{ID: e.ID, Started: e.Started, Domain: e.Domain}
-}
-
 // Silent returns the endpoints that no longer respond or are in backoff after
 // failures, to be reported to the peers.
 func (p *Placer) Silent(now proto.Instant) []proto.EndpointID {
--- a/core/place/place_test.go
+++ b/core/place/place_test.go
@@ -6,10 +6,10 @@
 	"time"
 
 	"github.com/kumquatsill/kumquatsill/core/discovery"
+	"github.com/kumquatsill/kumquatsill/core/endpointstate"
 	"github.com/kumquatsill/kumquatsill/core/place"
 	"github.com/kumquatsill/kumquatsill/core/proto"
 	"github.com/kumquatsill/kumquatsill/core/serving"
-	"github.com/kumquatsill/kumquatsill/core/throttle"
 )
 
 const (
@@ -25,15 +25,15 @@
 	placer *place.Placer
 	table  *discovery.Table
 	store  *place.StoreIndex
-	limits *throttle.Throttle
+	states *endpointstate.Tracker
 }
 
 func newFixture(t testing.TB, engines int) *fixture {
 	r := &fixture{
 		t: t, now: start, table: discovery.NewTable(), store: place.NewStoreIndex(),
-		limits: throttle.New(throttle.Router{ID: "r", Domain: "a"}),
+		states: endpointstate.New(endpointstate.Router{ID: "r", Domain: "a"}),
 	}
-	r.placer = place.New(place.Config{Domain: "a", Costs: place.DefaultCosts(), Seed: 1, Throttle: r.limits})
+	r.placer = place.New(place.Config{Domain: "a", Costs: place.DefaultCosts(), Seed: 1, States: r.states})
 	r.placer.SetLimits(place.Limits{VersionLifetime: 6 * time.Second, HeartbeatTimeout: 3 * time.Second})
 	r.placer.Configure(config(t))
 	r.placer.SetStore(storeAddr, r.store)
--- a/proof/soak/mutations.go
+++ b/proof/soak/mutations.go
@@ -33,7 +33,7 @@
 	{"key-withdrawal", []edit{{"app/front/watch.go", "old != nil && cfg.Revision <= old.Revision", "old != nil"}}},
 	{"recovery", []edit{{"app/front/watch.go", "		backoff = min(", "		return nil\n		backoff = min("}}},
 	{"harmful-part", []edit{{"core/crash/entry.go", "blockThreshold = 3", "blockThreshold = 3000"}}},
-	{"endpoint-limit", []edit{{"core/throttle/senders.go", "return rate / float64(senders)", "return 50 * rate / float64(senders)"}}},
+	{"endpoint-limit", []edit{{"core/endpointstate/senders.go", "return rate / float64(senders)", "return 50 * rate / float64(senders)"}}},
 	{"no-own-end", []edit{{"app/cmd/kumquatsill/front.go", "		for range hangups {", "		for range hangups {\n			os.Exit(3)"}}},
 }
 
