core/endpointstate: endpoints that say that they leave get no new requests

Callers saw requests at engines that were about to end: an engine may say in its answers that it leaves while its registration still says ready, or while the store is away, and the router did not read that.

Cause: only the registration was believed (discovery.Endpoint.Leaving).

Change: the head of each answer is read, of refusals and of control calls, too. It excludes the endpoint at once. Only where no other endpoint can take the request is it used, until the drain time after the first such answer is over. It gets no orders and no reads of its cache events, and unused connections to it are closed. The lines 'attempt' and 'finished' count it under 'excluded'.

--- a/app/front/attempt.go
+++ b/app/front/attempt.go
@@ -90,7 +90,11 @@
 	if limited > 0 {
 		return x.relay.NoEndpoint("endpoint_limits", min(cmp.Or(wait, noEndpointRetryAfter), maxOverloadRetryAfter))
 	}
-	return x.relay.NoEndpoint("no_endpoint", noEndpointRetryAfter)
+	reason := "no_endpoint"
+	if choice.Excluded.Leaving() > 0 {
+		reason = "endpoints_leave"
+	}
+	return x.relay.NoEndpoint(reason, noEndpointRetryAfter)
 }
 
 // requestEarlySend requests a message to the peers before the next periodic
@@ -287,7 +291,7 @@
 	if head.HasLoad {
 		x.front.placer.ObserveLoad(driver.Now(), a.placement, head.Load)
 	}
-	x.front.observeLimit(driver.Now(), a.choice.Endpoint, head)
+	x.front.observeEndpointState(driver.Now(), a.choice.Endpoint, head)
 	if head.HasLimit {
 		a.limit = head.Limit
 	}
--- a/app/front/call.go
+++ b/app/front/call.go
@@ -3,10 +3,10 @@
 import (
 	"context"
 	"io"
-	"net/http"
 	"time"
 
 	"github.com/kumquatsill/kumquatsill/app/upstream"
+	"github.com/kumquatsill/kumquatsill/core/discovery"
 	"github.com/kumquatsill/kumquatsill/platform"
 )
 
@@ -21,17 +21,25 @@
 
 // endpointCaller sends control calls, which are not requests of callers, to
 // endpoints.
-type endpointCaller struct{ client *upstream.Client }
+type endpointCaller struct {
+	client *upstream.Client
+	// observe is called with the head of each answer of an engine.
+	observe func(e *discovery.Endpoint, head platform.ResponseInfo)
+}
 
 // Call implements platform.EndpointCaller.
-func (c endpointCaller) Call(ctx context.Context, addr, method, target string, h http.Header, body []byte) (int, []byte, error) {
+func (c endpointCaller) Call(ctx context.Context, call platform.ControlCall) (int, []byte, error) {
 	resp, err := c.client.Send(ctx, &upstream.Request{
-		Addr: addr, Method: method, Target: target, Host: addr, Header: h, Body: body, Matches: platform.IsControlResponse,
+		Addr: call.Addr, Method: call.Method, Target: call.Target, Host: call.Addr, Header: call.Header, Body: call.Body,
+		Matches: platform.IsControlResponse,
 	})
 	if err != nil {
 		return 0, nil, err
 	}
 	defer resp.Close()
+	if call.Endpoint != nil {
+		c.observe(call.Endpoint, platform.DecodeResponse(resp.Status, resp.Header))
+	}
 	respBody, err := io.ReadAll(io.LimitReader(resp.Body, maxControlResponseBytes))
 	if err != nil {
 		return 0, nil, Error.Wrap(err)
--- a/app/front/call_test.go
+++ b/app/front/call_test.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/kumquatsill/kumquatsill/app/upstream"
+	"github.com/kumquatsill/kumquatsill/platform"
 )
 
 // Guards against taking a late second copy of a request's answer for the answer to an
@@ -52,7 +53,9 @@
 		t.Fatal(err)
 	}
 	resp.Close()
-	status, _, err := endpointCaller{client}.Call(ctx, addr, http.MethodPost, "/order", http.Header{}, []byte("{}"))
+	status, _, err := endpointCaller{client: client}.Call(ctx, platform.ControlCall{
+		Addr: addr, Method: http.MethodPost, Target: "/order", Header: http.Header{}, Body: []byte("{}"),
+	})
 	if err != nil || status != http.StatusAccepted {
 		t.Errorf("status %d, %v", status, err)
 	}
--- a/app/front/feed.go
+++ b/app/front/feed.go
@@ -123,7 +123,7 @@
 	listed := feed.MissedEvents(page)
 	if listed {
 		f.log.Info("rebuilding cache store index", "addr", addr, "epoch", page.Epoch, "gap", page.Gap)
-		if read, err = f.engines.CacheContents(ctx, addr); err != nil {
+		if read, err = f.engines.StoreContents(ctx, addr); err != nil {
 			return place.StorePage{}, err
 		}
 		page = storePage(read.NextSequence, read)
@@ -178,7 +178,7 @@
 func (f *Front) readStoreFeed(ctx context.Context, addr string, next int64) (platform.CacheEventPage, error) {
 	ctx, cancel := context.WithTimeout(ctx, storeFeedTimeout)
 	defer cancel()
-	return f.engines.CacheEvents(ctx, addr, next, storeFeedWait)
+	return f.engines.StoreEvents(ctx, addr, next, storeFeedWait)
 }
 
 const (
@@ -232,7 +232,7 @@
 	self := proto.RouterID(f.cfg.Settings.Host)
 	var due []*discovery.Endpoint
 	for id, e := range list.ByID {
-		if len(e.Versions) == 0 || e.Leaving {
+		if len(e.Versions) == 0 || f.isLeaving(e) {
 			continue
 		}
 		feed := feeds[id]
@@ -292,7 +292,7 @@
 func (f *Front) readEngineFeed(ctx context.Context, e *discovery.Endpoint, feed *engineFeed) {
 	ctx, cancel := context.WithTimeout(ctx, controlTimeout)
 	defer cancel()
-	got, err := f.engines.CacheEvents(ctx, e.Addr, feed.next, engineFeedWait)
+	got, err := f.engines.EngineEvents(ctx, e, feed.next, engineFeedWait)
 	if err != nil {
 		f.log.Debug("cache events not read", "endpoint", string(e.ID), "error", err.Error())
 		return
--- a/app/front/front.go
+++ b/app/front/front.go
@@ -164,7 +164,8 @@
 		storeFollowers:   map[string]context.CancelFunc{},
 		earlySend:        make(chan struct{}, 1),
 	}
-	f.engines = platform.NewEngineClient(endpointCaller{f.client})
+	f.engines = platform.NewEngineClient(endpointCaller{client: f.client, observe: f.observeControlAnswer})
+	f.planner.SetSaysLeaving(f.saysLeaving)
 	f.metrics = newTelemetry(f)
 	f.applySettings(cfg.Settings)
 	f.fullUntil.Store(int64(now.Add(fullMessageTime)))
@@ -184,6 +185,7 @@
 		VersionLifetime: s.VersionLifetime - versionMargin, VersionStartMargin: versionStartMargin,
 		HeartbeatTimeout: 2*s.HeartbeatInterval + registryLag,
 	})
+	f.endpointStates.SetDrainTimeout(s.DrainTimeout)
 	// If engines check fencing tokens, no delay is needed after a holder has
 	// released the lease.
 	afterRelease := s.LeaseTakeoverDelay
@@ -362,7 +364,7 @@
 func (f *Front) knownAddrs() map[string]bool {
 	known := map[string]bool{}
 	for _, e := range f.table.Snapshot().ByID {
-		if !e.Leaving {
+		if !f.isLeaving(e) {
 			known[e.Addr] = true
 		}
 	}
--- a/app/front/peers.go
+++ b/app/front/peers.go
@@ -125,7 +125,7 @@
 	farPeriod = 2
 	// fullPeriod is the number of intervals between full messages, which also
 	// carry the sender's address, the routers that it hears, all that it knows of
-	// blocked traits and of limits, and the announced versions.
+	// blocked traits and of the states of endpoints, and the announced versions.
 	fullPeriod = 10
 	// fullMessageTime is how long every periodic message is full after the start
 	// of this router or of a peer, so that routers soon know who receives whose
@@ -194,7 +194,7 @@
 }
 
 // sendEarly reports attempts and load orders that have just begun, endpoints that
-// have just crashed, and limits that have just changed.
+// have just crashed, and changed states of endpoints.
 func (f *Front) sendEarly(now proto.Instant) {
 	m := f.emptyMessage()
 	ordered := f.loadingChanged.Swap(false)
@@ -204,10 +204,12 @@
 		f.mu.Unlock()
 	}
 	m.Attempts = f.placer.TakeAttemptNotices()
-	m.Suspects, m.Limits = f.crashes.Observations(now), f.endpointStates.Changes(now)
+	m.Suspects = f.crashes.Observations(now)
+	notices := f.endpointStates.Changes(now)
+	m.SetNotices(notices)
 	f.send(m, f.peersAt(near))
 	m.Attempts = firstPrefills(m.Attempts)
-	if ordered || len(m.Attempts) > 0 || len(m.Suspects) > 0 || len(m.Limits) > 0 {
+	if ordered || len(m.Attempts) > 0 || len(m.Suspects) > 0 || !notices.IsEmpty() {
 		f.sendFar(now, m)
 	}
 }
@@ -270,11 +272,13 @@
 	}
 	f.mu.Unlock()
 	if !full {
-		m.Suspects, m.Limits = f.crashes.Observations(now), f.endpointStates.Changes(now)
+		m.Suspects = f.crashes.Observations(now)
+		m.SetNotices(f.endpointStates.Changes(now))
 		return m
 	}
 	m.Addr, m.Domain = f.cfg.Settings.PeerAddr, f.cfg.Settings.Domain
-	m.Suspects, m.Limits = f.crashes.State(now), f.endpointStates.State(now)
+	m.Suspects = f.crashes.State(now)
+	m.SetNotices(f.endpointStates.State(now))
 	m.AnnouncedVersions = f.placer.AnnouncedVersions(now)
 	return m
 }
@@ -409,7 +413,7 @@
 	f.quota.Merge(now, m.Counts)
 	f.crashes.Merge(now, m.Suspects)
 	f.reportCrashChanges()
-	f.mergeLimits(now, m.Limits)
+	f.mergeEndpointStates(now, m.Notices())
 	for _, l := range m.Loads {
 		f.placer.SetLoading(l.Endpoint, now.Add(time.Duration(l.RemainingMillis)*time.Millisecond))
 	}
--- a/app/front/watch.go
+++ b/app/front/watch.go
@@ -297,6 +297,6 @@
 	list := f.table.Snapshot()
 	f.placer.Update(list)
 	f.planner.Update(list)
-	f.forgetLimits(list)
+	f.retainEndpointStates(list)
 	f.metrics.endpoints.Store(int64(len(list.ByID)))
 }
--- a/core/endpointstate/fleet_test.go
+++ b/core/endpointstate/fleet_test.go
@@ -41,7 +41,7 @@
 type message struct {
 	at       proto.Instant
 	from, to int
-	notices  []endpointstate.Notice
+	notices  endpointstate.Notices
 }
 
 type answer struct {
--- a/core/endpointstate/limit_test.go
+++ b/core/endpointstate/limit_test.go
@@ -68,11 +68,11 @@
 			return endpoint
 		},
 		"a peer's notice": func(r *endpointstate.Tracker) endpointstate.Endpoint {
-			r.Merge(now.Add(time.Second), []endpointstate.Notice{{Endpoint: endpoint.ID, Started: endpoint.Started, Ended: true}})
+			r.Merge(now.Add(time.Second), endpointstate.Notices{Limits: []endpointstate.LimitNotice{{Endpoint: endpoint.ID, Started: endpoint.Started, Ended: true}}})
 			return endpoint
 		},
 		"deregistration": func(r *endpointstate.Tracker) endpointstate.Endpoint {
-			r.Retain(func(proto.EndpointID, int64) bool { return false })
+			r.Retain(now, func(proto.EndpointID, int64) bool { return false })
 			return endpoint
 		},
 		"a restart": func(*endpointstate.Tracker) endpointstate.Endpoint {
@@ -93,7 +93,7 @@
 	r := endpointstate.New(endpointstate.Router{ID: "r", Domain: "d0"})
 	observeLimit(r, now, endpoint, named(1))
 	observeLimit(r, now.Add(time.Second), endpoint, endpointstate.Limit{})
-	r.Merge(now.Add(2*time.Second), []endpointstate.Notice{{Endpoint: endpoint.ID, Started: endpoint.Started, PerSecond: 1, AgeMillis: 2000}})
+	r.Merge(now.Add(2*time.Second), endpointstate.Notices{Limits: []endpointstate.LimitNotice{{Endpoint: endpoint.ID, Started: endpoint.Started, PerSecond: 1, AgeMillis: 2000}}})
 	if !r.Check(now.Add(2*time.Second), endpoint).OK {
 		t.Error("throttled by an old notice")
 	}
@@ -126,22 +126,22 @@
 }
 
 // Guards against messages to peers that outgrow a datagram when all endpoints of a large
-// fleet name a limit.
+// fleet name a limit and leave.
 func TestNoticesFitIntoAMessage(t *testing.T) {
 	const maxBytes = 10_000
 	r := endpointstate.New(endpointstate.Router{ID: "r", Domain: "d0"})
 	for i := range 600 {
 		e := endpointstate.Endpoint{ID: proto.EndpointID(fmt.Sprint("i-0123456789", i)), Started: 1770535996212, Domain: "d0"}
-		observeLimit(r, now, e, named(1.25))
+		r.Observe(now, e, endpointstate.Report{Limit: named(1.25), HasLimit: true, Leaving: true})
 	}
 	at := now.Add(time.Second)
-	for name, notices := range map[string][]endpointstate.Notice{"changes": r.Changes(at), "state": r.State(at)} {
+	for name, notices := range map[string]endpointstate.Notices{"changes": r.Changes(at), "state": r.State(at)} {
 		data, err := json.Marshal(notices)
 		if err != nil {
 			t.Fatal(err)
 		}
-		if len(notices) == 0 || len(data) > maxBytes {
-			t.Errorf("%s: %d bytes for %d limits", name, len(data), len(notices))
+		if len(notices.Limits) == 0 || len(notices.Leaving) == 0 || len(data) > maxBytes {
+			t.Errorf("%s: %d bytes for %d limits", name, len(data), len(notices.Limits))
 		}
 	}
 }
--- a/core/endpointstate/tracker.go
+++ b/core/endpointstate/tracker.go
@@ -1,9 +1,10 @@
 // Package endpointstate keeps what endpoints say about themselves in their answers. Each
 // statement holds for one incarnation of an endpoint, from the time of the observation
-// until it ends. There is one kind so far:
+// until it ends:
 //
 //   - a limit, the requests per second that an endpoint in need takes from all routers
-//     together (limit.go, senders.go).
+//     together (limit.go, senders.go);
+//   - that it leaves, after which it gets no new requests (leaving.go).
 //
 // To add another kind: decode it in platform.DecodeResponse, add a field to Report and one
 // to state, and let Check take it into account. Notices tell the peers (notices.go).
@@ -46,21 +47,24 @@
 	// Limit is valid if HasLimit is set. Not every answer tells whether a limit has ended.
 	Limit    Limit
 	HasLimit bool
+	// Leaving is set if the endpoint leaves.
+	Leaving bool
 }
 
 // Change tells which parts of an endpoint's state an observation has changed.
 type Change struct {
-	Limit bool
+	Limit, Leaving bool
 }
 
 // state is what one incarnation of an endpoint has said.
 type state struct {
 	incarnation
-	limit limitState
+	limit   limitState
+	leaving leavingState
 }
 
 // isEmpty reports whether nothing is known that has to be kept.
-func (s *state) isEmpty() bool { return !s.limit.isKnown() }
+func (s *state) isEmpty() bool { return !s.limit.isKnown() && !s.leaving.known }
 
 // Tracker holds the states that one router knows. It is safe for concurrent use.
 type Tracker struct {
@@ -70,6 +74,8 @@
 
 	mu     sync.Mutex
 	states map[incarnation]*state
+	// drainTimeout is how long an endpoint that leaves may get requests as a last resort.
+	drainTimeout time.Duration
 	// routers lists the routers that are alive, without this one, by ID.
 	routers []Router
 }
@@ -105,11 +111,14 @@
 	if r.HasLimit {
 		change.Limit = t.applyLimit(now, limitObservation{e.incarnation(), r.Limit, now, true})
 	}
+	if r.Leaving {
+		change.Leaving = t.applyLeaving(e.incarnation(), now, true)
+	}
 	return change
 }
 
 // isEmpty reports whether an answer says nothing that begins to hold.
-func (r *Report) isEmpty() bool { return !r.Limit.Named }
+func (r *Report) isEmpty() bool { return !r.Limit.Named && !r.Leaving }
 
 // stateFor returns the state of an incarnation and creates it if missing; mu must be
 // held.
@@ -123,14 +132,16 @@
 	return s
 }
 
-// Retain forgets what ends with the registration of an endpoint, for the incarnations for
-// which alive returns false.
-func (t *Tracker) Retain(alive func(id proto.EndpointID, started int64) bool) {
+// Retain forgets what has ended of the incarnations for which alive returns false.
+func (t *Tracker) Retain(now proto.Instant, alive func(id proto.EndpointID, started int64) bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	for key, s := range t.states {
 		if !alive(key.id, key.started) {
 			s.limit = limitState{}
+			if now.Sub(s.leaving.since) > leavingRetention {
+				s.leaving = leavingState{}
+			}
 		}
 		t.removeIfEmpty(s)
 	}
@@ -152,9 +163,11 @@
 	NoReason Reason = iota
 	// LimitReached means that this router's share of the endpoint's limit is used up.
 	LimitReached
+	// Leaving means that the endpoint leaves.
+	Leaving
 )
 
-var reasonNames = [...]string{NoReason: "none", LimitReached: "limit"}
+var reasonNames = [...]string{NoReason: "none", LimitReached: "limit", Leaving: "leaving"}
 
 // String returns the name used in logs.
 func (r Reason) String() string { return reasonNames[r] }
@@ -166,6 +179,9 @@
 	Reason Reason
 	// Wait is the time until it may, 0 if unknown.
 	Wait time.Duration
+	// LastResort is set if it may do so nevertheless where no other endpoint can take the
+	// request.
+	LastResort bool
 	// CheckDue is set if nobody has heard for some time whether a limit still holds.
 	CheckDue bool
 }
@@ -181,7 +197,12 @@
 	if s == nil {
 		return Permission{OK: true}
 	}
-	return t.checkLimit(now, s, e)
+	p := t.checkLimit(now, s, e)
+	if s.leaving.known {
+		inTime := now.Sub(s.leaving.since) < t.drainTimeout
+		return Permission{Reason: Leaving, LastResort: p.OK && inTime}
+	}
+	return p
 }
 
 // Take records that a request is sent to an endpoint.
--- a/core/peer/peer.go
+++ b/core/peer/peer.go
@@ -65,9 +65,12 @@
 	// Suspects is the evidence on what makes requests crash endpoints.
 	Suspects []crash.Evidence `json:"suspects,omitempty"`
 	// Limits lists the limits that endpoints have named to the sender.
-	Limits        []endpointstate.Notice `json:"limits,omitempty"`
-	Loads         []Load                 `json:"loads,omitempty"`
-	VersionLoaded []VersionLoaded        `json:"reached,omitempty"`
+	Limits []endpointstate.LimitNotice `json:"limits,omitempty"`
+	// LeavingEndpoints lists the endpoints that have said to the sender that they leave.
+	LeavingEndpoints []endpointstate.LeavingNotice `json:"endpoints_leaving,omitempty"`
+
+	Loads         []Load          `json:"loads,omitempty"`
+	VersionLoaded []VersionLoaded `json:"reached,omitempty"`
 	// Attempts lists the attempts that were started since the last message.
 	Attempts []place.AttemptNotice `json:"attempts,omitempty"`
 	// AnnouncedVersions lists the versions that the operator has announced.
@@ -83,6 +86,16 @@
 	Silent []proto.EndpointID `json:"silent,omitempty"`
 }
 
+// SetNotices sets what the sender tells of the states of endpoints.
+func (m *Message) SetNotices(n endpointstate.Notices) {
+	m.Limits, m.LeavingEndpoints = n.Limits, n.Leaving
+}
+
+// Notices returns what the sender tells of the states of endpoints.
+func (m *Message) Notices() endpointstate.Notices {
+	return endpointstate.Notices{Limits: m.Limits, Leaving: m.LeavingEndpoints}
+}
+
 // Encode returns the JSON form of a message. It fails if that exceeds MaxBytes.
 func Encode(m Message) ([]byte, error) {
 	data, err := json.Marshal(m)
--- a/core/place/choose.go
+++ b/core/place/choose.go
@@ -56,7 +56,7 @@
 func (p *Placer) Choose(now proto.Instant, q *Query) (Choice, bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	best, excluded := newCheapest(), Exclusions{}
+	best, lastResort, excluded := newCheapest(), newCheapest(), Exclusions{}
 	s := newScorer(p, now, q)
 	oldestUsable := p.oldestUsable(now, q.Model)
 	for _, e := range p.list.ForService(q.Service) {
@@ -80,7 +80,16 @@
 		}
 		// Without jitter, routers with the same knowledge would all choose the
 		// same engine at once.
-		best.offer(c, cost+jitter*float64(c.ExpectedTTFB)*p.rng.Float64())
+		cost += jitter * float64(c.ExpectedTTFB) * p.rng.Float64()
+		if permission.LastResort {
+			excluded.add(excludedLeaving, 0)
+			lastResort.offer(c, cost)
+			continue
+		}
+		best.offer(c, cost)
+	}
+	if best.offers == 0 {
+		best = lastResort
 	}
 	choice := best.choice
 	choice.Candidates, choice.Excluded = best.offers, excluded
--- a/core/place/exclusions.go
+++ b/core/place/exclusions.go
@@ -36,6 +36,8 @@
 	switch {
 	case e.Leaving:
 		return excludedLeaving
+	case p.Reason == endpointstate.Leaving && !p.LastResort:
+		return excludedLeaving
 	case p.Reason == endpointstate.LimitReached:
 		return excludedLimit
 	case slices.Contains(q.Exclude, e.ID):
@@ -51,6 +53,9 @@
 	limitWait time.Duration
 }
 
+// Leaving returns the number of endpoints that were excluded because they leave.
+func (x *Exclusions) Leaving() int { return x.counts[excludedLeaving] }
+
 // add counts an endpoint. wait is the time until it may take a request, or 0.
 func (x *Exclusions) add(reason exclusion, wait time.Duration) {
 	x.counts[reason]++
--- a/core/place/exclusions_test.go
+++ b/core/place/exclusions_test.go
@@ -44,6 +44,30 @@
 	}
 }
 
+// Guards against requests to an engine that leaves where another one takes them, and
+// against refusing them at once where all leave.
+func TestLeavingEngineIsTheLastResort(t *testing.T) {
+	r := newFixture(t, 2)
+	r.states.SetDrainTimeout(time.Second)
+	first := r.choose(r.query("x"))
+	for i := range 2 {
+		if engineID(i) == first.Endpoint.ID {
+			r.observe(i, endpointstate.Report{Leaving: true})
+		}
+	}
+	c := r.choose(r.query("x"))
+	if c.Endpoint.ID == first.Endpoint.ID || c.Candidates != 1 || c.Excluded.String() != "leaving:1" {
+		t.Errorf("chose %s of %d, excluded %q", c.Endpoint.ID, c.Candidates, c.Excluded.String())
+	}
+	r.observe(0, endpointstate.Report{Leaving: true})
+	r.observe(1, endpointstate.Report{Leaving: true})
+	r.choose(r.query("x"))
+	r.now = r.now.Add(time.Second)
+	if c, ok := r.placer.Choose(r.now, r.query("x")); ok || c.Excluded.Leaving() != 2 {
+		t.Errorf("chose %v after the drain time, excluded %q", c.Endpoint, c.Excluded.String())
+	}
+}
+
 // Guards against a refusal that does not tell when an engine may take the request.
 func TestAllEnginesBeyondTheirLimits(t *testing.T) {
 	r := newFixture(t, 2)
--- a/core/upgrade/upgrade.go
+++ b/core/upgrade/upgrade.go
@@ -148,7 +148,9 @@
 	// knownVersions holds versions that engines reported and that their
 	// registration may not show yet.
 	knownVersions map[proto.EndpointID]map[string]int64
-	pace          pace
+	// saysLeaving reports whether an engine has said that it leaves.
+	saysLeaving func(*discovery.Endpoint) bool
+	pace        pace
 }
 
 // New returns a Planner without engines.
@@ -157,9 +159,16 @@
 		newest: map[string]int64{}, list: discovery.NewTable().Snapshot(),
 		tasks: map[proto.EndpointID]*task{}, knownVersions: map[proto.EndpointID]map[string]int64{},
 		backoffUntil: map[proto.EndpointID]proto.Instant{},
+		saysLeaving:  func(*discovery.Endpoint) bool { return false },
 	}
 }
 
+// SetSaysLeaving sets the function that reports whether an engine has said that it
+// leaves, whatever its registration says. Such engines get no orders.
+func (p *Planner) SetSaysLeaving(f func(*discovery.Endpoint) bool) { p.saysLeaving = f }
+
+func (p *Planner) isLeaving(e *discovery.Endpoint) bool { return e.Leaving || p.saysLeaving(e) }
+
 // RecordVersion records the newest version of a model.
 func (p *Planner) RecordVersion(model string, version int64) {
 	p.newest[model] = max(p.newest[model], version)
@@ -209,7 +218,7 @@
 	var outdated []Action
 	for _, id := range slices.Sorted(maps.Keys(p.list.ByID)) {
 		e := p.list.ByID[id]
-		if e.Leaving {
+		if p.isLeaving(e) {
 			continue
 		}
 		for _, model := range slices.Sorted(maps.Keys(e.Versions)) {
@@ -311,7 +320,7 @@
 func (p *Planner) engineCount() int {
 	engines := 0
 	for _, e := range p.list.ByID {
-		if len(e.Versions) > 0 && !e.Leaving {
+		if len(e.Versions) > 0 && !p.isLeaving(e) {
 			engines++
 		}
 	}
