core/endpointstate: an engine that names a Retry-After time is left alone

An engine that refuses a request with 503 may add the time for which it takes none from this router. Callers' requests, repeats, reads of cache events and orders went on reaching it, and when all engines of a route had refused, their callers were told 0.4 s whatever the engines had said.

Cause: a refusal raised the engine's cost for 80 ms (shedPause); Retry-After was not read.

Change: the time is kept for the incarnation, for a minute at most; a later answer does not shorten it. Meanwhile the engine gets no requests of callers, no trial of a limit, no reads of its cache events, and at most two control calls: an order and the query before it. A value that is not a positive number counts as none. If nothing else is left, the caller is refused at once with the least time that is left. The lines 'attempt' and 'finished' count such engines under 'excluded' as pause.

--- a/app/front/attempt.go
+++ b/app/front/attempt.go
@@ -85,16 +85,29 @@
 
 // noEndpoint returns what to do if the placement found no endpoint.
 func (x *request) noEndpoint(choice place.Choice) relay.Decision {
-	limited, wait := choice.Excluded.Limited()
-	x.log = x.log.With("throttled", limited, "excluded", choice.Excluded.String())
-	if limited > 0 {
-		return x.relay.NoEndpoint("endpoint_limits", min(cmp.Or(wait, noEndpointRetryAfter), maxOverloadRetryAfter))
-	}
-	reason := "no_endpoint"
-	if choice.Excluded.Leaving() > 0 {
-		reason = "endpoints_leave"
+	excluded := &choice.Excluded
+	limited, limitWait := excluded.Limited()
+	paused, pauseWait := excluded.Paused()
+	x.log = x.log.With("throttled", limited, "excluded", excluded.String())
+	switch {
+	case limited > 0 && paused > 0:
+		return x.relay.NoEndpoint("endpoint_limits", min(limitRetryAfter(limitWait), pauseWait))
+	case limited > 0:
+		return x.relay.NoEndpoint("endpoint_limits", limitRetryAfter(limitWait))
+	case paused > 0 && excluded.MayReturnSoon():
+		return x.relay.NoEndpoint("endpoint_pauses", min(pauseWait, noEndpointRetryAfter))
+	case paused > 0:
+		return x.relay.NoEndpoint("endpoint_pauses", pauseWait)
+	case excluded.Leaving() > 0:
+		return x.relay.NoEndpoint("endpoints_leave", noEndpointRetryAfter)
 	}
-	return x.relay.NoEndpoint(reason, noEndpointRetryAfter)
+	return x.relay.NoEndpoint("no_endpoint", noEndpointRetryAfter)
+}
+
+// limitRetryAfter returns the Retry-After time of a refusal due to limits, of which the
+// first allows a request after wait; 0 if unknown.
+func limitRetryAfter(wait time.Duration) time.Duration {
+	return min(cmp.Or(wait, noEndpointRetryAfter), maxOverloadRetryAfter)
 }
 
 // requestEarlySend requests a message to the peers before the next periodic
--- a/app/front/call.go
+++ b/app/front/call.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"io"
 	"time"
 
@@ -19,16 +20,23 @@
 	maxControlResponseBytes = 2 << 20
 )
 
+var errPaused = errors.New("the engine takes no requests for a time")
+
 // endpointCaller sends control calls, which are not requests of callers, to
 // endpoints.
 type endpointCaller struct {
 	client *upstream.Client
+	// admit reports whether a call may be sent to an engine, by what the engine says.
+	admit func(e *discovery.Endpoint, urgent bool) bool
 	// observe is called with the head of each answer of an engine.
 	observe func(e *discovery.Endpoint, head platform.ResponseInfo)
 }
 
 // Call implements platform.EndpointCaller.
 func (c endpointCaller) Call(ctx context.Context, call platform.ControlCall) (int, []byte, error) {
+	if call.Endpoint != nil && !c.admit(call.Endpoint, call.Urgent) {
+		return 0, nil, errPaused
+	}
 	resp, err := c.client.Send(ctx, &upstream.Request{
 		Addr: call.Addr, Method: call.Method, Target: call.Target, Host: call.Addr, Header: call.Header, Body: call.Body,
 		Matches: platform.IsControlResponse,
--- a/app/front/endpoint_states.go
+++ b/app/front/endpoint_states.go
@@ -22,7 +22,7 @@
 			return
 		}
 	}
-	report := endpointstate.Report{Leaving: head.Leaving}
+	report := endpointstate.Report{Leaving: head.Leaving, Pause: head.Pause}
 	report.Limit, report.HasLimit = limitOf(head)
 	change := f.endpointStates.Observe(now, stateKey(e), report)
 	if change.Limit {
@@ -31,6 +31,9 @@
 	if change.Leaving {
 		f.log.Info("endpoint says that it leaves", "endpoint", string(e.ID), "started", e.Started, "observed", true)
 	}
+	if change.Pause {
+		f.log.Info("endpoint takes no requests for a time", "endpoint", string(e.ID), "started", e.Started, "named_ms", report.Pause.Milliseconds())
+	}
 	if change.Limit || change.Leaving {
 		f.requestEarlySend()
 	}
@@ -59,6 +62,11 @@
 	f.observeEndpointState(driver.Now(), e, head)
 }
 
+// admitControlCall reports whether an engine takes a control call now, and counts it.
+func (f *Front) admitControlCall(e *discovery.Endpoint, urgent bool) bool {
+	return f.endpointStates.AdmitCall(driver.Now(), stateKey(e), urgent)
+}
+
 func stateKey(e *discovery.Endpoint) endpointstate.Endpoint {
 	return endpointstate.Endpoint{ID: e.ID, Started: e.Started, Domain: e.Domain}
 }
--- a/app/front/front.go
+++ b/app/front/front.go
@@ -164,7 +164,7 @@
 		storeFollowers:   map[string]context.CancelFunc{},
 		earlySend:        make(chan struct{}, 1),
 	}
-	f.engines = platform.NewEngineClient(endpointCaller{client: f.client, observe: f.observeControlAnswer})
+	f.engines = platform.NewEngineClient(endpointCaller{client: f.client, admit: f.admitControlCall, observe: f.observeControlAnswer})
 	f.planner.SetSaysLeaving(f.saysLeaving)
 	f.metrics = newTelemetry(f)
 	f.applySettings(cfg.Settings)
--- a/core/endpointstate/tracker.go
+++ b/core/endpointstate/tracker.go
@@ -4,7 +4,8 @@
 //
 //   - a limit, the requests per second that an endpoint in need takes from all routers
 //     together (limit.go, senders.go);
-//   - that it leaves, after which it gets no new requests (leaving.go).
+//   - that it leaves, after which it gets no new requests (leaving.go);
+//   - a pause, a time for which it takes no requests from this router (pause.go).
 //
 // To add another kind: decode it in platform.DecodeResponse, add a field to Report and one
 // to state, and let Check take it into account. Notices tell the peers (notices.go).
@@ -49,22 +50,32 @@
 	HasLimit bool
 	// Leaving is set if the endpoint leaves.
 	Leaving bool
+	// Pause is the time for which the endpoint takes no requests from this router; 0 for
+	// none. More than maxPause counts as maxPause.
+	Pause time.Duration
 }
 
 // Change tells which parts of an endpoint's state an observation has changed.
 type Change struct {
-	Limit, Leaving bool
+	// Pause is set if a pause has begun.
+	Limit, Leaving, Pause bool
 }
 
+// Any reports whether anything has changed.
+func (c Change) Any() bool { return c != Change{} }
+
 // state is what one incarnation of an endpoint has said.
 type state struct {
 	incarnation
 	limit   limitState
 	leaving leavingState
+	pause   pauseState
 }
 
 // isEmpty reports whether nothing is known that has to be kept.
-func (s *state) isEmpty() bool { return !s.limit.isKnown() && !s.leaving.known }
+func (s *state) isEmpty(now proto.Instant) bool {
+	return !s.limit.isKnown() && !s.leaving.known && !s.pause.inForce(now)
+}
 
 // Tracker holds the states that one router knows. It is safe for concurrent use.
 type Tracker struct {
@@ -114,11 +125,14 @@
 	if r.Leaving {
 		change.Leaving = t.applyLeaving(e.incarnation(), now, true)
 	}
+	if r.Pause > 0 {
+		change.Pause = t.stateFor(e.incarnation()).pause.extend(now, r.Pause)
+	}
 	return change
 }
 
 // isEmpty reports whether an answer says nothing that begins to hold.
-func (r *Report) isEmpty() bool { return !r.Limit.Named && !r.Leaving }
+func (r *Report) isEmpty() bool { return !r.Limit.Named && !r.Leaving && r.Pause <= 0 }
 
 // stateFor returns the state of an incarnation and creates it if missing; mu must be
 // held.
@@ -143,13 +157,13 @@
 				s.leaving = leavingState{}
 			}
 		}
-		t.removeIfEmpty(s)
+		t.removeIfEmpty(now, s)
 	}
 }
 
 // removeIfEmpty forgets a state of which nothing has to be kept; mu must be held.
-func (t *Tracker) removeIfEmpty(s *state) {
-	if s.isEmpty() {
+func (t *Tracker) removeIfEmpty(now proto.Instant, s *state) {
+	if s.isEmpty(now) {
 		delete(t.states, s.incarnation)
 		t.known.Add(-1)
 	}
@@ -165,9 +179,11 @@
 	LimitReached
 	// Leaving means that the endpoint leaves.
 	Leaving
+	// Paused means that the endpoint takes no requests from this router for a time.
+	Paused
 )
 
-var reasonNames = [...]string{NoReason: "none", LimitReached: "limit", Leaving: "leaving"}
+var reasonNames = [...]string{NoReason: "none", LimitReached: "limit", Leaving: "leaving", Paused: "pause"}
 
 // String returns the name used in logs.
 func (r Reason) String() string { return reasonNames[r] }
@@ -197,6 +213,9 @@
 	if s == nil {
 		return Permission{OK: true}
 	}
+	if s.pause.inForce(now) {
+		return Permission{Reason: Paused, Wait: s.pause.until.Sub(now)}
+	}
 	p := t.checkLimit(now, s, e)
 	if s.leaving.known {
 		inTime := now.Sub(s.leaving.since) < t.drainTimeout
--- a/core/place/exclusions.go
+++ b/core/place/exclusions.go
@@ -17,6 +17,8 @@
 	notExcluded exclusion = iota
 	// excludedLimit means that this router's share of the endpoint's limit is used up.
 	excludedLimit
+	// excludedPause means that the endpoint takes no requests from this router for a time.
+	excludedPause
 	// excludedLeaving means that the endpoint leaves.
 	excludedLeaving
 	// excludedTried means that an attempt was already sent to the endpoint.
@@ -28,7 +30,7 @@
 )
 
 var exclusionNames = [numExclusions]string{
-	excludedLimit: "limit", excludedLeaving: "leaving", excludedTried: "tried", excludedVersion: "version",
+	excludedLimit: "limit", excludedPause: "pause", excludedLeaving: "leaving", excludedTried: "tried", excludedVersion: "version",
 }
 
 // exclusionOf returns why an endpoint cannot take a request, apart from its version.
@@ -36,6 +38,8 @@
 	switch {
 	case e.Leaving:
 		return excludedLeaving
+	case p.Reason == endpointstate.Paused:
+		return excludedPause
 	case p.Reason == endpointstate.Leaving && !p.LastResort:
 		return excludedLeaving
 	case p.Reason == endpointstate.LimitReached:
@@ -49,8 +53,21 @@
 // Exclusions counts the endpoints of a service that could not take a request, by reason.
 type Exclusions struct {
 	counts [numExclusions]int
-	// limitWait is the least time until a limit allows a request; 0 if unknown.
-	limitWait time.Duration
+	// limitWait is the least time until a limit allows a request, pauseWait the least time
+	// until a pause ends; 0 if unknown.
+	limitWait, pauseWait time.Duration
+}
+
+// Paused returns the number of endpoints that were excluded because they take no requests
+// for a time, and the least time until one of them does.
+func (x *Exclusions) Paused() (endpoints int, wait time.Duration) {
+	return x.counts[excludedPause], x.pauseWait
+}
+
+// MayReturnSoon reports whether an endpoint was excluded that may take the caller's next
+// request: one that was tried or that changes its weights.
+func (x *Exclusions) MayReturnSoon() bool {
+	return x.counts[excludedTried]+x.counts[excludedVersion] > 0
 }
 
 // Leaving returns the number of endpoints that were excluded because they leave.
@@ -59,8 +76,11 @@
 // add counts an endpoint. wait is the time until it may take a request, or 0.
 func (x *Exclusions) add(reason exclusion, wait time.Duration) {
 	x.counts[reason]++
-	if reason == excludedLimit {
+	switch reason {
+	case excludedLimit:
 		x.limitWait = leastKnown(x.limitWait, wait)
+	case excludedPause:
+		x.pauseWait = leastKnown(x.pauseWait, wait)
 	}
 }
 
--- a/core/place/exclusions_test.go
+++ b/core/place/exclusions_test.go
@@ -68,6 +68,21 @@
 	}
 }
 
+// Guards against requests to an engine that takes none for a time, and against a refusal
+// that does not tell the least time that is left.
+func TestPausedEnginesAreLeftOut(t *testing.T) {
+	r := newFixture(t, 2)
+	r.observe(0, endpointstate.Report{Pause: 3 * time.Second})
+	if c := r.choose(r.query("x")); c.Endpoint.ID != engineID(1) || c.Excluded.String() != "pause:1" {
+		t.Errorf("chose %s, excluded %q", c.Endpoint.ID, c.Excluded.String())
+	}
+	r.observe(1, endpointstate.Report{Pause: 2 * time.Second})
+	c, ok := r.placer.Choose(r.now, r.query("x"))
+	if n, wait := c.Excluded.Paused(); ok || n != 2 || wait != 2*time.Second {
+		t.Errorf("ok %t, %d paused, wait %v", ok, n, wait)
+	}
+}
+
 // Guards against a refusal that does not tell when an engine may take the request.
 func TestAllEnginesBeyondTheirLimits(t *testing.T) {
 	r := newFixture(t, 2)
