proof/soak: an engine that leaves, and one that refuses with Retry-After

Beside the injected faults, one model engine says through the whole run that it leaves while it is registered as ready, and another one refuses all requests for 0.3 s every 4 s with a Retry-After time of 1.5 s. The checks leaving-endpoint and endpoint-pause compare what reached them with what each router had passed on or been told; they cover the time after the last restart or pause of a router, and after the last fault on the path to the engine.

--- a/proof/cmd/soak/main.go
+++ b/proof/cmd/soak/main.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"os"
 	"path/filepath"
+	"slices"
 	"time"
 
 	flags "github.com/jessevdk/go-flags"
@@ -22,6 +23,7 @@
 	Clients       int           `long:"clients" default:"16" description:"clients that send requests"`
 	// Mutations is the root of the workspace whose source is mutated.
 	Mutations string `long:"mutations" description:"run the program with a fault for each promise instead, from the workspace at this path; each must be noticed"`
+	Only      string `long:"only" description:"with --mutations: run only the fault for this promise"`
 	Dir       string `long:"dir" description:"folder for settings and logs, kept for seeds that fail"`
 }
 
@@ -91,7 +93,14 @@
 	if err != nil {
 		return 0, err
 	}
-	for _, m := range soak.Mutations {
+	mutations := soak.Mutations
+	if o.Only != "" {
+		mutations = slices.DeleteFunc(slices.Clone(mutations), func(m soak.Mutation) bool { return m.Guarantee != o.Only })
+		if len(mutations) == 0 {
+			return 0, fmt.Errorf("there is no fault for the promise %q", o.Only)
+		}
+	}
+	for _, m := range mutations {
 		dir := filepath.Join(o.Dir, m.Guarantee)
 		if err := os.MkdirAll(dir, 0o700); err != nil {
 			return failed, err
@@ -114,6 +123,6 @@
 			failed++
 		}
 	}
-	fmt.Printf("%d mutations, %d not noticed\n", len(soak.Mutations), failed)
+	fmt.Printf("%d mutations, %d not noticed\n", len(mutations), failed)
 	return failed, nil
 }
--- a/proof/soak/checks.go
+++ b/proof/soak/checks.go
@@ -69,6 +69,8 @@
 	}
 	o.checkHarmfulPart(fail)
 	o.checkLimit(fail)
+	o.checkLeaving(fail)
+	o.checkPauses(fail)
 	return out
 }
 
--- a/proof/soak/clients.go
+++ b/proof/soak/clients.go
@@ -20,6 +20,9 @@
 	body          string
 	// complete is set if the response was read to its end.
 	complete bool
+	// leaving is the signature of the engine that says in the answer that it leaves, or
+	// "".
+	leaving string
 }
 
 // clients sends requests until it is stopped, and records each attempt.
@@ -96,6 +99,7 @@
 		var data []byte
 		data, err = io.ReadAll(resp.Body)
 		_ = resp.Body.Close()
+		a.leaving = saysLeaving(resp.Header)
 		a.status, a.body, a.complete = resp.StatusCode, string(data), err == nil
 	}
 	a.endedAt = time.Now()
--- a/proof/soak/conditions.go
+++ b/proof/soak/conditions.go
@@ -28,10 +28,13 @@
 )
 
 // conditions last through a whole run beside the injected faults: a part of prompts
-// crashes engines, and one endpoint names a limit.
+// crashes engines, one endpoint names a limit, one engine says that it leaves, and one
+// refuses requests now and then. The last two are nil in a small fleet.
 type conditions struct {
-	limited *hosting.Engine
-	since   time.Time
+	limited  *hosting.Engine
+	leaving  *hosting.Engine
+	refusing *endpoint
+	since    time.Time
 }
 
 func (f *Fleet) startConditions(rng *rand.Rand) conditions {
@@ -40,6 +43,7 @@
 	}
 	c := conditions{limited: pickEndpoint(f, rng).engine, since: time.Now()}
 	c.limited.NameLimit(strconv.Itoa(namedLimit))
+	f.startStatements(rng, &c)
 	return c
 }
 
--- a/proof/soak/fleet.go
+++ b/proof/soak/fleet.go
@@ -257,6 +257,13 @@
 	return time.Since(p.disturbedAt)
 }
 
+// lastDisturbed returns when the process was last started or sent a signal.
+func (p *process) lastDisturbed() time.Time {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.disturbedAt
+}
+
 // Close stops everything that the fleet has started.
 func (f *Fleet) Close() {
 	close(f.stop)
--- a/proof/soak/mutations.go
+++ b/proof/soak/mutations.go
@@ -34,6 +34,8 @@
 	{"recovery", []edit{{"app/front/watch.go", "		backoff = min(", "		return nil\n		backoff = min("}}},
 	{"harmful-part", []edit{{"core/crash/entry.go", "blockThreshold = 3", "blockThreshold = 3000"}}},
 	{"endpoint-limit", []edit{{"core/endpointstate/senders.go", "return rate / float64(senders)", "return 50 * rate / float64(senders)"}}},
+	{"leaving-endpoint", []edit{{"platform/headers.go", "info.Leaving = ", "info.Leaving = false && "}}},
+	{"endpoint-pause", []edit{{"platform/headers.go", "info.Pause = decodePause", "_ = decodePause"}}},
 	{"no-own-end", []edit{{"app/cmd/kumquatsill/front.go", "		for range hangups {", "		for range hangups {\n			os.Exit(3)"}}},
 }
 
--- a/proof/soak/proxy.go
+++ b/proof/soak/proxy.go
@@ -37,7 +37,9 @@
 	listener net.Listener
 	mu       sync.Mutex
 	fault    ConnectionFault
-	conns    map[net.Conn]bool
+	// faultAt is when the fault was last set or cleared.
+	faultAt time.Time
+	conns   map[net.Conn]bool
 }
 
 func newProxy(target string) (*proxy, error) {
@@ -59,13 +61,20 @@
 
 func (p *proxy) setFault(t ConnectionFault) {
 	p.mu.Lock()
-	p.fault = t
+	p.fault, p.faultAt = t, time.Now()
 	p.mu.Unlock()
 	if t == Reset {
 		p.resetAll()
 	}
 }
 
+// lastFault returns when a fault was last set or cleared.
+func (p *proxy) lastFault() time.Time {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.faultAt
+}
+
 func (p *proxy) currentFault() ConnectionFault {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/proof/soak/soak_test.go
+++ b/proof/soak/soak_test.go
@@ -110,6 +110,36 @@
 	}
 }
 
+// Guards against checks of what engines say about themselves that cannot fail.
+func TestStatementChecksNotice(t *testing.T) {
+	router := &process{disturbedAt: time.Now().Add(-time.Hour)}
+	arrive := func(e *hosting.Engine, o *observations, sentAt time.Time) {
+		id := fmt.Sprint("c", len(o.attempts))
+		req := httptest.NewRequest(http.MethodGet, "/look/x", nil)
+		req.Header.Set("Kumquatsill-Attempt-Id", id)
+		e.ServeHTTP(httptest.NewRecorder(), req)
+		o.attempts = append(o.attempts, attempt{id: id, kind: "look", router: router, sentAt: sentAt})
+	}
+	leaving := hosting.NewEngine("i-0", "llm", "m")
+	o := observations{conditions: conditions{leaving: leaving}}
+	o.attempts = []attempt{{id: "first", kind: "look", router: router, endedAt: time.Now().Add(-time.Minute), leaving: hosting.SignatureOf("i-0")}}
+	arrive(leaving, &o, time.Now())
+	if v := o.check(); len(v) != 1 || v[0].Guarantee != "leaving-endpoint" {
+		t.Errorf("requests to an engine that leaves: got %v", v)
+	}
+	refusing := hosting.NewEngine("i-1", "llm", "m")
+	refusing.RefuseWithRetryAfter(func() string { return "1.5" })
+	o = observations{conditions: conditions{refusing: &endpoint{engine: refusing, proxy: &proxy{}}}}
+	arrive(refusing, &o, time.Now())
+	time.Sleep(pauseSlack + 100*time.Millisecond)
+	for range maxPausedArrivals + 1 {
+		arrive(refusing, &o, time.Now())
+	}
+	if v := o.check(); len(v) != 1 || v[0].Guarantee != "endpoint-pause" {
+		t.Errorf("requests during a pause: got %v", v)
+	}
+}
+
 // Guards against mutations whose text no longer occurs in the source: the checks
 // could then not be tested with them.
 func TestMutationsBuild(t *testing.T) {
--- /dev/null
+++ b/proof/soak/statements.go
@@ -0,0 +1,135 @@
+package soak
+
+import (
+	"math/rand/v2"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/kumquatsill/kumquatsill/standin/hosting"
+)
+
+const (
+	// drainTimeout is how long after an answer that says so a router may send requests to
+	// an engine that leaves.
+	drainTimeout = 1500 * time.Millisecond
+	// minStatingEngines is the number of model engines from which on one of them leaves and
+	// one refuses requests now and then, so that others serve.
+	minStatingEngines = 3
+	// Each refusalPeriod, an engine refuses all requests for refusalTime and names
+	// refusalRetryAfter. From pauseSlack after a refusal until the end of that time, it may
+	// get maxPausedArrivals requests of the router that it has refused.
+	refusalPeriod     = 4 * time.Second
+	refusalTime       = 300 * time.Millisecond
+	refusalRetryAfter = 1500 * time.Millisecond
+	pauseSlack        = 500 * time.Millisecond
+	maxPausedArrivals = 2
+	// silencedTime is how long connections may stay silent after a fault of their path, so
+	// that a router does not get the answers that an engine has sent.
+	silencedTime = 6 * time.Second
+)
+
+// startStatements lets one model engine say that it leaves, and another one refuse
+// requests now and then, beside the one that names a limit.
+func (f *Fleet) startStatements(rng *rand.Rand, c *conditions) {
+	var free []*endpoint
+	models := 0
+	for _, e := range f.endpoints {
+		if e.engine.Model == "" {
+			continue
+		}
+		models++
+		if e.engine != c.limited {
+			free = append(free, e)
+		}
+	}
+	if models < minStatingEngines {
+		return
+	}
+	rng.Shuffle(len(free), func(i, j int) { free[i], free[j] = free[j], free[i] })
+	c.leaving, c.refusing = free[0].engine, free[1]
+	c.leaving.SayLeaving(true)
+	c.refusing.engine.RefusePeriodically(refusalPeriod, refusalTime, strconv.FormatFloat(refusalRetryAfter.Seconds(), 'f', -1, 64))
+}
+
+// saysLeaving returns the engine that has sent an answer in which it says that it leaves,
+// or "".
+func saysLeaving(h http.Header) string {
+	if h.Get("Server-Leaving") == "" {
+		return ""
+	}
+	return h.Get("Kumquatsill-Response-Signature")
+}
+
+// checkLeaving checks that no request was sent to an engine after a router had passed on
+// that it leaves.
+func (o *observations) checkLeaving(fail func(string, string, ...any)) {
+	e := o.conditions.leaving
+	if e == nil {
+		return
+	}
+	told := map[*process]time.Time{}
+	attempts := map[string]attempt{}
+	for _, a := range o.attempts {
+		attempts[a.id] = a
+		if a.leaving != hosting.SignatureOf(e.ID) || !a.endedAt.After(a.router.lastDisturbed()) {
+			continue
+		}
+		if at, known := told[a.router]; !known || a.endedAt.Before(at) {
+			told[a.router] = a.endedAt
+		}
+	}
+	late := 0
+	for _, arrival := range e.Arrivals() {
+		a, known := attempts[arrival.AttemptID]
+		if !known {
+			continue
+		}
+		if at, isTold := told[a.router]; isTold && a.sentAt.After(at.Add(drainTimeout)) {
+			late++
+		}
+	}
+	if late > 0 {
+		fail("leaving-endpoint", "%d requests reached %s later than %v after a router had passed on that it leaves", late, e.ID, drainTimeout)
+	}
+}
+
+// checkPauses checks that hardly any request reaches an engine while it wants none.
+func (o *observations) checkPauses(fail func(string, string, ...any)) {
+	if o.conditions.refusing == nil {
+		return
+	}
+	arrivals := map[*process][]hosting.Arrival{}
+	routers := map[string]*process{}
+	for _, a := range o.attempts {
+		routers[a.id] = a.router
+	}
+	for _, a := range o.conditions.refusing.engine.Arrivals() {
+		if p := routers[a.AttemptID]; p != nil {
+			arrivals[p] = append(arrivals[p], a)
+		}
+	}
+	undisturbedSince := o.conditions.refusing.proxy.lastFault().Add(silencedTime)
+	most := 0
+	for p, list := range arrivals {
+		for i, refusal := range list {
+			judged := refusal.At.After(undisturbedSince) && refusal.At.After(p.lastDisturbed().Add(contactTime))
+			if refusal.RetryAfter != "" && judged {
+				most = max(most, arrivalsBetween(list[i:], refusal.At.Add(pauseSlack), refusal.At.Add(refusalRetryAfter)))
+			}
+		}
+	}
+	if most > maxPausedArrivals {
+		fail("endpoint-pause", "%d requests of one router reached %s while it wanted none", most, o.conditions.refusing.engine.ID)
+	}
+}
+
+func arrivalsBetween(list []hosting.Arrival, from, to time.Time) int {
+	n := 0
+	for _, a := range list {
+		if a.At.After(from) && a.At.Before(to) {
+			n++
+		}
+	}
+	return n
+}
--- a/standin/hosting/engine.go
+++ b/standin/hosting/engine.go
@@ -200,11 +200,14 @@
 	return e.leaving
 }
 
+// SignatureOf returns the signature of the answers of an engine.
+func SignatureOf(id string) string { return "sig." + id }
+
 // setResponseHeader sets what all answers of the engine itself have in common.
 func (e *Engine) setResponseHeader(h http.Header) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	h.Set("Kumquatsill-Response-Signature", "sig."+e.ID)
+	h.Set("Kumquatsill-Response-Signature", SignatureOf(e.ID))
 	if e.namedLimit != "" {
 		h.Set("Kumquatsill-Server-Limit", e.namedLimit)
 	}
