--- a/app/front/endpoint_states.go
+++ b/app/front/endpoint_states.go
@@ -24,7 +24,7 @@
 	}
 	report := endpointstate.Report{Leaving: head.Leaving, Pause: head.Pause}
 	report.Limit, report.HasLimit = limitOf(head)
-	change := f.endpointStates.Observe(now, stateKey(e), report)
+	change := f.endpointStates.Observe(now, endpointstate.EndpointOf(e), report)
 	if change.Limit {
 		f.log.Info("endpoint limit changed", "endpoint", string(e.ID), "per_s", report.Limit.PerSecond, "named", report.Limit.Named, "observed", true)
 	}
@@ -64,16 +64,12 @@
 
 // admitControlCall reports whether an engine takes a control call now, and counts it.
 func (f *Front) admitControlCall(e *discovery.Endpoint, urgent bool) bool {
-	return f.endpointStates.AdmitCall(driver.Now(), stateKey(e), urgent)
-}
-
-func stateKey(e *discovery.Endpoint) endpointstate.Endpoint {
-	return endpointstate.Endpoint{ID: e.ID, Started: e.Started, Domain: e.Domain}
+	return f.endpointStates.AdmitCall(driver.Now(), endpointstate.EndpointOf(e), urgent)
 }
 
 // saysLeaving reports whether an endpoint has said in an answer that it leaves.
 func (f *Front) saysLeaving(e *discovery.Endpoint) bool {
-	return f.endpointStates.IsLeaving(stateKey(e))
+	return f.endpointStates.IsLeaving(endpointstate.EndpointOf(e))
 }
 
 // isLeaving reports whether an endpoint leaves by its registration or by its answers.
--- a/core/endpointstate/tracker.go
+++ b/core/endpointstate/tracker.go
@@ -18,6 +18,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/kumquatsill/kumquatsill/core/discovery"
 	"github.com/kumquatsill/kumquatsill/core/proto"
 )
 
@@ -35,6 +36,11 @@
 	Domain  proto.Domain
 }
 
+// EndpointOf returns the incarnation that a registration names.
+func EndpointOf(e *discovery.Endpoint) Endpoint {
+	return Endpoint{ID: e.ID, Started: e.Started, Domain: e.Domain}
+}
+
 func (e Endpoint) incarnation() incarnation { return incarnation{e.ID, e.Started} }
 
 // incarnation is the key of an endpoint's state.
@@ -183,11 +189,6 @@
 	Paused
 )
 
-var reasonNames = [...]string{NoReason: "none", LimitReached: "limit", Leaving: "leaving", Paused: "pause"}
-
-// String returns the name used in logs.
-func (r Reason) String() string { return reasonNames[r] }
-
 // Permission says whether a router may send a request to an endpoint.
 type Permission struct {
 	OK bool
--- a/core/place/attempt.go
+++ b/core/place/attempt.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/kumquatsill/kumquatsill/core/endpointstate"
 	"github.com/kumquatsill/kumquatsill/core/proto"
 )
 
@@ -30,7 +31,7 @@
 	}
 	a.load = l
 	if p.cfg.States != nil {
-		p.cfg.States.Take(now, stateKey(c.Endpoint))
+		p.cfg.States.Take(now, endpointstate.EndpointOf(c.Endpoint))
 	}
 	l.inFlight++
 	l.prefillTokens += a.prefillTokens
--- a/core/place/choose.go
+++ b/core/place/choose.go
@@ -119,9 +119,5 @@
 	if p.cfg.States == nil {
 		return endpointstate.Permission{OK: true}
 	}
-	return p.cfg.States.Check(now, stateKey(e))
-}
-
-func stateKey(e *discovery.Endpoint) endpointstate.Endpoint {
-	return endpointstate.Endpoint{ID: e.ID, Started: e.Started, Domain: e.Domain}
+	return p.cfg.States.Check(now, endpointstate.EndpointOf(e))
 }
--- a/core/place/exclusions_test.go
+++ b/core/place/exclusions_test.go
@@ -11,7 +11,7 @@
 // observe records what an engine says about itself.
 func (r *fixture) observe(i int, report endpointstate.Report) {
 	e := r.table.Snapshot().ByID[engineID(i)]
-	r.states.Observe(r.now, endpointstate.Endpoint{ID: e.ID, Started: e.Started, Domain: e.Domain}, report)
+	r.states.Observe(r.now, endpointstate.EndpointOf(e), report)
 }
 
 // nameLimit lets an engine name a limit of one request per second.
