--- a/app/front/attempt.go
+++ b/app/front/attempt.go
@@ -87,11 +87,29 @@
 
 // noEndpoint returns what to do if the placement found no endpoint.
 func (x *request) noEndpoint(choice place.Choice) relay.Decision {
-	if choice.Throttled == 0 {
-		return x.relay.NoEndpoint("no_endpoint", noEndpointRetryAfter)
+	excluded := &choice.Excluded
+	limited, limitWait := excluded.Limited()
+	paused, pauseWait := excluded.Paused()
+	x.log = x.log.With("throttled", limited, "excluded", excluded.String())
+	switch {
+	case limited > 0 && paused > 0:
+		return x.relay.NoEndpoint("endpoint_limits", min(limitRetryAfter(limitWait), pauseWait))
+	case limited > 0:
+		return x.relay.NoEndpoint("endpoint_limits", limitRetryAfter(limitWait))
+	case paused > 0 && excluded.MayReturnSoon():
+		return x.relay.NoEndpoint("endpoint_pauses", min(pauseWait, noEndpointRetryAfter))
+	case paused > 0:
+		return x.relay.NoEndpoint("endpoint_pauses", pauseWait)
+	case excluded.Leaving() > 0:
+		return x.relay.NoEndpoint("endpoints_leave", noEndpointRetryAfter)
 	}
-	x.log = x.log.With("throttled", choice.Throttled)
-	return x.relay.NoEndpoint("endpoint_limits", min(cmp.Or(choice.ThrottledFor, noEndpointRetryAfter), maxOverloadRetryAfter))
+	return x.relay.NoEndpoint("no_endpoint", noEndpointRetryAfter)
+}
+
+// limitRetryAfter returns the Retry-After time of a refusal due to limits, of which the
+// first allows a request after wait; 0 if unknown.
+func limitRetryAfter(wait time.Duration) time.Duration {
+	return min(cmp.Or(wait, noEndpointRetryAfter), maxOverloadRetryAfter)
 }
 
 // requestEarlySend requests a message to the peers before the next periodic
@@ -224,7 +242,7 @@
 	if head.HasLoad {
 		x.front.placer.ObserveLoad(driver.Now(), a.placement, head.Load)
 	}
-	x.front.observeLimit(driver.Now(), a.choice.Endpoint, head)
+	x.front.observeEndpointState(driver.Now(), a.choice.Endpoint, head)
 	if head.HasLimit {
 		a.limit = head.Limit
 	}
--- a/app/front/call_test.go
+++ b/app/front/call_test.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/kumquatsill/kumquatsill/app/upstream"
+	"github.com/kumquatsill/kumquatsill/platform"
 )
 
 // Guards against taking a late second copy of a request's answer for the answer to a
@@ -51,7 +52,9 @@
 		t.Fatal(err)
 	}
 	resp.Close()
-	status, _, err := endpointCaller{client}.Call(ctx, addr, http.MethodGet, "/report", http.Header{}, nil)
+	status, _, err := endpointCaller{client: client}.Call(ctx, platform.ControlCall{
+		Addr: addr, Method: http.MethodGet, Target: "/report", Header: http.Header{},
+	})
 	if err != nil || status != http.StatusAccepted {
 		t.Errorf("status %d, %v", status, err)
 	}
@@ -81,14 +84,16 @@
 			go answerWithCopies(c, map[string]string{http.MethodGet: report, http.MethodPost: accepted})
 		}
 	}()
-	caller := endpointCaller{upstream.New()}
+	caller := endpointCaller{client: upstream.New()}
 	for _, call := range []struct {
 		method string
 		status int
 	}{{http.MethodGet, http.StatusOK}, {http.MethodPost, http.StatusAccepted}} {
 		ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
 		defer cancel()
-		status, _, err := caller.Call(ctx, ln.Addr().String(), call.method, "/x", http.Header{}, nil)
+		status, _, err := caller.Call(ctx, platform.ControlCall{
+			Addr: ln.Addr().String(), Method: call.method, Target: "/x", Header: http.Header{},
+		})
 		if err != nil || status != call.status {
 			t.Errorf("%s: status %d, %v, want %d", call.method, status, err, call.status)
 		}
