core/quota: a router without peers grants the burst at once

Cause: the credit of a growing share waited 0.4 s for peers also up to the share that a router has without hearing anybody, and an unread list counted as 20 members.

Change: up to that share the burst is there at once; an unread list counts as at least five members.

--- a/core/quota/quota.go
+++ b/core/quota/quota.go
@@ -51,7 +51,7 @@
 	creditDelay = 2 * Interval
 	// assumedMembers is the number of members that a router assumes at least until it
 	// has read their list.
-	assumedMembers = 20
+	assumedMembers = 5
 	// reportDelay is the time span of peers' spending that has not been reported
 	// yet: far peers send in every second Interval.
 	reportDelay = 2 * Interval
@@ -314,8 +314,8 @@
 // refused after a restart of all routers.
 func (t *Tracker) refill(b *bucket, now proto.Instant, share float64) {
 	if age := now.Sub(t.started); share > b.share && age < startupTime && !b.exceeded {
-		if !t.informed && age < creditDelay {
-			share = b.share
+		if age < creditDelay && !t.informed {
+			share = min(share, max(b.share, t.ownShare()))
 		}
 		b.level += float64(b.limit.Burst) * (share - b.share)
 	}
@@ -330,6 +330,15 @@
 	b.peers *= average
 }
 
+// ownShare returns this router's share if it hears no other member. The caller must hold
+// mu.
+func (t *Tracker) ownShare() float64 {
+	if !t.listed {
+		return 1.0 / assumedMembers
+	}
+	return 1 / float64(len(t.members)+1)
+}
+
 func (b *bucket) retryAfter(need, share float64) time.Duration {
 	rate := float64(b.limit.Rate) * share
 	seconds := (need - b.level) / math.Max(rate, 1)
--- a/core/quota/restart_test.go
+++ b/core/quota/restart_test.go
@@ -94,3 +94,13 @@
 	}
 	f.trackers[i].MembersListed()
 }
+
+// Guards against refusing accounts at the only router of a fleet, until others that do not
+// exist have had time to tell what they know.
+func TestOnlyRouterGrantsTheBurstAtOnce(t *testing.T) {
+	f := &fleet{now: proto.Instant(time.Hour), limit: quota.Limit{Rate: 100, Burst: 1000}}
+	f.trackers = append(make([]*quota.Tracker, 0, 1), f.start(0, 1))
+	if !f.spend(0, 900) {
+		t.Error("refused although there is no other router")
+	}
+}
