standin/hosting: a log store that returns from an older copy

Backup takes a copy and Restore returns to it: offsets are assigned again, Store-Era rises by one, waiting reads are woken, and a read beyond the end gets 410.

--- a/standin/hosting/store.go
+++ b/standin/hosting/store.go
@@ -9,6 +9,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"maps"
 	"net/http"
 	"slices"
 	"strconv"
@@ -17,8 +18,12 @@
 	"time"
 )
 
-// maxWait limits how long a read may wait for a record.
-const maxWait = 30 * time.Second
+const (
+	// maxWait limits how long a read may wait for a record.
+	maxWait = 30 * time.Second
+	// headerStoreEra names, in each response, the number of restores plus one.
+	headerStoreEra = "Store-Era"
+)
 
 // LogStore is an in-memory log store with one partition per topic. It is safe
 // for concurrent use.
@@ -31,6 +36,8 @@
 	// losesWakeups is set if waiting reads do not notice new records.
 	losesWakeups bool
 	writes       int
+	// era is the value of headerStoreEra.
+	era int64
 }
 
 type topic struct {
@@ -43,7 +50,41 @@
 
 // NewLogStore returns an empty store.
 func NewLogStore() *LogStore {
-	return &LogStore{topics: map[string]*topic{}, changed: make(chan struct{})}
+	return &LogStore{topics: map[string]*topic{}, changed: make(chan struct{}), era: 1}
+}
+
+// Backup is a copy of the contents of a LogStore. It is immutable.
+type Backup struct{ topics map[string]*topic }
+
+// Backup returns a copy of the contents.
+func (s *LogStore) Backup() *Backup {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return &Backup{topics: cloneTopics(s.topics)}
+}
+
+// Restore replaces the contents by an earlier copy and begins a new era. Offsets that
+// were assigned after the copy was taken are assigned again.
+func (s *LogStore) Restore(b *Backup) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.topics = cloneTopics(b.topics)
+	s.era++
+	s.wakeReaders()
+}
+
+func cloneTopics(topics map[string]*topic) map[string]*topic {
+	clone := make(map[string]*topic, len(topics))
+	for name, t := range topics {
+		clone[name] = &topic{first: t.first, records: slices.Clone(t.records), newest: maps.Clone(t.newest)}
+	}
+	return clone
+}
+
+// wakeReaders makes waiting reads check for records. mu must be held.
+func (s *LogStore) wakeReaders() {
+	close(s.changed)
+	s.changed = make(chan struct{})
 }
 
 // SetDown makes the store respond to every call with status 503, or serve calls
@@ -115,14 +156,14 @@
 		}
 		t.records = append(t.records, r)
 	}
-	close(s.changed)
-	s.changed = make(chan struct{})
+	s.wakeReaders()
 }
 
 // ServeHTTP implements http.Handler.
 func (s *LogStore) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	s.mu.Lock()
 	down := s.down
+	s.writeEra(w)
 	s.mu.Unlock()
 	if down {
 		w.WriteHeader(http.StatusServiceUnavailable)
@@ -141,6 +182,11 @@
 	}
 }
 
+// writeEra sets the header that names the era. mu must be held.
+func (s *LogStore) writeEra(w http.ResponseWriter) {
+	w.Header().Set(headerStoreEra, strconv.FormatInt(s.era, 10))
+}
+
 const pageSize = 500
 
 func (s *LogStore) serveNewest(w http.ResponseWriter, name, after string) {
@@ -183,7 +229,8 @@
 		if s.losesWakeups {
 			changed = nil
 		}
-		if from < t.first {
+		s.writeEra(w) // it may have changed while the read waited
+		if from < t.first || from > t.end() {
 			first := t.first
 			s.mu.Unlock()
 			writeJSON(w, http.StatusGone, map[string]any{"first": first})
