--- a/app/front/watch.go
+++ b/app/front/watch.go
@@ -54,8 +54,10 @@
 func (w *topicFollower) run(ctx context.Context) error {
 	next, listed := int64(0), false
 	backoff := time.Duration(0)
+	era, _ := w.front.store.Era()
 	for ctx.Err() == nil {
 		err := w.read(ctx, &next, &listed)
+		era = w.logEra(era, next)
 		if ctx.Err() != nil {
 			return nil
 		}
@@ -81,6 +83,15 @@
 	return nil
 }
 
+// logEra logs a newer era of the store and returns the newest one.
+func (w *topicFollower) logEra(old, next int64) int64 {
+	era, _ := w.front.store.Era()
+	if old != 0 && era != old {
+		w.front.log.Warn("store restored from an older copy", "topic", w.topic, "old_era", old, "new_era", era, "next", next)
+	}
+	return era
+}
+
 // read makes one call: it lists the topic if that was not done yet, and else
 // reads new records. If the store has deleted the records at *next, the next
 // call lists the topic again.
