platform: positions in the log name the era of the store

Callers of systems like this one saw a confirmed configuration that was not in force in time after the store had returned from an older copy.

Cause: a follower kept its offset across the restore. If the store had assigned offsets beyond it again by the next read, the records below were never read: a configuration, an announced version or a registration. A read that waited went on to the end of its time.

Change: a position is an era and an offset. A follower then lists its topic at once, and the restore counts as an outage of the registry. The lease's topic is still read by offset alone; that is a fault of its own.

The offset is the same class of fault as a token without the process that issued it.

--- a/app/front/peers.go
+++ b/app/front/peers.go
@@ -48,7 +48,8 @@
 // followRouters keeps this router registered and reads the registrations of the
 // others.
 func (f *Front) followRouters(ctx context.Context) error {
-	registeredAt, next, listed := time.Time{}, int64(0), false
+	registeredAt := time.Time{}
+	w := &topicFollower{front: f, topic: platform.TopicRouters, apply: forEach(f.applyRouter)}
 	for ctx.Err() == nil {
 		if time.Since(registeredAt) >= registerInterval {
 			if err := f.putRegistration(ctx); err != nil {
@@ -57,8 +58,7 @@
 				registeredAt = time.Now()
 			}
 		}
-		w := &topicFollower{front: f, topic: platform.TopicRouters, apply: forEach(f.applyRouter)}
-		if err := w.read(ctx, &next, &listed); err != nil {
+		if err := w.read(ctx); err != nil {
 			f.log.Debug("router registrations not read", "error", err.Error())
 			sleep(ctx, time.Second)
 			continue
--- a/app/front/upgrade.go
+++ b/app/front/upgrade.go
@@ -110,12 +110,12 @@
 
 func (f *Front) readLease(ctx context.Context) {
 	f.mu.Lock()
-	from := max(0, f.lease.AppendOffset()-1)
+	from := proto.LogPosition{Offset: max(0, f.lease.AppendOffset()-1)}
 	f.mu.Unlock()
 	records, end, err := f.store.Read(ctx, platform.TopicLease, from, 0)
 	var status *platform.StatusError
 	if errors.As(err, &status) && status.RecordsDeleted() {
-		records, end, err = f.store.Read(ctx, platform.TopicLease, status.FirstOffset, 0)
+		records, end, err = f.store.Read(ctx, platform.TopicLease, proto.LogPosition{Offset: status.FirstOffset}, 0)
 	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -127,11 +127,11 @@
 	var last leader.Claim
 	if len(records) > 0 {
 		if err := json.Unmarshal(records[len(records)-1].Value, &last); err != nil {
-			f.log.Error("lease claim ignored", "offset", end-1, "error", err.Error())
+			f.log.Error("lease claim ignored", "offset", end.Offset-1, "error", err.Error())
 		}
 	}
 	now := driver.Now()
-	f.lease.ReadSucceeded(now, end, last)
+	f.lease.ReadSucceeded(now, end.Offset, last)
 	for _, n := range last.AnnouncedVersions {
 		f.placer.HandlePeerVersion(n.Model, n.Version, now.Add(-last.Age(n, time.Now())))
 	}
@@ -145,7 +145,7 @@
 	if err != nil {
 		return Error.Wrap(err)
 	}
-	return f.store.Append(ctx, platform.TopicLease, end, value)
+	return f.store.Append(ctx, platform.TopicLease, proto.LogPosition{Offset: end}, value)
 }
 
 func (f *Front) claimLease(ctx context.Context, end int64, record leader.Claim) {
--- a/app/front/watch.go
+++ b/app/front/watch.go
@@ -48,23 +48,24 @@
 	// failed, which may be nil, is called after each failed read, done after
 	// each successful one.
 	failed, done func(now proto.Instant)
+
+	// next is the position of the next record to read. It is valid if listed is set.
+	next   proto.LogPosition
+	listed bool
 }
 
 // run follows the topic until the context ends.
 func (w *topicFollower) run(ctx context.Context) error {
-	next, listed := int64(0), false
 	backoff := time.Duration(0)
-	era, _ := w.front.store.Era()
 	for ctx.Err() == nil {
-		err := w.read(ctx, &next, &listed)
-		era = w.logEra(era, next)
+		err := w.read(ctx)
 		if ctx.Err() != nil {
 			return nil
 		}
 		now := driver.Now()
 		if err == nil {
 			if backoff > 0 {
-				w.front.log.Info("store reachable again", "topic", w.topic, "next", next)
+				w.front.log.Info("store reachable again", "topic", w.topic, "next", w.next.Offset)
 			}
 			backoff = 0
 			w.done(now)
@@ -72,7 +73,7 @@
 			continue
 		}
 		if backoff == 0 {
-			w.front.log.Warn("store unreachable", "topic", w.topic, "next", next, "error", err.Error())
+			w.front.log.Warn("store unreachable", "topic", w.topic, "next", w.next.Offset, "error", err.Error())
 		}
 		if w.failed != nil {
 			w.failed(now)
@@ -83,43 +84,52 @@
 	return nil
 }
 
-// logEra logs a newer era of the store and returns the newest one.
-func (w *topicFollower) logEra(old, next int64) int64 {
-	era, _ := w.front.store.Era()
-	if old != 0 && era != old {
-		w.front.log.Warn("store restored from an older copy", "topic", w.topic, "old_era", old, "new_era", era, "next", next)
-	}
-	return era
-}
-
-// read makes one call: it lists the topic if that was not done yet, and else
-// reads new records. If the store has deleted the records at *next, the next
-// call lists the topic again.
-func (w *topicFollower) read(ctx context.Context, next *int64, listed *bool) error {
-	if !*listed {
-		records, end, err := w.front.store.Newest(ctx, w.topic)
-		if err != nil {
-			return err
-		}
-		w.handleListing(driver.Now(), records)
-		*next, *listed = end, true
-		return nil
+// read makes one call: it lists the topic if that was not done yet, and else reads new
+// records. If the store has deleted the next record, the next call lists the topic again. If
+// it was restored from an older copy, this one does.
+func (w *topicFollower) read(ctx context.Context) error {
+	if !w.listed {
+		return w.list(ctx)
 	}
-	records, nextOffset, err := w.front.store.Read(ctx, w.topic, *next, durationOf(w.wait))
+	records, next, err := w.front.store.Read(ctx, w.topic, w.next, durationOf(w.wait))
 	var status *platform.StatusError
-	if errors.As(err, &status) && status.RecordsDeleted() {
-		w.front.log.Info("records deleted, listing the topic again", "topic", w.topic, "next", *next, "first", status.FirstOffset)
-		*listed = false
+	var restored *platform.RestoredError
+	switch {
+	case errors.As(err, &restored):
+		w.handleRestored(restored)
+		return w.list(ctx)
+	case errors.As(err, &status) && status.RecordsDeleted():
+		w.front.log.Info("records deleted, listing the topic again", "topic", w.topic, "next", w.next.Offset, "first", status.FirstOffset)
+		w.listed = false
 		return nil
+	case err != nil:
+		return err
 	}
+	w.apply(driver.Now(), records)
+	w.next = next
+	return nil
+}
+
+func (w *topicFollower) list(ctx context.Context) error {
+	records, end, err := w.front.store.Newest(ctx, w.topic)
 	if err != nil {
 		return err
 	}
-	w.apply(driver.Now(), records)
-	*next = nextOffset
+	w.handleListing(driver.Now(), records)
+	w.next, w.listed = end, true
 	return nil
 }
 
+// handleRestored has the topic listed again. The restore counts as an outage, as what
+// was written since the copy was taken is missing until it is written again.
+func (w *topicFollower) handleRestored(e *platform.RestoredError) {
+	w.front.log.Warn("store restored from an older copy", "topic", w.topic, "old_era", e.Era, "new_era", e.Newest, "next", w.next.Offset)
+	w.listed = false
+	if w.failed != nil {
+		w.failed(driver.Now())
+	}
+}
+
 func (w *topicFollower) handleListing(now proto.Instant, records []platform.Record) {
 	if w.applyListing != nil {
 		w.applyListing(now, records)
@@ -196,12 +206,12 @@
 func (f *Front) applyConfig(now proto.Instant, r platform.Record) {
 	cfg, err := platform.DecodeConfig(r.Value)
 	if err != nil {
-		f.log.Error("configuration ignored", "offset", r.Offset, "error", err.Error())
+		f.log.Error("configuration ignored", "offset", r.At.Offset, "error", err.Error())
 		return
 	}
 	old := f.config.Load()
 	if old != nil && cfg.Revision <= old.Revision {
-		f.log.Info("configuration ignored", "revision", int64(cfg.Revision), "in_force", int64(old.Revision), "offset", r.Offset)
+		f.log.Info("configuration ignored", "revision", int64(cfg.Revision), "in_force", int64(old.Revision), "offset", r.At.Offset)
 		return
 	}
 	limits := map[proto.AccountID]quota.Limit{}
@@ -212,21 +222,21 @@
 	f.placer.Configure(cfg)
 	f.config.Store(cfg)
 	f.followStores(cfg)
-	f.log.Info("configuration in force", "revision", int64(cfg.Revision), "offset", r.Offset,
+	f.log.Info("configuration in force", "revision", int64(cfg.Revision), "offset", r.At.Offset,
 		"routes", cfg.RouteCount(), "accounts", len(cfg.Accounts), "keys", cfg.KeyCount())
 }
 
 func (f *Front) applyVersion(now proto.Instant, r platform.Record) {
 	v, err := platform.DecodeVersion(r.Value)
 	if err != nil {
-		f.log.Error("announced version ignored", "key", r.Key, "offset", r.Offset, "error", err.Error())
+		f.log.Error("announced version ignored", "key", r.Key, "offset", r.At.Offset, "error", err.Error())
 		return
 	}
 	f.placer.RecordVersion(now, v.Model, v.Version)
 	f.mu.Lock()
 	f.planner.RecordVersion(v.Model, v.Version)
 	f.mu.Unlock()
-	f.log.Info("version announced", "model", v.Model, "version", v.Version, "offset", r.Offset)
+	f.log.Info("version announced", "model", v.Model, "version", v.Version, "offset", r.At.Offset)
 }
 
 // followEndpoints follows the registrations of endpoints.
@@ -285,19 +295,19 @@
 	id := proto.EndpointID(r.Key)
 	if r.Deleted {
 		changed := f.table.Remove(now, id)
-		f.log.Info("endpoint deregistered", "endpoint", r.Key, "offset", r.Offset, "at_once", changed)
+		f.log.Info("endpoint deregistered", "endpoint", r.Key, "offset", r.At.Offset, "at_once", changed)
 		return changed
 	}
 	e, err := platform.DecodeEndpoint(r)
 	if err != nil {
-		f.log.Warn("registration ignored", "endpoint", r.Key, "offset", r.Offset, "error", err.Error())
+		f.log.Warn("registration ignored", "endpoint", r.Key, "offset", r.At.Offset, "error", err.Error())
 		return false
 	}
 	changed := f.table.Put(e)
-	f.placer.ObserveRegistration(now, e.ID, r.Offset, changed)
+	f.placer.ObserveRegistration(now, e.ID, r.At.Offset, changed)
 	if changed {
 		f.log.Info("endpoint changed", "endpoint", r.Key, "service", e.Service, "addr", e.Addr, "domain", string(e.Domain),
-			"leaving", e.Leaving, "started", e.Started, "versions", e.Versions, "offset", r.Offset)
+			"leaving", e.Leaving, "started", e.Started, "versions", e.Versions, "offset", r.At.Offset)
 	}
 	return changed
 }
--- a/core/proto/ids.go
+++ b/core/proto/ids.go
@@ -36,6 +36,25 @@
 // are also used as fencing tokens.
 type Offset int64
 
+// LogPosition is a position in a topic of a store that may be restored from an older
+// copy. The store then assigns offsets again, so that an offset identifies a record only
+// within its era.
+type LogPosition struct {
+	// Era rises with each restore; 0 means that it is not known.
+	Era    int64
+	Offset int64
+}
+
+// Before reports whether p precedes q.
+func (p LogPosition) Before(q LogPosition) bool {
+	return p.Era < q.Era || p.Era == q.Era && p.Offset < q.Offset
+}
+
+// Add returns the position n records after p.
+func (p LogPosition) Add(n int) LogPosition {
+	return LogPosition{Era: p.Era, Offset: p.Offset + int64(n)}
+}
+
 // Revision is a revision of the configuration. It counts the accepted release
 // notes, which are the operator's changes to the configuration; 0 means none.
 type Revision int64
