core/leader: fencing tokens rise across restores of the store

Engines saw two holders with one fencing token, and refused all orders for seconds, so that new weights came late.

Cause: the token was the offset after a claim. A store that returns from an older copy assigns offsets again, and claims get tokens that engines have seen from another holder.

Change: a token holds the era above the offset. A router that hears of a newer era stops holding the lease, and reads the topic in that era before it claims; a claim that was confirmed in an earlier era holds nothing. When a router may claim after a restore is a fault of its own.

--- a/app/front/front.go
+++ b/app/front/front.go
@@ -236,6 +236,7 @@
 		f.tomb.Go(func() error { return f.followOperator(ctx) })
 		f.tomb.Go(func() error { return f.followEndpoints(ctx) })
 		f.tomb.Go(func() error { return f.followRouters(ctx) })
+		f.tomb.Go(func() error { return f.followEra(ctx) })
 		f.tomb.Go(func() error { return f.keepTraits(ctx) })
 		f.tomb.Go(func() error { return f.receivePeerMessages(ctx) })
 		f.tomb.Go(func() error { return f.sendPeerMessages(ctx) })
--- a/app/front/restore_test.go
+++ b/app/front/restore_test.go
@@ -3,6 +3,9 @@
 import (
 	"net/http"
 	"testing"
+
+	"github.com/kumquatsill/kumquatsill/platform"
+	"github.com/kumquatsill/kumquatsill/standin/hosting"
 )
 
 // accountWithKey returns a change of the configuration that leaves one account with one
@@ -34,3 +37,45 @@
 	b.store.SetDown(false)
 	eventually(t, "the third configuration is in force", func() bool { return r.accepts("third") })
 }
+
+// announce announces a version of the engines' model and waits until all engines run it.
+func (b *testbed) announce(version int64) {
+	b.t.Helper()
+	b.store.PutKey(platform.TopicOperator, "version/m", map[string]any{"model": "m", "version": version})
+	eventually(b.t, "all engines have the version", func() bool {
+		return b.engines[0].Version() == version && b.engines[1].Version() == version
+	})
+}
+
+// Guards against two holders with one fencing token, and against a token that is lower
+// than one that an engine has seen: the store was restored from a copy without the claims
+// and has assigned their offsets again.
+func TestFencingTokensRiseAcrossRestore(t *testing.T) {
+	b := newTestbed(t)
+	b.configure(nil)
+	first := b.startReady("r1")
+	backup := b.store.Backup()
+	b.announce(2)
+	if err := first.Drain(); err != nil {
+		t.Fatal(err)
+	}
+	b.startReady("r2")
+	b.store.Restore(backup)
+	b.announce(3)
+	for _, e := range b.engines[:2] {
+		checkFencingTokens(t, e)
+	}
+}
+
+// checkFencingTokens fails if the tokens of an engine's orders fall, or two holders have
+// the same.
+func checkFencingTokens(t *testing.T, e *hosting.Engine) {
+	t.Helper()
+	orders := e.Orders()
+	for i := 1; i < len(orders); i++ {
+		last, next := orders[i-1], orders[i]
+		if next.FencingToken < last.FencingToken || next.FencingToken == last.FencingToken && next.Holder != last.Holder {
+			t.Errorf("engine %s got token %d of %s after token %d of %s", e.ID, next.FencingToken, next.Holder, last.FencingToken, last.Holder)
+		}
+	}
+}
--- a/app/front/upgrade.go
+++ b/app/front/upgrade.go
@@ -99,7 +99,7 @@
 		})
 	case leader.OpAppend:
 		f.mu.Lock()
-		end, record := f.lease.AppendOffset(), f.lease.ClaimRecord()
+		end, record := f.lease.End(), f.lease.ClaimRecord()
 		f.mu.Unlock()
 		f.tomb.Go(func() error {
 			f.claimLease(ctx, end, record)
@@ -108,14 +108,30 @@
 	}
 }
 
+// followEra tells the lease of each newer era of the store.
+func (f *Front) followEra(ctx context.Context) error {
+	for {
+		era, changed := f.store.Era()
+		f.mu.Lock()
+		f.lease.ObserveEra(era)
+		f.mu.Unlock()
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-changed:
+		}
+	}
+}
+
 func (f *Front) readLease(ctx context.Context) {
 	f.mu.Lock()
-	from := proto.LogPosition{Offset: max(0, f.lease.AppendOffset()-1)}
+	from := f.lease.End()
+	from.Offset = max(0, from.Offset-1)
 	f.mu.Unlock()
 	records, end, err := f.store.Read(ctx, platform.TopicLease, from, 0)
 	var status *platform.StatusError
 	if errors.As(err, &status) && status.RecordsDeleted() {
-		records, end, err = f.store.Read(ctx, platform.TopicLease, proto.LogPosition{Offset: status.FirstOffset}, 0)
+		records, end, err = f.store.Read(ctx, platform.TopicLease, proto.LogPosition{Era: from.Era, Offset: status.FirstOffset}, 0)
 	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -131,50 +147,52 @@
 		}
 	}
 	now := driver.Now()
-	f.lease.ReadSucceeded(now, end.Offset, last)
+	f.lease.ReadSucceeded(now, end, last)
 	for _, n := range last.AnnouncedVersions {
 		f.placer.HandlePeerVersion(n.Model, n.Version, now.Add(-last.Age(n, time.Now())))
 	}
 }
 
 // appendClaim appends a claim record to the lease's topic if the topic still
-// ends at the offset end.
-func (f *Front) appendClaim(ctx context.Context, end int64, record leader.Claim) error {
+// ends at the given position.
+func (f *Front) appendClaim(ctx context.Context, end proto.LogPosition, record leader.Claim) error {
 	record.AnnouncedVersions, record.WrittenAt = f.placer.AnnouncedVersions(driver.Now()), time.Now().UnixMilli()
 	value, err := json.Marshal(record)
 	if err != nil {
 		return Error.Wrap(err)
 	}
-	return f.store.Append(ctx, platform.TopicLease, proto.LogPosition{Offset: end}, value)
+	return f.store.Append(ctx, platform.TopicLease, end, value)
 }
 
-func (f *Front) claimLease(ctx context.Context, end int64, record leader.Claim) {
+func (f *Front) claimLease(ctx context.Context, end proto.LogPosition, record leader.Claim) {
 	err := f.appendClaim(ctx, end, record)
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if err != nil {
 		f.lease.ClaimFailed()
-		f.log.Info("lease not claimed", "at", end, "error", err.Error())
+		f.log.Info("lease not claimed", "at", end.Offset, "error", err.Error())
 		return
 	}
-	f.lease.ClaimSucceeded(driver.Now(), end)
-	f.log.Info("lease claimed", "fence", end+1)
+	now := driver.Now()
+	f.lease.ClaimSucceeded(now, end)
+	fence, _ := f.lease.Held(now)
+	f.log.Info("lease claimed", "at", end.Offset, "fence", fence)
 }
 
 // releaseLease releases the lease if this router holds it.
 func (f *Front) releaseLease(ctx context.Context) {
 	f.mu.Lock()
 	record, ok := f.lease.Release(driver.Now())
-	end := f.lease.AppendOffset()
+	end := f.lease.End()
 	f.mu.Unlock()
 	if !ok {
 		return
 	}
 	if err := f.appendClaim(ctx, end, record); err != nil {
-		f.log.Warn("lease not released", "at", end, "error", err.Error())
+		f.log.Warn("lease not released", "at", end.Offset, "error", err.Error())
 		return
 	}
-	f.log.Info("lease released", "at", end)
+	f.log.Info("lease released", "at", end.Offset)
 }
 
 // sendAction sends a state query or a load order to an engine.
--- a/core/leader/lease.go
+++ b/core/leader/lease.go
@@ -3,8 +3,9 @@
 //
 // The lease is a topic of the log to which routers append claims. An append is
 // conditional on the end of the topic that the claimant has read, so only one
-// of two concurrent claims succeeds. The offset after a claim is its fencing
-// token. The holder counts the time to live from when it sent the claim; all
+// of two concurrent claims succeeds. The position after a claim is its fencing
+// token. If the log is restored from an older copy, it assigns offsets again under
+// a newer era, which makes later tokens greater; see Lease.ObserveEra. The holder counts the time to live from when it sent the claim; all
 // other routers count from when they read it, which is later. Routers claim the
 // lease only while there is work.
 package leader
@@ -28,6 +29,9 @@
 	claimStagger = 120 * time.Millisecond
 	// minReadInterval is the minimum time between two reads of the topic.
 	minReadInterval = time.Second
+	// tokenOffsetBits is the number of low bits of a fencing token that hold an
+	// offset. The era follows, so that tokens rise across eras.
+	tokenOffsetBits = 32
 )
 
 // Claim is a record of the lease's topic.
@@ -72,7 +76,7 @@
 	OpNone Op = iota
 	// OpRead requests a read of the last claim.
 	OpRead
-	// OpAppend requests an append of Lease.ClaimRecord at Lease.AppendOffset.
+	// OpAppend requests an append of Lease.ClaimRecord at Lease.End.
 	OpAppend
 )
 
@@ -85,10 +89,12 @@
 	takeoverDelay, releaseDelay time.Duration
 	rank                        int
 
+	// era is the newest era of the log that is known.
+	era int64
 	// upToDate is set while end and lastClaim can be used to decide on a claim.
 	upToDate bool
-	// end is the end of the topic as last read.
-	end       int64
+	// end is the end of the topic as last read; zero if it was not read in this era.
+	end       proto.LogPosition
 	lastClaim Claim
 	// seenAt is when this router first read the last claim.
 	seenAt     proto.Instant
@@ -142,9 +148,21 @@
 	return l.fence, l.fence > 0 && now < l.expiry.Add(-safetyMargin)
 }
 
-// AppendOffset returns the offset at which to append: the end of the topic as
-// last read.
-func (l *Lease) AppendOffset() int64 { return l.end }
+// End returns the end of the topic as last read, where claims are appended.
+func (l *Lease) End() proto.LogPosition { return l.end }
+
+// ObserveEra records an era of the log. A newer one than those before means that the log
+// was restored from an older copy and that claims may be lost: this router stops holding
+// the lease, and reads the topic again before the next claim.
+func (l *Lease) ObserveEra(era int64) {
+	if era <= l.era {
+		return
+	}
+	l.era = era
+	l.end = proto.LogPosition{}
+	l.lastReadAt = 0
+	l.Invalidate()
+}
 
 // Next returns the operation to start now. After OpRead or OpAppend it returns
 // OpNone until the outcome is reported.
@@ -206,9 +224,13 @@
 }
 
 // ReadSucceeded records the end of the topic and its last claim, which is empty
-// if there is none.
-func (l *Lease) ReadSucceeded(now proto.Instant, end int64, lastClaim Claim) {
+// if there is none. What was read in an earlier era has no effect.
+func (l *Lease) ReadSucceeded(now proto.Instant, end proto.LogPosition, lastClaim Claim) {
 	l.inFlight = false
+	l.ObserveEra(end.Era)
+	if end.Era != l.era {
+		return
+	}
 	if end != l.end || l.seenAt == 0 {
 		l.seenAt = now
 	}
@@ -219,17 +241,27 @@
 // ReadFailed records that a read of the topic failed.
 func (l *Lease) ReadFailed() { l.inFlight = false }
 
-// ClaimSucceeded records that the claim was appended at the given offset.
-func (l *Lease) ClaimSucceeded(now proto.Instant, offset int64) {
+// ClaimSucceeded records that the claim was appended at the given position. In an
+// earlier era, that is no longer certain.
+func (l *Lease) ClaimSucceeded(now proto.Instant, at proto.LogPosition) {
+	if at.Era != l.era {
+		l.ClaimFailed()
+		return
+	}
 	l.inFlight = false
 	l.upToDate = true
-	l.end = offset + 1
+	l.end = at.Add(1)
 	l.lastClaim = l.ClaimRecord()
 	l.seenAt = now
-	l.fence = offset + 1
+	l.fence = fencingToken(l.end)
 	l.expiry = l.sentAt.Add(TTL)
 }
 
+// fencingToken returns the token of the claim that ends at a position.
+func fencingToken(end proto.LogPosition) int64 {
+	return end.Era<<tokenOffsetBits | end.Offset
+}
+
 // ClaimFailed records that the claim was rejected or its outcome is unknown. The
 // topic is read again before the next claim.
 func (l *Lease) ClaimFailed() {
@@ -239,7 +271,7 @@
 }
 
 // Release stops holding the lease at once and returns the record that releases
-// it, to be appended at AppendOffset. It returns false if this router does not
+// it, to be appended at End. It returns false if this router does not
 // hold the lease.
 func (l *Lease) Release(now proto.Instant) (Claim, bool) {
 	if _, held := l.Held(now); !held {
--- a/core/leader/lease_test.go
+++ b/core/leader/lease_test.go
@@ -13,7 +13,20 @@
 const takeoverDelay = 3 * time.Second
 
 // topic is an in-memory log topic with conditional appends.
-type topic struct{ claims []leader.Claim }
+type topic struct {
+	era    int64
+	claims []leader.Claim
+}
+
+func (t *topic) end() proto.LogPosition {
+	return proto.LogPosition{Era: t.era, Offset: int64(len(t.claims))}
+}
+
+// restore removes the last n claims and begins a new era.
+func (t *topic) restore(n int) {
+	t.era++
+	t.claims = t.claims[:max(0, len(t.claims)-n)]
+}
 
 func (t *topic) last() leader.Claim {
 	if len(t.claims) == 0 {
@@ -22,8 +35,8 @@
 	return t.claims[len(t.claims)-1]
 }
 
-func (t *topic) append(at int64, c leader.Claim) bool {
-	if at != int64(len(t.claims)) {
+func (t *topic) append(at proto.LogPosition, c leader.Claim) bool {
+	if at != t.end() {
 		return false
 	}
 	t.claims = append(t.claims, c)
@@ -46,13 +59,13 @@
 			n.lease.ReadFailed()
 			return
 		}
-		n.lease.ReadSucceeded(now, int64(len(t.claims)), t.last())
+		n.lease.ReadSucceeded(now, t.end(), t.last())
 	case leader.OpAppend:
 		if n.cutOff {
 			n.lease.ClaimFailed()
 			return
 		}
-		end := n.lease.AppendOffset()
+		end := n.lease.End()
 		if t.append(end, n.lease.ClaimRecord()) {
 			n.lease.ClaimSucceeded(now, end)
 			return
@@ -150,16 +163,16 @@
 		now := proto.Instant(time.Hour)
 		first.SetHasWork(now, true, 0)
 		first.Next(now)
-		first.ReadSucceeded(now, 0, leader.Claim{})
+		first.ReadSucceeded(now, log.end(), leader.Claim{})
 		if first.Next(now) != leader.OpAppend {
 			t.Fatal("a free lease is not claimed")
 		}
-		log.append(0, first.ClaimRecord())
+		log.append(log.end(), first.ClaimRecord())
 		if _, ok := first.Disclaimer(now); ok {
 			t.Fatal("a claim is disclaimed while its outcome is not known")
 		}
 		if acted {
-			first.ClaimSucceeded(now, 0)
+			first.ClaimSucceeded(now, proto.LogPosition{})
 			first.RecordAction(now)
 			now = now.Add(leader.TTL)
 		} else {
@@ -202,7 +215,7 @@
 		l.HandleDisclaimer(now, "a", d)
 		l.SetHasWork(now, true, 0)
 		l.Next(now)
-		l.ReadSucceeded(now, 5, leader.Claim{Holder: "a", Incarnation: 1, Nonce: 2})
+		l.ReadSucceeded(now, proto.LogPosition{Offset: 5}, leader.Claim{Holder: "a", Incarnation: 1, Nonce: 2})
 		if op := l.Next(now.Add(500 * time.Millisecond)); op != leader.OpNone {
 			t.Errorf("operation %d after disclaimer %+v", op, d)
 		}
@@ -228,7 +241,7 @@
 		t.Fatal("the first router does not hold the lease")
 	}
 	record, ok := first.lease.Release(now)
-	if !ok || !log.append(first.lease.AppendOffset(), record) {
+	if !ok || !log.append(first.lease.End(), record) {
 		t.Fatal("the lease could not be released")
 	}
 	if _, held := first.lease.Held(now); held {
@@ -247,12 +260,12 @@
 	now := proto.Instant(time.Hour)
 	l.SetHasWork(now, true, 0)
 	l.Next(now)
-	l.ReadSucceeded(now, 0, leader.Claim{})
+	l.ReadSucceeded(now, proto.LogPosition{}, leader.Claim{})
 	if l.Next(now) != leader.OpAppend {
 		t.Fatal("a free lease is not claimed")
 	}
 	now = now.Add(leader.TTL)
-	l.ClaimSucceeded(now, 0)
+	l.ClaimSucceeded(now, proto.LogPosition{})
 	if _, held := l.Held(now); held {
 		t.Fatal("the lease is held beyond its time to live")
 	}
@@ -290,3 +303,41 @@
 	l.SetTakeoverDelays(takeoverDelay, releaseDelay)
 	return l
 }
+
+// Guards against a token that was used before: the log was restored from a copy without the
+// claims, and assigns their offsets again.
+func TestTokenRisesAcrossRestore(t *testing.T) {
+	log := &topic{era: 1}
+	n := &node{name: "a", lease: newLease("a", takeoverDelay)}
+	now := proto.Instant(time.Hour)
+	n.timeToHold(t, now, log)
+	before, _ := n.lease.Held(now)
+	log.restore(1)
+	n.lease.ObserveEra(log.era)
+	if _, held := n.lease.Held(now); held {
+		t.Error("the lease is held under a claim that is lost")
+	}
+	n.timeToHold(t, now, log)
+	if after, _ := n.lease.Held(now); after <= before {
+		t.Errorf("token %d after %d", after, before)
+	}
+}
+
+// Guards against holding the lease under a claim whose response came after the restore
+// that has removed it.
+func TestLateResponseAfterRestoreHoldsNothing(t *testing.T) {
+	log := &topic{era: 1}
+	l := newLease("a", takeoverDelay)
+	now := proto.Instant(time.Hour)
+	l.SetHasWork(now, true, 0)
+	l.Next(now)
+	l.ReadSucceeded(now, log.end(), leader.Claim{})
+	if l.Next(now) != leader.OpAppend {
+		t.Fatal("a free lease is not claimed")
+	}
+	l.ObserveEra(2)
+	l.ClaimSucceeded(now, log.end())
+	if _, held := l.Held(now); held {
+		t.Error("the lease is held under a claim that is lost")
+	}
+}
--- a/standin/hosting/engine.go
+++ b/standin/hosting/engine.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -32,6 +33,7 @@
 	targetVersion    int64
 	acceptedOrders   int64
 	lastFencingToken int64
+	orders           []Order
 	loadDoneAt       time.Time
 	runs             []Run
 	failureForRun    func(run int) Failure
@@ -200,6 +202,19 @@
 // loadTime is how long the engine takes to load weights.
 const loadTime = 100 * time.Millisecond
 
+// Order is an order that reached an engine, whether it was accepted or not.
+type Order struct {
+	Holder       string
+	FencingToken int64
+}
+
+// Orders returns the orders that have reached the engine, in that order.
+func (e *Engine) Orders() []Order {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return slices.Clone(e.orders)
+}
+
 func (e *Engine) serveOrder(w http.ResponseWriter, r *http.Request) {
 	var order struct {
 		Version          int64  `json:"version"`
@@ -214,6 +229,7 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.completeDueLoad()
+	e.orders = append(e.orders, Order{Holder: order.Holder, FencingToken: order.FencingToken})
 	switch {
 	case order.FencingToken < e.lastFencingToken:
 		w.WriteHeader(http.StatusPreconditionFailed)
