core/leader: wait for a holder whose claim a restore has removed

Engines got orders from a second router 0.6 s after those of the first, where the takeover delay is 3 s.

Cause: a router decides when it may claim from the last claim in the topic. In a copy without the newest claims, the topic is empty, or ends with an old claim of this router, with a release, or with a claim that its author disclaims: all of these let it in at once.

Change: claims name their era. If the last claim is of an earlier one, or there is none, a router waits as for a claim made just before it learned of the restore. The router that held the lease then need not wait. A topic without claims delays the first claim after a start in the same way, as an empty copy cannot be told from an unused topic.

--- a/app/front/upgrade.go
+++ b/app/front/upgrade.go
@@ -113,7 +113,7 @@
 	for {
 		era, changed := f.store.Era()
 		f.mu.Lock()
-		f.lease.ObserveEra(era)
+		f.lease.ObserveEra(driver.Now(), era)
 		f.mu.Unlock()
 		select {
 		case <-ctx.Done():
--- a/core/leader/lease.go
+++ b/core/leader/lease.go
@@ -43,6 +43,9 @@
 	// claims; nonces increase.
 	Incarnation int64  `json:"life,omitempty"`
 	Nonce       uint64 `json:"nonce"`
+	// Era is the era of the log in which the claim was written. In a later one, claims
+	// that followed it may be lost.
+	Era int64 `json:"era,omitempty"`
 	// Released is set in the record by which a holder that stops releases the
 	// lease.
 	Released bool `json:"released,omitempty"`
@@ -89,8 +92,12 @@
 	takeoverDelay, releaseDelay time.Duration
 	rank                        int
 
-	// era is the newest era of the log that is known.
-	era int64
+	// era is the newest era of the log that is known. If it is not the first one that
+	// is known, restoredAt is when this router learned of it, and heldAtRestore is set
+	// if it held the lease then.
+	era           int64
+	restoredAt    proto.Instant
+	heldAtRestore bool
 	// upToDate is set while end and lastClaim can be used to decide on a claim.
 	upToDate bool
 	// end is the end of the topic as last read; zero if it was not read in this era.
@@ -154,10 +161,14 @@
 // ObserveEra records an era of the log. A newer one than those before means that the log
 // was restored from an older copy and that claims may be lost: this router stops holding
 // the lease, and reads the topic again before the next claim.
-func (l *Lease) ObserveEra(era int64) {
+func (l *Lease) ObserveEra(now proto.Instant, era int64) {
 	if era <= l.era {
 		return
 	}
+	if l.era != 0 {
+		l.restoredAt = now
+		_, l.heldAtRestore = l.Held(now)
+	}
 	l.era = era
 	l.end = proto.LogPosition{}
 	l.lastReadAt = 0
@@ -188,6 +199,9 @@
 // claimableAt returns when this router may claim the lease.
 func (l *Lease) claimableAt() proto.Instant {
 	stagger := time.Duration(l.rank) * claimStagger
+	if l.claimsMayBeLost() {
+		return l.claimableAfterRestore(stagger)
+	}
 	switch {
 	case l.lastClaim.Holder == l.self:
 		return l.workSince
@@ -202,6 +216,23 @@
 	return max(l.seenAt.Add(TTL+l.takeoverDelay+safetyMargin), l.workSince).Add(stagger)
 }
 
+// claimsMayBeLost reports whether the log may have been restored since the last claim
+// that was read, from a copy without the claims that followed it. A copy may hold none.
+func (l *Lease) claimsMayBeLost() bool { return l.lastClaim.Era != l.era }
+
+// claimableAfterRestore returns when this router may claim the lease although another one
+// may have held it under a claim that is lost. Nobody else did if this router held it.
+func (l *Lease) claimableAfterRestore(stagger time.Duration) proto.Instant {
+	if l.heldAtRestore {
+		return l.workSince
+	}
+	lostBefore := l.restoredAt
+	if lostBefore == 0 {
+		lostBefore = l.seenAt
+	}
+	return max(lostBefore.Add(TTL+l.takeoverDelay+safetyMargin), l.workSince).Add(stagger)
+}
+
 func (l *Lease) startRead(now proto.Instant) Op {
 	if l.lastReadAt != 0 && now.Sub(l.lastReadAt) < minReadInterval {
 		return OpNone
@@ -220,14 +251,14 @@
 
 // ClaimRecord returns the claim to append.
 func (l *Lease) ClaimRecord() Claim {
-	return Claim{Holder: l.self, Incarnation: l.incarnation, Nonce: l.nonce}
+	return Claim{Holder: l.self, Incarnation: l.incarnation, Nonce: l.nonce, Era: l.era}
 }
 
 // ReadSucceeded records the end of the topic and its last claim, which is empty
 // if there is none. What was read in an earlier era has no effect.
 func (l *Lease) ReadSucceeded(now proto.Instant, end proto.LogPosition, lastClaim Claim) {
 	l.inFlight = false
-	l.ObserveEra(end.Era)
+	l.ObserveEra(now, end.Era)
 	if end.Era != l.era {
 		return
 	}
--- a/core/leader/lease_test.go
+++ b/core/leader/lease_test.go
@@ -87,53 +87,107 @@
 // that are lost, repeated, late and out of order.
 func TestOneHolderAtATime(t *testing.T) {
 	for seed := range uint64(200) {
-		rng := rand.New(rand.NewPCG(seed, 1))
-		log := &topic{}
-		var inTransit []mail
-		var nodes []*node
-		for i := range 4 {
-			name := fmt.Sprint("h", i)
-			nodes = append(nodes, &node{name: name, lease: newLease(name, takeoverDelay)})
-		}
-		lastHolder, lastFence, lastAt := "", int64(0), proto.Instant(0)
-		now := proto.Instant(time.Hour)
+		s := newSimulation(seed, &topic{})
 		for range 1500 {
-			now = now.Add(20 * time.Millisecond)
-			inTransit = deliver(now, inTransit, nodes)
-			for i, n := range nodes {
-				if rng.IntN(150) == 0 {
-					n.frozen = !n.frozen
-				}
-				if rng.IntN(150) == 0 {
-					n.cutOff = !n.cutOff
-				}
-				if n.frozen {
-					continue
-				}
-				fence, held := n.lease.Held(now)
-				if held {
-					if n.name != lastHolder && lastHolder != "" && now.Sub(lastAt) < takeoverDelay {
-						t.Fatalf("seed %d: %s acts %v after %s", seed, n.name, now.Sub(lastAt), lastHolder)
-					}
-					if fence < lastFence || n.name != lastHolder && fence == lastFence {
-						t.Fatalf("seed %d: %s acts with token %d after %d", seed, n.name, fence, lastFence)
-					}
-					lastHolder, lastFence, lastAt = n.name, fence, now
-					n.lease.RecordAction(now)
-				}
-				n.step(now, log, i)
-				if d, ok := n.lease.Disclaimer(now); ok && rng.IntN(2) == 0 {
-					delay := time.Duration(rng.IntN(3000)) * time.Millisecond
-					inTransit = append(inTransit, mail{from: n.name, at: now.Add(delay), contents: d})
-				}
+			s.step(t)
+		}
+		if s.lastHolder == "" {
+			t.Fatalf("seed %d: no router ever held the lease", seed)
+		}
+	}
+}
+
+// Guards against the same under restores of the log from older copies, of which the
+// routers hear late.
+func TestOneHolderAcrossRestores(t *testing.T) {
+	const seeds, steps, stepsPerRestore, maxLostClaims = 60, 3000, 800, 30
+	for seed := range uint64(seeds) {
+		s := newSimulation(seed, &topic{era: 1})
+		for range steps {
+			if s.rng.IntN(stepsPerRestore) == 0 {
+				s.log.restore(s.rng.IntN(maxLostClaims))
 			}
+			s.hearOfEra()
+			s.step(t)
 		}
-		if lastHolder == "" {
+		if s.lastHolder == "" {
 			t.Fatalf("seed %d: no router ever held the lease", seed)
 		}
 	}
 }
 
+// simulation runs routers that claim the lease whenever they can.
+type simulation struct {
+	seed      uint64
+	rng       *rand.Rand
+	log       *topic
+	now       proto.Instant
+	nodes     []*node
+	inTransit []mail
+
+	lastHolder string
+	lastFence  int64
+	lastAt     proto.Instant
+}
+
+func newSimulation(seed uint64, log *topic) *simulation {
+	s := &simulation{seed: seed, rng: rand.New(rand.NewPCG(seed, 1)), log: log, now: proto.Instant(time.Hour)}
+	for i := range 4 {
+		name := fmt.Sprint("h", i)
+		s.nodes = append(s.nodes, &node{name: name, lease: newLease(name, takeoverDelay)})
+	}
+	return s
+}
+
+// hearOfEra tells some of the routers that reach the log of its era.
+func (s *simulation) hearOfEra() {
+	for _, n := range s.nodes {
+		if !n.frozen && !n.cutOff && s.rng.IntN(10) == 0 {
+			n.lease.ObserveEra(s.now, s.log.era)
+		}
+	}
+}
+
+// step advances the time and lets each router act that is not frozen.
+func (s *simulation) step(t *testing.T) {
+	t.Helper()
+	s.now = s.now.Add(20 * time.Millisecond)
+	s.inTransit = deliver(s.now, s.inTransit, s.nodes)
+	for i, n := range s.nodes {
+		if s.rng.IntN(150) == 0 {
+			n.frozen = !n.frozen
+		}
+		if s.rng.IntN(150) == 0 {
+			n.cutOff = !n.cutOff
+		}
+		if n.frozen {
+			continue
+		}
+		if fence, held := n.lease.Held(s.now); held {
+			s.act(t, n, fence)
+		}
+		n.step(s.now, s.log, i)
+		if d, ok := n.lease.Disclaimer(s.now); ok && s.rng.IntN(2) == 0 {
+			delay := time.Duration(s.rng.IntN(3000)) * time.Millisecond
+			s.inTransit = append(s.inTransit, mail{from: n.name, at: s.now.Add(delay), contents: d})
+		}
+	}
+}
+
+// act checks that a router may act under the lease, and records that it does.
+func (s *simulation) act(t *testing.T, n *node, fence int64) {
+	t.Helper()
+	sinceLast := s.now.Sub(s.lastAt)
+	if n.name != s.lastHolder && s.lastHolder != "" && sinceLast < takeoverDelay {
+		t.Fatalf("seed %d: %s acts %v after %s", s.seed, n.name, sinceLast, s.lastHolder)
+	}
+	if fence < s.lastFence || n.name != s.lastHolder && fence == s.lastFence {
+		t.Fatalf("seed %d: %s acts with token %d after %d", s.seed, n.name, fence, s.lastFence)
+	}
+	s.lastHolder, s.lastFence, s.lastAt = n.name, fence, s.now
+	n.lease.RecordAction(s.now)
+}
+
 // deliver hands the disclaimers that have arrived to all routers that are not frozen,
 // and returns the others.
 func deliver(now proto.Instant, inTransit []mail, nodes []*node) []mail {
@@ -313,7 +367,7 @@
 	n.timeToHold(t, now, log)
 	before, _ := n.lease.Held(now)
 	log.restore(1)
-	n.lease.ObserveEra(log.era)
+	n.lease.ObserveEra(now, log.era)
 	if _, held := n.lease.Held(now); held {
 		t.Error("the lease is held under a claim that is lost")
 	}
@@ -332,12 +386,56 @@
 	l.SetHasWork(now, true, 0)
 	l.Next(now)
 	l.ReadSucceeded(now, log.end(), leader.Claim{})
+	now = now.Add(time.Minute)
 	if l.Next(now) != leader.OpAppend {
 		t.Fatal("a free lease is not claimed")
 	}
-	l.ObserveEra(2)
+	l.ObserveEra(now, 2)
 	l.ClaimSucceeded(now, log.end())
 	if _, held := l.Held(now); held {
 		t.Error("the lease is held under a claim that is lost")
 	}
 }
+
+// Guards against two holders that act within the takeover delay: the log was restored from
+// a copy without the holder's claim, in which the topic is empty, or ends with an earlier
+// claim of the next holder, with a release, or with a claim that its author disclaims. A
+// router that starts after the restore has not seen the earlier era.
+func TestLostClaimDelaysTheNextOne(t *testing.T) {
+	lost := leader.Claim{Holder: "a", Incarnation: 1, Nonce: 9, Era: 1}
+	for name, kept := range map[string][]leader.Claim{
+		"empty":    nil,
+		"own":      {{Holder: "b", Incarnation: 1, Nonce: 1, Era: 1}},
+		"released": {{Holder: "c", Incarnation: 1, Nonce: 1, Era: 1, Released: true}},
+		"denied":   {{Holder: "c", Incarnation: 1, Nonce: 1, Era: 1}},
+	} {
+		for _, starts := range []bool{false, true} {
+			log := &topic{era: 1, claims: append(kept, lost)}
+			next := &node{name: "b", lease: newLease("b", 0)}
+			now := proto.Instant(time.Hour)
+			if !starts {
+				next.lease.ObserveEra(now, log.era)
+			}
+			log.restore(1)
+			next.lease.ObserveEra(now, log.era)
+			next.lease.HandleDisclaimer(now, "c", leader.Disclaimer{Incarnation: 1, Nonce: 1})
+			if waited, minWait := next.timeToHold(t, now, log), leader.TTL+takeoverDelay; waited < minWait || waited > minWait+time.Second {
+				t.Errorf("%s, starts %v: the next router holds the lease after %v", name, starts, waited)
+			}
+		}
+	}
+}
+
+// Guards against a holder that waits for itself after a restore, so that engines are not
+// upgraded meanwhile.
+func TestHolderClaimsAgainAfterRestore(t *testing.T) {
+	log := &topic{era: 1}
+	n := &node{name: "a", lease: newLease("a", takeoverDelay)}
+	now := proto.Instant(time.Hour)
+	n.timeToHold(t, now, log)
+	log.restore(1)
+	n.lease.ObserveEra(now, log.era)
+	if waited := n.timeToHold(t, now, log); waited > time.Second {
+		t.Errorf("the holder holds the lease again after %v", waited)
+	}
+}
