core/discovery: what an older copy of the registry says does not override later knowledge

Endpoints that had said that they leave, or had gone, got requests again after the store had returned from an older copy.

Cause: the newest record of an endpoint was taken for its newest state. In a copy, an endpoint is ready that was draining since, a removed one is listed, and an engine has the weights of before.

Change: registrations carry the count of heartbeats. Within one incarnation an earlier heartbeat has no effect, and an endpoint never ceases to leave. An incarnation that was removed counts again from a later heartbeat on. As the registry shows no heartbeats that change nothing else, it also counts when the registry has kept it for 10 s, which is longer than it keeps an endpoint without heartbeats. Registrations without a start time or a count are taken as before. ApplyDueRemovals is now called ApplyDueChanges. The stand-in engine counts its heartbeats.

--- a/app/front/front.go
+++ b/app/front/front.go
@@ -343,7 +343,7 @@
 // connections.
 func (f *Front) runHousekeeping(now proto.Instant) {
 	f.mu.Lock()
-	if f.table.ApplyDueRemovals(now) {
+	if f.table.ApplyDueChanges(now) {
 		f.publishEndpoints()
 	}
 	f.markSilentPeers(now)
--- a/app/front/restore_test.go
+++ b/app/front/restore_test.go
@@ -3,6 +3,7 @@
 import (
 	"net/http"
 	"testing"
+	"time"
 
 	"github.com/kumquatsill/kumquatsill/platform"
 	"github.com/kumquatsill/kumquatsill/standin/hosting"
@@ -79,3 +80,25 @@
 		}
 	}
 }
+
+// Guards against requests to endpoints that have said that they leave or have left, because
+// the store was restored from a copy in which they were ready.
+func TestLeavingEndpointsStayOutAfterRestore(t *testing.T) {
+	b := newTestbed(t)
+	b.configure(nil)
+	r := b.startReady("r1")
+	backup := b.store.Backup()
+	b.register(2, "draining")
+	b.store.PutKey(platform.TopicEndpoints, b.engines[1].ID, nil)
+	time.Sleep(drainTime)
+	b.store.Restore(backup)
+	time.Sleep(drainTime)
+	before := len(b.engines[1].Runs()) + len(b.engines[2].Runs())
+	for range 10 {
+		r.call("/order/1", "secret")
+		r.call("/chat/1", "secret")
+	}
+	if runs := len(b.engines[1].Runs()) + len(b.engines[2].Runs()) - before; runs != 0 {
+		t.Errorf("%d runs at endpoints that leave", runs)
+	}
+}
--- a/app/front/watch.go
+++ b/app/front/watch.go
@@ -303,7 +303,7 @@
 		f.log.Warn("registration ignored", "endpoint", r.Key, "offset", r.At.Offset, "error", err.Error())
 		return false
 	}
-	changed := f.table.Put(e)
+	changed := f.table.Put(now, e)
 	f.placer.ObserveRegistration(now, e.ID, r.At.Offset, changed)
 	if changed {
 		f.log.Info("endpoint changed", "endpoint", r.Key, "service", e.Service, "addr", e.Addr, "domain", string(e.Domain),
--- a/core/discovery/discovery.go
+++ b/core/discovery/discovery.go
@@ -16,6 +16,11 @@
 	// outageWindow is how long after a failed read a removal may be caused by the
 	// outage of the registry.
 	outageWindow = 4 * time.Second
+	// unconfirmedTime is longer than the registry keeps the registration of an endpoint
+	// that sends no heartbeats.
+	unconfirmedTime = 10 * time.Second
+	// removalMemory is how long a removed incarnation is remembered.
+	removalMemory = 5 * time.Minute
 )
 
 // Endpoint is the registration of an endpoint. It is immutable.
@@ -24,10 +29,13 @@
 	// Started is the start time of this incarnation in Unix milliseconds, by the
 	// endpoint's own clock; 0 if the endpoint does not report it.
 	Started int64
-	Service string
-	Addr    string
-	Domain  proto.Domain
-	Slots   int
+	// Sequence counts the heartbeats of this incarnation; 0 if it is not reported. The
+	// registry may omit heartbeats that change nothing else.
+	Sequence int64
+	Service  string
+	Addr     string
+	Domain   proto.Domain
+	Slots    int
 	// Leaving endpoints get no new work.
 	Leaving bool
 	// Versions holds the version of each model that the endpoint has loaded.
@@ -42,6 +50,19 @@
 	started int64
 }
 
+// removal is the last known heartbeat of an incarnation that was removed.
+type removal struct {
+	sequence int64
+	at       proto.Instant
+}
+
+// unconfirmed is a registration of an incarnation that was removed before, without a later
+// heartbeat.
+type unconfirmed struct {
+	endpoint *Endpoint
+	since    proto.Instant
+}
+
 // Snapshot is the list of endpoints at one time. It is immutable.
 type Snapshot struct {
 	ByID      map[proto.EndpointID]*Endpoint
@@ -57,6 +78,10 @@
 	// delayedRemovals holds when removals take effect that may be caused by an
 	// outage of the registry.
 	delayedRemovals map[proto.EndpointID]proto.Instant
+	// removed holds the incarnations that were removed. A registry that was restored from
+	// an older copy lists them again, in unconfirmed until it is known whether they live.
+	removed     map[incarnationKey]removal
+	unconfirmed map[proto.EndpointID]unconfirmed
 	// lastFailedRead is valid if hasFailedRead is set.
 	lastFailedRead proto.Instant
 	hasFailedRead  bool
@@ -72,21 +97,59 @@
 	return &Table{
 		endpoints:       map[proto.EndpointID]*Endpoint{},
 		delayedRemovals: map[proto.EndpointID]proto.Instant{},
+		removed:         map[incarnationKey]removal{},
+		unconfirmed:     map[proto.EndpointID]unconfirmed{},
 	}
 }
 
 // Put adds or updates a registration and reports whether the list changed. It
 // cancels a delayed removal of the endpoint. A registration of an earlier
-// incarnation has no effect.
-func (t *Table) Put(e *Endpoint) bool {
+// incarnation or an earlier heartbeat has no effect, and within one incarnation an
+// endpoint never ceases to leave.
+func (t *Table) Put(now proto.Instant, e *Endpoint) bool {
 	old := t.endpoints[e.ID]
-	if old != nil && e.Started < old.Started {
+	if old == nil {
+		return t.add(now, e)
+	}
+	if e.Started < old.Started {
 		return false // a delayed registration of an earlier incarnation
 	}
 	delete(t.delayedRemovals, e.ID)
-	if old != nil && equal(old, e) {
+	if e.precedes(old) || e.takesLeavingBack(old) || equal(old, e) {
+		return false
+	}
+	t.endpoints[e.ID] = e
+	t.snapshot = nil
+	return true
+}
+
+// isSameIncarnation reports whether two registrations are known to be of one incarnation.
+func (e *Endpoint) isSameIncarnation(old *Endpoint) bool {
+	return e.Started != 0 && e.incarnation() == old.incarnation()
+}
+
+// precedes reports whether e is an earlier heartbeat of the same incarnation.
+func (e *Endpoint) precedes(old *Endpoint) bool {
+	return e.isSameIncarnation(old) && e.Sequence != 0 && e.Sequence < old.Sequence
+}
+
+// takesLeavingBack reports whether an incarnation that was leaving is not in e.
+func (e *Endpoint) takesLeavingBack(old *Endpoint) bool {
+	return e.isSameIncarnation(old) && old.Leaving && !e.Leaving
+}
+
+// add adds an endpoint that is not in the list and reports whether the list changed. An
+// incarnation that was removed before counts from its next heartbeat on, or when the
+// registry has kept it for unconfirmedTime.
+func (t *Table) add(now proto.Instant, e *Endpoint) bool {
+	r, wasRemoved := t.removed[e.incarnation()]
+	if wasRemoved && e.Sequence != 0 && e.Sequence <= r.sequence {
+		if _, known := t.unconfirmed[e.ID]; !known {
+			t.unconfirmed[e.ID] = unconfirmed{endpoint: e, since: now}
+		}
 		return false
 	}
+	delete(t.unconfirmed, e.ID)
 	t.endpoints[e.ID] = e
 	t.snapshot = nil
 	return true
@@ -101,24 +164,26 @@
 // Shortly after an outage of the registry, the endpoint stays in the list until it
 // has had time to register again.
 func (t *Table) Remove(now proto.Instant, id proto.EndpointID) bool {
+	delete(t.unconfirmed, id)
 	if t.endpoints[id] == nil {
 		return false
 	}
 	if t.hasFailedRead && now.Sub(t.lastFailedRead) < outageWindow {
 		if _, known := t.delayedRemovals[id]; !known {
 			// While the registry is unreachable, the time counts from the last failed
-			// read, and ApplyDueRemovals waits for the registry to recover.
+			// read, and ApplyDueChanges waits for the registry to recover.
 			t.delayedRemovals[id] = max(t.recoveredAt, t.lastFailedRead).Add(reregistrationTime)
 		}
-		return t.ApplyDueRemovals(now)
+		return t.ApplyDueChanges(now)
 	}
-	t.drop(id)
+	t.drop(now, id)
 	return true
 }
 
 // RemoveUnlisted removes all endpoints that are missing from a full listing of the
 // registry and reports whether the list changed.
 func (t *Table) RemoveUnlisted(now proto.Instant, listed map[proto.EndpointID]bool) bool {
+	maps.DeleteFunc(t.unconfirmed, func(id proto.EndpointID, _ unconfirmed) bool { return !listed[id] })
 	changed := false
 	for _, id := range slices.Sorted(maps.Keys(t.endpoints)) {
 		if !listed[id] {
@@ -140,20 +205,36 @@
 	}
 }
 
-// ApplyDueRemovals carries out the delayed removals that are due and reports whether
-// the list changed. None is due while the registry is unreachable.
-func (t *Table) ApplyDueRemovals(now proto.Instant) bool {
+// ApplyDueChanges carries out the delayed removals that are due, adds the endpoints that
+// the registry has kept for unconfirmedTime, and reports whether the list changed. No
+// change is due while the registry is unreachable.
+func (t *Table) ApplyDueChanges(now proto.Instant) bool {
+	maps.DeleteFunc(t.removed, func(_ incarnationKey, r removal) bool { return now.Sub(r.at) > removalMemory })
+	if t.recoveredAt < t.lastFailedRead {
+		return false
+	}
 	changed := false
 	for id, at := range t.delayedRemovals {
-		if now >= at && t.recoveredAt >= t.lastFailedRead {
-			t.drop(id)
+		if now >= at {
+			t.drop(now, id)
 			changed = true
 		}
 	}
+	for id, u := range t.unconfirmed {
+		if now.Sub(u.since) >= unconfirmedTime {
+			delete(t.removed, u.endpoint.incarnation())
+			delete(t.unconfirmed, id)
+			changed = t.Put(now, u.endpoint) || changed
+		}
+	}
 	return changed
 }
 
-func (t *Table) drop(id proto.EndpointID) {
+func (t *Table) drop(now proto.Instant, id proto.EndpointID) {
+	e := t.endpoints[id]
+	if e.Sequence != 0 && e.Started != 0 {
+		t.removed[e.incarnation()] = removal{sequence: e.Sequence, at: now}
+	}
 	delete(t.endpoints, id)
 	delete(t.delayedRemovals, id)
 	t.snapshot = nil
--- a/core/place/place_test.go
+++ b/core/place/place_test.go
@@ -66,7 +66,7 @@
 func engineID(i int) proto.EndpointID { return proto.EndpointID(fmt.Sprint("e", i)) }
 
 func (r *fixture) put(e *discovery.Endpoint) {
-	r.table.Put(e)
+	r.table.Put(r.now, e)
 	r.placer.Update(r.table.Snapshot())
 }
 
@@ -416,7 +416,7 @@
 func TestConfigurationAfterEndpointsSetsMemory(t *testing.T) {
 	placer := place.New(place.Config{Domain: "a", Costs: place.DefaultCosts(), Seed: 1})
 	table := discovery.NewTable()
-	table.Put(&discovery.Endpoint{ID: "e0", Service: "s", Addr: "10.0.0.1:80", Domain: "a", Slots: 8, Versions: map[string]int64{model: 1}})
+	table.Put(start, &discovery.Endpoint{ID: "e0", Service: "s", Addr: "10.0.0.1:80", Domain: "a", Slots: 8, Versions: map[string]int64{model: 1}})
 	placer.Update(table.Snapshot())
 	placer.Configure(config(t))
 	r := &fixture{t: t, now: start, placer: placer, table: table}
--- a/core/upgrade/upgrade_test.go
+++ b/core/upgrade/upgrade_test.go
@@ -57,7 +57,7 @@
 	for i := range n {
 		id := proto.EndpointID(fmt.Sprintf("e%02d", i))
 		f.engines[id] = &engine{version: 1}
-		f.table.Put(&discovery.Endpoint{ID: id, Service: "s", Addr: "a", Domain: "d", Slots: 1, Started: 1, Versions: map[string]int64{model: 1}})
+		f.table.Put(f.now, &discovery.Endpoint{ID: id, Service: "s", Addr: "a", Domain: "d", Slots: 1, Started: 1, Versions: map[string]int64{model: 1}})
 	}
 	f.planner.Update(f.table.Snapshot())
 	return f
@@ -229,7 +229,7 @@
 	f := newFleet(2)
 	leaving := *f.table.Snapshot().ByID["e00"]
 	leaving.Leaving = true
-	f.table.Put(&leaving)
+	f.table.Put(f.now, &leaving)
 	f.planner.Update(f.table.Snapshot())
 	f.planner.RecordVersion(model, 2)
 	f.run(3 * time.Second)
@@ -239,7 +239,7 @@
 	f.engines["e01"] = &engine{version: 1}
 	again := *f.table.Snapshot().ByID["e01"]
 	again.Started = 2
-	f.table.Put(&again)
+	f.table.Put(f.now, &again)
 	f.planner.Update(f.table.Snapshot())
 	f.run(3 * time.Second)
 	if f.engines["e01"].version != 2 {
--- a/standin/hosting/engine.go
+++ b/standin/hosting/engine.go
@@ -34,6 +34,7 @@
 	acceptedOrders   int64
 	lastFencingToken int64
 	orders           []Order
+	heartbeats       int64
 	loadDoneAt       time.Time
 	runs             []Run
 	failureForRun    func(run int) Failure
@@ -166,9 +167,10 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.completeDueLoad()
+	e.heartbeats++
 	entry := map[string]any{
 		"service": e.Service, "address": addr, "zone": zone, "version": "v1", "slots": 8, "state": state,
-		"coldRemainingMs": 0, "sequence": 1, "born": e.startedAt,
+		"coldRemainingMs": 0, "sequence": e.heartbeats, "born": e.startedAt,
 	}
 	if e.Model != "" {
 		entry["models"] = []map[string]any{{"name": e.Model, "version": e.version, "adapters": []string{}}}
