core/place: heartbeats count again after a restore of the store

An engine whose heartbeats went on could lose its requests for as long as the registry's offsets took to pass the old ones.

Cause: a registration at an offset not above the last one was taken for a repetition.

Evidence: TestHeartbeatsCountAfterRestore fails with offsets compared as before: "an engine whose heartbeats go on after the restore lost its requests".

Change: the era is compared, too. The first registration of an era is no heartbeat of its own, as a listing repeats what was read before (TestRestoreIsNoHeartbeat).

--- a/app/front/watch.go
+++ b/app/front/watch.go
@@ -304,7 +304,7 @@
 		return false
 	}
 	changed := f.table.Put(now, e)
-	f.placer.ObserveRegistration(now, e.ID, r.At.Offset, changed)
+	f.placer.ObserveRegistration(now, e.ID, r.At, changed)
 	if changed {
 		f.log.Info("endpoint changed", "endpoint", r.Key, "service", e.Service, "addr", e.Addr, "domain", string(e.Domain),
 			"leaving", e.Leaving, "started", e.Started, "versions", e.Versions, "offset", r.At.Offset)
--- a/core/place/load.go
+++ b/core/place/load.go
@@ -60,9 +60,9 @@
 	loadingUntil              proto.Instant
 	// mismatches counts version mismatches since the last successful response.
 	mismatches int
-	// registeredAt is the registry's offset of the last registration, lastHeartbeat
+	// registeredAt is the position of the last registration in the registry, lastHeartbeat
 	// when it was read, and renewals the number of registrations without a change.
-	registeredAt  int64
+	registeredAt  proto.LogPosition
 	lastHeartbeat proto.Instant
 	renewals      int
 	response      lastResponse
--- a/core/place/place.go
+++ b/core/place/place.go
@@ -288,20 +288,22 @@
 	return p.config.Services[e.Service].Engine.CacheTokens
 }
 
-// ObserveRegistration records that a registration of an endpoint was read at an
-// offset of the registry. The argument changed is false if it only renews the one
+// ObserveRegistration records that a registration of an endpoint was read at a
+// position of the registry. The argument changed is false if it only renews the one
 // before.
-func (p *Placer) ObserveRegistration(now proto.Instant, id proto.EndpointID, offset int64, changed bool) {
+func (p *Placer) ObserveRegistration(now proto.Instant, id proto.EndpointID, at proto.LogPosition, changed bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	l := p.loads[id]
-	if l == nil || offset <= l.registeredAt {
+	if l == nil || !l.registeredAt.Before(at) {
 		return // a listing repeats registrations that were read before
 	}
-	l.registeredAt, l.lastHeartbeat = offset, now
-	if !changed {
+	// The first registration of an era may repeat one of an earlier era.
+	isRepeated := l.registeredAt.Era != 0 && at.Era != l.registeredAt.Era
+	if !changed && !isRepeated {
 		l.renewals++
 	}
+	l.registeredAt, l.lastHeartbeat = at, now
 }
 
 // ObserveVersion records the version that an endpoint reported with a response.
