app/front: routers register again after a restore of the store

A router that started after a restore did not know routers that had registered shortly before it, for up to a minute, but from messages of others.

Cause: a registration was written at the start and every minute, whatever happened to the store, and read every 30 s.

Evidence: TestRouterRegistersAgainAfterRestore fails on the code before: "timed out waiting for: the router is registered again" (10 s).

Change: a newer era ends the pause; the router registers and lists the others at once.

--- a/app/front/crashes.go
+++ b/app/front/crashes.go
@@ -114,7 +114,7 @@
 		}
 	}
 	for ctx.Err() == nil {
-		err := f.store.Put(ctx, platform.TopicCrashes, string(c.Trait), value)
+		_, err := f.store.Put(ctx, platform.TopicCrashes, string(c.Trait), value)
 		if err == nil {
 			return
 		}
--- a/app/front/peers.go
+++ b/app/front/peers.go
@@ -46,32 +46,36 @@
 }
 
 // followRouters keeps this router registered and reads the registrations of the
-// others.
+// others. It does both at once when the store was restored from an older copy.
 func (f *Front) followRouters(ctx context.Context) error {
-	registeredAt := time.Time{}
 	w := &topicFollower{front: f, topic: platform.TopicRouters, apply: forEach(f.applyRouter)}
+	var registeredAt time.Time
+	var registeredIn int64
 	for ctx.Err() == nil {
-		if time.Since(registeredAt) >= registerInterval {
-			if err := f.putRegistration(ctx); err != nil {
+		era, restored := f.store.Era()
+		if registeredIn != era || time.Since(registeredAt) >= registerInterval {
+			if newEra, err := f.putRegistration(ctx); err != nil {
 				f.log.Warn("registration failed", "error", err.Error())
 			} else {
-				registeredAt = time.Now()
+				registeredAt, registeredIn = time.Now(), newEra
 			}
 		}
+		pause := membersInterval
 		if err := w.read(ctx); err != nil {
 			f.log.Debug("router registrations not read", "error", err.Error())
-			sleep(ctx, time.Second)
-			continue
+			pause = time.Second
 		}
-		sleep(ctx, membersInterval)
+		sleepUntilClosed(ctx, pause, restored)
 	}
 	return nil
 }
 
-func (f *Front) putRegistration(ctx context.Context) error {
+// putRegistration registers this router and returns the era of the store that has accepted
+// the registration.
+func (f *Front) putRegistration(ctx context.Context) (era int64, err error) {
 	value, err := json.Marshal(registration{Addr: f.cfg.Settings.PeerAddr, Domain: f.cfg.Settings.Domain, Incarnation: f.incarnation})
 	if err != nil {
-		return Error.Wrap(err)
+		return 0, Error.Wrap(err)
 	}
 	return f.store.Put(ctx, platform.TopicRouters, f.cfg.Settings.Host, value)
 }
--- a/app/front/restore_test.go
+++ b/app/front/restore_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"slices"
 	"testing"
 	"time"
 
@@ -102,3 +103,16 @@
 		t.Errorf("%d runs at endpoints that leave", runs)
 	}
 }
+
+// Guards against routers that do not find each other: a restored store lacks the
+// registration of a router that has registered shortly before.
+func TestRouterRegistersAgainAfterRestore(t *testing.T) {
+	b := newTestbed(t)
+	b.configure(nil)
+	backup := b.store.Backup()
+	b.startReady("r1")
+	registered := func() bool { return slices.Contains(b.store.Keys(platform.TopicRouters), "r1") }
+	eventually(t, "the router is registered", registered)
+	b.store.Restore(backup)
+	eventually(t, "the router is registered again", registered)
+}
--- a/app/front/watch.go
+++ b/app/front/watch.go
@@ -161,7 +161,10 @@
 }
 
 // sleep waits for d or until the context ends.
-func sleep(ctx context.Context, d time.Duration) {
+func sleep(ctx context.Context, d time.Duration) { sleepUntilClosed(ctx, d, nil) }
+
+// sleepUntilClosed waits for d, until the context ends or until the channel is closed.
+func sleepUntilClosed(ctx context.Context, d time.Duration, closed <-chan struct{}) {
 	if d <= 0 {
 		return
 	}
@@ -170,6 +173,7 @@
 	select {
 	case <-ctx.Done():
 	case <-t.C:
+	case <-closed:
 	}
 }
 
--- a/standin/hosting/store.go
+++ b/standin/hosting/store.go
@@ -126,6 +126,20 @@
 	s.append(name, [][]byte{content})
 }
 
+// Keys returns the keys of a topic that have a value.
+func (s *LogStore) Keys(name string) []string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	t := s.topic(name)
+	var keys []string
+	for key, offset := range t.newest {
+		if offset >= t.first && len(t.records[offset-t.first]) > 1+len(key) {
+			keys = append(keys, key)
+		}
+	}
+	return keys
+}
+
 // Truncate deletes all records of a topic, including the newest of each key.
 func (s *LogStore) Truncate(name string) {
 	s.mu.Lock()
