app/front: blocked traits are saved again after a restore of the store

After a restore and a restart of all routers, a part that crashes engines was not blocked.

Cause: a change was written once; a copy some seconds old lacks it.

Evidence: TestBlockedPartIsSavedAgainAfterRestore fails on the code before: "timed out waiting for: the part is saved again" (10 s).

Change: a router writes what it wrote in the last minute again when the store names a newer era. Older changes are left alone, so that a trait that another router has released since does not come back.

--- a/app/front/crashes.go
+++ b/app/front/crashes.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"maps"
 	"net/http"
 	"time"
 
@@ -19,6 +20,8 @@
 	storeTraitRetry = time.Second
 	// maxUnsavedTraits bounds the traits that wait to be written.
 	maxUnsavedTraits = 256
+	// maxBackupAge is how old the copy may be from which the store is restored.
+	maxBackupAge = time.Minute
 )
 
 // storedTrait is the value of a record in the topic of crashing traits.
@@ -54,7 +57,7 @@
 }
 
 // keepTraits reads the traits that were blocked before this router started, then writes
-// changes to the store. Without the store, peers tell what they know.
+// changes to the store, and those of the last minute again if it was restored. Without the store, peers tell what they know.
 func (f *Front) keepTraits(ctx context.Context) error {
 	for ctx.Err() == nil {
 		err := f.restoreTraits(ctx)
@@ -64,16 +67,49 @@
 		f.log.Warn("blocked traits not read", "error", err.Error())
 		sleep(ctx, storeTraitRetry)
 	}
+	saved := savedTraits{}
+	_, storeRestored := f.store.Era()
 	for {
 		select {
 		case <-ctx.Done():
 			return nil
 		case c := <-f.unsavedTraits:
 			f.writeTrait(ctx, c)
+			saved.add(time.Now(), c)
+		case <-storeRestored:
+			_, storeRestored = f.store.Era()
+			for _, c := range saved.recent(time.Now()) {
+				f.writeTrait(ctx, c)
+			}
 		}
 	}
 }
 
+// savedTraits holds the changes that were written to the store and may be missing after it
+// was restored from an older copy.
+type savedTraits map[crash.Trait]savedTrait
+
+type savedTrait struct {
+	change crash.Change
+	at     time.Time
+}
+
+func (s savedTraits) add(now time.Time, c crash.Change) {
+	maps.DeleteFunc(s, func(_ crash.Trait, old savedTrait) bool { return now.Sub(old.at) > maxBackupAge })
+	s[c.Trait] = savedTrait{change: c, at: now}
+}
+
+// recent returns the changes that a copy may lack.
+func (s savedTraits) recent(now time.Time) []crash.Change {
+	var changes []crash.Change
+	for _, saved := range s {
+		if now.Sub(saved.at) <= maxBackupAge {
+			changes = append(changes, saved.change)
+		}
+	}
+	return changes
+}
+
 // restoreTraits blocks the traits that the store holds, and deletes those that are too
 // old.
 func (f *Front) restoreTraits(ctx context.Context) error {
--- a/app/front/restore_test.go
+++ b/app/front/restore_test.go
@@ -116,3 +116,22 @@
 	b.store.Restore(backup)
 	eventually(t, "the router is registered again", registered)
 }
+
+// Guards against routers that forget at a restart which part crashes engines: a restored
+// store lacks the part that was written shortly before.
+func TestBlockedPartIsSavedAgainAfterRestore(t *testing.T) {
+	b := newTestbed(t)
+	b.configure(func(cfg map[string]any) { cfg["tenants"].([]any)[0].(map[string]any)["ratePerS"] = 0 })
+	traffic := &crashingTraffic{b: b, routers: []*router{b.startReady("r1"), b.startReady("r2")}}
+	for _, e := range b.engines[:2] {
+		e.SetCrashingPart("bad")
+	}
+	backup := b.store.Backup()
+	saved := func() bool { return len(b.store.Keys(platform.TopicCrashes)) > 0 }
+	eventually(t, "the part is saved", func() bool {
+		traffic.runFor(100 * time.Millisecond)
+		return saved()
+	})
+	b.store.Restore(backup)
+	eventually(t, "the part is saved again", saved)
+}
