--- a/app/front/front.go
+++ b/app/front/front.go
@@ -239,6 +239,7 @@
 		f.tomb.Go(func() error { return f.followOperator(ctx) })
 		f.tomb.Go(func() error { return f.followEndpoints(ctx) })
 		f.tomb.Go(func() error { return f.followRouters(ctx) })
+		f.tomb.Go(func() error { return f.followEra(ctx) })
 		f.tomb.Go(func() error { return f.keepTraits(ctx) })
 		f.tomb.Go(func() error { return f.receivePeerMessages(ctx) })
 		f.tomb.Go(func() error { return f.sendPeerMessages(ctx) })
@@ -345,7 +346,7 @@
 // connections.
 func (f *Front) runHousekeeping(now proto.Instant) {
 	f.mu.Lock()
-	if f.table.ApplyDueRemovals(now) {
+	if f.table.ApplyDueChanges(now) {
 		f.publishEndpoints()
 	}
 	f.markSilentPeers(now)
--- a/standin/hosting/engine.go
+++ b/standin/hosting/engine.go
@@ -35,6 +35,8 @@
 	targetVersion    int64
 	acceptedOrders   int64
 	lastFencingToken int64
+	orders           []Order
+	heartbeats       int64
 	loadDoneAt       time.Time
 	runs             []Run
 	failureForRun    func(run int) Failure
@@ -243,9 +245,10 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.completeDueLoad()
+	e.heartbeats++
 	entry := map[string]any{
 		"service": e.Service, "address": addr, "zone": zone, "version": "v1", "slots": 8, "state": state,
-		"coldRemainingMs": 0, "sequence": 1, "born": e.startedAt,
+		"coldRemainingMs": 0, "sequence": e.heartbeats, "born": e.startedAt,
 	}
 	if e.Model != "" {
 		entry["models"] = []map[string]any{{"name": e.Model, "version": e.version, "adapters": []string{}}}
@@ -287,6 +290,19 @@
 // loadTime is how long the engine takes to load weights.
 const loadTime = 100 * time.Millisecond
 
+// Order is an order that reached an engine, whether it was accepted or not.
+type Order struct {
+	Holder       string
+	FencingToken int64
+}
+
+// Orders returns the orders that have reached the engine, in that order.
+func (e *Engine) Orders() []Order {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return slices.Clone(e.orders)
+}
+
 func (e *Engine) serveOrder(w http.ResponseWriter, r *http.Request) {
 	var order struct {
 		Version          int64  `json:"version"`
@@ -301,6 +317,7 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.completeDueLoad()
+	e.orders = append(e.orders, Order{Holder: order.Holder, FencingToken: order.FencingToken})
 	switch {
 	case order.FencingToken < e.lastFencingToken:
 		w.WriteHeader(http.StatusPreconditionFailed)
