--- a/app/front/leaving_test.go
+++ b/app/front/leaving_test.go
@@ -170,3 +170,20 @@
 		t.Errorf("%d requests after the drain time", n)
 	}
 }
+
+// Guards against routers that learn only from answers of their own that an engine leaves.
+func TestPeersHearThatAnEngineLeaves(t *testing.T) {
+	b := newTestbed(t)
+	b.configure(unlimited)
+	r1, r2 := b.startReady("r1"), b.startReady("r2")
+	used, _ := b.splitByUse(r1)
+	plain := used[1] // whose cache nobody reads
+	plain.SayLeaving(true)
+	r1.callUntilReached([]*hosting.Engine{plain})
+	time.Sleep(time.Second)
+	told := time.Now()
+	r2.callFor(500 * time.Millisecond)
+	if n := arrivalsAfter(plain, told); n > 0 {
+		t.Errorf("%d requests from a router whose peer knew", n)
+	}
+}
