--- a/core/endpointstate/tracker.go
+++ b/core/endpointstate/tracker.go
@@ -67,9 +67,6 @@
 	Limit, Leaving, Pause bool
 }
 
-// Any reports whether anything has changed.
-func (c Change) Any() bool { return c != Change{} }
-
 // state is what one incarnation of an endpoint has said.
 type state struct {
 	incarnation
