core/discovery: an earlier incarnation of a removed endpoint does not count

An endpoint that had restarted under its id and had then gone came back with the registration of its earlier start, from an older copy of the store.

Cause: removals were remembered by incarnation, and the earlier one was not among them.

Evidence: TestEarlierIncarnationOfRemovedEndpointIsIgnored fails on the code before: "an earlier incarnation of a removed endpoint counts".

Change: removals are remembered by endpoint, with the incarnation and its last heartbeat.

--- a/core/discovery/discovery.go
+++ b/core/discovery/discovery.go
@@ -50,14 +50,22 @@
 	started int64
 }
 
-// removal is the last known heartbeat of an incarnation that was removed.
+// removal is the last known heartbeat of an endpoint that was removed.
 type removal struct {
+	started  int64
 	sequence int64
 	at       proto.Instant
 }
 
-// unconfirmed is a registration of an incarnation that was removed before, without a later
-// heartbeat.
+// covers reports whether a registration is known to be no later than the removed one.
+func (r removal) covers(e *Endpoint) bool {
+	if e.Started != r.started {
+		return e.Started != 0 && e.Started < r.started
+	}
+	return e.Sequence != 0 && e.Sequence <= r.sequence
+}
+
+// unconfirmed is a registration that the removal of its endpoint covers.
 type unconfirmed struct {
 	endpoint *Endpoint
 	since    proto.Instant
@@ -78,9 +86,9 @@
 	// delayedRemovals holds when removals take effect that may be caused by an
 	// outage of the registry.
 	delayedRemovals map[proto.EndpointID]proto.Instant
-	// removed holds the incarnations that were removed. A registry that was restored from
-	// an older copy lists them again, in unconfirmed until it is known whether they live.
-	removed     map[incarnationKey]removal
+	// removed holds the endpoints that were removed. A registry that was restored from an
+	// older copy lists them again, in unconfirmed until it is known whether they live.
+	removed     map[proto.EndpointID]removal
 	unconfirmed map[proto.EndpointID]unconfirmed
 	// lastFailedRead is valid if hasFailedRead is set.
 	lastFailedRead proto.Instant
@@ -97,7 +105,7 @@
 	return &Table{
 		endpoints:       map[proto.EndpointID]*Endpoint{},
 		delayedRemovals: map[proto.EndpointID]proto.Instant{},
-		removed:         map[incarnationKey]removal{},
+		removed:         map[proto.EndpointID]removal{},
 		unconfirmed:     map[proto.EndpointID]unconfirmed{},
 	}
 }
@@ -138,18 +146,18 @@
 	return e.isSameIncarnation(old) && old.Leaving && !e.Leaving
 }
 
-// add adds an endpoint that is not in the list and reports whether the list changed. An
-// incarnation that was removed before counts from its next heartbeat on, or when the
-// registry has kept it for unconfirmedTime.
+// add adds an endpoint that is not in the list and reports whether the list changed. One
+// that was removed before counts from its next heartbeat on, or when the registry has kept
+// it for unconfirmedTime.
 func (t *Table) add(now proto.Instant, e *Endpoint) bool {
-	r, wasRemoved := t.removed[e.incarnation()]
-	if wasRemoved && e.Sequence != 0 && e.Sequence <= r.sequence {
+	if r, wasRemoved := t.removed[e.ID]; wasRemoved && r.covers(e) {
 		if _, known := t.unconfirmed[e.ID]; !known {
 			t.unconfirmed[e.ID] = unconfirmed{endpoint: e, since: now}
 		}
 		return false
 	}
 	delete(t.unconfirmed, e.ID)
+	delete(t.removed, e.ID)
 	t.endpoints[e.ID] = e
 	t.snapshot = nil
 	return true
@@ -209,7 +217,7 @@
 // the registry has kept for unconfirmedTime, and reports whether the list changed. No
 // change is due while the registry is unreachable.
 func (t *Table) ApplyDueChanges(now proto.Instant) bool {
-	maps.DeleteFunc(t.removed, func(_ incarnationKey, r removal) bool { return now.Sub(r.at) > removalMemory })
+	maps.DeleteFunc(t.removed, func(_ proto.EndpointID, r removal) bool { return now.Sub(r.at) > removalMemory })
 	if t.recoveredAt < t.lastFailedRead {
 		return false
 	}
@@ -222,7 +230,7 @@
 	}
 	for id, u := range t.unconfirmed {
 		if now.Sub(u.since) >= unconfirmedTime {
-			delete(t.removed, u.endpoint.incarnation())
+			delete(t.removed, id)
 			delete(t.unconfirmed, id)
 			changed = t.Put(now, u.endpoint) || changed
 		}
@@ -232,8 +240,8 @@
 
 func (t *Table) drop(now proto.Instant, id proto.EndpointID) {
 	e := t.endpoints[id]
-	if e.Sequence != 0 && e.Started != 0 {
-		t.removed[e.incarnation()] = removal{sequence: e.Sequence, at: now}
+	if e.Started != 0 {
+		t.removed[id] = removal{started: e.Started, sequence: e.Sequence, at: now}
 	}
 	delete(t.endpoints, id)
 	delete(t.delayedRemovals, id)
--- a/core/discovery/discovery_test.go
+++ b/core/discovery/discovery_test.go
@@ -215,3 +215,14 @@
 		t.Error("an endpoint that left an hour ago is still remembered")
 	}
 }
+
+// Guards against the registration of an earlier incarnation that a restored registry has
+// after the later one was removed.
+func TestEarlierIncarnationOfRemovedEndpointIsIgnored(t *testing.T) {
+	table := discovery.NewTable()
+	table.Put(now, endpoint(2))
+	table.Remove(now, "e1")
+	if table.Put(now, endpoint(1)) || len(table.Snapshot().ByID) != 0 {
+		t.Error("an earlier incarnation of a removed endpoint counts")
+	}
+}
