core/serving: a configuration whose numbers make no sense is refused whole

A configuration with weights that are all zero was taken and sent a route's requests to its first service; with a negative weight the split followed no rule.

Cause: only names were checked: hosts, services, accounts. The store takes valid configurations only, but other systems that met a restored store were seen to take an invalid one.

Evidence: TestInvalidNumbersAreRejected fails on the code before in all 13 cases.

Change: weights, durations, attempts, limits, the body limit and the revision are checked, and that a prefix begins and ends with a slash. The configuration in force stays.

--- a/core/serving/config.go
+++ b/core/serving/config.go
@@ -54,7 +54,7 @@
 	Host   string
 	Prefix string
 	Kind   Kind
-	// Targets is never empty.
+	// Targets is never empty, and the sum of the weights is positive.
 	Targets []Target
 	// Attempts is the maximum number of endpoints that may run one request.
 	Attempts int
@@ -88,9 +88,6 @@
 	for _, t := range r.Targets {
 		total += t.Weight
 	}
-	if total <= 0 {
-		return r.Targets[0].Service
-	}
 	rest := int(draw % uint64(total))
 	for _, t := range r.Targets {
 		if rest < t.Weight {
@@ -183,8 +180,12 @@
 }
 
 // New builds a configuration. It fails on a route without target or host, on a
-// target that is not a configured service, and on a key of an unknown account.
+// target that is not a configured service, on a key of an unknown account, and on
+// numbers that make no sense.
 func New(c Spec) (*Config, error) {
+	if err := c.validate(); err != nil {
+		return nil, err
+	}
 	cfg := &Config{
 		Revision: c.Revision,
 		Services: make(map[string]*Service, len(c.Services)),
@@ -197,6 +198,9 @@
 		cfg.Services[s.Name] = s
 	}
 	for _, a := range c.Accounts {
+		if err := a.validate(); err != nil {
+			return nil, err
+		}
 		cfg.Accounts[a.ID] = a
 	}
 	for hash, id := range c.Keys {
@@ -218,8 +222,8 @@
 }
 
 func (c *Config) addRoute(r *Route) error {
-	if r.Host == "" || len(r.Targets) == 0 {
-		return Error.New("route %q has no host or no target", r.Name)
+	if err := r.validate(); err != nil {
+		return err
 	}
 	for _, t := range r.Targets {
 		if c.Services[t.Service] == nil {
--- a/core/serving/config_test.go
+++ b/core/serving/config_test.go
@@ -1,6 +1,7 @@
 package serving_test
 
 import (
+	"math"
 	"testing"
 
 	"github.com/kumquatsill/kumquatsill/core/note"
@@ -82,3 +83,41 @@
 		t.Fatal("a request is charged in the wrong unit")
 	}
 }
+
+// Guards against a configuration that is taken although its numbers make no sense, and then
+// sends requests to a service that gets no share.
+func TestInvalidNumbersAreRejected(t *testing.T) {
+	valid := func() serving.Spec {
+		return serving.Spec{
+			Routes: []*serving.Route{route("r", "h", "/")}, Services: []*serving.Service{{Name: "s"}, {Name: "t"}},
+			Accounts: []*serving.Account{{ID: "a"}},
+		}
+	}
+	if _, err := serving.New(valid()); err != nil {
+		t.Fatal(err)
+	}
+	targets := func(weights ...int) []serving.Target {
+		return []serving.Target{{Service: "s", Weight: weights[0]}, {Service: "t", Weight: weights[1]}}
+	}
+	for name, change := range map[string]func(*serving.Spec){
+		"no weight":         func(c *serving.Spec) { c.Routes[0].Targets = targets(0, 0) },
+		"negative weight":   func(c *serving.Spec) { c.Routes[0].Targets = targets(-1, 5) },
+		"too large weights": func(c *serving.Spec) { c.Routes[0].Targets = targets(math.MaxInt, math.MaxInt) },
+		"negative timeout":  func(c *serving.Spec) { c.Routes[0].Timeout = -1 },
+		"negative latency":  func(c *serving.Spec) { c.Routes[0].TargetLatency = -1 },
+		"negative gap":      func(c *serving.Spec) { c.Routes[0].TargetGap = -1 },
+		"negative attempts": func(c *serving.Spec) { c.Routes[0].Attempts = -1 },
+		"no prefix":         func(c *serving.Spec) { c.Routes[0].Prefix = "" },
+		"negative rate":     func(c *serving.Spec) { c.Accounts[0].Rate = -1 },
+		"negative burst":    func(c *serving.Spec) { c.Accounts[0].Burst = -1 },
+		"negative cost":     func(c *serving.Spec) { c.Accounts[0].DefaultTokens = -1 },
+		"negative body":     func(c *serving.Spec) { c.MaxBody = -1 },
+		"negative revision": func(c *serving.Spec) { c.Revision = -1 },
+	} {
+		spec := valid()
+		change(&spec)
+		if _, err := serving.New(spec); err == nil {
+			t.Errorf("%s: accepted", name)
+		}
+	}
+}
