app/front: a claim of the lease that cannot be read does not free it

If another writer left a record among the claims of the upgrade lease, a second router ordered engines while the holder of the claim before still did.

Cause: a record that cannot be read counted as no claim at all, so that the lease was free at once.

Evidence: TestUnreadableClaimDoesNotFreeTheLease on the code before:

an engine was ordered to load 451.620824ms after a claim that counts for 2s

Change: such a record counts as the claim of an unknown holder, which is waited for like any other.

After: the test passes, with the race detector.

--- a/app/front/upgrade.go
+++ b/app/front/upgrade.go
@@ -24,6 +24,9 @@
 	// engine is expected to take no work after it has reported that it is still
 	// busy with its order.
 	busyExtensionFraction = 0.5
+	// unknownHolder stands for the holder of a claim that cannot be read. A claim before
+	// it may still be in force.
+	unknownHolder = "(unknown)"
 )
 
 // upgradeEngines upgrades engines to the newest model versions while this
@@ -128,6 +131,7 @@
 	if len(records) > 0 {
 		if err := json.Unmarshal(records[len(records)-1].Value, &last); err != nil {
 			f.log.Error("lease claim ignored", "offset", end-1, "error", err.Error())
+			last = leader.Claim{Holder: unknownHolder}
 		}
 	}
 	now := driver.Now()
