core/crash: a number of rounds that a peer tells is bounded, too

A message with a huge number of rounds stopped a router for good, as a stored one did.

Evidence: TestRestoredRoundsAreBounded, which now also covers messages, on the code before:

told rounds: no decision within 5 s

Change: both ways set the number in one place, with the same bound.

--- a/core/crash/entry.go
+++ b/core/crash/entry.go
@@ -95,6 +95,11 @@
 	return true
 }
 
+// restore records a number of rounds before the start of this router.
+func (e *entry) restore(now proto.Instant, rounds int) {
+	e.restored, e.restoredAt = max(e.restored, min(rounds, maxCrashes)), now
+}
+
 // markSound records that an answer began at the given time and went beyond BeginPhase.
 // It reports whether that is news.
 func (e *entry) markSound(begunAt proto.Instant) bool {
--- a/core/crash/evidence.go
+++ b/core/crash/evidence.go
@@ -204,7 +204,7 @@
 		}
 	}
 	if ev.Restored > e.restored && e.soundAt == 0 {
-		e.restored, e.restoredAt = ev.Restored, now
+		e.restore(now, ev.Restored)
 		changed = true
 	}
 	e.startTrial(instantOf(now, ev.Trial), false)
--- a/core/crash/register.go
+++ b/core/crash/register.go
@@ -181,7 +181,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	e := r.entry(t)
-	e.restored, e.restoredAt = max(e.restored, min(rounds, maxCrashes)), now
+	e.restore(now, rounds)
 	r.updateCandidate(now, t, e)
 }
 
--- a/core/crash/register_test.go
+++ b/core/crash/register_test.go
@@ -264,23 +264,28 @@
 	}
 }
 
-// Guards against a router that never gets on, because a stored trait that another writer
-// has changed has a huge number of rounds.
+// Guards against a router that never gets on, because a stored trait, or a message about
+// one, has a huge number of rounds.
 func TestRestoredRoundsAreBounded(t *testing.T) {
 	for _, rounds := range []int{math.MaxInt, math.MinInt, 0} {
-		done := make(chan crash.Admission, 1)
-		go func() {
-			r := crash.NewRegister()
-			r.Restore(now, bad, rounds)
-			done <- r.Admit(now.Add(time.Second), []crash.Trait{bad})
-		}()
-		select {
-		case a := <-done:
-			if a.Allowed != (rounds <= 0) {
-				t.Errorf("%d rounds: %+v", rounds, a)
+		for name, restore := range map[string]func(*crash.Register){
+			"stored": func(r *crash.Register) { r.Restore(now, bad, rounds) },
+			"told":   func(r *crash.Register) { r.Merge(now, []crash.Evidence{{Trait: bad, Restored: rounds}}) },
+		} {
+			done := make(chan crash.Admission, 1)
+			go func() {
+				r := crash.NewRegister()
+				restore(r)
+				done <- r.Admit(now.Add(time.Second), []crash.Trait{bad})
+			}()
+			select {
+			case a := <-done:
+				if a.Allowed != (rounds <= 0) {
+					t.Errorf("%s %d rounds: %+v", name, rounds, a)
+				}
+			case <-time.After(5 * time.Second):
+				t.Errorf("%s %d rounds: no decision within 5 s", name, rounds)
 			}
-		case <-time.After(5 * time.Second):
-			t.Errorf("%d rounds: no decision within 5 s", rounds)
 		}
 	}
 }
