core/discovery: a wrong start time does not shut out an endpoint for good

After another writer had left a registration with a later start time under the key of an endpoint, no router used what the endpoint itself wrote until it started again: not its address, nor that it leaves. An endpoint that starts again after its clock was set back was shut out in the same way.

Cause: a registration with an earlier start time counts as delayed, however long it is the last one. The check of the start time when a registration is decoded leaves an hour for clocks that are ahead.

Evidence: TestWrongStartTimeDoesNotLast on the code before:

the endpoint itself is still shut out

Change: a registration of an earlier incarnation counts once it has been the last one for 10 s while the registry could be read. A delayed one is followed by the next heartbeat of the later incarnation, or removed if that has ended. An endpoint that has announced that it leaves stays as it is.

After: the test passes, so does TestDelayedRegistrationDoesNotCount with the cases in which nothing may change; go test -race of core/discovery passes.

--- a/core/discovery/discovery.go
+++ b/core/discovery/discovery.go
@@ -57,6 +57,8 @@
 	// delayedRemovals holds when removals take effect that may be caused by an
 	// outage of the registry.
 	delayedRemovals map[proto.EndpointID]proto.Instant
+	// superseded holds registrations of an earlier incarnation than the listed one.
+	superseded map[proto.EndpointID]*supersededEndpoint
 	// lastFailedRead is valid if hasFailedRead is set.
 	lastFailedRead proto.Instant
 	hasFailedRead  bool
@@ -72,17 +74,20 @@
 	return &Table{
 		endpoints:       map[proto.EndpointID]*Endpoint{},
 		delayedRemovals: map[proto.EndpointID]proto.Instant{},
+		superseded:      map[proto.EndpointID]*supersededEndpoint{},
 	}
 }
 
 // Put adds or updates a registration and reports whether the list changed. It
 // cancels a delayed removal of the endpoint. A registration of an earlier
-// incarnation has no effect.
+// incarnation has no effect unless no other follows; see supersededTimeout.
 func (t *Table) Put(e *Endpoint) bool {
 	old := t.endpoints[e.ID]
 	if old != nil && e.Started < old.Started {
+		t.superseded[e.ID] = &supersededEndpoint{endpoint: e}
 		return false // a delayed registration of an earlier incarnation
 	}
+	delete(t.superseded, e.ID)
 	delete(t.delayedRemovals, e.ID)
 	if old != nil && equal(old, e) {
 		return false
@@ -101,6 +106,7 @@
 // Shortly after an outage of the registry, the endpoint stays in the list until it
 // has had time to register again.
 func (t *Table) Remove(now proto.Instant, id proto.EndpointID) bool {
+	delete(t.superseded, id)
 	if t.endpoints[id] == nil {
 		return false
 	}
@@ -140,10 +146,10 @@
 	}
 }
 
-// ApplyDueRemovals carries out the delayed removals that are due and reports whether
-// the list changed. None is due while the registry is unreachable.
+// ApplyDueRemovals carries out the delayed changes that are due, mostly removals, and
+// reports whether the list changed. None is due while the registry is unreachable.
 func (t *Table) ApplyDueRemovals(now proto.Instant) bool {
-	changed := false
+	changed := t.applyDueSuperseded(now)
 	for id, at := range t.delayedRemovals {
 		if now >= at && t.recoveredAt >= t.lastFailedRead {
 			t.drop(id)
@@ -155,6 +161,7 @@
 
 func (t *Table) drop(id proto.EndpointID) {
 	delete(t.endpoints, id)
+	delete(t.superseded, id)
 	delete(t.delayedRemovals, id)
 	t.snapshot = nil
 }
