--- a/app/front/attempt.go
+++ b/app/front/attempt.go
@@ -137,7 +137,9 @@
 	defer stall.Stop()
 	a.versionTimer = a.watchVersion(cancel)
 	defer a.versionTimer.Stop()
-	resp, err := x.front.client.Send(ctx, a.upstreamRequest())
+	req := a.upstreamRequest()
+	x.triedAddrs = append(x.triedAddrs, req.Addr)
+	resp, err := x.front.client.Send(ctx, req)
 	if err != nil {
 		return a.sendFailure(ctx, err)
 	}
@@ -249,7 +251,6 @@
 	}
 	// A copy of the refusal of an earlier attempt would bear the same ID.
 	req.Exclusive = slices.Contains(x.triedAddrs, req.Addr)
-	x.triedAddrs = append(x.triedAddrs, req.Addr)
 	if !x.route.Repeatable() {
 		req.MaxIdle = maxIdleNonRepeatable
 	}
--- a/core/relay/delivery.go
+++ b/core/relay/delivery.go
@@ -25,10 +25,11 @@
 // form is the kind of response that has begun.
 type form uint8
 
+// Forms of a response; formNone means that none has begun.
 const (
-	nothing form = iota
-	stream
-	body
+	formNone form = iota
+	formStream
+	formBody
 )
 
 // Delivery tracks what the caller of one request has been sent and decides what may
@@ -54,25 +55,25 @@
 }
 
 // IsEmpty reports whether nothing was sent, so that any response may be delivered.
-func (d *Delivery) IsEmpty() bool { return d.form == nothing }
+func (d *Delivery) IsEmpty() bool { return d.form == formNone }
 
 // LastEvent returns the ID of the last event sent; ok is false if there is none.
 func (d *Delivery) LastEvent() (id int64, ok bool) { return d.lastEvent, d.hasLastEvent }
 
 // CanContinue reports whether another attempt may add to the response.
 func (d *Delivery) CanContinue() bool {
-	return d.form == nothing || d.form == stream && !d.unnumbered
+	return d.form == formNone || d.form == formStream && !d.unnumbered
 }
 
 // BeginBody records that the head of a response other than a stream was sent.
-func (d *Delivery) BeginBody() { d.form = body }
+func (d *Delivery) BeginBody() { d.form = formBody }
 
 // BeginStream records that the head of a stream was sent.
-func (d *Delivery) BeginStream() { d.form = stream }
+func (d *Delivery) BeginStream() { d.form = formStream }
 
 // startAttempt records that another attempt begins.
 func (d *Delivery) startAttempt() {
-	d.continues = d.form != nothing
+	d.continues = d.form != formNone
 	d.joined, d.repeated = false, false
 }
 
