--- a/core/discovery/discovery.go
+++ b/core/discovery/discovery.go
@@ -90,6 +90,8 @@
 	// older copy lists them again, in unconfirmed until it is known whether they live.
 	removed     map[proto.EndpointID]removal
 	unconfirmed map[proto.EndpointID]unconfirmed
+	// superseded holds registrations of an earlier incarnation than the listed one.
+	superseded map[proto.EndpointID]*supersededEndpoint
 	// lastFailedRead is valid if hasFailedRead is set.
 	lastFailedRead proto.Instant
 	hasFailedRead  bool
@@ -107,21 +109,24 @@
 		delayedRemovals: map[proto.EndpointID]proto.Instant{},
 		removed:         map[proto.EndpointID]removal{},
 		unconfirmed:     map[proto.EndpointID]unconfirmed{},
+		superseded:      map[proto.EndpointID]*supersededEndpoint{},
 	}
 }
 
 // Put adds or updates a registration and reports whether the list changed. It
 // cancels a delayed removal of the endpoint. A registration of an earlier
-// incarnation or an earlier heartbeat has no effect, and within one incarnation an
-// endpoint never ceases to leave.
+// incarnation has no effect unless no other follows (see supersededTimeout), an earlier
+// heartbeat has none, and within one incarnation an endpoint never ceases to leave.
 func (t *Table) Put(now proto.Instant, e *Endpoint) bool {
 	old := t.endpoints[e.ID]
 	if old == nil {
 		return t.add(now, e)
 	}
 	if e.Started < old.Started {
+		t.superseded[e.ID] = &supersededEndpoint{endpoint: e}
 		return false // a delayed registration of an earlier incarnation
 	}
+	delete(t.superseded, e.ID)
 	delete(t.delayedRemovals, e.ID)
 	if e.precedes(old) || e.takesLeavingBack(old) || equal(old, e) {
 		return false
@@ -173,6 +178,7 @@
 // has had time to register again.
 func (t *Table) Remove(now proto.Instant, id proto.EndpointID) bool {
 	delete(t.unconfirmed, id)
+	delete(t.superseded, id)
 	if t.endpoints[id] == nil {
 		return false
 	}
@@ -213,15 +219,16 @@
 	}
 }
 
-// ApplyDueChanges carries out the delayed removals that are due, adds the endpoints that
-// the registry has kept for unconfirmedTime, and reports whether the list changed. No
-// change is due while the registry is unreachable.
+// ApplyDueChanges carries out the delayed removals and the registrations of earlier
+// incarnations that are due, adds the endpoints that the registry has kept for
+// unconfirmedTime, and reports whether the list changed. No change is due while the
+// registry is unreachable.
 func (t *Table) ApplyDueChanges(now proto.Instant) bool {
 	maps.DeleteFunc(t.removed, func(_ proto.EndpointID, r removal) bool { return now.Sub(r.at) > removalMemory })
 	if t.recoveredAt < t.lastFailedRead {
 		return false
 	}
-	changed := false
+	changed := t.applyDueSuperseded(now)
 	for id, at := range t.delayedRemovals {
 		if now >= at {
 			t.drop(now, id)
@@ -244,6 +251,7 @@
 		t.removed[id] = removal{started: e.Started, sequence: e.Sequence, at: now}
 	}
 	delete(t.endpoints, id)
+	delete(t.superseded, id)
 	delete(t.delayedRemovals, id)
 	t.snapshot = nil
 }
