app/transport: overlapping probes of an agent all get the reply

A router counted a connection to an agent as lost when it sent its next probe before a slow agent had replied to the one before: both have one key, and the second stream replaced the first.

Change: streams of probes do not replace each other, and a reply, which is a report of the agent's state, answers all that are open. An ID for each probe would change the messages between builds for the same effect.

--- a/app/transport/server.go
+++ b/app/transport/server.go
@@ -46,6 +46,9 @@
 	}
 )
 
+// probeStream is the kind of the response streams of probes.
+const probeStream = "probe"
+
 // streamKey identifies a response stream.
 type streamKey struct {
 	peer proto.Addr
@@ -71,9 +74,9 @@
 	case proto.AttemptRefused:
 		return streamKey{peer, "attempt", string(m.Attempt)}, true
 	case proto.Probe:
-		return streamKey{peer, "probe", string(m.Request)}, false
+		return streamKey{peer, probeStream, string(m.Request)}, false
 	case proto.ProbeReply:
-		return streamKey{peer, "probe", string(m.Request)}, true
+		return streamKey{peer, probeStream, string(m.Request)}, true
 	case proto.Order:
 		return streamKey{peer, "order", m.ID}, false
 	case proto.OrderDone:
@@ -114,8 +117,10 @@
 	step     func(proto.Envelope) bool
 	metrics  *Metrics
 
-	mu      sync.Mutex
-	streams map[streamKey]*Mailbox
+	mu sync.Mutex
+	// streams holds the open response streams. Only probes may have several with one
+	// key, as a probe has no ID of its own.
+	streams map[streamKey][]*Mailbox
 }
 
 // NewInbound returns the handler for the machine at address self.
@@ -124,27 +129,26 @@
 	if self.Role == proto.RoleAgent {
 		accepted = agentKinds
 	}
-	return &Inbound{self: self, accepted: accepted, step: step, metrics: metrics, streams: map[streamKey]*Mailbox{}}
+	return &Inbound{self: self, accepted: accepted, step: step, metrics: metrics, streams: map[streamKey][]*Mailbox{}}
 }
 
-// Deliver queues a reply on its response stream. It reports false if the stream is
-// not open.
+// Deliver queues a reply on its response stream; the reply to a probe answers all open
+// probes of its sender. It reports false if no stream is open.
 func (h *Inbound) Deliver(env proto.Envelope) bool {
 	key, last := streamKeyOf(env.To, env.Msg)
 	h.mu.Lock()
-	box := h.streams[key]
-	if box != nil && last {
+	boxes := h.streams[key]
+	if last {
 		delete(h.streams, key)
 	}
 	h.mu.Unlock()
-	if box == nil {
-		return false
-	}
-	box.Put(env)
-	if last {
-		box.Close()
+	for _, box := range boxes {
+		box.Put(env)
+		if last {
+			box.Close()
+		}
 	}
-	return true
+	return len(boxes) > 0
 }
 
 // ServeHTTP implements http.Handler.
@@ -232,16 +236,19 @@
 	}
 }
 
-// openStream registers a response stream. It replaces the stream of an earlier
-// request with the same key, whose connection may be lost.
+// openStream registers a response stream. Except for probes, it replaces the stream of an
+// earlier request with the same key, whose connection may be lost.
 func (h *Inbound) openStream(key streamKey) *Mailbox {
 	box := NewMailbox(maxResponseQueue)
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	if old := h.streams[key]; old != nil {
-		old.Close()
+	if key.kind != probeStream {
+		for _, old := range h.streams[key] {
+			old.Close()
+		}
+		delete(h.streams, key)
 	}
-	h.streams[key] = box
+	h.streams[key] = append(h.streams[key], box)
 	return box
 }
 
@@ -250,10 +257,13 @@
 func (h *Inbound) removeStream(key streamKey, box *Mailbox) bool {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	if h.streams[key] != box {
+	i := slices.Index(h.streams[key], box)
+	if i < 0 {
 		return false
 	}
-	delete(h.streams, key)
+	if h.streams[key] = slices.Delete(h.streams[key], i, i+1); len(h.streams[key]) == 0 {
+		delete(h.streams, key)
+	}
 	return true
 }
 
