core/place: an endpoint that was idle is not silent at once

Callers of resumable streams at an endpoint that had been idle for 1.5 s were moved to another one soon after the target latency, long prompts at the worst, which began anew.

Cause: the gap since the endpoint's last data counted although nothing was due from it in the meantime.

Evidence (found in review): TestAttemptAtIdleEndpointHasNotStalledAtOnce fails before with "counts as stalled after 321.75ms, the first byte is expected after 1.287s" .

Change: the gap counts only if the endpoint has begun to respond to some request in flight. One that has not begun is judged by its own expected time, as before.

--- a/core/place/load.go
+++ b/core/place/load.go
@@ -131,10 +131,11 @@
 	return false
 }
 
-// responseOverdue reports whether an endpoint with requests in flight has sent no data
-// for maxResponseGap.
+// responseOverdue reports whether an endpoint that has begun to respond to requests in
+// flight has sent no data for maxResponseGap. What has not begun says nothing about the
+// time since the last data: the endpoint may have been idle.
 func (l *load) responseOverdue(now proto.Instant) bool {
-	return l.inFlight > 0 && now.Sub(l.response.at()) > maxResponseGap
+	return l.inFlight > len(l.awaitingFirstByte) && now.Sub(l.response.at()) > maxResponseGap
 }
 
 // isUnresponsive reports whether the endpoint no longer responds to this router or to a
--- a/core/place/stall_test.go
+++ b/core/place/stall_test.go
@@ -46,3 +46,27 @@
 		t.Error("does not count as stalled after a pause of 2 s")
 	}
 }
+
+// Guards against giving up an endpoint that was idle, or that reads one long prompt,
+// before the answer is overdue (incident lost-answer).
+func TestAttemptAtIdleEndpointHasNotStalledAtOnce(t *testing.T) {
+	r := newFixture(t, 1)
+	r.send(r.query("x"), 100*time.Millisecond)
+	r.now = r.now.Add(5 * time.Second)
+	q := r.query("y")
+	q.Parts[2].Tokens = 39_000
+	c := r.choose(q)
+	a := r.placer.StartAttempt(r.now, q, c)
+	r.now = r.now.Add(c.ExpectedTTFB / 4)
+	if r.placer.HasStalled(r.now, a) {
+		t.Errorf("counts as stalled after %v, the first byte is expected after %v", c.ExpectedTTFB/4, c.ExpectedTTFB)
+	}
+	r.now = r.now.Add(c.ExpectedTTFB * 3 / 4)
+	if r.placer.HasStalled(r.now, a) {
+		t.Errorf("counts as stalled when the first byte is expected, after %v", c.ExpectedTTFB)
+	}
+	r.now = r.now.Add(3 * c.ExpectedTTFB)
+	if !r.placer.HasStalled(r.now, a) {
+		t.Error("does not count as stalled after four times the expected time")
+	}
+}
