core/relay: what was given up for another attempt goes on until its deadline

Callers lost streams and calls whose sound but silent endpoint had been given up: the endpoint that was to take them refused, or had its last place taken by another request.

Cause: a retry was certain only until it was made. Refusals counted as sends and took from the retry budget until one of the two ended the request.

Change: a request is committed once its response has begun and can go on, or once an endpoint that may be sound was given up. It waits for an endpoint, or for the retry budget, 50 to 400 ms at a time, until its deadline; refusals do not end it. Each attempt still takes from the budget.

--- a/app/front/attempt.go
+++ b/app/front/attempt.go
@@ -46,12 +46,15 @@
 	case x.r.Context().Err() != nil:
 		return x.relay.CallerGone()
 	}
+	if decision, ok := x.relay.Resume(now); !ok {
+		return decision
+	}
 	q := x.query()
 	choice, ok := x.front.placer.Choose(now, q)
 	if !ok {
 		return x.noEndpoint(choice)
 	}
-	if x.relay.Delivery().IsEmpty() && x.isOverloaded(q, choice) {
+	if !x.relay.IsCommitted() && x.isOverloaded(q, choice) {
 		return x.relay.NoEndpoint("overload", min(choice.ExpectedTTFB-x.route.TargetLatency, maxOverloadRetryAfter))
 	}
 	admission := x.front.crashes.Admit(now, x.traits)
--- a/core/relay/relay.go
+++ b/core/relay/relay.go
@@ -12,7 +12,7 @@
 
 const (
 	// maxSends is the maximum number of attempts per request, including those
-	// that did not run it.
+	// that did not run it. It does not apply to a request that is committed.
 	maxSends = 4
 	// maxUnknownOutcomes is the number of attempts that may end without a valid
 	// response. After that, the request is suspected of crashing its endpoints and
@@ -24,9 +24,12 @@
 	// shortRetryAfter is the Retry-After value for failures that may not recur
 	// shortly after or at another router.
 	shortRetryAfter = 200 * time.Millisecond
-	// endpointPollInterval is how long a response that has begun waits between two
-	// searches for an endpoint that goes on with it.
-	endpointPollInterval = 50 * time.Millisecond
+	// minWait and maxWait limit the time between two searches for an endpoint by a
+	// request that waits for one. It doubles from one to the next, at most
+	// maxWaitDoublings times.
+	minWait          = 50 * time.Millisecond
+	maxWait          = 400 * time.Millisecond
+	maxWaitDoublings = 3
 )
 
 // Result is how an attempt ended.
@@ -139,8 +142,13 @@
 	// unknownOutcomes counts attempts that ended without a valid response.
 	unknownOutcomes int
 	delivery        Delivery
-	// retryReserved is set once the retry budget has granted the next retry.
-	retryReserved bool
+	// retryReserved is set once the retry budget has granted the next retry, owesRetry
+	// while it has not granted the one that the request waits for.
+	retryReserved, owesRetry bool
+	// abandoned is set once an attempt was given up at an endpoint that may be sound.
+	abandoned bool
+	// waits counts the Wait decisions.
+	waits int
 	// hasErrorResponse is set once an endpoint has returned a server error, which
 	// can be forwarded if no later attempt succeeds.
 	hasErrorResponse bool
@@ -160,6 +168,21 @@
 // Delivery returns what the caller has been sent of the response.
 func (r *Request) Delivery() *Delivery { return &r.delivery }
 
+// IsCommitted reports whether the request has to go on until its deadline: its response
+// has begun and can go on, or an endpoint that may be sound was given up for another one.
+func (r *Request) IsCommitted() bool {
+	return r.abandoned || !r.delivery.IsEmpty() && r.delivery.CanContinue()
+}
+
+// Resume returns whether the next attempt may be made now, and else what to do.
+func (r *Request) Resume(now proto.Instant) (Decision, bool) {
+	if r.owesRetry && !r.budget.Take(now) {
+		return r.wait(retryBudgetSpent), false
+	}
+	r.owesRetry = false
+	return Decision{}, true
+}
+
 // AttemptStarted records the start of an attempt.
 func (r *Request) AttemptStarted() {
 	r.sends++
@@ -181,17 +204,31 @@
 		return r.expired()
 	case Failed:
 		r.hasErrorResponse = true
-	case Broken, Stalled:
+	case Broken:
+		r.unknownOutcomes++
+	case Stalled:
 		r.unknownOutcomes++
+		r.abandoned = true
 	}
 	if reason := r.stopReason(r.ran, r.unknownOutcomes, left); reason != "" {
 		return r.giveUp(reason)
 	}
-	if !r.retryReserved && !r.budget.Take(now) {
-		return r.giveUp(retryBudgetSpent)
+	switch {
+	case r.retryReserved || r.budget.Take(now):
+		r.retryReserved = false
+		return Decision{Action: Retry, Reason: "retry_after_" + result.String()}
+	case r.IsCommitted():
+		r.owesRetry = true
+		return r.wait(retryBudgetSpent)
 	}
-	r.retryReserved = false
-	return Decision{Action: Retry, Reason: "retry_after_" + result.String()}
+	return r.giveUp(retryBudgetSpent)
+}
+
+// wait returns the decision to look for the next attempt later.
+func (r *Request) wait(reason string) Decision {
+	d := Decision{Action: Wait, Reason: reason, RetryAfter: min(minWait<<min(r.waits, maxWaitDoublings), maxWait)}
+	r.waits++
+	return d
 }
 
 // ReserveRetry reserves the retry that follows if the attempt in progress is abandoned
@@ -221,7 +258,7 @@
 		return "may_have_run"
 	case ran >= max(1, r.route.Attempts):
 		return "attempts_spent"
-	case r.sends >= maxSends:
+	case r.sends >= maxSends && !r.IsCommitted():
 		return "sends_spent"
 	case unknownOutcomes >= maxUnknownOutcomes:
 		return "broke_off_twice"
@@ -231,11 +268,11 @@
 	return ""
 }
 
-// NoEndpoint returns what to do when no endpoint can take the next attempt. A stream that
-// has begun cannot be refused any more and waits for an endpoint.
+// NoEndpoint returns what to do when no endpoint can take the next attempt. A request that
+// is committed waits for an endpoint.
 func (r *Request) NoEndpoint(reason string, retryAfter time.Duration) Decision {
-	if !r.delivery.IsEmpty() && r.delivery.CanContinue() {
-		return Decision{Action: Wait, Reason: reason, RetryAfter: endpointPollInterval}
+	if r.IsCommitted() {
+		return r.wait(reason)
 	}
 	d := r.giveUp(reason)
 	d.RetryAfter = retryAfter
--- a/core/relay/relay_test.go
+++ b/core/relay/relay_test.go
@@ -64,6 +64,11 @@
 			case "reserve": // during an attempt
 				fmt.Fprintf(&out, "reserve: %s\n", cmp.Or(r.ReserveRetry(0, left), "reserved"))
 				continue
+			case "resume":
+				if d, ok := r.Resume(0); !ok {
+					fmt.Fprintf(&out, "%s: %s (%s)\n", name, d.Action, d.Reason)
+				}
+				continue
 			case "no_endpoint":
 				d := r.NoEndpoint(name, 0)
 				fmt.Fprintf(&out, "%s: %s (%s)\n", name, d.Action, d.Reason)
