app/front: the crash register is asked before a silent endpoint is given up

A begun stream whose trait was blocked while its endpoint was silent was given up for an attempt that the register then refused; it waited for its deadline, asked the register every 50 ms, which prolonged the block, and repeated attributes on its last log line.

Change: Register.IsBlocked, which changes nothing, is one of the obstacles to giving up an endpoint, and keeps a committed request from asking for admission. The log attributes of the last obstacle replace those of the one before.

--- a/app/front/abandon_test.go
+++ b/app/front/abandon_test.go
@@ -129,3 +129,35 @@
 		t.Errorf("sent to %d engines", n)
 	}
 }
+
+// Guards against cutting off a begun stream of an endpoint that is only silent for a
+// while, when the crash register then lets it run nowhere else (incident lost-answer).
+func TestSilentStreamIsAwaitedIfItsTraitIsBlocked(t *testing.T) {
+	b := silentTestbed(t)
+	b.register(1, "draining")
+	r := b.awaitEndpoints(b.start("r1"))
+	withBadPart := func(path, last string) *http.Request {
+		req := r.request(path, "secret")
+		req.Header.Set("Kumquatsill-Deadline-Remaining", "8000")
+		req.Header.Set("Kumquatsill-Prompt-Prefix", fmt.Sprintf("aa:10,bad:5,%s:5", last))
+		return req
+	}
+	var stream sync.WaitGroup
+	defer stream.Wait()
+	req := withBadPart("/sheet/1", "own")
+	stream.Go(func() {
+		if status, body := r.do(req); status != http.StatusOK || eventIDs(body) != "1,2" {
+			t.Errorf("status %d, events %q", status, eventIDs(body))
+		}
+	})
+	eventually(t, "the stream has begun", func() bool { return len(b.engines[0].Runs()) == 1 })
+	time.Sleep(50 * time.Millisecond)
+	b.register(1, "ready")
+	for _, e := range b.engines[:2] {
+		e.SetCrashingPart("bad")
+	}
+	for i := range 5 {
+		r.do(withBadPart("/chat/1", fmt.Sprint("other", i)))
+		time.Sleep(300 * time.Millisecond)
+	}
+}
--- a/app/front/attempt.go
+++ b/app/front/attempt.go
@@ -57,9 +57,12 @@
 	if !x.relay.IsCommitted() && x.isOverloaded(q, choice) {
 		return x.relay.NoEndpoint("overload", min(choice.ExpectedTTFB-x.route.TargetLatency, maxOverloadRetryAfter))
 	}
+	if x.relay.IsCommitted() && x.front.crashes.IsBlocked(now, x.traits) {
+		return x.relay.NoEndpoint("crashes_endpoints", 0) // it is no trial, however long it waits
+	}
 	admission := x.front.crashes.Admit(now, x.traits)
 	if !admission.Allowed {
-		x.log = x.log.With("trait", string(admission.Trait), "rounds", admission.Rounds)
+		x.obstacle = []any{"trait", string(admission.Trait), "rounds", admission.Rounds}
 		return x.relay.NoEndpoint("crashes_endpoints", admission.RetryAfter)
 	}
 	if admission.Trial {
@@ -93,7 +96,7 @@
 	excluded := &choice.Excluded
 	limited, limitWait := excluded.Limited()
 	paused, pauseWait := excluded.Paused()
-	x.log = x.log.With("throttled", limited, "excluded", excluded.String())
+	x.obstacle = []any{"throttled", limited, "excluded", excluded.String()}
 	switch {
 	case limited > 0 && paused > 0:
 		return x.relay.NoEndpoint("endpoint_limits", min(limitRetryAfter(limitWait), pauseWait))
--- a/app/front/serve.go
+++ b/app/front/serve.go
@@ -66,6 +66,8 @@
 	triedAddrs []string
 	// chargedUnits is the amount charged to the account's limit.
 	chargedUnits int64
+	// obstacle holds log attributes that say why no endpoint could take the request last.
+	obstacle []any
 	// saved is a buffered response. That of a failed attempt is delivered if no
 	// other attempt succeeds and nothing was sent to the caller meanwhile.
 	saved *savedResponse
@@ -311,7 +313,7 @@
 		verdict = proto.Ran
 	}
 	lastEvent, _ := x.relay.Delivery().LastEvent()
-	x.log.Info("finished", "id", x.info.ID, "outcome", decision.Action.String(), "reason", decision.Reason, "status", status,
+	x.log.With(x.obstacle...).Info("finished", "id", x.info.ID, "outcome", decision.Action.String(), "reason", decision.Reason, "status", status,
 		"verdict", verdict.String(), "sends", x.relay.Sends(), "last_event", lastEvent,
 		"retry_after_ms", decision.RetryAfter.Milliseconds(), "took_ms", driver.Now().Sub(x.arrived).Milliseconds())
 }
--- a/app/front/stall.go
+++ b/app/front/stall.go
@@ -89,14 +89,17 @@
 // reserved the retry.
 func (w *stallWatch) obstacle(now proto.Instant) string {
 	x := w.attempt.request
+	left := x.deadline.Sub(now)
 	choice, ok := x.front.placer.Choose(now, w.query)
-	if !ok || x.front.placer.IsSilent(now, choice.Endpoint.ID) {
+	switch {
+	case !ok || x.front.placer.IsSilent(now, choice.Endpoint.ID):
 		return "no_endpoint"
-	}
-	if x.isOverloaded(w.query, choice) {
+	case x.isOverloaded(w.query, choice):
 		return "overload"
+	case x.front.crashes.IsBlocked(now, x.traits):
+		return "crashes_endpoints"
 	}
-	return x.relay.ReserveRetry(now, x.deadline.Sub(now))
+	return x.relay.ReserveRetry(now, left)
 }
 
 // report logs once that the endpoint is awaited though it has stalled.
--- a/core/crash/register.go
+++ b/core/crash/register.go
@@ -8,6 +8,7 @@
 package crash
 
 import (
+	"slices"
 	"sync"
 	"time"
 
@@ -145,6 +146,17 @@
 	return a
 }
 
+// IsBlocked reports whether Admit would refuse a request with these traits, or admit it as a
+// trial only. It changes nothing.
+func (r *Register) IsBlocked(now proto.Instant, traits []Trait) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return slices.ContainsFunc(traits, func(t Trait) bool {
+		e := r.entries[t]
+		return e != nil && e.blocked && now.Sub(e.lastAt()) < retention
+	})
+}
+
 // TrialNotRun records that the trial of a request with these traits has not run, so that
 // it says nothing about them.
 func (r *Register) TrialNotRun(traits []Trait) {
