app/front: an attempt given up while it dials has not run

Callers got 502 (may have run) for requests that no endpoint had run, and an attempt of the two that their route allows was used up: a call is given up after twice its target latency, which can be before the time limit of a new connection.

Change: an attempt of which no byte was sent is unreachable, whoever ended it, unless the request itself is over.

--- a/app/front/attempt.go
+++ b/app/front/attempt.go
@@ -221,13 +221,20 @@
 func (a *attempt) sendFailure(ctx context.Context, err error) relay.Result {
 	a.detail = err.Error()
 	var sendErr *upstream.SendError
-	if errors.As(err, &sendErr) && sendErr.Verdict == proto.NotRun && ctx.Err() == nil {
+	if errors.As(err, &sendErr) && sendErr.Verdict == proto.NotRun && !endsRequest(ctx) {
 		return relay.Unreachable
 	}
 	a.connectionLost = errors.As(err, &sendErr) && sendErr.ConnectionLost
 	return a.interrupted(ctx)
 }
 
+// endsRequest reports whether the context ended because the request has no time left or its
+// caller has left, not because the router gave up the attempt.
+func endsRequest(ctx context.Context) bool {
+	cause := context.Cause(ctx)
+	return cause != nil && !errors.Is(cause, errStalled) && !errors.Is(cause, errOutdated)
+}
+
 // interrupted returns the result of an interrupted attempt by its cause.
 func (a *attempt) interrupted(ctx context.Context) relay.Result {
 	switch cause := context.Cause(ctx); {
