app/front: a request whose body stops arriving is answered at its deadline

The caller got nothing, though the log said 400: TestRequestWithUnfinishedBodyIsAnswered (found in review) had no answer 3 s after the start of a request with 300 ms. net/http reads the rest of a body before it sends a response, and the read deadline had been taken away.

Change: the deadline stays, the response is 408, which says that the request has not run, and the connection closes.

--- a/app/front/serve.go
+++ b/app/front/serve.go
@@ -7,6 +7,7 @@
 	"io"
 	"log/slog"
 	"net/http"
+	"os"
 	"strconv"
 	"strings"
 	"time"
@@ -182,6 +183,12 @@
 	_ = control.SetReadDeadline(time.Now().Add(x.deadline.Sub(driver.Now())))
 	var err error
 	x.body, err = io.ReadAll(http.MaxBytesReader(x.w, x.r.Body, limit))
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		// The deadline stays, so that net/http does not wait for the rest of the body
+		// before it sends the response.
+		x.w.Header().Set("Connection", "close")
+		return x.reject(http.StatusRequestTimeout, "body_not_in_time", 0)
+	}
 	_ = control.SetReadDeadline(time.Time{})
 	var tooLarge *http.MaxBytesError
 	switch {
