app/front: a stopping router answers the requests that it ends

Callers whose requests had not been answered by the end of the grace period got a closed connection, also those of which nothing had been sent yet and that could be told so.

Change: the requests in flight are ended with a cause of their own 0.7 s before the end of the grace period, and have 0.1 s to say that they failed, or that they did not run. Responses that have begun are cut off as before.

--- a/app/front/attempt.go
+++ b/app/front/attempt.go
@@ -35,13 +35,14 @@
 var (
 	errStalled  = errors.New("no answer in time from an endpoint")
 	errOutdated = errors.New("not begun when the endpoint's version became too old")
+	errStopping = errors.New("the router stops")
 )
 
 // nextAttempt sends the request to one endpoint and decides what follows.
 func (x *request) nextAttempt(ctx context.Context) relay.Decision {
 	now := driver.Now()
 	switch {
-	case x.deadline.Sub(now) <= 0:
+	case x.deadline.Sub(now) <= 0, errors.Is(context.Cause(ctx), errStopping):
 		return x.relay.Expired()
 	case x.r.Context().Err() != nil:
 		return x.relay.CallerGone()
@@ -244,7 +245,7 @@
 		return relay.Stalled
 	case errors.Is(cause, errOutdated):
 		return relay.Outdated
-	case errors.Is(cause, errDeadline):
+	case errors.Is(cause, errDeadline), errors.Is(cause, errStopping):
 		return relay.DeadlineExceeded
 	}
 	return relay.CallerGone
--- a/app/front/front.go
+++ b/app/front/front.go
@@ -39,6 +39,8 @@
 	// arrive: the load balancer removes a host after two failed readiness
 	// checks, one per second.
 	deregistrationDelay = 2500 * time.Millisecond
+	// lastAnswerTime is how long requests that a stop ends may take to say so.
+	lastAnswerTime = 100 * time.Millisecond
 	// exitMargin is the part of the grace period reserved for the process to exit.
 	exitMargin = 700 * time.Millisecond
 	// versionStartMargin is the part of a model version's lifetime reserved for a
@@ -131,6 +133,8 @@
 	// earlySend requests a message to the peers before the next periodic one.
 	earlySend chan struct{}
 
+	// endRequests ends the requests of callers that are in flight, with a cause.
+	endRequests                       context.CancelCauseFunc
 	callerServer, readinessServer     *http.Server
 	callerListener, readinessListener net.Listener
 	peerConn                          *net.UDPConn
@@ -211,8 +215,11 @@
 	if f.readinessListener, err = net.Listen("tcp4", f.cfg.Settings.ReadinessAddr); err != nil {
 		return errors.Join(Error.Wrap(err), f.peerConn.Close(), f.callerListener.Close())
 	}
+	requests, endRequests := context.WithCancelCause(context.Background())
+	f.endRequests = endRequests
 	f.callerServer = &http.Server{
 		Handler:           http.HandlerFunc(f.serve),
+		BaseContext:       func(net.Listener) context.Context { return requests },
 		ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
 		ErrorLog: slog.NewLogLogger(f.log.Handler(), slog.LevelWarn),
 	}
@@ -283,6 +290,10 @@
 	err := f.callerServer.Shutdown(ctx)
 	if err != nil {
 		f.log.Warn("requests aborted at the end of the stop time", "in_flight", f.inFlight.Load())
+		f.endRequests(errStopping)
+		lastAnswers, cancelLast := context.WithTimeout(context.Background(), lastAnswerTime)
+		defer cancelLast()
+		_ = f.callerServer.Shutdown(lastAnswers) // what is left then is closed below
 	}
 	f.announceLeaving()
 	release, cancelRelease := context.WithTimeout(context.Background(), exitMargin/2)
