app/front: an event that arrives as its endpoint is given up is left to the next attempt

The event was forwarded and the attempt ended as stalled all the same; if it had no ID, the stream could not go on and was cut off. By reading, found in review; not reproduced, as the event has to arrive between the check and the end of the read.

--- a/app/front/response.go
+++ b/app/front/response.go
@@ -107,6 +107,9 @@
 	for {
 		e, err := events.Next()
 		stall.Stop() // the endpoint does not answer for a slow caller
+		if errors.Is(context.Cause(ctx), errStalled) {
+			return a.brokenOff(ctx, errStalled) // given up as the event arrived
+		}
 		if errors.Is(err, io.EOF) {
 			return a.endStream(ctx, resp)
 		}
