app/front: no endpoint is given up for an attempt that cannot answer in time

A call could be given up 20 ms before its deadline, and a router that was suspended while it awaited an endpoint could give it up on waking, before it had read what the endpoint had sent: the confirmation of a stall was skipped once an obstacle had been found. Both by reading, found in review; not reproduced.

Change: the expected time to the first byte has to fit into the time left, and each check that may give up an endpoint is confirmed.

--- a/app/front/stall.go
+++ b/app/front/stall.go
@@ -73,6 +73,7 @@
 		return stallConfirmInterval
 	}
 	if reason := w.obstacle(now); reason != "" {
+		w.suspected = false
 		w.report(now, reason)
 		return stallCheckInterval
 	}
@@ -96,6 +97,8 @@
 		return "no_endpoint"
 	case x.isOverloaded(w.query, choice):
 		return "overload"
+	case choice.ExpectedTTFB >= left:
+		return "no_time_left"
 	case x.front.crashes.IsBlocked(now, x.traits):
 		return "crashes_endpoints"
 	}
