core/endpointstate: a pause of an endpoint that leaves tells no time to come back

A caller that was refused because all endpoints were left out could be told the end of the pause of one that leaves, and then found it left out still.

TestPauseComesBeforeOtherStatements on the code before: 0s after the answer: {OK:false Reason:3 Wait:50s LastResort:false}

Leaving is now the reason of such an endpoint, and it has no time at which it takes requests; it still is no last resort during the pause.

--- a/core/endpointstate/notices.go
+++ b/core/endpointstate/notices.go
@@ -13,7 +13,7 @@
 	// may be lost.
 	repeatTime = 2500 * time.Millisecond
 	// endRepeatTime is how long a message to routers that have missed earlier ones tells
-	// of a limit that has ended.
+	// of a limit that has ended, and of an endpoint that leaves.
 	endRepeatTime = 30 * time.Second
 	// maxLimitNotices and maxLeavingNotices bound the notices in one message.
 	maxLimitNotices   = 64
--- a/core/endpointstate/pause_test.go
+++ b/core/endpointstate/pause_test.go
@@ -58,12 +58,12 @@
 }
 
 // Guards against a pause that the limit's trials, or the last resort of an endpoint that
-// leaves, do not respect.
+// leaves, do not respect, and against telling callers that such an endpoint comes back.
 func TestPauseComesBeforeOtherStatements(t *testing.T) {
 	r := newTracker("r")
 	r.Observe(now, endpoint, endpointstate.Report{Limit: named(0), HasLimit: true, Leaving: true, Pause: 50 * time.Second})
 	for at := now; at < now.Add(50*time.Second); at = at.Add(100 * time.Millisecond) {
-		if p := r.Check(at, endpoint); p.OK || p.LastResort {
+		if p := r.Check(at, endpoint); p.OK || p.LastResort || p.Wait > 0 {
 			t.Fatalf("%v after the answer: %+v", at.Sub(now), p)
 		}
 	}
--- a/core/endpointstate/tracker.go
+++ b/core/endpointstate/tracker.go
@@ -211,13 +211,13 @@
 	if s == nil {
 		return Permission{OK: true}
 	}
+	p := t.checkLimit(now, s, e)
 	if s.pause.inForce(now) {
-		return Permission{Reason: Paused, Wait: s.pause.until.Sub(now)}
+		p = Permission{Reason: Paused, Wait: s.pause.until.Sub(now)}
 	}
-	p := t.checkLimit(now, s, e)
 	if s.leaving.known {
 		inTime := now.Sub(s.leaving.since) < t.drainTimeout
-		return Permission{Reason: Leaving, LastResort: p.OK && inTime}
+		p = Permission{Reason: Leaving, LastResort: p.OK && inTime}
 	}
 	return p
 }
