core/discovery: an endpoint that leaves may say later that it stays

Trace: found by reading the soak, whose endpoints say that they leave and then, in a later heartbeat of the same incarnation, that they are ready. The first version of the rule kept them out for good.

Change: only a registration that is not known to be a later heartbeat, as one of an older copy, does not take the leaving back.

--- a/core/discovery/discovery.go
+++ b/core/discovery/discovery.go
@@ -112,8 +112,8 @@
 
 // Put adds or updates a registration and reports whether the list changed. It
 // cancels a delayed removal of the endpoint. A registration of an earlier
-// incarnation or an earlier heartbeat has no effect, and within one incarnation an
-// endpoint never ceases to leave.
+// incarnation or an earlier heartbeat has no effect, and only a later heartbeat of the
+// same incarnation can tell that an endpoint no longer leaves.
 func (t *Table) Put(now proto.Instant, e *Endpoint) bool {
 	old := t.endpoints[e.ID]
 	if old == nil {
@@ -141,9 +141,10 @@
 	return e.isSameIncarnation(old) && e.Sequence != 0 && e.Sequence < old.Sequence
 }
 
-// takesLeavingBack reports whether an incarnation that was leaving is not in e.
+// takesLeavingBack reports whether an incarnation that was leaving is not in e, and e is
+// not known to be a later heartbeat.
 func (e *Endpoint) takesLeavingBack(old *Endpoint) bool {
-	return e.isSameIncarnation(old) && old.Leaving && !e.Leaving
+	return e.isSameIncarnation(old) && old.Leaving && !e.Leaving && e.Sequence <= old.Sequence
 }
 
 // add adds an endpoint that is not in the list and reports whether the list changed. One
--- a/core/discovery/discovery_test.go
+++ b/core/discovery/discovery_test.go
@@ -142,6 +142,12 @@
 		if table.Put(now, ready); !table.Snapshot().ByID["e1"].Leaving {
 			t.Errorf("sequence %d: the endpoint is ready again", sequence)
 		}
+		later := endpoint(1)
+		later.Sequence = sequence + 1
+		if table.Put(now, later); table.Snapshot().ByID["e1"].Leaving {
+			t.Errorf("sequence %d: a later heartbeat does not count", sequence)
+		}
+		table.Put(now, leaving)
 		next := endpoint(2)
 		if table.Put(now, next); table.Snapshot().ByID["e1"].Leaving {
 			t.Errorf("sequence %d: the next incarnation counts as leaving", sequence)
