proof/soak: the store is restored from older copies in each run

Every 4 s the store returns to a copy 2 s old, and the configuration, the version and the removals are written again. The schedules of the injected faults stay as they are.

--- a/proof/soak/conditions.go
+++ b/proof/soak/conditions.go
@@ -25,10 +25,14 @@
 	limitWindow = 4 * time.Second
 	// maxRunsInWindow is one and a half times what the limit allows, and 5.
 	maxRunsInWindow = namedLimit*4*3/2 + 5
+	// restoreInterval is the time between two restores of the store, and backupAge the age
+	// of the copies.
+	restoreInterval = 4 * time.Second
+	backupAge       = 2 * time.Second
 )
 
 // conditions last through a whole run beside the injected faults: a part of prompts
-// crashes engines, and one endpoint names a limit.
+// crashes engines, one endpoint names a limit, and the store is restored from older copies.
 type conditions struct {
 	limited *hosting.Engine
 	since   time.Time
@@ -40,9 +44,56 @@
 	}
 	c := conditions{limited: pickEndpoint(f, rng).engine, since: time.Now()}
 	c.limited.NameLimit(strconv.Itoa(namedLimit))
+	f.wait.Add(1)
+	go f.restoreStore()
 	return c
 }
 
+// restoreStore restores the store from older copies until the fleet is closed. What the
+// operator wrote since is written again.
+func (f *Fleet) restoreStore() {
+	defer f.wait.Done()
+	for f.sleep(restoreInterval - backupAge) {
+		backup := f.store.Backup()
+		if !f.sleep(backupAge) {
+			return
+		}
+		f.logFault("store restored")
+		f.store.Restore(backup)
+		f.PublishConfig()
+		f.rewriteVersion()
+		f.removeGoneEndpoints()
+	}
+}
+
+// sleep waits for d and reports false if the fleet was closed meanwhile.
+func (f *Fleet) sleep(d time.Duration) bool {
+	select {
+	case <-f.stop:
+		return false
+	case <-time.After(d):
+		return true
+	}
+}
+
+// rewriteVersion announces the newest version of the model again.
+func (f *Fleet) rewriteVersion() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.store.PutKey("keyed.op", "version/m", map[string]any{"model": "m", "version": f.version})
+}
+
+// removeGoneEndpoints removes the registrations of the endpoints that are gone.
+func (f *Fleet) removeGoneEndpoints() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, e := range f.endpoints {
+		if e.state == "gone" {
+			f.store.PutKey("keyed.servers", e.engine.ID, nil)
+		}
+	}
+}
+
 // isJudged reports whether the router of a request was undisturbed for long enough when
 // the request was sent, and has been since.
 func (a *attempt) isJudged() bool {
--- a/proof/soak/fleet.go
+++ b/proof/soak/fleet.go
@@ -59,6 +59,8 @@
 	stop        chan struct{}
 	wait        sync.WaitGroup
 	faultLog    *os.File
+	// publishing orders the writes of configurations.
+	publishing sync.Mutex
 
 	mu       sync.Mutex
 	revision int64
@@ -277,6 +279,8 @@
 
 // PublishConfig writes the next revision of the configuration to the store.
 func (f *Fleet) PublishConfig() {
+	f.publishing.Lock()
+	defer f.publishing.Unlock()
 	f.mu.Lock()
 	f.revision++
 	revision, keys := f.revision, append([]string(nil), f.keys...)
