--- a/app/front/crashes.go
+++ b/app/front/crashes.go
@@ -57,7 +57,8 @@
 }
 
 // keepTraits reads the traits that were blocked before this router started, then writes
-// changes to the store, and those of the last minute again if it was restored. Without the store, peers tell what they know.
+// changes to the store, and those of the last minute again if it was restored. Without the
+// store, peers tell what they know.
 func (f *Front) keepTraits(ctx context.Context) error {
 	for ctx.Err() == nil {
 		err := f.restoreTraits(ctx)
--- a/app/front/peers.go
+++ b/app/front/peers.go
@@ -53,14 +53,15 @@
 	var registeredIn int64
 	for ctx.Err() == nil {
 		era, restored := f.store.Era()
+		pause := membersInterval
 		if registeredIn != era || time.Since(registeredAt) >= registerInterval {
 			if newEra, err := f.putRegistration(ctx); err != nil {
 				f.log.Warn("registration failed", "error", err.Error())
+				pause = time.Second
 			} else {
 				registeredAt, registeredIn = time.Now(), newEra
 			}
 		}
-		pause := membersInterval
 		if err := w.read(ctx); err != nil {
 			f.log.Debug("router registrations not read", "error", err.Error())
 			pause = time.Second
--- a/core/leader/lease.go
+++ b/core/leader/lease.go
@@ -5,9 +5,11 @@
 // conditional on the end of the topic that the claimant has read, so only one
 // of two concurrent claims succeeds. The position after a claim is its fencing
 // token. If the log is restored from an older copy, it assigns offsets again under
-// a newer era, which makes later tokens greater; see Lease.ObserveEra. The holder counts the time to live from when it sent the claim; all
-// other routers count from when they read it, which is later. Routers claim the
-// lease only while there is work.
+// a newer era, which makes later tokens greater; see Lease.ObserveEra.
+//
+// The holder counts the time to live from when it sent the claim; all other routers
+// count from when they read it, which is later. Routers claim the lease only while
+// there is work.
 package leader
 
 import (
