--- a/proof/soak/mutations.go
+++ b/proof/soak/mutations.go
@@ -23,7 +23,7 @@
 
 // Mutations holds one mutation for each guarantee.
 var Mutations = []Mutation{
-	{"at-most-once", []edit{{"core/relay/relay.go", "r.ran > 0 && !r.route.Repeatable()", "false"}}},
+	{"at-most-once", []edit{{"core/relay/relay.go", "ran > 0 && !r.route.Repeatable()", "false"}}},
 	{"true-not-run", []edit{{"app/front/serve.go", "status = http.StatusBadGateway", "status = http.StatusServiceUnavailable"}}},
 	{"answer-match", []edit{{"app/front/response.go", "body: body}", "body: []byte(strings.ToUpper(string(body)))}"}}},
 	{"stream-integrity", []edit{{"app/front/response.go", "if errors.Is(err, io.EOF) {", "if err != nil {"}}},
