proof/soak: a free UDP port for the messages between routers

The log of one router says why: front: listen udp4 127.0.0.1:41109: bind: address already in use The port was chosen with a TCP listener, and another process had it for UDP. It is now chosen with a UDP socket. Another process can still take a port before the router does.

--- a/proof/soak/fleet.go
+++ b/proof/soak/fleet.go
@@ -165,7 +165,7 @@
 
 func (f *Fleet) addRouter(i int) error {
 	p := &process{name: fmt.Sprint("front-", i), settingsPath: filepath.Join(f.dir, fmt.Sprintf("front-%d.json", i))}
-	for _, addr := range []*string{&p.callerAddr, &p.readinessAddr, &p.peerAddr} {
+	for _, addr := range []*string{&p.callerAddr, &p.readinessAddr} {
 		ln, err := net.Listen("tcp4", "127.0.0.1:0")
 		if err != nil {
 			return err
@@ -173,6 +173,12 @@
 		*addr = ln.Addr().String()
 		_ = ln.Close()
 	}
+	conn, err := net.ListenPacket("udp4", "127.0.0.1:0")
+	if err != nil {
+		return err
+	}
+	p.peerAddr = conn.LocalAddr().String()
+	_ = conn.Close()
 	_, port, _ := net.SplitHostPort(p.peerAddr)
 	number, _ := strconv.Atoi(port) // the port comes from a listener
 	settings, err := json.Marshal(map[string]any{
