core/quota: at most 100 accounts beyond their limits in a message

Found in the read-through: with 1,200 accounts beyond their limits, as many as the target names, a full message would have carried all of them beside all counts, and one beyond the size of a datagram is not sent.

--- a/core/quota/quota.go
+++ b/core/quota/quota.go
@@ -410,34 +410,6 @@
 	return c
 }
 
-// exceededLevels returns the levels of the accounts beyond their limits. The caller must
-// hold mu.
-func (t *Tracker) exceededLevels(now proto.Instant) map[proto.AccountID]int64 {
-	share := t.share(now)
-	levels := map[proto.AccountID]int64{}
-	for id, b := range t.buckets {
-		if t.refill(b, now, share); b.exceeded {
-			levels[id] = int64(b.level)
-		}
-	}
-	return levels
-}
-
-// adoptExceeded takes over what a peer knows of accounts beyond their limits: the burst of
-// such an account is spent, which a router that has just started cannot know. The caller
-// must hold mu.
-func (t *Tracker) adoptExceeded(now proto.Instant, levels map[proto.AccountID]int64) {
-	if now.Sub(t.started) >= startupTime {
-		return
-	}
-	for id, level := range levels {
-		if b := t.buckets[id]; b != nil {
-			b.exceeded = true
-			b.level = min(b.level, float64(level))
-		}
-	}
-}
-
 // Merge applies a message from a peer and subtracts what the peer has spent since
 // its previous one. Messages of the peer's previous incarnation are ignored.
 func (t *Tracker) Merge(now proto.Instant, c Counts) {
--- a/core/quota/restart_test.go
+++ b/core/quota/restart_test.go
@@ -1,6 +1,7 @@
 package quota_test
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -104,3 +105,23 @@
 		t.Error("refused although there is no other router")
 	}
 }
+
+// Guards against messages beyond the size of a datagram when many accounts are beyond their
+// limits.
+func TestExceededAccountsAreBounded(t *testing.T) {
+	now := proto.Instant(time.Hour)
+	tracker := quota.New(now, "r", 1)
+	limits := map[proto.AccountID]quota.Limit{}
+	for i := range 1200 {
+		limits[proto.AccountID(fmt.Sprint("account-", i))] = quota.Limit{Rate: 10, Burst: 10}
+	}
+	tracker.Configure(now, limits)
+	tracker.MembersListed()
+	now = now.Add(3 * time.Second)
+	for id := range limits {
+		tracker.Spend(now, id, 1000)
+	}
+	if n := len(tracker.Counts(now, quota.NewSentState(), true, true).Exceeded); n != 100 {
+		t.Errorf("%d accounts", n)
+	}
+}
