proof/soak: judge what engines say around disturbances, too

Cause: only the last disturbance was known. Routers and paths now keep all of them, and a refusal is judged if its router was not disturbed from shortly before it until its end and its path had no fault. The engine refuses every 3 s instead of 4 s. The check of engines that leave is judged between disturbances in the same way. Both checks now judge more than before and excuse nothing more.

--- a/proof/soak/fleet.go
+++ b/proof/soak/fleet.go
@@ -11,6 +11,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"strconv"
 	"sync"
 	"syscall"
@@ -34,8 +35,10 @@
 	cmd                                 *exec.Cmd
 	done                                chan struct{}
 	mu                                  sync.Mutex
-	// disturbedAt is when the process was last started or sent a signal.
-	disturbedAt time.Time
+	// disturbedAt is when the process was last started or sent a signal, disturbances
+	// when that has happened so far.
+	disturbedAt  time.Time
+	disturbances []time.Time
 	// exitExpected is set once the process has been sent a terminating signal.
 	exitExpected bool
 }
@@ -208,7 +211,8 @@
 	defer p.mu.Unlock()
 	p.cmd = exec.Command(f.binary, "front", "--settings", p.settingsPath)
 	p.cmd.Stdout, p.cmd.Stderr = log, log
-	p.disturbedAt, p.exitExpected = time.Now(), false
+	p.recordDisturbance()
+	p.exitExpected = false
 	if err := p.cmd.Start(); err != nil {
 		return err
 	}
@@ -239,7 +243,7 @@
 func (p *process) signal(s syscall.Signal) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.disturbedAt = time.Now()
+	p.recordDisturbance()
 	p.exitExpected = p.exitExpected || s == syscall.SIGKILL || s == syscall.SIGTERM || s == syscall.SIGQUIT
 	_ = p.cmd.Process.Signal(s) // the process may have exited already
 }
@@ -263,11 +267,17 @@
 	return time.Since(p.disturbedAt)
 }
 
-// lastDisturbed returns when the process was last started or sent a signal.
-func (p *process) lastDisturbed() time.Time {
+// recordDisturbance records that the process is started or sent a signal; mu must be held.
+func (p *process) recordDisturbance() {
+	p.disturbedAt = time.Now()
+	p.disturbances = append(p.disturbances, p.disturbedAt)
+}
+
+// disturbedBetween reports whether the process was started or sent a signal within a time.
+func (p *process) disturbedBetween(from, to time.Time) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.disturbedAt
+	return slices.ContainsFunc(p.disturbances, func(at time.Time) bool { return !at.Before(from) && !at.After(to) })
 }
 
 // Close stops everything that the fleet has started.
--- a/proof/soak/proxy.go
+++ b/proof/soak/proxy.go
@@ -37,11 +37,17 @@
 	listener net.Listener
 	mu       sync.Mutex
 	fault    ConnectionFault
-	// faultAt is when the fault was last set or cleared.
-	faultAt time.Time
+	// changes holds the faults that were set or cleared so far.
+	changes []faultChange
 	conns   map[net.Conn]bool
 }
 
+// faultChange is the time at which a fault was set, or cleared with NoFault.
+type faultChange struct {
+	at    time.Time
+	fault ConnectionFault
+}
+
 func newProxy(target string) (*proxy, error) {
 	ln, err := net.Listen("tcp4", "127.0.0.1:0")
 	if err != nil {
@@ -61,18 +67,28 @@
 
 func (p *proxy) setFault(t ConnectionFault) {
 	p.mu.Lock()
-	p.fault, p.faultAt = t, time.Now()
+	p.fault = t
+	p.changes = append(p.changes, faultChange{time.Now(), t})
 	p.mu.Unlock()
 	if t == Reset {
 		p.resetAll()
 	}
 }
 
-// lastFault returns when a fault was last set or cleared.
-func (p *proxy) lastFault() time.Time {
+// faultyBetween reports whether a fault was in force at some moment within a time.
+func (p *proxy) faultyBetween(from, to time.Time) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.faultAt
+	before := NoFault // the fault in force at the beginning
+	for _, c := range p.changes {
+		switch {
+		case c.at.Before(from):
+			before = c.fault
+		case c.at.Before(to):
+			return true
+		}
+	}
+	return before != NoFault
 }
 
 func (p *proxy) currentFault() ConnectionFault {
--- a/proof/soak/statements.go
+++ b/proof/soak/statements.go
@@ -3,6 +3,7 @@
 import (
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"strconv"
 	"time"
 
@@ -19,11 +20,13 @@
 	// Each refusalPeriod, an engine refuses all requests for refusalTime and names
 	// refusalRetryAfter. From pauseSlack after a refusal until the end of that time, it may
 	// get maxPausedArrivals requests of the router that it has refused.
-	refusalPeriod     = 4 * time.Second
+	refusalPeriod     = 3 * time.Second
 	refusalTime       = 300 * time.Millisecond
 	refusalRetryAfter = 1500 * time.Millisecond
 	pauseSlack        = 500 * time.Millisecond
 	maxPausedArrivals = 2
+	// answerTime is how long before the answer is read an engine may have sent it.
+	answerTime = 500 * time.Millisecond
 	// silencedTime is how long connections may stay silent after a fault of their path, so
 	// that a router does not get the answers that an engine has sent.
 	silencedTime = 6 * time.Second
@@ -68,24 +71,21 @@
 	if e == nil {
 		return
 	}
-	told := map[*process]time.Time{}
+	told := map[*process][]time.Time{}
 	attempts := map[string]attempt{}
 	for _, a := range o.attempts {
 		attempts[a.id] = a
-		if a.leaving != hosting.SignatureOf(e.ID) || !a.endedAt.After(a.router.lastDisturbed()) {
-			continue
-		}
-		if at, known := told[a.router]; !known || a.endedAt.Before(at) {
-			told[a.router] = a.endedAt
+		if a.leaving == hosting.SignatureOf(e.ID) {
+			told[a.router] = append(told[a.router], a.endedAt)
 		}
 	}
 	late := 0
 	for _, arrival := range e.Arrivals() {
 		a, known := attempts[arrival.AttemptID]
-		if !known {
-			continue
+		isLate := func(toldAt time.Time) bool {
+			return a.sentAt.After(toldAt.Add(drainTimeout)) && !a.router.disturbedBetween(toldAt, a.sentAt)
 		}
-		if at, isTold := told[a.router]; isTold && a.sentAt.After(at.Add(drainTimeout)) {
+		if known && slices.ContainsFunc(told[a.router], isLate) {
 			late++
 		}
 	}
@@ -109,14 +109,15 @@
 			arrivals[p] = append(arrivals[p], a)
 		}
 	}
-	undisturbedSince := o.conditions.refusing.proxy.lastFault().Add(silencedTime)
 	most := 0
 	for p, list := range arrivals {
 		for i, refusal := range list {
-			judged := refusal.At.After(undisturbedSince) && refusal.At.After(p.lastDisturbed().Add(contactTime))
-			if refusal.RetryAfter != "" && judged {
-				most = max(most, arrivalsBetween(list[i:], refusal.At.Add(pauseSlack), refusal.At.Add(refusalRetryAfter)))
+			end := refusal.At.Add(refusalRetryAfter)
+			if refusal.RetryAfter == "" || p.disturbedBetween(refusal.At.Add(-answerTime), end) ||
+				o.conditions.refusing.proxy.faultyBetween(refusal.At.Add(-silencedTime), end) {
+				continue
 			}
+			most = max(most, arrivalsBetween(list[i:], refusal.At.Add(pauseSlack), end))
 		}
 	}
 	if most > maxPausedArrivals {
