proof/soak: the last outage of the store comes after the last restart

Change: when all routers serve after the last fault, the store fails once more for 2.5 s, and then a key is replaced, which only routers that follow the store again accept.

--- a/proof/soak/soak.go
+++ b/proof/soak/soak.go
@@ -37,6 +37,8 @@
 	// recoveryTimeout is how long the routers may take after the last fault until
 	// all of them serve every kind of request.
 	recoveryTimeout = 15 * time.Second
+	// lastOutageTime is longer than a read of a router waits for a record.
+	lastOutageTime = 2500 * time.Millisecond
 	// trailingRunTime is the wait for runs that endpoints start after the clients
 	// have stopped.
 	trailingRunTime = 1500 * time.Millisecond
@@ -57,6 +59,10 @@
 	c := startClients(f, cfg.Clients, cfg.Seed)
 	result.FaultCounts = f.injectFaults(rand.New(rand.NewPCG(cfg.Seed, 0xfa)), cfg.FaultDuration)
 	recovered := f.waitServing(recoveryTimeout)
+	if recovered {
+		f.lastOutage()
+		recovered = f.waitServing(recoveryTimeout)
+	}
 	attempts := c.end()
 	time.Sleep(trailingRunTime)
 	o := f.observations(attempts)
@@ -78,6 +84,16 @@
 	return result, nil
 }
 
+// lastOutage takes the store away from routers that all run, and then replaces a key, which
+// only routers that follow the store again accept.
+func (f *Fleet) lastOutage() {
+	f.logFault("last outage of the store")
+	f.store.SetDown(true)
+	time.Sleep(lastOutageTime)
+	f.store.SetDown(false)
+	f.replaceKey()
+}
+
 // waitServing waits until each router serves every kind of request. It reports
 // whether that happened within the limit.
 func (f *Fleet) waitServing(limit time.Duration) bool {
