--- a/review/harness/engine.go
+++ b/review/harness/engine.go
@@ -29,10 +29,11 @@
 	Interval time.Duration
 	// Work is how long a plain service works on a request.
 	Work time.Duration
-	// HarmfulPart names a prompt part with which a request crashes the engine when it
-	// begins to run. The engine is back Downtime later, as a new lifetime.
-	HarmfulPart string
-	Downtime    time.Duration
+	// HarmfulPart names a prompt part with which a request crashes the engine that runs it,
+	// CrashAfter after it has begun; 0 means before its answer begins. The engine is back
+	// Downtime later, as a new lifetime.
+	HarmfulPart          string
+	CrashAfter, Downtime time.Duration
 	// OnRun, if set, is called when a run begins.
 	OnRun func(Run)
 
@@ -164,8 +165,11 @@
 		e.OnRun(*run)
 	}
 	if e.HarmfulPart != "" && strings.Contains(run.Parts, e.HarmfulPart+":") {
-		e.crash(w)
-		return
+		if e.CrashAfter == 0 {
+			e.crash(w)
+			return
+		}
+		defer time.AfterFunc(e.CrashAfter, func() { e.crash(nil) }).Stop()
 	}
 	w.Header().Set("Kumquatsill-Response-Signature", "proof."+id)
 	w.Header().Set("Kumquatsill-Server-Load", "1,0,64")
@@ -211,18 +215,20 @@
 	e.complete(run)
 }
 
-// crash resets all connections of the engine and starts it again later.
+// crash resets all connections of the engine and starts it again later. The writer of the
+// request that does it is nil if its answer has begun.
 func (e *Engine) crash(w http.ResponseWriter) {
 	e.mu.Lock()
+	if e.down {
+		e.mu.Unlock()
+		return
+	}
 	e.down = true
 	server, id := e.server, e.id
 	e.mu.Unlock()
 	time.AfterFunc(entryLifetime, func() { e.store.Put("keyed.servers", id, nil) })
-	if conn, _, err := http.NewResponseController(w).Hijack(); err == nil {
-		if tcp, ok := conn.(*net.TCPConn); ok {
-			_ = tcp.SetLinger(0)
-		}
-		_ = conn.Close()
+	if w != nil {
+		resetConnection(w)
 	}
 	go func() {
 		_ = server.Close()
@@ -232,3 +238,14 @@
 		e.begin(ln)
 	}()
 }
+
+func resetConnection(w http.ResponseWriter) {
+	conn, _, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		return
+	}
+	if tcp, ok := conn.(*net.TCPConn); ok {
+		_ = tcp.SetLinger(0)
+	}
+	_ = conn.Close()
+}
