--- a/review/harness/engine.go
+++ b/review/harness/engine.go
@@ -29,25 +29,32 @@
 	Interval time.Duration
 	// Work is how long a plain service works on a request.
 	Work time.Duration
-	// HarmfulPart names a prompt part with which a request crashes the engine that runs it,
-	// CrashAfter after it has begun; 0 means before its answer begins. The engine is back
-	// Downtime later, as a new lifetime.
-	HarmfulPart          string
-	CrashAfter, Downtime time.Duration
+	// HarmfulPart names a prompt part with which a request crashes the engine that begins to
+	// run it. The engine is back Downtime later, as a new lifetime.
+	HarmfulPart string
+	Downtime    time.Duration
+	// Dark is set if the engine crashes with its machine, just after the first event of the
+	// answer: its connections fall silent, and are reset when the machine is back. Otherwise
+	// they are reset at once, before the answer begins.
+	Dark bool
 	// OnRun, if set, is called when a run begins.
 	OnRun func(Run)
 
-	store  *Store
-	addr   string
-	mu     sync.Mutex
-	id     string
-	born   int64
-	beats  int
-	life   int
-	runs   []*Run
-	down   bool
-	server *http.Server
-	stop   chan struct{}
+	store *Store
+	addr  string
+	mu    sync.Mutex
+	id    string
+	born  int64
+	beats int
+	life  int
+	runs  []*Run
+	down  bool
+	// crashed is closed when this lifetime ends in a crash.
+	crashed chan struct{}
+	conns   map[net.Conn]bool
+	server  *http.Server
+	ln      net.Listener
+	stop    chan struct{}
 }
 
 // Start makes the engine listen and register itself.
@@ -66,8 +73,20 @@
 	e.life++
 	e.id = fmt.Sprintf("i-%s-%d", strings.ReplaceAll(e.addr, ":", "-"), e.life)
 	e.born, e.beats, e.down = time.Now().UnixMilli(), 0, false
-	server := &http.Server{Handler: http.HandlerFunc(e.serve)}
-	e.server = server
+	crashed, conns := make(chan struct{}), map[net.Conn]bool{}
+	server := &http.Server{
+		Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { e.serve(w, r, crashed) }),
+		ConnState: func(c net.Conn, state http.ConnState) {
+			e.mu.Lock()
+			defer e.mu.Unlock()
+			if state == http.StateNew {
+				conns[c] = true
+			} else if state == http.StateClosed {
+				delete(conns, c)
+			}
+		},
+	}
+	e.server, e.ln, e.crashed, e.conns = server, ln, crashed, conns
 	e.mu.Unlock()
 	e.register()
 	go func() { _ = server.Serve(ln) }()
@@ -127,7 +146,13 @@
 	return e.id
 }
 
-func (e *Engine) serve(w http.ResponseWriter, r *http.Request) {
+// serve handles a request in a lifetime that ends when crashed is closed.
+func (e *Engine) serve(w http.ResponseWriter, r *http.Request, crashed chan struct{}) {
+	select {
+	case <-crashed:
+		select {} // the machine is dark
+	default:
+	}
 	switch r.URL.Path {
 	case "/health":
 		w.Header().Set("Kumquatsill-Instance", e.identifier())
@@ -138,11 +163,11 @@
 		time.Sleep(200 * time.Millisecond)
 		writeJSON(w, http.StatusOK, map[string]any{"epoch": 1, "nextPageToken": 0, "lost": false, "events": []any{}})
 	default:
-		e.serveRequest(w, r)
+		e.serveRequest(w, r, crashed)
 	}
 }
 
-func (e *Engine) serveRequest(w http.ResponseWriter, r *http.Request) {
+func (e *Engine) serveRequest(w http.ResponseWriter, r *http.Request, crashed chan struct{}) {
 	id := r.Header.Get("Kumquatsill-Attempt-Id")
 	w.Header().Set("Kumquatsill-Attempt-Id", id)
 	instance := e.identifier()
@@ -164,19 +189,17 @@
 	if e.OnRun != nil {
 		e.OnRun(*run)
 	}
-	if e.HarmfulPart != "" && strings.Contains(run.Parts, e.HarmfulPart+":") {
-		if e.CrashAfter == 0 {
-			e.crash(w)
-			return
-		}
-		defer time.AfterFunc(e.CrashAfter, func() { e.crash(nil) }).Stop()
+	harmful := e.HarmfulPart != "" && strings.Contains(run.Parts, e.HarmfulPart+":")
+	if harmful && !e.Dark {
+		e.crash()
+		return
 	}
 	w.Header().Set("Kumquatsill-Response-Signature", "proof."+id)
 	w.Header().Set("Kumquatsill-Server-Load", "1,0,64")
 	if e.Model == "" {
 		e.answer(w, r, run)
 	} else {
-		e.stream(w, r, run)
+		e.stream(w, r, run, harmful, crashed)
 	}
 }
 
@@ -197,7 +220,7 @@
 	}
 }
 
-func (e *Engine) stream(w http.ResponseWriter, r *http.Request, run *Run) {
+func (e *Engine) stream(w http.ResponseWriter, r *http.Request, run *Run, harmful bool, crashed chan struct{}) {
 	w.Header().Set("Content-Type", "text/event-stream")
 	w.Header().Set("Kumquatsill-Weight-Versions", "1")
 	after, _ := strconv.Atoi(r.Header.Get("Last-Event-Id"))
@@ -206,46 +229,51 @@
 		select {
 		case <-r.Context().Done():
 			return
+		case <-crashed:
+			select {} // the machine is dark
 		case <-time.After(e.Interval):
 		}
 		if _, err := fmt.Fprintf(w, "id: %d\ndata: token %d\n\n", i, i); err != nil || flush.Flush() != nil {
 			return
 		}
+		if harmful {
+			e.crash()
+		}
 	}
 	e.complete(run)
 }
 
-// crash resets all connections of the engine and starts it again later. The writer of the
-// request that does it is nil if its answer has begun.
-func (e *Engine) crash(w http.ResponseWriter) {
+// crash ends this lifetime of the engine and begins another one after Downtime.
+func (e *Engine) crash() {
 	e.mu.Lock()
+	defer e.mu.Unlock()
 	if e.down {
-		e.mu.Unlock()
 		return
 	}
 	e.down = true
-	server, id := e.server, e.id
-	e.mu.Unlock()
+	id := e.id
 	time.AfterFunc(entryLifetime, func() { e.store.Put("keyed.servers", id, nil) })
-	if w != nil {
-		resetConnection(w)
+	_ = e.ln.Close()
+	close(e.crashed)
+	if !e.Dark {
+		e.resetConnections()
 	}
-	go func() {
-		_ = server.Close()
-		time.Sleep(e.Downtime)
+	time.AfterFunc(e.Downtime, func() {
+		e.mu.Lock()
+		e.resetConnections()
+		e.mu.Unlock()
 		ln, err := net.Listen("tcp4", e.addr)
 		check(err)
 		e.begin(ln)
-	}()
+	})
 }
 
-func resetConnection(w http.ResponseWriter) {
-	conn, _, err := http.NewResponseController(w).Hijack()
-	if err != nil {
-		return
-	}
-	if tcp, ok := conn.(*net.TCPConn); ok {
-		_ = tcp.SetLinger(0)
+// resetConnections resets the connections of this lifetime; mu must be held.
+func (e *Engine) resetConnections() {
+	for c := range e.conns {
+		if tcp, ok := c.(*net.TCPConn); ok {
+			_ = tcp.SetLinger(0)
+		}
+		_ = c.Close()
 	}
-	_ = conn.Close()
 }
--- a/review/harness/harmful.go
+++ b/review/harness/harmful.go
@@ -8,7 +8,7 @@
 
 func init() {
 	cases["harmful"] = harmfulCase
-	cases["latecrash"] = lateCrashCase
+	cases["dark"] = darkCase
 }
 
 const (
@@ -27,7 +27,7 @@
 func harmfulCase(binary string) bool {
 	f := NewFleet(binary)
 	defer f.Close()
-	h := newHarm(f, true, 0)
+	h := newHarm(f, true, false)
 	// The request comes every second until it has crashed three engines, and again once the
 	// routers have been in touch for some time.
 	for h.count() < 3 && h.sent < 10 {
@@ -54,16 +54,13 @@
 	return h.end()
 }
 
-// crashAfter is how long the request of lateCrashCase runs until its engine crashes.
-const crashAfter = 800 * time.Millisecond
-
-// lateCrashCase: a request that crashes each engine some time after it has begun to run
-// comes again and again. Nothing else is disturbed.
-func lateCrashCase(binary string) bool {
+// darkCase: a request that crashes each engine that begins to run it comes again and again.
+// The engines fall silent as they crash. Nothing else is disturbed.
+func darkCase(binary string) bool {
 	f := NewFleet(binary)
 	defer f.Close()
-	h := newHarm(f, trouble, crashAfter)
-	for range 20 {
+	h := newHarm(f, trouble, true)
+	for range 15 {
 		h.send()
 		time.Sleep(time.Second)
 	}
@@ -86,7 +83,7 @@
 
 // newHarm starts engines that the request crashes, unless crashing is false, routers and
 // the clients of sound requests.
-func newHarm(f *Fleet, crashing bool, after time.Duration) *harm {
+func newHarm(f *Fleet, crashing, dark bool) *harm {
 	h := &harm{fleet: f, tenant: Tenant{Name: "sese880", Key: "wu3fexd9dnn2ctnfzs98", Rate: 100_000}, stop: make(chan struct{})}
 	f.Store.Put("keyed.op", "config", config(7, h.tenant))
 	part := ""
@@ -95,7 +92,7 @@
 	}
 	for i := range 12 {
 		f.AddEngine(&Engine{Service: llm, Model: model, Zone: zones[i%len(zones)], Events: 40, Interval: 25 * time.Millisecond,
-			HarmfulPart: part, CrashAfter: after, Downtime: 2 * time.Second, OnRun: h.observe})
+			HarmfulPart: part, Dark: dark, Downtime: 2 * time.Second, OnRun: h.observe})
 	}
 	f.StartRouters(3, memoryMB)
 	for i := range soundClients {
