--- a/review/harness/main.go
+++ b/review/harness/main.go
@@ -46,10 +46,3 @@
 }
 
 func splitLines(data []byte) []string { return strings.Split(string(data), "\n") }
-
-func getenv(name, fallback string) string {
-	if v := os.Getenv(name); v != "" {
-		return v
-	}
-	return fallback
-}
