--- a/review/harness/client.go
+++ b/review/harness/client.go
@@ -50,6 +50,13 @@
 	a.EndedAt, a.Err = time.Now(), err
 }
 
+// Do sends an attempt to a router, and records it and what the client gets.
+func (f *Fleet) Do(a *Attempt, c *http.Client, r *Router) {
+	f.Record("client sends %s to %s, route %s, parts %q", a.ID, r.Name, a.Route, a.Parts)
+	a.Do(c, r)
+	f.Record("client has %s", a)
+}
+
 // String returns the attempt in one line.
 func (a *Attempt) String() string {
 	text := fmt.Sprintf("%s %s: status %d, whole answer %t, %d bytes, took %d ms", a.Route, a.ID, a.Status, a.Whole, len(a.Answer), a.EndedAt.Sub(a.SentAt).Milliseconds())
--- a/review/harness/frozen.go
+++ b/review/harness/frozen.go
@@ -84,13 +84,14 @@
 }
 
 func (p *partCase) observe(r Run) {
+	p.fleet.Record("engine %s begins to run %s", r.Engine, r.ID)
 	if !strings.Contains(r.Parts, harmfulPart+":") {
 		return
 	}
+	p.fleet.Record("engine %s crashes", r.Engine)
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.crashes = append(p.crashes, r)
-	p.fleet.Record("engine %s begins to run %s and crashes", r.Engine, r.ID)
 }
 
 // freeze stops a router for freezeTime, unless the case runs without trouble.
@@ -125,8 +126,7 @@
 		p.sentBy[id] = r
 		p.mu.Unlock()
 		a := p.attempt(id, fmt.Sprintf("5c1e07a%d:300,%s:300,%s:50", rng.Intn(3), harmfulPart, id))
-		a.Do(newClient(), r)
-		p.fleet.Record("client of %s has %s", r.Name, a)
+		p.fleet.Do(a, newClient(), r)
 	}
 }
 
@@ -148,7 +148,7 @@
 		r := p.fleet.Routers[rng.Intn(len(p.fleet.Routers))]
 		id := fmt.Sprintf("%02x%04x", client, n)
 		a := p.attempt(id, fmt.Sprintf("5c1e07a%d:300,%s:50", rng.Intn(3), id))
-		a.Do(c, r)
+		p.fleet.Do(a, c, r)
 		p.mu.Lock()
 		p.sound++
 		if a.Status == http.StatusServiceUnavailable {
--- a/review/harness/harmful.go
+++ b/review/harness/harmful.go
@@ -103,13 +103,13 @@
 }
 
 func (h *harm) observe(r Run) {
+	h.fleet.Record("engine %s begins to run %s", r.Engine, r.ID)
 	if r.Parts != harmfulParts {
 		return
 	}
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	h.crashes = append(h.crashes, r.BegunAt)
-	h.fleet.Record("engine %s begins to run %s", r.Engine, r.ID)
 }
 
 func (h *harm) count() int {
@@ -122,9 +122,8 @@
 func (h *harm) send() {
 	h.sent++
 	a := &Attempt{ID: fmt.Sprintf("%02dc41d07be2a35f68", h.sent), Route: "draft", Key: h.tenant.Key, Parts: harmfulParts, Body: []byte("a harmful prompt"), LimitMS: 15_000}
-	h.fleet.Record("client sends the harmful request as %s", a.ID)
-	a.Do(newClient(), h.fleet.Routers[h.sent%len(h.fleet.Routers)])
-	h.fleet.Record("client has %s", a)
+	h.fleet.Record("the harmful request comes as %s", a.ID)
+	h.fleet.Do(a, newClient(), h.fleet.Routers[h.sent%len(h.fleet.Routers)])
 }
 
 // end reports whether too many retries have reached engines.
@@ -164,7 +163,7 @@
 		case <-time.After(30 * time.Millisecond):
 		}
 		a := &Attempt{ID: fmt.Sprintf("s%d-%d", client, n), Route: "draft", Key: h.tenant.Key, Parts: fmt.Sprintf("5c1e07a2:200,%d%05d:100", client, n), Body: []byte("a prompt"), LimitMS: 15_000}
-		a.Do(c, h.fleet.Routers[(client+n)%len(h.fleet.Routers)])
+		h.fleet.Do(a, c, h.fleet.Routers[(client+n)%len(h.fleet.Routers)])
 		if a.Status == 200 && !a.Whole {
 			h.fleet.Record("a sound request was cut off: %s", a)
 			h.mu.Lock()
--- a/review/harness/walled.go
+++ b/review/harness/walled.go
@@ -88,7 +88,6 @@
 	c := newClient()
 	for i := range n {
 		a := &Attempt{ID: fmt.Sprintf("%s-%02d", t.Name, i), Route: "verdict", Key: t.Key, Parts: fmt.Sprintf("%s:2000,%x%02d:100", sharedPart, t.Name[0], i), Body: []byte("a prompt"), LimitMS: 6000}
-		a.Do(c, f.Routers[i%len(f.Routers)])
-		f.Record("client has %s", a)
+		f.Do(a, c, f.Routers[i%len(f.Routers)])
 	}
 }
