--- a/core/ledger/append.go
+++ b/core/ledger/append.go
@@ -2,7 +2,6 @@
 
 import (
 	"slices"
-	"time"
 
 	"github.com/kumquatsill/kumquatsill/core/proto"
 )
@@ -23,9 +22,8 @@
 // stream is the state of one log stream: the appends to it, with at most one
 // batch in flight, and the position up to which it is followed.
 type stream struct {
-	c              *Client
-	name           string
-	appendInterval time.Duration
+	c    *Client
+	name string
 
 	// queue holds the appends that are in no batch yet.
 	queue []*pendingAppend
@@ -131,7 +129,7 @@
 	s.appendCall = s.c.call()
 	s.sentIDs[s.appendCall] = ids
 	s.appendDeadline = now.Add(responseTimeout)
-	s.nextAppendAt = now.Add(s.appendInterval)
+	s.nextAppendAt = now.Add(minAppendInterval)
 	s.c.counters.Appends++
 	s.c.counters.Records += int64(len(records))
 	s.c.Send(proto.Log, proto.LogAppend{Call: s.appendCall, Stream: s.name, Records: records})
--- a/core/proto/codec.go
+++ b/core/proto/codec.go
@@ -75,15 +75,6 @@
 	return Envelope{From: w.From, To: w.To, Msg: msg}, nil
 }
 
-// Kinds returns the kinds of all message types, in no particular order.
-func Kinds() []Kind {
-	kinds := make([]Kind, 0, len(messageTypes))
-	for kind := range messageTypes {
-		kinds = append(kinds, kind)
-	}
-	return kinds
-}
-
 func typesByKind(messages ...Message) map[Kind]reflect.Type {
 	index := make(map[Kind]reflect.Type, len(messages))
 	for _, m := range messages {
