app/front: an unframed success without any byte of a body is not passed on as an empty one

What callers saw: an endpoint that sends a head without length and chunks and closes the connection before the first byte of the body; callers of safe and unsafe routes got a 200 with Content-Length: 0, an empty body framed as whole.

Cause: the end of the connection is the end of such a body, and nothing asked whether there was any. Streams did (errNoEvent).

Evidence: TestCutAnswerIsNoSuccess cuts answers with a length, in chunks and without framing on safe, unsafe, streaming and resumable streaming routes. Before: 200 with an empty body in unframed/look and unframed/order, cut after 132 of 132 bytes of the head; the other ten cases passed.

Change: such a success counts as broken off, as a stream without an event does: a safe request is repeated, an unsafe one gets 502. An answer to HEAD has no body in any case and does not count as ended by its connection (TestAnswerToHeadDoesNotEndWithItsConnection), so that its connection can also be used again.

After: all twelve cases pass. What remains: a body that a regular close cuts after its first byte cannot be told from a whole one.

--- a/app/front/response.go
+++ b/app/front/response.go
@@ -19,7 +19,7 @@
 const maxBufferedResponse = 256 << 10
 
 var (
-	errNoEvent       = errors.New("the connection ended before the first event")
+	errNoBody        = errors.New("the connection ended before the body")
 	errCannotFollow  = errors.New("the answer cannot follow the part of a stream that the caller has")
 	errEventNotNext  = errors.New("an event does not follow those that the caller has")
 	errShorterStream = errors.New("the stream ended before the caller's position in it")
@@ -56,6 +56,9 @@
 		stall.Stop() // what is forwarded cannot go on elsewhere
 		return a.forwardResponse(ctx, resp, body)
 	}
+	if len(body) == 0 && resp.Status < http.StatusMultipleChoices && resp.EndsWithConnection() {
+		return a.brokenOff(ctx, errNoBody)
+	}
 	x.saved = &savedResponse{status: resp.Status, header: resp.Header, body: body}
 	if resp.Status >= 500 {
 		return relay.Failed
@@ -154,7 +157,7 @@
 	delivery := a.request.relay.Delivery()
 	switch {
 	case !delivery.HasEvents() && resp.EndsWithConnection():
-		return a.brokenOff(ctx, errNoEvent)
+		return a.brokenOff(ctx, errNoBody)
 	case !delivery.CanEnd():
 		return a.unusable(errShorterStream)
 	}
--- a/app/upstream/cut_test.go
+++ b/app/upstream/cut_test.go
@@ -113,3 +113,19 @@
 		t.Errorf("cut after %d bytes, kept %t: status %d, body %q taken for a whole answer", n, kept, resp.Status, body)
 	}
 }
+
+// Guards against taking the answer to a HEAD request, which never has a body, for one that
+// was cut before it.
+func TestAnswerToHeadDoesNotEndWithItsConnection(t *testing.T) {
+	s := serve(t, write("HTTP/1.1 200 OK\r\nId: 1\r\n\r\n"))
+	r := request(s, "1")
+	r.Method = http.MethodHead
+	resp, err := upstream.New().Send(t.Context(), r)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer resp.Close()
+	if body, err := io.ReadAll(resp.Body); len(body) > 0 || err != nil || resp.EndsWithConnection() {
+		t.Errorf("%q, %v, ends with its connection %t", body, err, resp.EndsWithConnection())
+	}
+}
--- a/app/upstream/response.go
+++ b/app/upstream/response.go
@@ -95,7 +95,7 @@
 // EndsWithConnection reports whether the body is delimited by the end of the connection
 // alone, so that one that was broken off may look complete.
 func (r *Response) EndsWithConnection() bool {
-	return r.BodyLength < 0 && len(r.resp.TransferEncoding) == 0
+	return r.BodyLength < 0 && len(r.resp.TransferEncoding) == 0 && r.resp.Request.Method != http.MethodHead
 }
 
 // reusable reports whether the connection may carry another request. It may not
