--- a/app/front/front.go
+++ b/app/front/front.go
@@ -292,11 +292,11 @@
 }
 
 func (f *Front) handleReadiness(w http.ResponseWriter, _ bunrouter.Request) error {
+	status := http.StatusServiceUnavailable
 	if f.isReady() {
-		w.WriteHeader(http.StatusOK)
-	} else {
-		w.WriteHeader(http.StatusServiceUnavailable)
+		status = http.StatusOK
 	}
+	w.WriteHeader(status)
 	return nil
 }
 
--- a/app/front/serve.go
+++ b/app/front/serve.go
@@ -129,9 +129,6 @@
 	}
 	x.service = x.route.Target(xxhash.Sum64String(x.info.ID))
 	x.setDeadline()
-	if x.isTooLate() {
-		return x.rejectStopping()
-	}
 	if !x.readBody() {
 		return false
 	}
@@ -181,11 +178,11 @@
 	}
 	control := http.NewResponseController(x.w)
 	_ = control.SetReadDeadline(time.Now().Add(x.deadline.Sub(driver.Now())))
-	stopCheck := newCheckTimer(callersPollInterval, func() time.Duration {
+	stopCheck := newCheckTimer(stopPollInterval, func() time.Duration {
 		if x.isTooLate() {
 			_ = control.SetReadDeadline(time.Now())
 		}
-		return callersPollInterval
+		return stopPollInterval
 	})
 	var err error
 	x.body, err = io.ReadAll(http.MaxBytesReader(x.w, x.r.Body, limit))
@@ -201,7 +198,7 @@
 	var tooLarge *http.MaxBytesError
 	switch {
 	case tooLate:
-		return x.rejectStopping()
+		return x.reject(http.StatusServiceUnavailable, reasonStopping, stoppingRetryAfter)
 	case errors.As(err, &tooLarge):
 		return x.reject(http.StatusRequestEntityTooLarge, "body_too_large", 0)
 	case err != nil:
--- a/app/front/stop.go
+++ b/app/front/stop.go
@@ -20,9 +20,9 @@
 	// until the last sixth.
 	exitShare   = 8
 	maxExitTime = 700 * time.Millisecond
-	// callersPollInterval is the time between two checks whether callers are connected,
+	// stopPollInterval is the time between two checks whether callers are connected,
 	// or whether a request whose body arrives slowly can still be taken.
-	callersPollInterval = 20 * time.Millisecond
+	stopPollInterval = 20 * time.Millisecond
 	// stoppingRetryAfter is the Retry-After time of a stopping router. The retry
 	// reaches another router.
 	stoppingRetryAfter = 100 * time.Millisecond
@@ -91,7 +91,7 @@
 		if now >= stop.canExitAt && f.callerConns.Load() == 0 {
 			return
 		}
-		time.Sleep(min(callersPollInterval, stop.cutAt.Sub(now)))
+		time.Sleep(min(stopPollInterval, stop.cutAt.Sub(now)))
 	}
 }
 
@@ -99,14 +99,7 @@
 // request's deadline. One that may not run again must not be cut.
 func (x *request) isTooLate() bool {
 	stop := x.front.stop.Load()
-	if stop == nil || x.deadline <= stop.cutAt {
-		return false
-	}
-	return !x.route.Repeatable() || driver.Now() >= stop.takesUntil
-}
-
-func (x *request) rejectStopping() bool {
-	return x.reject(http.StatusServiceUnavailable, reasonStopping, stoppingRetryAfter)
+	return stop != nil && x.deadline > stop.cutAt && (!x.route.Repeatable() || driver.Now() >= stop.takesUntil)
 }
 
 // closeIfStopping makes the caller use another connection for its next request if the router
