core/relay: a begun stream may go back to the endpoint that it was moved away from

What callers saw: a stream whose endpoint was silent for about two seconds was cut off after its first events, with neither the rest nor a refusal, although the endpoint went on. Cause: the router moves such a stream to another endpoint. If that one ran the request and failed it, or was given up by the router because its weights became too old, the attempts of a route with two were spent, and the response ended with abort. The limit of a route is one of endpoints; the relay counted attempts. Evidence: TestSilentStreamGoesOnWhereItBeganIfTheRetryFails on the code before: status 0, events "1" for 500 and for 400. Ruled out: a change of the configuration by itself; no request was cut without a stalled attempt except at its own time limit. Change: when the route allows no further endpoint, a begun response goes on at those where it was given up and which have not failed it. A stall of a begun response is no longer an outcome that makes its request suspect. After: the test gets events 1 and 2.

--- a/app/front/abandon_test.go
+++ b/app/front/abandon_test.go
@@ -42,17 +42,25 @@
 	b.t.Helper()
 	for _, i := range refusing {
 		shedAlways(b.engines[i])
+	}
+	b.registerAfterBegin(r, refusing...)
+	if status, body := r.callPatiently("/sheet/1"); status != http.StatusOK || eventIDs(body) != "1,2" {
+		b.t.Errorf("status %d, events %q", status, eventIDs(body))
+	}
+}
+
+// registerAfterBegin makes some engines ready only after a request that is sent next has
+// begun elsewhere.
+func (b *testbed) registerAfterBegin(r *router, engines ...int) {
+	for _, i := range engines {
 		b.register(i, "draining")
 	}
 	b.awaitEndpoints(r)
 	time.AfterFunc(200*time.Millisecond, func() {
-		for _, i := range refusing {
+		for _, i := range engines {
 			b.register(i, "ready")
 		}
 	})
-	if status, body := r.callPatiently("/sheet/1"); status != http.StatusOK || eventIDs(body) != "1,2" {
-		b.t.Errorf("status %d, events %q", status, eventIDs(body))
-	}
 }
 
 // Guards against a failure in place of the answer of an endpoint that is only silent for
--- a/app/front/attempt.go
+++ b/app/front/attempt.go
@@ -70,7 +70,7 @@
 		x.front.log.Info("trial of a blocked trait", "id", x.info.ID, "trait", string(admission.Trait), "rounds", admission.Rounds)
 		x.front.requestEarlySend()
 	}
-	x.relay.AttemptStarted()
+	x.relay.AttemptStarted(choice.Endpoint.ID)
 	x.triedEndpoints = append(x.triedEndpoints, choice.Endpoint.ID)
 	placement := x.front.placer.StartAttempt(now, q, choice)
 	if choice.Urgent() {
@@ -99,6 +99,8 @@
 	paused, pauseWait := excluded.Paused()
 	x.obstacle = []any{"throttled", limited, "excluded", excluded.String()}
 	switch {
+	case x.relay.ReturnTo() != nil && excluded.OnlyAttempts():
+		return x.relay.CannotReturn()
 	case limited > 0 && paused > 0:
 		return x.relay.NoEndpoint("endpoint_limits", min(limitRetryAfter(limitWait), pauseWait))
 	case limited > 0:
--- a/app/front/serve.go
+++ b/app/front/serve.go
@@ -328,6 +328,9 @@
 // query returns the input of the placement for the next attempt.
 func (x *request) query() *place.Query {
 	q := &place.Query{Service: x.service, Bytes: int64(len(x.body)) + defaultResponseBytes, Exclude: x.triedEndpoints}
+	if q.Only = x.relay.ReturnTo(); q.Only != nil {
+		q.Exclude = nil
+	}
 	if x.info.Model == "" || !x.route.PromptParts {
 		return q
 	}
--- a/core/place/exclusions.go
+++ b/core/place/exclusions.go
@@ -23,6 +23,8 @@
 	excludedLeaving
 	// excludedTried means that an attempt was already sent to the endpoint.
 	excludedTried
+	// excludedAttempts means that the request may not be sent to a further endpoint.
+	excludedAttempts
 	// excludedVersion means that the endpoint loads weights or has none that the request
 	// may run on.
 	excludedVersion
@@ -30,12 +32,14 @@
 )
 
 var exclusionNames = [numExclusions]string{
-	excludedLimit: "limit", excludedPause: "pause", excludedLeaving: "leaving", excludedTried: "tried", excludedVersion: "version",
+	excludedLimit: "limit", excludedPause: "pause", excludedLeaving: "leaving", excludedTried: "tried", excludedAttempts: "attempts", excludedVersion: "version",
 }
 
 // exclusionOf returns why an endpoint cannot take a request, apart from its version.
 func exclusionOf(e *discovery.Endpoint, p endpointstate.Permission, q *Query) exclusion {
 	switch {
+	case len(q.Only) > 0 && !slices.Contains(q.Only, e.ID):
+		return excludedAttempts
 	case e.Leaving:
 		return excludedLeaving
 	case p.Reason == endpointstate.Paused:
@@ -70,6 +74,12 @@
 	return x.counts[excludedTried]+x.counts[excludedVersion] > 0
 }
 
+// OnlyAttempts reports whether no endpoint was found but those to which the request may not
+// be sent.
+func (x *Exclusions) OnlyAttempts() bool {
+	return *x == Exclusions{counts: [numExclusions]int{excludedAttempts: x.counts[excludedAttempts]}}
+}
+
 // Leaving returns the number of endpoints that were excluded because they leave.
 func (x *Exclusions) Leaving() int { return x.counts[excludedLeaving] }
 
--- a/core/place/place.go
+++ b/core/place/place.go
@@ -106,6 +106,8 @@
 	Bytes int64
 	// Exclude lists endpoints that were already tried.
 	Exclude []proto.EndpointID
+	// Only restricts the choice to some endpoints, unless it is empty.
+	Only []proto.EndpointID
 }
 
 // Placer chooses endpoints for one router. It is safe for concurrent use.
--- a/core/relay/delivery_test.go
+++ b/core/relay/delivery_test.go
@@ -20,7 +20,7 @@
 		r := relay.New(&serving.Route{Kind: serving.Stream, Resumable: true, Attempts: 3}, &fixedBudget{left: 10})
 		var out strings.Builder
 		for attempt := range strings.Lines(d.Input) {
-			r.AttemptStarted()
+			r.AttemptStarted("e")
 			for event := range strings.FieldsSeq(attempt) {
 				fmt.Fprintf(&out, "%s:%s ", event, receive(t, r.Delivery(), event))
 			}
--- a/core/relay/relay.go
+++ b/core/relay/relay.go
@@ -4,6 +4,7 @@
 package relay
 
 import (
+	"slices"
 	"time"
 
 	"github.com/kumquatsill/kumquatsill/core/proto"
@@ -147,6 +148,13 @@
 	retryReserved, owesRetry bool
 	// abandoned is set once an attempt was given up at an endpoint that may be sound.
 	abandoned bool
+	// endpoint is that of the current attempt. abandonedAt lists the endpoints at which an
+	// attempt was given up and none has failed since.
+	endpoint    proto.EndpointID
+	abandonedAt []proto.EndpointID
+	// returning is set once the route allows no further endpoint, but the begun response
+	// can go on at those of abandonedAt.
+	returning bool
 	// waits counts the Wait decisions.
 	waits int
 	// hasErrorResponse is set once an endpoint has returned a server error, which
@@ -183,9 +191,19 @@
 	return Decision{}, true
 }
 
-// AttemptStarted records the start of an attempt.
-func (r *Request) AttemptStarted() {
+// ReturnTo returns the endpoints to which the next attempt is restricted, or nil if any may
+// make it.
+func (r *Request) ReturnTo() []proto.EndpointID {
+	if !r.returning {
+		return nil
+	}
+	return r.abandonedAt
+}
+
+// AttemptStarted records the start of an attempt at an endpoint.
+func (r *Request) AttemptStarted(endpoint proto.EndpointID) {
 	r.sends++
+	r.endpoint = endpoint
 	r.delivery.startAttempt()
 }
 
@@ -207,10 +225,13 @@
 	case Broken:
 		r.unknownOutcomes++
 	case Stalled:
-		r.unknownOutcomes++
+		r.unknownOutcomes += r.stallOutcomes()
 		r.abandoned = true
 	}
-	if reason := r.stopReason(r.ran, r.unknownOutcomes, left); reason != "" {
+	r.recordAbandonment(result)
+	reason := r.stopReason(r.ran, r.unknownOutcomes, left)
+	r.returning = reason == attemptsSpent && r.canReturn(left)
+	if reason != "" && !r.returning {
 		return r.giveUp(reason)
 	}
 	switch {
@@ -224,6 +245,36 @@
 	return r.giveUp(retryBudgetSpent)
 }
 
+// recordAbandonment records whether the begun response may go on at the endpoint of the
+// attempt that has ended.
+func (r *Request) recordAbandonment(result Result) {
+	isCurrent := func(id proto.EndpointID) bool { return id == r.endpoint }
+	switch result {
+	case Stalled, Outdated:
+		if !slices.ContainsFunc(r.abandonedAt, isCurrent) {
+			r.abandonedAt = append(r.abandonedAt, r.endpoint)
+		}
+	case Failed, Unusable, Broken:
+		r.abandonedAt = slices.DeleteFunc(r.abandonedAt, isCurrent)
+	}
+}
+
+// canReturn reports whether the begun response can go on at an endpoint that it was given up
+// at. left is the time until the request's deadline.
+func (r *Request) canReturn(left time.Duration) bool {
+	return !r.delivery.IsEmpty() && len(r.abandonedAt) > 0 &&
+		r.unknownOutcomes < maxUnknownOutcomes && left >= minAttemptTime
+}
+
+// stallOutcomes returns the number of unknown outcomes that a stalled attempt counts as. A
+// request whose response has begun is not suspected of silencing its endpoint.
+func (r *Request) stallOutcomes() int {
+	if r.delivery.IsEmpty() {
+		return 1
+	}
+	return 0
+}
+
 // wait returns the decision to look for the next attempt later.
 func (r *Request) wait(reason string) Decision {
 	d := Decision{Action: Wait, Reason: reason, RetryAfter: min(minWait<<min(r.waits, maxWaitDoublings), maxWait)}
@@ -235,7 +286,7 @@
 // as Stalled. It returns why there can be none, or "" if AttemptEnded will return Retry.
 // Another goroutine may call it while the delivery does not change.
 func (r *Request) ReserveRetry(now proto.Instant, left time.Duration) string {
-	if reason := r.stopReason(r.ran+1, r.unknownOutcomes+1, left); reason != "" {
+	if reason := r.stopReason(r.ran+1, r.unknownOutcomes+r.stallOutcomes(), left); reason != "" {
 		return reason
 	}
 	if !r.retryReserved && !r.budget.Take(now) {
@@ -245,8 +296,13 @@
 	return ""
 }
 
-// retryBudgetSpent is the reason if the retry budget does not allow a retry.
-const retryBudgetSpent = "retry_budget_spent"
+// Reasons why a request is not retried.
+const (
+	// retryBudgetSpent means that the retry budget does not allow a retry.
+	retryBudgetSpent = "retry_budget_spent"
+	// attemptsSpent means that the route allows no further endpoint.
+	attemptsSpent = "attempts_spent"
+)
 
 // stopReason returns why a request may not be retried after a number of attempts that
 // ran or may have run, and of those without a valid response, or "".
@@ -257,7 +313,7 @@
 	case ran > 0 && !r.route.Repeatable():
 		return "may_have_run"
 	case ran >= max(1, r.route.Attempts):
-		return "attempts_spent"
+		return attemptsSpent
 	case r.sends >= maxSends && !r.IsCommitted():
 		return "sends_spent"
 	case unknownOutcomes >= maxUnknownOutcomes:
@@ -279,6 +335,9 @@
 	return d
 }
 
+// CannotReturn returns what to do when none of the endpoints of ReturnTo exists any more.
+func (r *Request) CannotReturn() Decision { return r.giveUp(attemptsSpent) }
+
 // CallerGone returns what to do when the caller leaves between two attempts.
 func (r *Request) CallerGone() Decision {
 	return Decision{Action: Drop, Reason: CallerGone.String()}
--- a/core/relay/relay_test.go
+++ b/core/relay/relay_test.go
@@ -74,9 +74,14 @@
 				fmt.Fprintf(&out, "%s: %s (%s)\n", name, d.Action, d.Reason)
 				continue
 			}
-			r.AttemptStarted()
+			name, endpoint, _ := strings.Cut(name, "@")
+			r.AttemptStarted(proto.EndpointID(cmp.Or(endpoint, fmt.Sprint(r.Sends()))))
 			a := r.AttemptEnded(0, parseResult(t, name), left)
-			fmt.Fprintf(&out, "%s: %s (%s)\n", name, a.Action, a.Reason)
+			fmt.Fprintf(&out, "%s: %s (%s)", name, a.Action, a.Reason)
+			if to := r.ReturnTo(); to != nil && (a.Action == relay.Retry || a.Action == relay.Wait) {
+				fmt.Fprintf(&out, " at %v", to)
+			}
+			out.WriteString("\n")
 		}
 		return out.String()
 	})
@@ -115,7 +120,7 @@
 				result := results[n%len(results)]
 				n /= len(results)
 				mayHaveRun = mayHaveRun || result.Verdict() != proto.NotRun
-				r.AttemptStarted()
+				r.AttemptStarted("e")
 				a := r.AttemptEnded(0, result, time.Second)
 				if a.Action == relay.Refuse && mayHaveRun {
 					t.Fatalf("refused as not run, but the request of kind %s may have run", route.Kind)
