serving: others leave the cache entries of an account that becomes isolated

Cause: the salt of a request depended on its own account alone, so that the shared one still held what the now isolated account had made.

Evidence: on the old code TestIsolatedAccountsShareNoCacheEntries fails in 12 of 13 cases ("B uses an entry of A"), TestIsolatedAccountLeavesNoCacheEntries with salts ["m.1."], then ["m.1.t1"] of the isolated account and ["m.1."] of the other, and TestLaterAttemptFollowsTheIsolation with salts ["m.1."].

Change: the shared namespace is a function of the set of isolated accounts, empty if there is none, computed once a configuration. The salt follows the configuration in force when the request is sent, not when it was admitted.

Conclusion: maker and user of an entry are both not isolated in the configuration of the router that uses it. What remains: a request that waits in an engine's queue while the configuration changes keeps its salt.

--- a/app/front/serve.go
+++ b/app/front/serve.go
@@ -338,15 +338,11 @@
 	return q
 }
 
-// salt returns the namespace of cache entries for a model version. Other
-// versions and, for an isolated account, other accounts have other namespaces,
-// so that no request uses their entries.
+// salt returns the salt of the cache entries for a model version. It follows the
+// configuration in force when the request is sent, which may isolate accounts that were
+// not isolated when it was admitted.
 func (x *request) salt(version int64) string {
-	isolation := ""
-	if x.account != nil && x.account.Isolated {
-		isolation = string(x.account.ID)
-	}
-	return fmt.Sprintf("%s.%d.%s", x.info.Model, version, isolation)
+	return fmt.Sprintf("%s.%d.%s", x.info.Model, version, x.front.config.Load().CacheNamespace(x.account))
 }
 
 // priority returns the priority of the request; 0 is the highest.
--- a/core/serving/config.go
+++ b/core/serving/config.go
@@ -163,6 +163,8 @@
 	MaxBody int64
 
 	keys map[proto.KeyHash]*Account
+	// sharedNamespace is the cache namespace of the accounts that are not isolated.
+	sharedNamespace string
 	// hosts holds the routes of each host, the longest prefix first.
 	hosts map[string][]*Route
 }
@@ -210,6 +212,7 @@
 		}
 		cfg.keys[hash] = account
 	}
+	cfg.sharedNamespace = sharedNamespace(cfg.Accounts)
 	for _, r := range c.Routes {
 		if err := cfg.addRoute(r); err != nil {
 			return nil, err
