front: a crash counts by the last byte of the answer, not by when its loss is noticed

Cause: isBeyondBegin measured from the first byte to the moment at which the lost connection was noticed. A machine that is back after two seconds resets its connections only then, so that every silent crash looked like a late one.

Evidence: TestRequestThatSilencesEnginesIsRefused fails on the code before ("4 runs, want 3"; possible_cause=false at each loss, 700 ms after the send).

Change: the answer counts as beyond its begin if its last byte came BeginPhase after its first, and the crash is dated by the last byte. An answer without a byte is dated by the loss as before.

--- a/app/front/crash_test.go
+++ b/app/front/crash_test.go
@@ -166,3 +166,22 @@
 		t.Errorf("%d more requests with the part reached engines, %d in all", n, before+n)
 	}
 }
+
+// Guards against a request that crashes engine after engine without ever being refused,
+// as the engines fall silent at the beginning of the answer and their connections are
+// reset only later.
+func TestRequestThatSilencesEnginesIsRefused(t *testing.T) {
+	b := newTestbed(t)
+	b.configure(func(cfg map[string]any) { cfg["tenants"].([]any)[0].(map[string]any)["ratePerS"] = 0 })
+	r := b.startReady("r1")
+	for _, e := range b.engines[:2] {
+		e.SetFailure(func(int) hosting.Failure { return hosting.SilentCrash })
+	}
+	runs := func() int { return len(b.engines[0].Runs()) + len(b.engines[1].Runs()) }
+	for range 4 {
+		r.call("/chat/1", "secret")
+	}
+	if n := runs(); n > 3 {
+		t.Errorf("%d runs, want 3", n)
+	}
+}
--- a/app/front/outcome.go
+++ b/app/front/outcome.go
@@ -1,6 +1,7 @@
 package front
 
 import (
+	"cmp"
 	"net/http"
 	"strings"
 	"time"
@@ -57,19 +58,20 @@
 func (a *attempt) recordLoss(now proto.Instant) {
 	x := a.request
 	x.front.log.Info("connection lost during a request", "id", x.info.ID, "endpoint", string(a.choice.Endpoint.ID),
-		"model", x.info.Model, "parts", partIDs(x.info.Parts), "traits", x.traits, "possible_cause", !a.isBeyondBegin(now))
-	if a.isBeyondBegin(now) {
+		"model", x.info.Model, "parts", partIDs(x.info.Parts), "traits", x.traits, "possible_cause", !a.isBeyondBegin())
+	if a.isBeyondBegin() {
 		return
 	}
-	x.front.crashes.ConnectionLost(now, a.choice.Endpoint.ID, x.traits)
+	lostAt := cmp.Or(a.lastByteAt, now) // a silent connection may be reset seconds later
+	x.front.crashes.ConnectionLost(lostAt, a.choice.Endpoint.ID, x.traits)
 	x.front.reportCrashChanges()
 	x.front.requestEarlySend()
 }
 
-// isBeyondBegin reports whether the answer began long enough ago that it did not crash
-// the endpoint.
-func (a *attempt) isBeyondBegin(now proto.Instant) bool {
-	return a.firstByteAt != 0 && now.Sub(a.firstByteAt) >= crash.BeginPhase
+// isBeyondBegin reports whether the answer went on for so long that it did not crash the
+// endpoint.
+func (a *attempt) isBeyondBegin() bool {
+	return a.lastByteAt.Sub(a.firstByteAt) >= crash.BeginPhase
 }
 
 // recordSurvival records that the request does not crash the endpoint.
--- a/standin/hosting/engine.go
+++ b/standin/hosting/engine.go
@@ -85,6 +85,9 @@
 	UnframedEnd
 	// ClientError responds with status 400.
 	ClientError
+	// SilentCrash sends one event of a stream, falls silent, and resets the connection
+	// silentCrashTime later.
+	SilentCrash
 )
 
 // NumFailures is the number of kinds of Failure that end by themselves or with the
@@ -465,6 +468,11 @@
 		if _, err := fmt.Fprintf(w, "id: %d\ndata: token %d\n\n", i, i); err != nil || control.Flush() != nil {
 			return
 		}
+		if f == SilentCrash {
+			time.Sleep(silentCrashTime)
+			resetConnection(w)
+			return
+		}
 		select {
 		case <-r.Context().Done():
 			return
@@ -485,6 +493,9 @@
 	_ = conn.Close()
 }
 
+// silentCrashTime is longer than the begin of an answer, and too short for a stall.
+const silentCrashTime = 700 * time.Millisecond
+
 // trickleInterval is the time between two bytes of a stream that never gets on.
 const trickleInterval = 50 * time.Millisecond
 
