soak: ports that another process has taken are chosen again

What was seen: trials of the review with up to six scripts beside each other ended twice because a router was not ready; the soak and the tests of app/front choose ports the same way, by a listener that they close before the router listens.

Cause: such a port lies in the range that the system gives to outgoing connections, so that any connection, and any other fleet, may take it meanwhile.

The soak starts a router with other ports if it ended since one was taken.

Evidence: TestTakenPortsAreChosenAgain; without the second choice it fails with "readiness at 127.0.0.1:..., exits [front-0: exit status 1]". The scripts under review/ stay as they are and still choose ports so.

--- a/app/front/testbed_test.go
+++ b/app/front/testbed_test.go
@@ -6,7 +6,6 @@
 	"fmt"
 	"io"
 	"log/slog"
-	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -16,6 +15,7 @@
 
 	"github.com/kumquatsill/kumquatsill/app/front"
 	"github.com/kumquatsill/kumquatsill/platform"
+	"github.com/kumquatsill/kumquatsill/standin/freeport"
 	"github.com/kumquatsill/kumquatsill/standin/hosting"
 )
 
@@ -104,12 +104,11 @@
 }
 
 func freeAddr(t *testing.T) string {
-	ln, err := net.Listen("tcp4", "127.0.0.1:0")
+	addr, err := freeport.Addr()
 	if err != nil {
 		t.Fatal(err)
 	}
-	defer func() { _ = ln.Close() }()
-	return ln.Addr().String()
+	return addr
 }
 
 func (b *testbed) start(name string) *router {
--- a/proof/soak/fleet.go
+++ b/proof/soak/fleet.go
@@ -4,6 +4,7 @@
 package soak
 
 import (
+	"bytes"
 	"encoding/json"
 	"fmt"
 	"net"
@@ -17,6 +18,7 @@
 	"syscall"
 	"time"
 
+	"github.com/kumquatsill/kumquatsill/standin/freeport"
 	"github.com/kumquatsill/kumquatsill/standin/hosting"
 )
 
@@ -26,6 +28,10 @@
 	heartbeatInterval = 300 * time.Millisecond
 	maxConfigDelay    = 2 * time.Second
 	host              = "soak.example"
+	// maxPortChoices limits how often the ports of a router are chosen.
+	maxPortChoices = 5
+	// startPoll is the time between two looks at a router that starts.
+	startPoll = 5 * time.Millisecond
 )
 
 // process is a router and its current process.
@@ -62,6 +68,8 @@
 	stop        chan struct{}
 	wait        sync.WaitGroup
 	faultLog    *os.File
+	// chooseAddr returns an address that a router listens on later.
+	chooseAddr func() (string, error)
 	// publishing orders the writes of configurations.
 	publishing sync.Mutex
 
@@ -80,7 +88,7 @@
 
 // NewFleet starts a fleet from a built router binary. Settings and logs go to dir.
 func NewFleet(binary, dir string, size Size) (*Fleet, error) {
-	f := &Fleet{binary: binary, dir: dir, store: hosting.NewLogStore(), stop: make(chan struct{}), version: 1, revoked: map[string]time.Time{}}
+	f := &Fleet{binary: binary, dir: dir, store: hosting.NewLogStore(), stop: make(chan struct{}), version: 1, revoked: map[string]time.Time{}, chooseAddr: freeport.Addr}
 	var err error
 	if f.faultLog, err = os.Create(filepath.Join(dir, "faults.log")); err != nil {
 		return nil, err
@@ -168,24 +176,60 @@
 	}
 }
 
+// addRouter starts a router for the first time. If another process has taken one of its
+// ports since they were chosen, it chooses others.
 func (f *Fleet) addRouter(i int) error {
 	p := &process{name: fmt.Sprint("front-", i), settingsPath: filepath.Join(f.dir, fmt.Sprintf("front-%d.json", i))}
-	for _, addr := range []*string{&p.callerAddr, &p.readinessAddr} {
-		ln, err := net.Listen("tcp4", "127.0.0.1:0")
-		if err != nil {
+	f.routers = append(f.routers, p)
+	for range maxPortChoices {
+		if err := f.writeSettings(p); err != nil {
+			return err
+		}
+		if err := f.startRouter(p); err != nil {
 			return err
 		}
-		*addr = ln.Addr().String()
-		_ = ln.Close()
+		if !f.portsTaken(p) {
+			return nil
+		}
+		f.mu.Lock()
+		f.unexpectedExits = nil
+		f.mu.Unlock()
 	}
-	conn, err := net.ListenPacket("udp4", "127.0.0.1:0")
-	if err != nil {
-		return err
+	return fmt.Errorf("%s: ports were taken %d times", p.name, maxPortChoices)
+}
+
+// portsTaken waits until a router has started or exited, and reports whether it exited because
+// another process listens on one of its ports.
+func (f *Fleet) portsTaken(p *process) bool {
+	for {
+		exited := false
+		select {
+		case <-p.done:
+			exited = true
+		case <-time.After(startPoll):
+		}
+		log, err := os.ReadFile(f.logPath(p))
+		if exited {
+			return err == nil && bytes.Contains(log, []byte(syscall.EADDRINUSE.Error()))
+		}
+		if err == nil && bytes.Contains(log, []byte(`"msg":"started"`)) {
+			return false
+		}
+	}
+}
+
+func (f *Fleet) logPath(p *process) string { return filepath.Join(f.dir, p.name+".log") }
+
+// writeSettings chooses the addresses of a router and writes its settings file.
+func (f *Fleet) writeSettings(p *process) error {
+	for _, addr := range []*string{&p.callerAddr, &p.readinessAddr, &p.peerAddr} {
+		var err error
+		if *addr, err = f.chooseAddr(); err != nil {
+			return err
+		}
 	}
-	p.peerAddr = conn.LocalAddr().String()
-	_ = conn.Close()
 	_, port, _ := net.SplitHostPort(p.peerAddr)
-	number, _ := strconv.Atoi(port) // the port comes from a listener
+	number, _ := strconv.Atoi(port) // the port was chosen as a number
 	settings, err := json.Marshal(map[string]any{
 		"nodeName": p.name, "ipAddress": "127.0.0.1", "zone": zone,
 		"listenAddresses": map[string]string{"front": p.callerAddr, "ready": p.readinessAddr}, "internalPortRange": []int{number, number},
@@ -197,15 +241,11 @@
 	if err != nil {
 		return err
 	}
-	if err := os.WriteFile(p.settingsPath, settings, 0o600); err != nil {
-		return err
-	}
-	f.routers = append(f.routers, p)
-	return f.startRouter(p)
+	return os.WriteFile(p.settingsPath, settings, 0o600)
 }
 
 func (f *Fleet) startRouter(p *process) error {
-	log, err := os.OpenFile(filepath.Join(f.dir, p.name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	log, err := os.OpenFile(f.logPath(p), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
 	if err != nil {
 		return err
 	}
--- a/proof/soak/soak_test.go
+++ b/proof/soak/soak_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"os"
@@ -9,6 +10,7 @@
 	"testing"
 	"time"
 
+	"github.com/kumquatsill/kumquatsill/standin/freeport"
 	"github.com/kumquatsill/kumquatsill/standin/hosting"
 )
 
@@ -49,6 +51,38 @@
 	}
 }
 
+// Guards against a fleet that does not start, or reports an exit, because another process has
+// taken a port of a router since it was chosen.
+func TestTakenPortsAreChosenAgain(t *testing.T) {
+	binary, err := Build(t.TempDir())
+	if err != nil {
+		t.Fatal(err)
+	}
+	f, err := NewFleet(binary, t.TempDir(), Size{})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer f.Close()
+	taken, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = taken.Close() }()
+	choices := 0
+	f.chooseAddr = func() (string, error) {
+		if choices++; choices == 2 {
+			return taken.Addr().String(), nil
+		}
+		return freeport.Addr()
+	}
+	if err := f.addRouter(0); err != nil {
+		t.Fatal(err)
+	}
+	if f.routers[0].readinessAddr == taken.Addr().String() || len(f.unexpectedExits) > 0 {
+		t.Errorf("readiness at %s, exits %v", f.routers[0].readinessAddr, f.unexpectedExits)
+	}
+}
+
 // Guards against checks that cannot fail: each case breaks one guarantee.
 func TestChecksNotice(t *testing.T) {
 	router := &process{disturbedAt: time.Now().Add(-time.Hour)}
