settings: a process goes on when the reader of its log goes away

What callers saw: when whoever reads a router's standard output goes away, the router ended by SIGPIPE with everything that it had in flight.

Cause: the Go runtime ends a program on a write to a broken pipe at standard output or error unless it handles SIGPIPE. front.LogWriter ignored the error, which it never got.

Evidence: TestRouterOutlivesTheReaderOfItsLog on the old code: "the router ended: signal: broken pipe".

Change: RunUntilSignal, which runs routers and agents, ignores SIGPIPE; LogWriter counts the lines of a failed write as dropped (kumquatsill_log_lines_dropped_total). The report of the drops, one line a second, is dropped and counted as well while nobody reads. The operators' tools still end by SIGPIPE, as pipelines expect.

--- /dev/null
+++ b/app/e2e/front_test.go
@@ -0,0 +1,158 @@
+package e2e_test
+
+import (
+	"bufio"
+	"encoding/json"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/kumquatsill/kumquatsill/standin/freeport"
+	"github.com/kumquatsill/kumquatsill/standin/hosting"
+)
+
+// hostedRouter is a router process as the deploy file starts it, beside a stand-in of the
+// platform's store.
+type hostedRouter struct {
+	t            *testing.T
+	cmd          *exec.Cmd
+	settingsPath string
+	// settings is the content of the settings file.
+	settings  map[string]any
+	readyAddr string
+	exited    chan struct{}
+}
+
+func freeAddr(t *testing.T) string {
+	t.Helper()
+	addr, err := freeport.Addr()
+	if err != nil {
+		t.Fatal(err)
+	}
+	return addr
+}
+
+// newHostedRouter returns a router with settings that are not written yet, which is not
+// started.
+func newHostedRouter(t *testing.T, args ...string) *hostedRouter {
+	t.Helper()
+	store := hosting.NewLogStore()
+	store.PutKey("keyed.op", "config", map[string]any{"version": 1})
+	server := httptest.NewServer(store)
+	t.Cleanup(func() {
+		server.CloseClientConnections()
+		server.Close()
+	})
+	_, peerPort, _ := strings.Cut(freeAddr(t), ":")
+	port, err := strconv.Atoi(peerPort)
+	if err != nil {
+		t.Fatal(err)
+	}
+	r := &hostedRouter{t: t, settingsPath: filepath.Join(t.TempDir(), "boot.json"), readyAddr: freeAddr(t), exited: make(chan struct{})}
+	r.settings = map[string]any{
+		"nodeName": "front-1", "ipAddress": "127.0.0.1", "zone": "zone-a",
+		"listenAddresses":   map[string]string{"front": freeAddr(t), "ready": r.readyAddr},
+		"internalPortRange": []int{port, port},
+		"bounds":            map[string]any{"gracePeriodS": 1, "budgetWindowS": 10, "contactMs": 1000},
+		"platform":          map[string]any{"address": server.Listener.Addr().String(), "form": "log"},
+	}
+	r.cmd = exec.Command(filepath.Join(binDir, "kumquatsill"), append([]string{"front", "--settings", r.settingsPath}, args...)...)
+	return r
+}
+
+func (r *hostedRouter) writeSettings(path string) {
+	r.t.Helper()
+	data, err := json.Marshal(r.settings)
+	if err != nil {
+		r.t.Fatal(err)
+	}
+	if err := os.WriteFile(path, data, 0o600); err != nil {
+		r.t.Fatal(err)
+	}
+}
+
+func (r *hostedRouter) start() {
+	r.t.Helper()
+	if err := r.cmd.Start(); err != nil {
+		r.t.Fatal(err)
+	}
+	go func() {
+		_ = r.cmd.Wait() // ends by a signal
+		close(r.exited)
+	}()
+	r.t.Cleanup(func() {
+		_ = r.cmd.Process.Kill()
+		<-r.exited
+	})
+}
+
+// get returns the body of a page, or "" unless the status is 200.
+func get(url string) string {
+	resp, err := http.Get(url)
+	if err != nil {
+		return ""
+	}
+	defer func() { _ = resp.Body.Close() }()
+	body, err := io.ReadAll(resp.Body)
+	if err != nil || resp.StatusCode != http.StatusOK {
+		return ""
+	}
+	return string(body) + "\n"
+}
+
+// await waits until a condition holds; the router must not exit meanwhile.
+func (r *hostedRouter) await(what string, done func() bool) {
+	r.t.Helper()
+	for end := time.Now().Add(waitTimeout); !done(); time.Sleep(pollInterval) {
+		select {
+		case <-r.exited:
+			r.t.Fatalf("waiting for %s: the router ended: %v", what, r.cmd.ProcessState)
+		default:
+		}
+		if time.Now().After(end) {
+			r.t.Fatalf("timed out waiting for %s", what)
+		}
+	}
+}
+
+func (r *hostedRouter) awaitReady() {
+	r.t.Helper()
+	r.await("readiness", func() bool { return get("http://"+r.readyAddr+"/kumquatsill/readiness") != "" })
+}
+
+// Guards against a router that ends by SIGPIPE when the reader of its log goes away, and
+// against lines that are lost without being counted.
+func TestRouterOutlivesTheReaderOfItsLog(t *testing.T) {
+	t.Parallel()
+	r := newHostedRouter(t)
+	r.writeSettings(r.settingsPath)
+	reader, writer, err := os.Pipe()
+	if err != nil {
+		t.Fatal(err)
+	}
+	r.cmd.Stdout = writer
+	r.start()
+	_ = writer.Close()
+	if line, err := bufio.NewReader(reader).ReadString('\n'); err != nil {
+		t.Fatalf("%q, %v", line, err)
+	}
+	_ = reader.Close()
+	r.awaitReady()
+	callers := r.settings["listenAddresses"].(map[string]string)["front"]
+	for range 3 {
+		get("http://" + callers + "/none/1") // each refusal is one line
+	}
+	r.await("dropped lines are counted", func() bool {
+		_, count, _ := strings.Cut(get("http://"+r.readyAddr+"/metrics"), "\nkumquatsill_log_lines_dropped_total ")
+		count, _, _ = strings.Cut(count, "\n")
+		n, _ := strconv.Atoi(count) // 0 if there is none
+		return n >= 3
+	})
+}
--- a/app/front/log.go
+++ b/app/front/log.go
@@ -1,6 +1,7 @@
 package front
 
 import (
+	"bytes"
 	"io"
 	"log/slog"
 	"sync/atomic"
@@ -17,7 +18,7 @@
 )
 
 // LogWriter writes log lines asynchronously, so that logging never blocks.
-// Lines that do not fit into a bounded queue are dropped and counted.
+// Lines that do not fit into a bounded queue, or cannot be written, are dropped and counted.
 type LogWriter struct {
 	lines   chan []byte
 	dropped atomic.Int64
@@ -71,7 +72,9 @@
 			}
 		}
 		// A failed write, such as to a closed pipe, must not end the process.
-		_, _ = w.Write(batch)
+		if n, err := w.Write(batch); err != nil {
+			l.dropped.Add(int64(bytes.Count(batch[n:], []byte("\n"))))
+		}
 	}
 }
 
--- a/app/settings/run.go
+++ b/app/settings/run.go
@@ -161,8 +161,10 @@
 }
 
 // RunUntilSignal starts a process and drains it on SIGTERM or SIGINT, or when it has
-// failed. A second signal terminates the program at once.
+// failed. A second signal terminates the program at once. A process whose log has lost its
+// reader goes on.
 func RunUntilSignal(p Process) error {
+	signal.Ignore(syscall.SIGPIPE)
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	defer stop()
 	p.Start()
