app/front: a stopping router refuses what it may not complete, and cuts only in the last sixth

What callers saw: at a planned stop in calm, requests on connections that were opened before it and used 2.5 s or more after it were closed unread; requests that may not be repeated were taken 0.4 s after SIGTERM and cut with 504 at its end; with a grace period of 4 s or less, engines' work was cut before the last sixth of it. No caller could tell whether its request had run.

Cause: two constants (2.5 s, 0.7 s) that did not depend on the grace period, and net/http's Shutdown, which closes connections that are idle at that moment. What was read before was taken whatever its deadline.

Change: the times of a stop follow from the grace period (stopTimes). The last eighth of it, 0.7 s at most, is left for the exit. Before, the router keeps its connections and answers each request: it takes what has its deadline before the cut; of the rest, requests that may run again for the first 2.5 s, at most half of the grace period; all others are refused with 503, not run, and Connection: close. This holds up to the moment at which a request is sent for the first time, and for one whose body still arrives. The router leaves as soon as no caller is connected, at the earliest after 2.5 s, so that a stop beside idle connections lasts until the cut now.

--- a/app/cmd/kumquatsill/front.go
+++ b/app/cmd/kumquatsill/front.go
@@ -17,8 +17,10 @@
 	// memoryLimitFraction is the fraction of the process's memory limit that is
 	// given to the Go runtime as its soft limit.
 	memoryLimitFraction = 0.7
-	// logFlushTimeout limits the wait for buffered log lines at exit.
+	// logFlushTimeout limits the wait for buffered log lines at exit, as does the share
+	// of the grace period that logFlushShare divides it into.
 	logFlushTimeout = 300 * time.Millisecond
+	logFlushShare   = 16
 )
 
 type frontFlags struct {
@@ -58,7 +60,7 @@
 		debug.SetMemoryLimit(int64(memoryLimitFraction * float64(s.MemoryBytes)))
 	}
 	out := front.NewLogWriter(os.Stdout)
-	defer out.Close(logFlushTimeout)
+	defer out.Close(min(logFlushTimeout, s.GracePeriod/logFlushShare))
 	var level slog.Level
 	if err := level.UnmarshalText([]byte(f.LogLevel)); err != nil {
 		return &settings.Error{Problems: []string{err.Error()}}
--- a/app/front/attempt.go
+++ b/app/front/attempt.go
@@ -35,7 +35,6 @@
 var (
 	errStalled  = errors.New("no answer in time from an endpoint")
 	errOutdated = errors.New("not begun when the endpoint's version became too old")
-	errStopping = errors.New("the router stops")
 )
 
 // nextAttempt sends the request to one endpoint and decides what follows.
@@ -47,6 +46,9 @@
 	case x.r.Context().Err() != nil:
 		return x.relay.CallerGone()
 	}
+	if !x.relay.MayHaveRun() && x.isTooLate() {
+		return x.relay.NoEndpoint(reasonStopping, stoppingRetryAfter)
+	}
 	if decision, ok := x.relay.Resume(now); !ok {
 		return decision
 	}
--- a/app/front/front.go
+++ b/app/front/front.go
@@ -35,14 +35,6 @@
 var Error = errs.Class("front")
 
 const (
-	// deregistrationDelay is how long after SIGTERM new connections may still
-	// arrive: the load balancer removes a host after two failed readiness
-	// checks, one per second.
-	deregistrationDelay = 2500 * time.Millisecond
-	// lastAnswerTime is how long requests that a stop ends may take to say so.
-	lastAnswerTime = 100 * time.Millisecond
-	// exitMargin is the part of the grace period reserved for the process to exit.
-	exitMargin = 700 * time.Millisecond
 	// versionStartMargin is the part of a model version's lifetime reserved for a
 	// request to reach its engine and begin. Requests that are expected to wait
 	// for longer are not sent, and those that do are withdrawn.
@@ -93,8 +85,10 @@
 	config atomic.Pointer[serving.Config]
 	// storeReadAt is when the operator's records were last read.
 	storeReadAt atomic.Int64
-	draining    atomic.Bool
-	inFlight    atomic.Int64
+	// stop is nil until the router stops.
+	stop atomic.Pointer[stopTimes]
+	// inFlight counts the requests of callers, callerConns their connections.
+	inFlight, callerConns atomic.Int64
 
 	quota  *quota.Tracker
 	placer *place.Placer
@@ -220,6 +214,7 @@
 	f.callerServer = &http.Server{
 		Handler:           http.HandlerFunc(f.serve),
 		BaseContext:       func(net.Listener) context.Context { return requests },
+		ConnState:         func(_ net.Conn, state http.ConnState) { f.callerConns.Add(connChange[state]) },
 		ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
 		ErrorLog: slog.NewLogLogger(f.log.Handler(), slog.LevelWarn),
 	}
@@ -276,38 +271,6 @@
 	return nil
 }
 
-// Drain implements settings.Process: it takes this host out of rotation,
-// completes the requests in flight, and stops.
-func (f *Front) Drain() error {
-	started := time.Now()
-	f.draining.Store(true)
-	gracePeriod := f.settings.Load().GracePeriod
-	f.log.Info("draining", "in_flight", f.inFlight.Load(), "for", gracePeriod.String())
-	deadline := started.Add(gracePeriod - exitMargin)
-	time.Sleep(min(deregistrationDelay, time.Until(deadline)))
-	ctx, cancel := context.WithDeadline(context.Background(), deadline)
-	defer cancel()
-	err := f.callerServer.Shutdown(ctx)
-	if err != nil {
-		f.log.Warn("requests aborted at the end of the stop time", "in_flight", f.inFlight.Load())
-		f.endRequests(errStopping)
-		lastAnswers, cancelLast := context.WithTimeout(context.Background(), lastAnswerTime)
-		defer cancelLast()
-		_ = f.callerServer.Shutdown(lastAnswers) // what is left then is closed below
-	}
-	f.announceLeaving()
-	release, cancelRelease := context.WithTimeout(context.Background(), exitMargin/2)
-	defer cancelRelease()
-	f.releaseLease(release)
-	f.tomb.Kill(nil)
-	_ = f.readinessServer.Close()
-	_ = f.callerServer.Close()
-	_ = f.peerConn.Close()
-	err = f.tomb.Wait()
-	f.log.Info("stopped", "after", time.Since(started).String())
-	return err
-}
-
 // Reload reads the settings file again and puts it in force, except for the
 // identity and the addresses of this process, which need a restart. An invalid
 // file changes nothing.
@@ -337,7 +300,7 @@
 	return nil
 }
 
-func (f *Front) isReady() bool { return !f.draining.Load() && f.config.Load() != nil }
+func (f *Front) isReady() bool { return f.stop.Load() == nil && f.config.Load() != nil }
 
 // every calls f at intervals until the context ends.
 func every(ctx context.Context, interval time.Duration, f func(now proto.Instant)) error {
--- a/app/front/response.go
+++ b/app/front/response.go
@@ -84,6 +84,7 @@
 
 // writeHead writes the head of a response that is forwarded as it arrives.
 func (x *request) writeHead(resp *upstream.Response) {
+	x.closeIfStopping()
 	platform.CopyResponseHeader(x.w.Header(), resp.Header, x.route.Kind != serving.Stream)
 	x.w.WriteHeader(resp.Status)
 }
