app/front: a stopping router takes what requests of its route have lately needed

What callers saw: from the SIGTERM on, each request that may not run again was refused if its own time limit lay beyond the end of the stop, even where such requests take a second. Cause: the time limit was the only thing known of how long a request may take. Change: each router keeps the longest time that requests of each route have taken in the last 30 to 60 seconds; in the first part of a stop a request is taken if that much is left. Without such knowledge, or later, it is refused as before.

--- a/app/front/front.go
+++ b/app/front/front.go
@@ -23,6 +23,7 @@
 	"github.com/kumquatsill/kumquatsill/core/place"
 	"github.com/kumquatsill/kumquatsill/core/proto"
 	"github.com/kumquatsill/kumquatsill/core/quota"
+	"github.com/kumquatsill/kumquatsill/core/relay"
 	"github.com/kumquatsill/kumquatsill/core/serving"
 	"github.com/kumquatsill/kumquatsill/core/upgrade"
 	"github.com/kumquatsill/kumquatsill/platform"
@@ -89,6 +90,8 @@
 	stop atomic.Pointer[stopTimes]
 	// inFlight counts the requests of callers, callerConns their connections.
 	inFlight, callerConns atomic.Int64
+	// durations holds how long requests of each route take.
+	durations relay.Durations
 
 	quota  *quota.Tracker
 	placer *place.Placer
--- a/app/front/serve.go
+++ b/app/front/serve.go
@@ -317,7 +317,12 @@
 		x.respond(status, 0)
 	}
 	x.logFinished(decision, status)
-	x.front.metrics.finished(x.route, decision, driver.Now().Sub(x.arrived))
+	now := driver.Now()
+	took := now.Sub(x.arrived)
+	if x.relay.MayHaveRun() && decision.Action != relay.Drop {
+		x.front.durations.Record(now, x.route.Name, took)
+	}
+	x.front.metrics.finished(x.route, decision, took)
 	if decision.Action == relay.Abort || decision.Action == relay.Drop {
 		panic(http.ErrAbortHandler) // net/http closes the connection without completing the body
 	}
--- a/app/front/stop.go
+++ b/app/front/stop.go
@@ -96,13 +96,19 @@
 }
 
 // isTooLate reports whether a request must be refused because the router stops before the
-// request's deadline. One that may not run again must not be cut.
+// request's deadline. One that may not run again must not be cut: it is only taken if
+// requests of its route have lately ended in the time that is left.
 func (x *request) isTooLate() bool {
 	stop := x.front.stop.Load()
 	if stop == nil || x.deadline <= stop.cutAt {
 		return false
 	}
-	return !x.route.Repeatable() || driver.Now() >= stop.takesUntil
+	now := driver.Now()
+	if now >= stop.takesUntil || x.route.Repeatable() {
+		return now >= stop.takesUntil
+	}
+	longest, ok := x.front.durations.Longest(now, x.route.Name)
+	return !ok || now.Add(longest) > stop.cutAt
 }
 
 func (x *request) rejectStopping() bool {
