--- a/app/cmd/kumquatsill/front.go
+++ b/app/cmd/kumquatsill/front.go
@@ -50,6 +50,9 @@
 	if err := c.Err(); err != nil {
 		return err
 	}
+	// A SIGHUP that arrives while the settings are read for the first time waits here.
+	hangups := make(chan os.Signal, 1)
+	signal.Notify(hangups, syscall.SIGHUP)
 	s, err := platform.ReadSettings(f.Settings)
 	if err != nil {
 		return &settings.Error{Problems: []string{err.Error()}}
@@ -70,22 +73,10 @@
 	if err != nil {
 		return err
 	}
-	stop := reloadOnHangup(p)
-	defer stop()
-	return settings.RunUntilSignal(p)
-}
-
-// reloadOnHangup reloads the settings on each SIGHUP until stop is called.
-func reloadOnHangup(p *front.Front) (stop func()) {
-	hangups := make(chan os.Signal, 1)
-	signal.Notify(hangups, syscall.SIGHUP)
 	go func() {
 		for range hangups {
 			p.Reload()
 		}
 	}()
-	return func() {
-		signal.Stop(hangups)
-		close(hangups)
-	}
+	return settings.RunUntilSignal(p)
 }
--- a/app/cmd/kumquatsill/main.go
+++ b/app/cmd/kumquatsill/main.go
@@ -32,7 +32,8 @@
 
 func main() {
 	// The platform may send SIGHUP at any time, and its default action ends the
-	// process. Commands that can reload their settings install a handler.
+	// process. Commands that can reload their settings install a handler. Builds
+	// with cgo ignore it from the start (hangup.go).
 	signal.Ignore(syscall.SIGHUP)
 	os.Exit(run(streams{in: os.Stdin, out: os.Stdout, err: os.Stderr}, os.Args[1:]))
 }
--- a/app/e2e/front_test.go
+++ b/app/e2e/front_test.go
@@ -11,6 +11,7 @@
 	"path/filepath"
 	"strconv"
 	"strings"
+	"syscall"
 	"testing"
 	"time"
 
@@ -156,3 +157,79 @@
 		return n >= 3
 	})
 }
+
+// Guards against a router that ends by a SIGHUP that arrives before its handler stands.
+func TestHangupDuringTheStart(t *testing.T) {
+	t.Parallel()
+	for range 5 {
+		r := newHostedRouter(t)
+		r.writeSettings(r.settingsPath)
+		// The runtime reports the first package that is initialized, long before main.
+		r.cmd.Env = append(os.Environ(), "GODEBUG=inittrace=1")
+		stderr, err := r.cmd.StderrPipe()
+		if err != nil {
+			t.Fatal(err)
+		}
+		r.start()
+		if _, err := bufio.NewReader(stderr).ReadString('\n'); err != nil {
+			t.Fatal(err)
+		}
+		if err := r.cmd.Process.Signal(syscall.SIGHUP); err != nil {
+			t.Fatal(err)
+		}
+		go func() { _, _ = io.Copy(io.Discard, stderr) }() // ends with the process
+		r.awaitReady()
+	}
+}
+
+// Guards against a SIGHUP that is lost because it arrives while the router reads its
+// settings for the first time, so that it goes on with the old ones.
+func TestHangupWhileSettingsAreRead(t *testing.T) {
+	t.Parallel()
+	r := newHostedRouter(t)
+	if err := syscall.Mkfifo(r.settingsPath, 0o600); err != nil {
+		t.Fatal(err)
+	}
+	out, err := r.cmd.StdoutPipe()
+	if err != nil {
+		t.Fatal(err)
+	}
+	r.start()
+	fifo, err := os.OpenFile(r.settingsPath, os.O_WRONLY, 0) // waits until the router reads
+	if err != nil {
+		t.Fatal(err)
+	}
+	old, err := json.Marshal(r.settings)
+	if err != nil {
+		t.Fatal(err)
+	}
+	r.settings["heartbeatIntervalMs"] = 1234
+	next := r.settingsPath + ".next"
+	r.writeSettings(next)
+	if err := os.Rename(next, r.settingsPath); err != nil {
+		t.Fatal(err)
+	}
+	if err := r.cmd.Process.Signal(syscall.SIGHUP); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := fifo.Write(old); err != nil {
+		t.Fatal(err)
+	}
+	_ = fifo.Close()
+	reloaded := make(chan struct{})
+	go func() {
+		for lines := bufio.NewScanner(out); lines.Scan(); {
+			if strings.Contains(lines.Text(), `"settings reloaded","changed":true`) {
+				close(reloaded)
+				return
+			}
+		}
+	}()
+	select {
+	case <-reloaded:
+	case <-r.exited:
+		t.Fatalf("the router ended: %v", r.cmd.ProcessState)
+	case <-time.After(5 * time.Second):
+		t.Fatal("the new settings are not in force")
+	}
+}
