front: a configuration without accounts serves requests without a key

Cause: authenticate asked for a key on each route that is not public, whatever the configuration holds.

Evidence: TestKeysAreAskedForOnlyIfThereAreAccounts on the old code: 401 in place of 200 on the three routes without key, with tenants absent and null.

Change: Config.Keyless is set if the configuration has no tenants at all. An empty list keeps asking for keys, as an operator who removes the last account means to let nobody in. The line "configuration in force" tells it.

--- a/app/front/serve.go
+++ b/app/front/serve.go
@@ -146,7 +146,7 @@
 }
 
 func (x *request) authenticate() bool {
-	if x.route.Unauthenticated {
+	if x.route.Unauthenticated || x.config.Keyless && x.info.Key == "" {
 		return true
 	}
 	f := x.front
--- a/app/front/watch.go
+++ b/app/front/watch.go
@@ -227,7 +227,7 @@
 	f.config.Store(cfg)
 	f.followStores(cfg)
 	f.log.Info("configuration in force", "revision", int64(cfg.Revision), "offset", r.At.Offset,
-		"routes", cfg.RouteCount(), "accounts", len(cfg.Accounts), "keys", cfg.KeyCount())
+		"routes", cfg.RouteCount(), "accounts", len(cfg.Accounts), "keys", cfg.KeyCount(), "keyless", cfg.Keyless)
 }
 
 func (f *Front) applyVersion(now proto.Instant, r platform.Record) {
--- a/core/serving/config.go
+++ b/core/serving/config.go
@@ -161,6 +161,8 @@
 	// MaxBody is the maximum size of a request body in bytes, or 0 if the
 	// operator sets none.
 	MaxBody int64
+	// Keyless is set if requests need no key, as the operator uses no accounts.
+	Keyless bool
 
 	keys map[proto.KeyHash]*Account
 	// sharedNamespace is the cache namespace of the accounts that are not isolated.
@@ -177,8 +179,9 @@
 	Accounts []*Account
 	// Keys maps the hash of each key to its account.
 	Keys map[proto.KeyHash]proto.AccountID
-	// MaxBody is copied to Config.MaxBody.
+	// MaxBody and Keyless are copied to the Config.
 	MaxBody int64
+	Keyless bool
 }
 
 // New builds a configuration. It fails on a route without target or host, on a
@@ -193,6 +196,7 @@
 		Services: make(map[string]*Service, len(c.Services)),
 		Accounts: make(map[proto.AccountID]*Account, len(c.Accounts)),
 		MaxBody:  c.MaxBody,
+		Keyless:  c.Keyless,
 		keys:     make(map[proto.KeyHash]*Account, len(c.Keys)),
 		hosts:    map[string][]*Route{},
 	}
