front: tests of Retry-After times that an engine should not name

That is the stated bound (docs/OPERATIONS.md, core/endpointstate maxPause); no fault was found and no code is changed.

Evidence: TestPauseEndsInTime now has 60.001 s, and 90 s followed by 1e9 s: 60 s each. TestOddRetryAfterTimes has an engine of a running router refuse with 90, 1e9, 1e999, 0, -5, NaN and a date: no request fails, the router goes on, the first three keep it away, the others do not.

Conclusion: what remains open is an engine that truly wants nothing for longer than 60 s: each router asks it again after that.

--- a/app/front/pause_test.go
+++ b/app/front/pause_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/http"
+	"slices"
 	"strconv"
 	"testing"
 	"time"
@@ -74,6 +75,42 @@
 	}
 }
 
+// Guards against a Retry-After time beyond the bound, or one that is no time, that ends the
+// router, fails requests, or shuts the engine out though it names no time.
+func TestOddRetryAfterTimes(t *testing.T) {
+	for value, names := range map[string]bool{"90": true, "1e9": true, "1e999": true, "0": false, "-5": false, "NaN": false,
+		"Wed, 21 Oct 2026 07:28:00 GMT": false} {
+		t.Run(value, func(t *testing.T) {
+			b := newTestbed(t)
+			b.configure(unlimited)
+			r := b.startReady("r1")
+			odd := b.engines[2]
+			odd.RefuseWithRetryAfter(func() string { return value })
+			eventually(t, "the engine refuses", func() bool {
+				if failed := r.callFor(50 * time.Millisecond); failed > 0 {
+					t.Errorf("%d requests refused although another engine takes them", failed)
+				}
+				return slices.ContainsFunc(odd.Arrivals(), func(a hosting.Arrival) bool { return a.RetryAfter == value })
+			})
+			odd.RefuseWithRetryAfter(func() string { return "" })
+			if names {
+				time.Sleep(pauseSlack)
+				from := time.Now()
+				r.callFor(time.Second)
+				if n := arrivalsAfter(odd, from); n > maxPausedArrivals {
+					t.Errorf("%d requests reached the engine while it wanted none", n)
+				}
+				return
+			}
+			from := time.Now()
+			eventually(t, "the engine gets requests again", func() bool {
+				r.callFor(50 * time.Millisecond)
+				return arrivalsAfter(odd, from) > 0
+			})
+		})
+	}
+}
+
 // Guards against orders and queries that an engine gets beyond what it allows while it
 // wants no requests, and against weights that it never loads.
 func TestOrdersToAnEngineThatWantsNothing(t *testing.T) {
--- a/core/endpointstate/pause_test.go
+++ b/core/endpointstate/pause_test.go
@@ -27,6 +27,8 @@
 		{"a shorter one later", []time.Duration{3 * time.Second, time.Second}, 3 * time.Second},
 		{"a longer one later", []time.Duration{time.Second, 3 * time.Second}, 3 * time.Second},
 		{"huge", []time.Duration{math.MaxInt64}, longestPause},
+		{"beyond the bound", []time.Duration{longestPause + time.Millisecond}, longestPause},
+		{"beyond the bound again", []time.Duration{90 * time.Second, 1e9 * time.Second}, longestPause},
 		{"none", []time.Duration{0}, 0},
 		{"negative", []time.Duration{-time.Second}, 0},
 	} {
