--- a/app/cmd/kumquatsill/front.go
+++ b/app/cmd/kumquatsill/front.go
@@ -22,8 +22,9 @@
 )
 
 type frontFlags struct {
-	Settings string `long:"settings" env:"KUMQUATSILL_BOOT" description:"path of the platform's settings file"`
-	LogLevel string `long:"log-level" env:"KUMQUATSILL_LOG_LEVEL" default:"info" description:"least level of log lines: debug, info, warn or error"`
+	Settings    string `long:"settings" env:"KUMQUATSILL_BOOT" description:"path of the platform's settings file"`
+	MetricsPort uint16 `long:"metrics-port" env:"KUMQUATSILL_METRICS_PORT" description:"port of this host at which metrics are served, beside the address for readiness checks"`
+	LogLevel    string `long:"log-level" env:"KUMQUATSILL_LOG_LEVEL" default:"info" description:"least level of log lines: debug, info, warn or error"`
 }
 
 func frontCommand() settings.Command {
@@ -67,7 +68,7 @@
 		return &settings.Error{Problems: []string{err.Error()}}
 	}
 	p, err := front.New(front.Config{
-		Settings: s, SettingsPath: f.Settings, LogDropped: out.Dropped,
+		Settings: s, MetricsPort: f.MetricsPort, SettingsPath: f.Settings, LogDropped: out.Dropped,
 		Log: slog.New(slog.NewJSONHandler(out, &slog.HandlerOptions{Level: level})),
 	})
 	if err != nil {
--- a/app/e2e/front_test.go
+++ b/app/e2e/front_test.go
@@ -3,7 +3,10 @@
 import (
 	"bufio"
 	"encoding/json"
+	"fmt"
 	"io"
+	"math/rand/v2"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"os"
@@ -45,7 +48,11 @@
 func newHostedRouter(t *testing.T, args ...string) *hostedRouter {
 	t.Helper()
 	store := hosting.NewLogStore()
-	store.PutKey("keyed.op", "config", map[string]any{"version": 1})
+	store.PutKey("keyed.op", "config", map[string]any{
+		"version":  1,
+		"services": []any{map[string]any{"name": "plain"}},
+		"routes":   []any{map[string]any{"name": "look", "host": "127.0.0.1", "pathPrefix": "/look/", "kind": "safe", "service": "plain", "attempts": 1}},
+	})
 	server := httptest.NewServer(store)
 	t.Cleanup(func() {
 		server.CloseClientConnections()
@@ -68,6 +75,10 @@
 	return r
 }
 
+func (r *hostedRouter) callerAddr() string {
+	return r.settings["listenAddresses"].(map[string]string)["front"]
+}
+
 func (r *hostedRouter) writeSettings(path string) {
 	r.t.Helper()
 	data, err := json.Marshal(r.settings)
@@ -128,6 +139,68 @@
 	r.await("readiness", func() bool { return get("http://"+r.readyAddr+"/kumquatsill/readiness") != "" })
 }
 
+// deployment returns the arguments of the router and the port and path of its metrics, as
+// the deploy file declares them.
+func deployment(t *testing.T) (args []string, port, path string) {
+	t.Helper()
+	data, err := os.ReadFile("../../deploy/system.toml")
+	if err != nil {
+		t.Fatal(err)
+	}
+	value := func(key string) string {
+		_, rest, _ := strings.Cut(string(data), "\n"+key+` = "`)
+		v, _, _ := strings.Cut(rest, `"`)
+		return v
+	}
+	port, path, _ = strings.Cut(value("metrics"), "/")
+	return strings.Fields(value("run"))[2:], port, "/" + path
+}
+
+// Guards against a deploy file that declares no address of metrics, or one at which the
+// router that it starts does not answer, and against counters and histograms that are missing.
+func TestDeclaredMetricsAddress(t *testing.T) {
+	t.Parallel()
+	args, port, path := deployment(t)
+	r := newHostedRouter(t, args...)
+	// An address of its own keeps the declared port free of other processes.
+	ip := fmt.Sprintf("127.%d.%d.%d", 1+rand.IntN(254), rand.IntN(256), 1+rand.IntN(254))
+	r.settings["ipAddress"] = ip
+	r.writeSettings(r.settingsPath)
+	r.start()
+	r.awaitReady()
+	req, err := http.NewRequest(http.MethodGet, "http://"+r.callerAddr()+"/look/1", nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	req.Header.Set("Kumquatsill-Attempt-Id", "a1")
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil || resp.Body.Close() != nil || resp.StatusCode != http.StatusServiceUnavailable {
+		t.Fatalf("a service without endpoints: %v, %v", resp, err)
+	}
+	page := get("http://" + ip + ":" + port + path)
+	for _, want := range []string{`kumquatsill_refusals_total{reason="no_endpoint"} 1`,
+		`kumquatsill_request_duration_seconds_count{kind="idempotent",priority="0",outcome="refuse"} 1`, "kumquatsill_requests_in_flight 0", "kumquatsill_log_lines_dropped_total 0"} {
+		if !strings.Contains(page, "\n"+want+"\n") {
+			t.Errorf("%s%s lacks %s:\n%s", port, path, want, page)
+		}
+	}
+}
+
+// Guards against a router that does not serve because its port for metrics is taken.
+func TestTakenMetricsPortIsLeft(t *testing.T) {
+	t.Parallel()
+	taken, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = taken.Close() }()
+	_, port, _ := strings.Cut(taken.Addr().String(), ":")
+	r := newHostedRouter(t, "--metrics-port", port)
+	r.writeSettings(r.settingsPath)
+	r.start()
+	r.awaitReady()
+}
+
 // Guards against a router that ends by SIGPIPE when the reader of its log goes away, and
 // against lines that are lost without being counted.
 func TestRouterOutlivesTheReaderOfItsLog(t *testing.T) {
@@ -146,9 +219,8 @@
 	}
 	_ = reader.Close()
 	r.awaitReady()
-	callers := r.settings["listenAddresses"].(map[string]string)["front"]
 	for range 3 {
-		get("http://" + callers + "/none/1") // each refusal is one line
+		get("http://" + r.callerAddr() + "/none/1") // each refusal is one line
 	}
 	r.await("dropped lines are counted", func() bool {
 		_, count, _ := strings.Cut(get("http://"+r.readyAddr+"/metrics"), "\nkumquatsill_log_lines_dropped_total ")
--- a/app/front/attempt.go
+++ b/app/front/attempt.go
@@ -195,12 +195,9 @@
 func (a *attempt) upstreamRequest() *upstream.Request {
 	x := a.request
 	attrs := platform.Attempt{
-		Endpoint: a.choice.Endpoint.ID, Remaining: x.deadline.Sub(driver.Now()),
+		Endpoint: a.choice.Endpoint.ID, Account: x.accountID(), Remaining: x.deadline.Sub(driver.Now()),
 		Version: a.choice.Version, Salt: a.choice.Salt, Source: a.choice.Source, Destination: a.choice.Destination,
 	}
-	if x.account != nil {
-		attrs.Account = x.account.ID
-	}
 	if x.route.PromptParts {
 		attrs.Priority, attrs.HasPriority = x.priority(), true
 	}
--- a/app/front/front.go
+++ b/app/front/front.go
@@ -9,6 +9,7 @@
 	"log/slog"
 	"net"
 	"net/http"
+	"strconv"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -68,6 +69,9 @@
 	// SettingsPath is the file that Reload reads again.
 	SettingsPath string
 	Log          *slog.Logger
+	// MetricsPort is a further port of the readiness server, which also serves the
+	// metrics, or 0.
+	MetricsPort uint16
 	// LogDropped returns the number of log lines dropped so far.
 	LogDropped func() int64
 }
@@ -137,7 +141,9 @@
 	endRequests                       context.CancelCauseFunc
 	callerServer, readinessServer     *http.Server
 	callerListener, readinessListener net.Listener
-	peerConn                          *net.UDPConn
+	// metricsListener is nil if there is none.
+	metricsListener net.Listener
+	peerConn        *net.UDPConn
 	// farMessages counts the messages to far peers. Only the goroutine that sends
 	// them uses it.
 	farMessages int
@@ -215,6 +221,12 @@
 	if f.readinessListener, err = net.Listen("tcp4", f.cfg.Settings.ReadinessAddr); err != nil {
 		return errors.Join(Error.Wrap(err), f.peerConn.Close(), f.callerListener.Close())
 	}
+	if f.cfg.MetricsPort != 0 {
+		addr := net.JoinHostPort(f.cfg.Settings.IP, strconv.Itoa(int(f.cfg.MetricsPort)))
+		if f.metricsListener, err = net.Listen("tcp4", addr); err != nil {
+			f.log.Warn("metrics not served", "addr", addr, "error", err.Error())
+		}
+	}
 	requests, endRequests := context.WithCancelCause(context.Background())
 	f.endRequests = endRequests
 	f.callerServer = &http.Server{
@@ -242,6 +254,9 @@
 	f.tomb.Go(func() error {
 		f.tomb.Go(func() error { return serveHTTP(f.callerServer, f.callerListener) })
 		f.tomb.Go(func() error { return serveHTTP(f.readinessServer, f.readinessListener) })
+		if f.metricsListener != nil {
+			f.tomb.Go(func() error { return serveHTTP(f.readinessServer, f.metricsListener) })
+		}
 		ctx := f.tomb.Context(context.Background())
 		f.tomb.Go(func() error { return f.followOperator(ctx) })
 		f.tomb.Go(func() error { return f.followEndpoints(ctx) })
--- a/app/front/serve.go
+++ b/app/front/serve.go
@@ -160,6 +160,14 @@
 	return true
 }
 
+// accountID returns the ID of the request's account, or "" if it has none.
+func (x *request) accountID() proto.AccountID {
+	if x.account == nil {
+		return ""
+	}
+	return x.account.ID
+}
+
 func (x *request) setDeadline() {
 	limit := x.route.Timeout
 	if limit <= 0 {
@@ -205,11 +213,7 @@
 // account.
 func (x *request) computeFingerprint() proto.Fingerprint {
 	h := xxhash.New()
-	account := ""
-	if x.account != nil {
-		account = string(x.account.ID)
-	}
-	parts := []string{account, x.r.Method, x.r.Host, x.r.RequestURI}
+	parts := []string{string(x.accountID()), x.r.Method, x.r.Host, x.r.RequestURI}
 	for _, p := range x.info.Parts {
 		parts = append(parts, p.ID)
 	}
@@ -250,11 +254,7 @@
 }
 
 func (x *request) logAdmitted(reason string, balance int64, share float64) {
-	account := ""
-	if x.account != nil {
-		account = string(x.account.ID)
-	}
-	x.front.log.Info("admitted", "id", x.info.ID, "route", x.route.Name, "account", account, "service", x.service,
+	x.front.log.Info("admitted", "id", x.info.ID, "route", x.route.Name, "account", string(x.accountID()), "service", x.service,
 		"revision", int64(x.config.Revision), "reason", reason, "units", x.chargedUnits, "balance", balance, "share", share,
 		"parts", len(x.info.Parts), "left_ms", x.deadline.Sub(driver.Now()).Milliseconds())
 }
@@ -339,8 +339,7 @@
 }
 
 // salt returns the salt of the cache entries for a model version. It follows the
-// configuration in force when the request is sent, which may isolate accounts that were
-// not isolated when it was admitted.
+// configuration in force now, as accounts may be isolated after a request was admitted.
 func (x *request) salt(version int64) string {
 	return fmt.Sprintf("%s.%d.%s", x.info.Model, version, x.front.config.Load().CacheNamespace(x.account))
 }
--- a/core/serving/isolation.go
+++ b/core/serving/isolation.go
@@ -3,16 +3,16 @@
 import (
 	"crypto/sha256"
 	"fmt"
-	"maps"
 	"slices"
 
 	"github.com/kumquatsill/kumquatsill/core/proto"
 )
 
-// Prefixes that keep an account's own namespace apart from every shared one.
 const (
-	ownPrefix    = "="
-	sharedPrefix = "~"
+	// ownPrefix and sharedPrefix keep an account's own namespace apart from shared ones.
+	ownPrefix, sharedPrefix = "=", "~"
+	// sharedHashBytes is the length of the hash that stands for a set of accounts.
+	sharedHashBytes = 8
 )
 
 // CacheNamespace returns the namespace of the cache entries that a request of an account, or
@@ -32,16 +32,16 @@
 // sharedNamespace depends on which accounts are isolated, so that it has no entries that one
 // of them made before. It is empty if none is.
 func sharedNamespace(accounts map[proto.AccountID]*Account) string {
-	hash := sha256.New()
-	isolated := false
-	for _, id := range slices.Sorted(maps.Keys(accounts)) {
-		if accounts[id].Isolated {
-			_, _ = fmt.Fprintf(hash, "%q", id) // writes to a hash never fail
-			isolated = true
+	var isolated []proto.AccountID
+	for id, a := range accounts {
+		if a.Isolated {
+			isolated = append(isolated, id)
 		}
 	}
-	if !isolated {
+	if len(isolated) == 0 {
 		return ""
 	}
-	return fmt.Sprintf("%s%x", sharedPrefix, hash.Sum(nil)[:8])
+	slices.Sort(isolated)
+	sum := sha256.Sum256(fmt.Appendf(nil, "%q", isolated))
+	return fmt.Sprintf("%s%x", sharedPrefix, sum[:sharedHashBytes])
 }
