--- a/app/cmd/kumquatsill/note.go
+++ b/app/cmd/kumquatsill/note.go
@@ -68,10 +68,6 @@
 	File string `positional-arg-name:"FILE" description:"file, or - for standard input"`
 }
 
-func (a fileArg) check(c *settings.Checker) {
-	c.Required("FILE", a.File)
-}
-
 // readNote reads and parses a note, and prints what makes it malformed.
 func (p *printer) readNote(name string) (note.Note, []byte, error) {
 	data, err := p.readInput(name)
@@ -152,7 +148,7 @@
 func (f *noteCheck) Execute(args []string) error {
 	var c settings.Checker
 	c.NoArgs(args)
-	f.Args.check(&c)
+	c.Required("FILE", f.Args.File)
 	f.check(&c)
 	if f.Base != "" && f.EmptyBase {
 		c.Fail("base", "and --empty-base exclude each other")
@@ -233,11 +229,7 @@
 
 // Execute implements flags.Commander.
 func (f *noteSubmit) Execute(args []string) error {
-	var c settings.Checker
-	c.NoArgs(args)
-	f.Args.check(&c)
-	f.check(&c)
-	if err := c.Err(); err != nil {
+	if err := f.validate(args, argument{"FILE", f.Args.File}); err != nil {
 		return err
 	}
 	_, data, err := f.readNote(f.Args.File)
@@ -295,10 +287,7 @@
 
 // Execute implements flags.Commander.
 func (f *noteShow) Execute(args []string) error {
-	var c settings.Checker
-	c.NoArgs(args)
-	f.check(&c)
-	if err := c.Err(); err != nil {
+	if err := f.validate(args); err != nil {
 		return err
 	}
 	cfg, err := f.configInForce(&f.routerClientFlags)
@@ -324,11 +313,7 @@
 
 // Execute implements flags.Commander.
 func (f *noteDiff) Execute(args []string) error {
-	var c settings.Checker
-	c.NoArgs(args)
-	f.check(&c)
-	c.Required("OLD", f.Args.Old)
-	if err := c.Err(); err != nil {
+	if err := f.validate(args, argument{"OLD", f.Args.Old}); err != nil {
 		return err
 	}
 	from, err := f.readConfig(f.Args.Old)
@@ -384,11 +369,7 @@
 
 // Execute implements flags.Commander.
 func (f *noteStatus) Execute(args []string) error {
-	var c settings.Checker
-	c.NoArgs(args)
-	f.check(&c)
-	c.Required("ID", f.Args.ID)
-	if err := c.Err(); err != nil {
+	if err := f.validate(args, argument{"ID", f.Args.ID}); err != nil {
 		return err
 	}
 	id := proto.RecordID(f.Args.ID)
--- a/app/cmd/kumquatsill/operator.go
+++ b/app/cmd/kumquatsill/operator.go
@@ -102,8 +102,22 @@
 	c.MutualTLS("internal-tls", f.TLS)
 }
 
+// argument is a positional argument of a command.
+type argument struct{ name, value string }
+
+// validate checks the flags, and that exactly the required positional arguments are given.
+func (f *routerClientFlags) validate(args []string, required ...argument) error {
+	var c settings.Checker
+	c.NoArgs(args)
+	f.check(&c)
+	for _, a := range required {
+		c.Required(a.name, a.value)
+	}
+	return c.Err()
+}
+
 // callRouter sends a message to the routers given by the flags, in order, until
-// one replies. The flags must have passed check.
+// one replies. The flags must have passed validate or check.
 func callRouter[R proto.Message](f *routerClientFlags, m proto.Message) (R, error) {
 	var zero R
 	config, err := transport.ClientTLS(f.TLS.Files())
--- a/app/cmd/kumquatsill/status.go
+++ b/app/cmd/kumquatsill/status.go
@@ -39,10 +39,7 @@
 }
 
 func (f *statusFlags) fetch(args []string) (proto.StatusReply, error) {
-	var c settings.Checker
-	c.NoArgs(args)
-	f.check(&c)
-	if err := c.Err(); err != nil {
+	if err := f.validate(args); err != nil {
 		return proto.StatusReply{}, err
 	}
 	reply, err := callRouter[proto.StatusReply](&f.routerClientFlags, proto.StatusQuery{ID: operator.NewID()})
@@ -146,11 +143,7 @@
 
 // Execute implements flags.Commander.
 func (f *explainFlags) Execute(args []string) error {
-	var c settings.Checker
-	c.NoArgs(args)
-	f.check(&c)
-	c.Required("REQUEST-ID", f.Args.Request)
-	if err := c.Err(); err != nil {
+	if err := f.validate(args, argument{"REQUEST-ID", f.Args.Request}); err != nil {
 		return err
 	}
 	if f.Log != "" {
@@ -263,12 +256,7 @@
 
 // Execute implements flags.Commander.
 func (f *quarantineRelease) Execute(args []string) error {
-	var c settings.Checker
-	c.NoArgs(args)
-	f.check(&c)
-	c.Required("ACCOUNT", f.Args.Account)
-	c.Required("FINGERPRINT", f.Args.Fingerprint)
-	if err := c.Err(); err != nil {
+	if err := f.validate(args, argument{"ACCOUNT", f.Args.Account}, argument{"FINGERPRINT", f.Args.Fingerprint}); err != nil {
 		return err
 	}
 	reply, err := callRouter[proto.QuarantineLifted](&f.routerClientFlags, proto.QuarantineLift{
