soak: the mutation of the salt follows its new text

What was seen: TestMutationsBuild fails since the salt of a request names a namespace, as the text that the mutation replaces is gone. With the change it passes.

--- a/proof/soak/mutations.go
+++ b/proof/soak/mutations.go
@@ -29,7 +29,7 @@
 	{"stream-integrity", []edit{{"app/front/response.go", "if errors.Is(err, io.EOF) {", "if err != nil {"}}},
 	{"key-secrecy", []edit{{"platform/headers.go", "perConnection[name], name == headerAuthorization, ", "perConnection[name], "}}},
 	{"account-binding", []edit{{"platform/headers.go", "h.Set(headerAccount, string(a.Account))", "h.Set(headerAccount, \"\")"}}},
-	{"cache-isolation", []edit{{"app/front/serve.go", "x.info.Model, version, isolation)", "x.info.Model, 1, isolation)"}}},
+	{"cache-isolation", []edit{{"app/front/serve.go", "x.info.Model, version, x.front", "x.info.Model, 1, x.front"}}},
 	{"key-withdrawal", []edit{{"app/front/watch.go", "old != nil && cfg.Revision <= old.Revision", "old != nil"}}},
 	{"recovery", []edit{{"app/front/watch.go", "		backoff = min(", "		return nil\n		backoff = min("}}},
 	{"harmful-part", []edit{{"core/crash/entry.go", "blockThreshold = 3", "blockThreshold = 3000"}}},
