--- a/app/front/serve.go
+++ b/app/front/serve.go
@@ -143,7 +143,7 @@
 }
 
 func (x *request) authenticate() bool {
-	if x.route.Unauthenticated {
+	if x.route.Unauthenticated || x.config.Keyless && x.info.Key == "" {
 		return true
 	}
 	f := x.front
@@ -157,6 +157,14 @@
 	return true
 }
 
+// accountID returns the ID of the request's account, or "" if it has none.
+func (x *request) accountID() proto.AccountID {
+	if x.account == nil {
+		return ""
+	}
+	return x.account.ID
+}
+
 func (x *request) setDeadline() {
 	limit := x.route.Timeout
 	if limit <= 0 {
@@ -212,11 +220,7 @@
 // account.
 func (x *request) computeFingerprint() proto.Fingerprint {
 	h := xxhash.New()
-	account := ""
-	if x.account != nil {
-		account = string(x.account.ID)
-	}
-	parts := []string{account, x.r.Method, x.r.Host, x.r.RequestURI}
+	parts := []string{string(x.accountID()), x.r.Method, x.r.Host, x.r.RequestURI}
 	for _, p := range x.info.Parts {
 		parts = append(parts, p.ID)
 	}
@@ -257,11 +261,7 @@
 }
 
 func (x *request) logAdmitted(reason string, balance int64, share float64) {
-	account := ""
-	if x.account != nil {
-		account = string(x.account.ID)
-	}
-	x.front.log.Info("admitted", "id", x.info.ID, "route", x.route.Name, "account", account, "service", x.service,
+	x.front.log.Info("admitted", "id", x.info.ID, "route", x.route.Name, "account", string(x.accountID()), "service", x.service,
 		"revision", int64(x.config.Revision), "reason", reason, "units", x.chargedUnits, "balance", balance, "share", share,
 		"parts", len(x.info.Parts), "left_ms", x.deadline.Sub(driver.Now()).Milliseconds())
 }
@@ -314,7 +314,12 @@
 		x.respond(status, 0)
 	}
 	x.logFinished(decision, status)
-	x.front.metrics.finished(x.route, decision, driver.Now().Sub(x.arrived))
+	now := driver.Now()
+	took := now.Sub(x.arrived)
+	if x.relay.MayHaveRun() && decision.Action != relay.Drop {
+		x.front.durations.Record(now, x.route.Name, took)
+	}
+	x.front.metrics.finished(x.route, decision, took)
 	if decision.Action == relay.Abort || decision.Action == relay.Drop {
 		panic(http.ErrAbortHandler) // net/http closes the connection without completing the body
 	}
@@ -337,6 +342,9 @@
 // query returns the input of the placement for the next attempt.
 func (x *request) query() *place.Query {
 	q := &place.Query{Service: x.service, Bytes: int64(len(x.body)) + defaultResponseBytes, Exclude: x.triedEndpoints}
+	if q.Only = x.relay.ReturnTo(); q.Only != nil {
+		q.Exclude = nil
+	}
 	if x.info.Model == "" || !x.route.PromptParts {
 		return q
 	}
@@ -347,15 +355,10 @@
 	return q
 }
 
-// salt returns the namespace of cache entries for a model version. Other
-// versions and, for an isolated account, other accounts have other namespaces,
-// so that no request uses their entries.
+// salt returns the salt of the cache entries for a model version. It follows the
+// configuration in force now, as accounts may be isolated after a request was admitted.
 func (x *request) salt(version int64) string {
-	isolation := ""
-	if x.account != nil && x.account.Isolated {
-		isolation = string(x.account.ID)
-	}
-	return fmt.Sprintf("%s.%d.%s", x.info.Model, version, isolation)
+	return fmt.Sprintf("%s.%d.%s", x.info.Model, version, x.front.config.Load().CacheNamespace(x.account))
 }
 
 // priority returns the priority of the request; 0 is the highest.
