--- a/app/front/crashes.go
+++ b/app/front/crashes.go
@@ -3,9 +3,7 @@
 import (
 	"context"
 	"encoding/json"
-	"errors"
 	"maps"
-	"net/http"
 	"time"
 
 	"github.com/kumquatsill/kumquatsill/app/driver"
@@ -114,11 +112,7 @@
 // restoreTraits blocks the traits that the store holds, and deletes those that are too
 // old.
 func (f *Front) restoreTraits(ctx context.Context) error {
-	records, _, err := f.store.Newest(ctx, platform.TopicCrashes)
-	var status *platform.StatusError
-	if errors.As(err, &status) && status.Status == http.StatusNotFound {
-		return nil // nothing was ever written
-	}
+	records, err := f.store.NewestOrNone(ctx, platform.TopicCrashes)
 	if err != nil {
 		return err
 	}
--- a/app/front/peers.go
+++ b/app/front/peers.go
@@ -7,6 +7,7 @@
 	"maps"
 	"net"
 	"net/netip"
+	"slices"
 	"time"
 
 	"github.com/kumquatsill/kumquatsill/app/driver"
@@ -225,13 +226,7 @@
 // not be fetched. Far routers need to know only of these, so that they do not
 // compute the parts again.
 func firstPrefills(attempts []place.AttemptNotice) []place.AttemptNotice {
-	var first []place.AttemptNotice
-	for _, t := range attempts {
-		if t.FirstPrefill {
-			first = append(first, t)
-		}
-	}
-	return first
+	return slices.DeleteFunc(slices.Clone(attempts), func(t place.AttemptNotice) bool { return !t.FirstPrefill })
 }
 
 // distance selects the peers that a message is sent to.
