quota: accounts beyond their limits outlast a restart of all routers

Cause: spending was in memory only. A router that starts learns from peers that ran on which accounts have spent their burst; if all start together nobody knows, and each took the burst as unspent after 0.4 s.

A router that starts grants no burst until the store, or a peer that has run for 2 s, has told; then at once, in place of 0.4 s after its start. A refusal makes an account count as beyond its limit: through one router its balance never gets negative. After a start a router expects peers to spend as much of such an account as itself.

An account that has used most of its burst, but has not passed it, is still granted it again.

--- a/app/front/front.go
+++ b/app/front/front.go
@@ -248,6 +248,7 @@
 		f.tomb.Go(func() error { return f.followRouters(ctx) })
 		f.tomb.Go(func() error { return f.followEra(ctx) })
 		f.tomb.Go(func() error { return f.keepTraits(ctx) })
+		f.tomb.Go(func() error { return f.keepSpending(ctx) })
 		f.tomb.Go(func() error { return f.receivePeerMessages(ctx) })
 		f.tomb.Go(func() error { return f.sendPeerMessages(ctx) })
 		f.tomb.Go(func() error { return f.upgradeEngines(ctx) })
--- a/core/quota/exceeded.go
+++ b/core/quota/exceeded.go
@@ -1,6 +1,12 @@
 package quota
 
-import "github.com/kumquatsill/kumquatsill/core/proto"
+import (
+	"cmp"
+	"maps"
+	"slices"
+
+	"github.com/kumquatsill/kumquatsill/core/proto"
+)
 
 // maxExceeded limits the accounts in Counts.Exceeded, so that a message stays within a
 // datagram.
@@ -16,34 +22,55 @@
 			levels[id] = int64(b.level)
 		}
 	}
-	for len(levels) > maxExceeded {
-		delete(levels, highest(levels))
+	lowestFirst := func(a, b proto.AccountID) int { return cmp.Compare(levels[a], levels[b]) }
+	accounts := slices.SortedFunc(maps.Keys(levels), lowestFirst)
+	for _, id := range accounts[min(len(accounts), maxExceeded):] {
+		delete(levels, id)
 	}
 	return levels
 }
 
-// highest returns the account with the highest level.
-func highest(levels map[proto.AccountID]int64) proto.AccountID {
-	var top proto.AccountID
-	for id, level := range levels {
-		if top == "" || level > levels[top] {
-			top = id
-		}
-	}
-	return top
+// Exceeded returns the levels of the accounts beyond their limits, for the store.
+func (t *Tracker) Exceeded(now proto.Instant) map[proto.AccountID]int64 {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.exceededLevels(now)
+}
+
+// RestoreExceeded takes over the levels that the store holds.
+func (t *Tracker) RestoreExceeded(now proto.Instant, levels map[proto.AccountID]int64) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.adoptExceeded(now, levels)
+}
+
+// grantBurst adds the burst of the share to the level.
+func (b *bucket) grantBurst() {
+	burst := float64(b.limit.Burst) * b.share
+	b.level = min(b.level+burst, burst)
 }
 
-// adoptExceeded takes over what a peer knows of accounts beyond their limits: the burst of
-// such an account is spent, which a router that has just started cannot know. The caller
-// must hold mu.
+// adoptExceeded takes over what a peer or the store knows of accounts beyond their limits:
+// the burst of such an account is spent, which a router that has just started cannot know.
+// The first to tell grants the burst of the other accounts. The caller must hold mu.
 func (t *Tracker) adoptExceeded(now proto.Instant, levels map[proto.AccountID]int64) {
+	first := !t.informed
+	t.informed = true
 	if now.Sub(t.started) >= startupTime {
 		return
 	}
+	if first {
+		for _, b := range t.buckets {
+			b.grantBurst()
+		}
+	}
 	for id, level := range levels {
-		if b := t.buckets[id]; b != nil {
-			b.exceeded = true
-			b.level = min(b.level, float64(level))
+		b := t.buckets[id]
+		if b == nil { // not configured yet
+			b = &bucket{refilledAt: now}
+			t.buckets[id] = b
 		}
+		// Routers that start together would each spend what is left above 0.
+		b.level, b.exceeded = min(0, b.level, float64(level)), true
 	}
 }
--- /dev/null
+++ b/core/quota/forgotten_test.go
@@ -0,0 +1,95 @@
+package quota_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/kumquatsill/kumquatsill/core/quota"
+)
+
+// allowedUnits is what an account may spend in a window, with the overage and the slack
+// that are granted.
+func allowedUnits(limit quota.Limit, window time.Duration) int64 {
+	const (
+		overage = 0.1
+		slack   = 110_000
+	)
+	return int64((float64(limit.Rate)*window.Seconds()+float64(limit.Burst))*(1+overage)) + slack
+}
+
+// surge returns a demand of a fraction of the rate, but for the time of a surge.
+func surge(rate int64, usual, multiple float64, from, to time.Duration) func(time.Duration) float64 {
+	return func(at time.Duration) float64 {
+		if at >= from && at < to {
+			return usual * multiple * float64(rate)
+		}
+		return usual * float64(rate)
+	}
+}
+
+// Guards against each restart of all routers granting the burst again to an account beyond
+// its limit (review/5 on kcm-ops).
+func TestRestartsOfAllRoutersGrantOneBurst(t *testing.T) {
+	const window = 8 * time.Second
+	for routers, limit := range map[int]quota.Limit{
+		5: {Rate: 46_459, Burst: 68_877}, 27: {Rate: 237_000, Burst: 237_000}, 103: {Rate: 237_000, Burst: 237_000},
+	} {
+		for _, storeDown := range []bool{false, true} {
+			if storeDown && routers > 27 {
+				continue
+			}
+			t.Run(fmt.Sprintf("routers=%d/storeDown=%v", routers, storeDown), func(t *testing.T) {
+				s := simulation{
+					routers: routers, limit: limit, duration: 11 * time.Second, latency: 20 * time.Millisecond, storeDown: storeDown,
+					demand: surge(limit.Rate, 0.55, 7.5, 3*time.Second, 9500*time.Millisecond), unit: logNormalUnit(2000, 1),
+				}
+				for i := range 4 {
+					at := 3800*time.Millisecond + time.Duration(i)*1800*time.Millisecond
+					s.restarts = append(s.restarts, simRestart{at: at, down: 500 * time.Millisecond, count: routers})
+				}
+				s.run()
+				spent, allowed := s.most(window), allowedUnits(limit, window)
+				t.Logf("%d units in %v, %d allowed; %d writes of %d bytes in all", spent, window, allowed, s.written, s.bytes)
+				if spent > allowed {
+					t.Errorf("want at most %d units, spent %d", allowed, spent)
+				}
+			})
+		}
+	}
+}
+
+// Guards against refusing an account within its limit, in calm and after restarts of one
+// and of all routers: at most for two seconds after a restart of all, or for as long as an
+// empty bucket takes to refill if nobody has told what was spent.
+func TestAccountWithinItsLimitIsServed(t *testing.T) {
+	const restartAt, down, afterStart = 3 * time.Second, 300 * time.Millisecond, 2 * time.Second
+	limit := quota.Limit{Rate: 237_000, Burst: 237_000}
+	for _, c := range []struct {
+		routers, restarted int
+		storeDown          bool
+	}{
+		{5, 0, false}, {5, 1, false}, {5, 5, false}, {5, 5, true},
+		{27, 0, false}, {27, 1, false}, {27, 27, false}, {27, 27, true},
+		{103, 103, false},
+	} {
+		for _, usual := range []float64{0.55, 0.8} {
+			s := simulation{
+				routers: c.routers, limit: limit, duration: 6 * time.Second, latency: 20 * time.Millisecond, storeDown: c.storeDown,
+				demand: surge(limit.Rate, usual, 1, 0, 0), unit: logNormalUnit(2000, 1), seed: 1,
+				restarts: []simRestart{{at: restartAt, down: down, count: c.restarted}},
+			}
+			allowed := afterStart
+			if c.storeDown {
+				s.duration = 9 * time.Second
+				allowed = time.Duration(float64(limit.Burst) / float64(limit.Rate) / (1 - usual) * float64(time.Second))
+			}
+			s.run()
+			t.Logf("%d routers, %d restarted, store down %v, %.2f of the rate: %d of %d refused after %v, the last at %v",
+				c.routers, c.restarted, c.storeDown, usual, s.refusedSince(restartAt), s.asked, restartAt, s.lastRefusal)
+			if s.lastRefusal > restartAt+down+allowed {
+				t.Errorf("refused at %v", s.lastRefusal)
+			}
+		}
+	}
+}
--- a/core/quota/quota.go
+++ b/core/quota/quota.go
@@ -44,11 +44,9 @@
 	memberTimeout = 30 * time.Second
 	// startupTime is the time after its own start in which a router treats the
 	// first count from an older peer as spending from before that start. During this
-	// time it is also credited more of the burst as its share grows, once an older
-	// peer has told which accounts are beyond their limits or has had creditDelay to
-	// do so.
+	// time it is also credited the burst of its share, once the store or an older
+	// peer has told which accounts are beyond their limits.
 	startupTime = 2 * time.Second
-	creditDelay = 2 * Interval
 	// assumedMembers is the number of members that a router assumes at least until it
 	// has read their list.
 	assumedMembers = 5
@@ -61,8 +59,8 @@
 	// maxPeerRatio bounds the estimate of peers' unreported spending, as a
 	// multiple of what they would spend if all routers spent the same.
 	maxPeerRatio = 4
-	// recoveredFraction is the fraction of the burst that the level of an account
-	// with a negative balance must reach to count as within its limit again.
+	// recoveredFraction is the fraction of the burst that the level of an account beyond
+	// its limit must reach to count as within its limit again.
 	recoveredFraction = 0.25
 	// maxRetryAfter bounds Decision.RetryAfter.
 	maxRetryAfter = 10 * time.Second
@@ -158,8 +156,8 @@
 	// own and peers are what this router and its peers have spent within about
 	// averagingTime.
 	own, peers float64
-	// exceeded is set while the account exceeds its limit: from a negative level
-	// until the level reaches recoveredFraction of the burst.
+	// exceeded is set while the account exceeds its limit: from a negative level or a
+	// refusal until the level reaches recoveredFraction of the burst.
 	exceeded bool
 }
 
@@ -173,8 +171,8 @@
 	members     map[proto.RouterID]*member
 	// listed is set once the list of members was read.
 	listed bool
-	// informed is set once a peer that has not just started has told which accounts are
-	// beyond their limits.
+	// informed is set once the store, or a peer that has not just started, has told
+	// which accounts are beyond their limits.
 	informed bool
 	buckets  map[proto.AccountID]*bucket
 }
@@ -189,7 +187,8 @@
 }
 
 // Configure sets the limits of all accounts. A new account starts with a full
-// burst; raising a limit does not add units at once.
+// burst, or with none while nobody has told whether it was spent before this router
+// started; raising a limit does not add units at once.
 func (t *Tracker) Configure(now proto.Instant, limits map[proto.AccountID]Limit) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -197,7 +196,10 @@
 	for id, limit := range limits {
 		b := t.buckets[id]
 		if b == nil {
-			t.buckets[id] = &bucket{limit: limit, level: float64(limit.Burst) * share, refilledAt: now, share: share}
+			b = &bucket{limit: limit, refilledAt: now, share: share}
+			if t.buckets[id] = b; t.informed {
+				b.grantBurst()
+			}
 			continue
 		}
 		t.refill(b, now, share)
@@ -259,9 +261,10 @@
 	// A request larger than the burst would never be admitted, so it needs only a
 	// full bucket; the balance then becomes negative.
 	need := min(float64(units), float64(b.limit.Burst)*share)
-	need += b.unreported(len(t.members))
+	need += t.unreported(b, now)
 	if b.level < need {
 		d.RetryAfter = b.retryAfter(need, share)
+		b.exceeded = b.exceeded || t.informed && share == 1
 		return d
 	}
 	d.OK = true
@@ -294,49 +297,43 @@
 
 // unreported estimates what the peers have spent but not yet reported: this
 // router's spending within reportDelay, multiplied by the ratio of the peers'
-// spending to its own within averagingTime. It matters
-// because refused callers retry at all routers at the same time. It is 0 for an
-// account within its limit, since the burst covers its unreported spending.
-func (b *bucket) unreported(peers int) float64 {
+// spending to its own within averagingTime. It matters because an account's surge
+// reaches all routers at once, and refused callers retry at all of them together. It
+// is 0 for an account within its limit, since the burst covers it.
+func (t *Tracker) unreported(b *bucket, now proto.Instant) float64 {
 	if !b.exceeded {
 		return 0
 	}
-	ratio := float64(maxPeerRatio * peers)
+	peers := float64(len(t.members))
+	ratio := maxPeerRatio * peers
 	if b.own > 0 {
 		ratio = min(ratio, b.peers/b.own)
 	}
+	if now.Sub(t.started) < startupTime { // peers have reported little yet
+		ratio = max(ratio, peers)
+	}
 	return ratio * b.ownRecent
 }
 
 // refill adds the units accrued since the last refill. A router that has just
-// started has the burst of its share, and is credited the rest of the burst as
-// it hears the other members: otherwise accounts within their limits would be
-// refused after a restart of all routers.
+// started is credited the rest of the burst as it hears the other members:
+// otherwise accounts within their limits would be refused after a restart of all
+// routers.
 func (t *Tracker) refill(b *bucket, now proto.Instant, share float64) {
-	if age := now.Sub(t.started); share > b.share && age < startupTime && !b.exceeded {
-		if age < creditDelay && !t.informed {
-			share = min(share, max(b.share, t.ownShare()))
-		}
-		b.level += float64(b.limit.Burst) * (share - b.share)
+	due := 0.0 // burst that the router is still to be credited
+	if t.informed && now.Sub(t.started) < startupTime && !b.exceeded {
+		b.level += float64(b.limit.Burst) * max(0, share-b.share)
+		due = float64(b.limit.Burst) * (1 - share)
 	}
 	b.share = share
 	elapsed := max(0, now.Sub(b.refilledAt)).Seconds()
 	b.refilledAt = max(now, b.refilledAt)
 	b.level = min(b.level+elapsed*float64(b.limit.Rate)*share, float64(b.limit.Burst)*share)
-	b.exceeded = b.level < 0 || b.exceeded && b.level < recoveredFraction*float64(b.limit.Burst)*share
 	b.ownRecent *= math.Exp(-elapsed / reportDelay.Seconds())
 	average := math.Exp(-elapsed / averagingTime.Seconds())
 	b.own *= average
 	b.peers *= average
-}
-
-// ownShare returns this router's share if it hears no other member. The caller must hold
-// mu.
-func (t *Tracker) ownShare() float64 {
-	if !t.listed {
-		return 1.0 / assumedMembers
-	}
-	return 1 / float64(len(t.members)+1)
+	b.exceeded = b.level+due < 0 || b.exceeded && b.level <= recoveredFraction*float64(b.limit.Burst)*share
 }
 
 func (b *bucket) retryAfter(need, share float64) time.Duration {
@@ -455,7 +452,6 @@
 	}
 	m.baseline = m.baseline && !c.SpentComplete
 	if c.HasHeardMembers && c.AgeMillis >= startupTime.Milliseconds() {
-		t.informed = true
 		t.adoptExceeded(now, c.Exceeded)
 	}
 }
--- a/core/quota/quota_test.go
+++ b/core/quota/quota_test.go
@@ -40,6 +40,7 @@
 		t.AddMember(f.now, id(j))
 	}
 	t.MembersListed()
+	t.RestoreExceeded(f.now, nil) // the store holds no account beyond its limit
 	return t
 }
 
@@ -181,6 +182,19 @@
 	}
 }
 
+// Guards against granting the burst to an account beyond its limit that the store or a peer
+// names before the configuration is read.
+func TestExceededAccountIsKnownBeforeConfiguration(t *testing.T) {
+	now := proto.Instant(time.Hour)
+	tracker := quota.New(now, "r", 1)
+	tracker.RestoreExceeded(now, map[proto.AccountID]int64{account: 0})
+	tracker.MembersListed()
+	tracker.Configure(now, map[proto.AccountID]quota.Limit{account: {Rate: 100, Burst: 1000}})
+	if d := tracker.Spend(now, account, 10); d.OK {
+		t.Fatalf("admitted with balance %d", d.Balance)
+	}
+}
+
 // Guards against charging for requests that did not run.
 func TestRefund(t *testing.T) {
 	f := newFleet(1, quota.Limit{Rate: 1, Burst: 100})
