crash: evidence is a set of events with an identity, whenever it is read

Cause: ages in peers' messages counted from the moment of reading, and crashes were told apart by time. A router that wakes reads seconds of messages at once, each of which repeats the same crashes: one became several rounds, blamed the content of single requests and so explained the crashes of the part away.

Evidence: TestOldMessagesTellOfOneCrash ("4 rounds of crashes, want 1" before).

Change: a crash is the end of an incarnation (endpoint ID and start), a trial has the time at which its router began it. Both are events in a set; merging is commutative, associative and idempotent. A sound answer clears the events that began before it, by the clock of the router that observed it, and cleared events are told like others, in place of the answer's age. Ages are as of the sender's clock, which peer.Clock converts by the least delay of its messages, so a suspended router dates late messages like others; of several dates the earliest counts. The store keeps the events in place of a number of rounds. Routers pass on what others have observed from the second round on, as observers restart. Replaced: counts of restored rounds, sound and trial ages, windows for the same crash and the same trial.

Tests that changed, and why: the stand-in engine went on as the same incarnation after a "crash", so that a crash could not be told from a reset connection; it now begins a new one, which serves 1.5 s later, and the soak's engine that leaves does not crash. The test of error responses has them come from engines that are back (1.5 s in place of 50 ms), that of a restart runs until a trial has failed at this pace (7 s in place of 4 s), the loop until five crashes ends after 5 s if the part is blocked before, and the silent stream's trait is blocked by a peer's message, since engines that crash would cut the stream. TestRestoredRoundsAreBounded is now TestOddEvidenceIsBounded, with more cases. Register.Rounds, used by tests only, is in export_test.go.

New: TestRoutersAgree (rapid) and FuzzRoutersAgree (40 s, 43,972 executions, none failed), with suspensions of 4 s, restarts, lost, repeated and reordered messages. Mutations by hand are noticed: cleared events that are forgotten, identity by date, and no conversion of the sender's clock; for the latest in place of the earliest date TestEarliestDateOfACrashCounts was added, which was not tried on that mutation. TestDisturbedFleetStopsAHarmfulPart (3, 27 and 103 routers): 0 late requests; the code before keeps that bound there as well, so it guards and does not reproduce.

--- a/app/front/crashes.go
+++ b/app/front/crashes.go
@@ -26,13 +26,13 @@
 
 // storedTrait is the value of a record in the topic of crashing traits.
 type storedTrait struct {
-	Rounds int `json:"rounds"`
-	// At is the time of the last crash in Unix milliseconds.
+	Evidence crash.Evidence `json:"evidence"`
+	// At is when the record was written, in Unix milliseconds.
 	At int64 `json:"at"`
 }
 
-// reportCrashChanges logs the traits that were blocked or released, and has those
-// written to the store that this router has observed.
+// reportCrashChanges logs the traits that were blocked or released, and has those changes
+// written to the store that follow from what this router has observed.
 func (f *Front) reportCrashChanges() {
 	for _, c := range f.crashes.TakeChanges(driver.Now()) {
 		log := f.log.With("trait", string(c.Trait), "rounds", c.Rounds, "crashes", c.Crashes, "observed", c.Observed)
@@ -133,8 +133,10 @@
 			f.saveTrait(crash.Change{Trait: trait})
 			continue
 		}
-		f.log.Info("trait restored", "trait", r.Key, "rounds", stored.Rounds)
-		f.crashes.Restore(driver.Now(), trait, stored.Rounds)
+		f.log.Info("trait restored", "trait", r.Key, "crashes", len(stored.Evidence.Crashes))
+		stored.Evidence.Trait = trait
+		now := driver.Now()
+		f.crashes.Merge(now, now, []crash.Evidence{stored.Evidence})
 	}
 	f.reportCrashChanges()
 	return nil
@@ -145,7 +147,7 @@
 	value := []byte(nil) // deletes the record
 	if c.Blocked {
 		var err error
-		if value, err = json.Marshal(storedTrait{Rounds: c.Rounds, At: time.Now().UnixMilli()}); err != nil {
+		if value, err = json.Marshal(storedTrait{Evidence: c.Evidence, At: time.Now().UnixMilli()}); err != nil {
 			f.log.Error("trait not encoded", "trait", string(c.Trait), "error", err.Error())
 			return
 		}
--- a/app/front/outcome.go
+++ b/app/front/outcome.go
@@ -63,7 +63,8 @@
 		return
 	}
 	lostAt := cmp.Or(a.lastByteAt, now) // a silent connection may be reset seconds later
-	x.front.crashes.ConnectionLost(lostAt, a.choice.Endpoint.ID, x.traits)
+	ended := crash.Incarnation{Endpoint: a.choice.Endpoint.ID, Started: a.choice.Endpoint.Started}
+	x.front.crashes.ConnectionLost(now, lostAt, ended, x.traits)
 	x.front.reportCrashChanges()
 	x.front.requestEarlySend()
 }
--- a/app/front/peers.go
+++ b/app/front/peers.go
@@ -36,6 +36,7 @@
 	lastHeardAt proto.Instant
 	incarnation int64
 	silent      bool
+	clock       peer.Clock
 }
 
 // registration is the value of a router's record in the topic of routers.
@@ -204,6 +205,7 @@
 // have just crashed, and changed states of endpoints.
 func (f *Front) sendEarly(now proto.Instant) {
 	m := f.emptyMessage()
+	m.SentAt = now
 	ordered := f.loadingChanged.Swap(false)
 	if ordered {
 		f.mu.Lock()
@@ -271,7 +273,7 @@
 // newMessage returns the content common to all peers, without counts and
 // attempts.
 func (f *Front) newMessage(now proto.Instant, full bool) peer.Message {
-	m := peer.Message{Silent: f.placer.Silent(now)}
+	m := peer.Message{SentAt: now, Silent: f.placer.Silent(now)}
 	f.mu.Lock()
 	m.Loads, m.VersionLoaded = f.loadingEngines(now), f.loadedVersions()
 	if d, ok := f.lease.Disclaimer(now); ok {
@@ -401,7 +403,12 @@
 	if m.Addr != "" {
 		f.addPeer(now, id, m.Addr, m.Domain)
 	}
+	sentAt := now
 	if p := f.peers[id]; p != nil {
+		if p.incarnation != m.Counts.Incarnation {
+			p.clock = peer.Clock{}
+		}
+		sentAt = p.clock.Convert(now, m.SentAt)
 		if p.silent {
 			f.log.Info("router no longer silent", "router", string(id))
 		}
@@ -418,7 +425,7 @@
 	}
 	f.mu.Unlock()
 	f.quota.Merge(now, m.Counts)
-	f.crashes.Merge(now, m.Suspects)
+	f.crashes.Merge(now, sentAt, m.Suspects)
 	f.reportCrashChanges()
 	f.mergeEndpointStates(now, m.Notices())
 	for _, l := range m.Loads {
--- a/core/crash/evidence.go
+++ b/core/crash/evidence.go
@@ -18,41 +18,42 @@
 	// maxSharedTraits and maxSharedCrashes bound the size of a message.
 	maxSharedTraits  = 128
 	maxSharedCrashes = 200
+	// maxAge bounds the ages in messages.
+	maxAge = 24 * time.Hour
 )
 
-// EndpointCrash is an endpoint that closed its connections some time ago.
-type EndpointCrash struct {
-	Endpoint  proto.EndpointID `json:"endpoint"`
-	AgeMillis int64            `json:"age_ms"`
+// Event is a crash or a trial some time ago.
+type Event struct {
+	ID        EventID `json:"id"`
+	AgeMillis int64   `json:"age_ms"`
+	// Cleared is set if an answer that began later did no harm.
+	Cleared bool `json:"cleared,omitempty"`
 }
 
-// Evidence is what one router tells its peers about a trait. Ages are in
-// milliseconds, and nil if there was no such event.
+// Evidence is what one router tells its peers about a trait. It may be read late, often
+// and in any order.
 type Evidence struct {
-	Trait   Trait           `json:"trait"`
-	Crashes []EndpointCrash `json:"crashes,omitempty"`
-	// Restored is the number of rounds that the sender has read from the store.
-	Restored int `json:"restored,omitempty"`
-	// Sound is the age of the last answer that began and did no harm.
-	Sound   *int64 `json:"sound_ms,omitempty"`
-	Trial   *int64 `json:"trial_ms,omitempty"`
-	Refused *int64 `json:"refused_ms,omitempty"`
+	Trait   Trait   `json:"trait"`
+	Crashes []Event `json:"crash_events,omitempty"`
+	Trials  []Event `json:"trial_events,omitempty"`
+	// RefusedMillis is the age of the last refusal in milliseconds, nil if there was none.
+	RefusedMillis *int64 `json:"refused_ms,omitempty"`
 }
 
 // Observations returns what this router has observed lately, for each message to its
 // peers.
 func (r *Register) Observations(now proto.Instant) []Evidence {
-	return r.collect(now, func(e *entry) bool { return e.observedRecently(now) }, (*entry).observations)
+	return r.collect(now, func(e *entry) bool { return e.observedWithin(repeatTime, now) }, (*entry).observations)
 }
 
-// State returns the recent observations of this router and all that it knows of blocked
-// traits, for routers that have missed earlier messages.
+// State returns the recent observations of this router and all that it knows of traits
+// with several rounds of crashes, for routers that have missed earlier messages.
 func (r *Register) State(now proto.Instant) []Evidence {
 	selected := func(e *entry) bool {
-		return e.blocked || e.observedRecently(now) || e.hasOwnCrash() || e.ownSound && now.Sub(e.soundAt) < releaseRepeatTime
+		return e.rounds() > 1 || e.hasOwnCrash() || e.observedWithin(releaseRepeatTime, now)
 	}
 	report := func(e *entry, now proto.Instant) Evidence {
-		if e.blocked {
+		if e.rounds() > 1 {
 			return e.state(now)
 		}
 		return e.observations(now)
@@ -76,10 +77,6 @@
 func (r *Register) collect(now proto.Instant, selected func(*entry) bool, report func(*entry, proto.Instant) Evidence) []Evidence {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	type candidate struct {
-		trait Trait
-		entry *entry
-	}
 	var chosen []candidate
 	for t, e := range r.entries {
 		if selected(e) {
@@ -106,108 +103,95 @@
 }
 
 func (ev *Evidence) isEmpty() bool {
-	return len(ev.Crashes) == 0 && ev.Restored == 0 && ev.Sound == nil && ev.Trial == nil && ev.Refused == nil
+	return len(ev.Crashes) == 0 && len(ev.Trials) == 0 && ev.RefusedMillis == nil
 }
 
-// lastAt returns the time of the last event other than an answer that did no harm.
-func (ev *Evidence) lastAt(now proto.Instant) proto.Instant {
-	last := max(instantOf(now, ev.Trial), instantOf(now, ev.Refused))
-	for _, c := range ev.Crashes {
-		last = max(last, instantOf(now, &c.AgeMillis))
+// lastAt returns the time of the last event.
+func (ev *Evidence) lastAt(sentAt proto.Instant) proto.Instant {
+	last := instantOf(sentAt, ev.RefusedMillis)
+	for _, e := range slices.Concat(ev.Crashes, ev.Trials) {
+		last = max(last, instantOf(sentAt, &e.AgeMillis))
 	}
 	return last
 }
 
-// Merge applies the evidence of a peer.
-func (r *Register) Merge(now proto.Instant, evidence []Evidence) {
+// Merge applies the evidence of a peer, or of an earlier run, which bears ages as of
+// sentAt. If sentAt is not known, a later time may stand for it.
+func (r *Register) Merge(now, sentAt proto.Instant, evidence []Evidence) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	for _, ev := range evidence {
-		known := r.entries[ev.Trait] != nil
-		if !known && ev.Restored == 0 && now.Sub(ev.lastAt(now)) >= retention {
+		if r.entries[ev.Trait] == nil && now.Sub(ev.lastAt(sentAt)) >= retention {
 			continue
 		}
-		if e := r.entry(ev.Trait); e.merge(now, ev) {
+		if e := r.entry(ev.Trait); e.merge(now, sentAt, ev) {
 			r.updateCandidate(now, ev.Trait, e)
 		}
 	}
 }
 
-func (e *entry) observedRecently(now proto.Instant) bool {
-	return e.observedAt != 0 && now.Sub(e.observedAt) < repeatTime
+// merge applies the evidence of a peer and reports whether the crashes have changed.
+func (e *entry) merge(now, sentAt proto.Instant, ev Evidence) bool {
+	changed := false
+	for _, c := range ev.Crashes {
+		changed = c.mergeInto(&e.crashes, sentAt) || changed
+		if !c.Cleared && e.crashes.repeatCleared(c.ID) {
+			e.observedAt = now // the sender has missed that the crash does not count
+		}
+	}
+	for _, t := range ev.Trials {
+		t.mergeInto(&e.trials, sentAt)
+	}
+	if e.soundAt != 0 && e.markSound(e.soundAt) {
+		e.observedAt = now
+	}
+	e.refusedAt = max(e.refusedAt, instantOf(sentAt, ev.RefusedMillis))
+	return changed
+}
+
+func (ev Event) mergeInto(s *events, sentAt proto.Instant) bool {
+	return ev.ID != "" && s.merge(event{id: ev.ID, at: instantOf(sentAt, &ev.AgeMillis), cleared: ev.Cleared})
+}
+
+func (e *entry) observedWithin(d time.Duration, now proto.Instant) bool {
+	return e.observedAt != 0 && now.Sub(e.observedAt) < d
 }
 
 func (e *entry) hasOwnCrash() bool {
-	return slices.ContainsFunc(e.crashes, func(c endpointCrash) bool { return c.own })
+	return slices.ContainsFunc(e.crashes, func(c event) bool { return c.own && !c.cleared })
 }
 
 // observations returns what this router has observed itself.
 func (e *entry) observations(now proto.Instant) Evidence {
-	var ev Evidence
-	for _, c := range e.crashes {
-		if c.own {
-			ev.Crashes = append(ev.Crashes, c.report(now))
-		}
+	isOther := func(known event) bool { return !known.own }
+	return Evidence{
+		Crashes: slices.DeleteFunc(slices.Clone(e.crashes), isOther).report(now),
+		Trials:  slices.DeleteFunc(slices.Clone(e.trials), isOther).report(now),
 	}
-	if e.ownSound {
-		ev.Sound = ageMillis(now, e.soundAt)
-	}
-	if e.ownTrial {
-		ev.Trial = ageMillis(now, e.trialAt)
-	}
-	return ev
 }
 
-// state returns all that this router knows, except for answers that others have
-// observed: ages that are passed on again and again grow too small, and a sound answer
-// must not seem to follow a crash that it preceded.
+// state returns all that this router knows.
 func (e *entry) state(now proto.Instant) Evidence {
-	ev := e.observations(now)
-	ev.Crashes, ev.Restored = nil, e.restored
-	ev.Trial, ev.Refused = ageMillis(now, e.trialAt), ageMillis(now, e.refusedAt)
-	for _, c := range e.crashes {
-		ev.Crashes = append(ev.Crashes, c.report(now))
+	ev := Evidence{Crashes: e.crashes.report(now), Trials: e.trials.report(now)}
+	if e.refusedAt != 0 {
+		age := now.Sub(e.refusedAt).Milliseconds()
+		ev.RefusedMillis = &age
 	}
 	return ev
 }
 
-func (c endpointCrash) report(now proto.Instant) EndpointCrash {
-	return EndpointCrash{Endpoint: c.endpoint, AgeMillis: now.Sub(c.at).Milliseconds()}
-}
-
-func ageMillis(now, at proto.Instant) *int64 {
-	if at == 0 {
-		return nil
+func (s events) report(now proto.Instant) []Event {
+	var report []Event
+	for _, e := range s {
+		report = append(report, Event{ID: e.id, AgeMillis: now.Sub(e.at).Milliseconds(), Cleared: e.cleared})
 	}
-	age := now.Sub(at).Milliseconds()
-	return &age
+	return report
 }
 
-// instantOf returns the time of an event by its age, or 0 if there was none.
-func instantOf(now proto.Instant, ageMillis *int64) proto.Instant {
+// instantOf returns the time of an event by its age as of sentAt, or 0 if there was none.
+func instantOf(sentAt proto.Instant, ageMillis *int64) proto.Instant {
 	if ageMillis == nil {
 		return 0
 	}
-	return now.Add(-time.Duration(*ageMillis) * time.Millisecond)
-}
-
-// merge applies the evidence of a peer and reports whether the crashes or the last
-// sound answer have changed.
-func (e *entry) merge(now proto.Instant, ev Evidence) bool {
-	changed := false
-	if at := instantOf(now, ev.Sound); at != 0 && e.markSound(at) {
-		changed = true
-	}
-	for _, c := range ev.Crashes {
-		if e.addCrash(endpointCrash{endpoint: c.Endpoint, at: instantOf(now, &c.AgeMillis)}) {
-			changed = true
-		}
-	}
-	if ev.Restored > e.restored && e.soundAt == 0 {
-		e.restore(now, ev.Restored)
-		changed = true
-	}
-	e.startTrial(instantOf(now, ev.Trial), false)
-	e.refusedAt = max(e.refusedAt, instantOf(now, ev.Refused))
-	return changed
+	return sentAt.Add(-time.Duration(min(max(0, *ageMillis), maxAge.Milliseconds())) * time.Millisecond)
 }
--- a/core/crash/register.go
+++ b/core/crash/register.go
@@ -52,19 +52,24 @@
 	Rounds  int
 	// Crashes is the number of endpoints that crashed under the trait.
 	Crashes int
-	// Observed is set if this router has just observed a crash or an answer itself, as
-	// opposed to having heard of it.
+	// Observed is set if this router has observed one of the last crashes or the answer
+	// itself, as opposed to having heard of it.
 	Observed bool
+	// Evidence is all that this router knows of a blocked trait.
+	Evidence Evidence
 }
 
 // Certain reports whether a trial has shown that a blocked trait crashes endpoints.
 func (c Change) Certain() bool { return c.Blocked && c.Rounds > blockThreshold }
 
 const (
-	// blameInterval is the minimum time between two calls of assignBlame.
+	// blameInterval is the minimum time between two decisions of assignBlame.
 	blameInterval = 50 * time.Millisecond
-	// observedWindow is how long ago an event was just observed; see Change.
+	// observedWindow is how long after an observation a change is taken for its result.
 	observedWindow = time.Second
+	// deciders is the number of last crashes whose observers report that a trait is
+	// blocked.
+	deciders = 2
 )
 
 // Register holds the evidence on traits. It is safe for concurrent use.
@@ -73,7 +78,7 @@
 	entries map[Trait]*entry
 	// candidates holds the entries for which isCandidate holds.
 	candidates map[Trait]*entry
-	// blamedAt is when assignBlame was called last.
+	// blamedAt is when assignBlame decided last.
 	blamedAt proto.Instant
 	changes  []Change
 }
@@ -83,14 +88,15 @@
 	return &Register{entries: map[Trait]*entry{}, candidates: map[Trait]*entry{}}
 }
 
-// ConnectionLost records that an endpoint closed its connection at the beginning of
-// the answer to a request with these traits.
-func (r *Register) ConnectionLost(now proto.Instant, endpoint proto.EndpointID, traits []Trait) {
+// ConnectionLost records that an endpoint has crashed at the beginning of the answer to a
+// request with these traits: at is when the last byte of the answer came, ended the
+// incarnation that the request was sent to.
+func (r *Register) ConnectionLost(now, at proto.Instant, ended Incarnation, traits []Trait) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	for _, t := range traits {
 		e := r.entry(t)
-		if e.addCrash(endpointCrash{endpoint: endpoint, at: now, own: true}) {
+		if e.crashes.merge(event{id: ended.eventID(), at: at, own: true, cleared: at <= e.soundAt}) {
 			e.observedAt = now
 			r.updateCandidate(now, t, e)
 		}
@@ -103,8 +109,8 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	for _, t := range traits {
-		if e := r.entries[t]; e != nil && e.suspected() && e.markSound(begunAt) {
-			e.ownSound, e.observedAt = true, now
+		if e := r.entries[t]; e != nil && e.markSound(begunAt) {
+			e.observedAt = now
 			r.updateCandidate(now, t, e)
 		}
 	}
@@ -115,9 +121,7 @@
 func (r *Register) Admit(now proto.Instant, traits []Trait) Admission {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if len(r.candidates) > 0 && now.Sub(r.blamedAt) >= blameInterval {
-		r.assignBlame(now)
-	}
+	r.assignBlame(now)
 	a := Admission{Allowed: true}
 	var blocked []*entry
 	for _, t := range traits {
@@ -137,7 +141,7 @@
 	}
 	for _, e := range blocked {
 		if a.Allowed {
-			e.startTrial(now, true)
+			e.trials.merge(event{id: trialID(now), at: now, own: true})
 			e.observedAt = now
 		} else {
 			e.refusedAt = now
@@ -164,7 +168,7 @@
 	defer r.mu.Unlock()
 	for _, t := range traits {
 		if e := r.entries[t]; e != nil && e.blocked {
-			e.trials = max(0, e.trials-1)
+			e.trials.clearLastOwn()
 		}
 	}
 }
@@ -178,33 +182,12 @@
 	}
 }
 
-// Rounds returns the crashes one after the other under a trait.
-func (r *Register) Rounds(t Trait) int {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	if e := r.entries[t]; e != nil {
-		return e.rounds()
-	}
-	return 0
-}
-
-// Restore records that a trait was blocked before this router started.
-func (r *Register) Restore(now proto.Instant, t Trait, rounds int) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	e := r.entry(t)
-	e.restore(now, rounds)
-	r.updateCandidate(now, t, e)
-}
-
 // TakeChanges returns the traits that were blocked or released since the last call.
 // One that stays blocked after a further crash is returned again.
 func (r *Register) TakeChanges(now proto.Instant) []Change {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if len(r.candidates) > 0 && now.Sub(r.blamedAt) >= blameInterval {
-		r.assignBlame(now)
-	}
+	r.assignBlame(now)
 	changes := r.changes
 	r.changes = nil
 	return changes
@@ -246,10 +229,22 @@
 		return
 	}
 	e.blocked, e.reportedRounds = blocked, rounds
-	r.addChange(Change{
-		Trait: t, Blocked: blocked, Rounds: rounds, Crashes: len(e.crashes),
-		Observed: e.observedAt != 0 && now.Sub(e.observedAt) < observedWindow,
-	})
+	c := Change{Trait: t, Blocked: blocked, Rounds: rounds, Crashes: len(e.crashes.counted()), Observed: e.isObserver(now)}
+	if blocked {
+		c.Evidence = e.state(now)
+		c.Evidence.Trait = t
+	}
+	r.addChange(c)
+}
+
+// isObserver reports whether this router has observed what a change follows from.
+func (e *entry) isObserver(now proto.Instant) bool {
+	if e.observedWithin(observedWindow, now) {
+		return true
+	}
+	counted := e.crashes.counted()
+	last := counted[max(0, len(counted)-deciders):]
+	return slices.ContainsFunc(last, func(c event) bool { return c.own })
 }
 
 func (r *Register) addChange(c Change) {
--- a/core/peer/peer.go
+++ b/core/peer/peer.go
@@ -56,6 +56,8 @@
 // Message is the state that one router sends to its peers.
 type Message struct {
 	Counts quota.Counts `json:"counts"`
+	// SentAt is when the message was written, by the sender's clock; see Clock.
+	SentAt proto.Instant `json:"sent_at,omitempty"`
 	// Addr is the address at which the sender receives messages, Domain its failure
 	// domain. Both are set only in messages with full counts.
 	Addr   string       `json:"addr,omitempty"`
--- a/proof/soak/conditions.go
+++ b/proof/soak/conditions.go
@@ -49,6 +49,9 @@
 	c := conditions{limited: pickEndpoint(f, rng).engine, since: time.Now()}
 	c.limited.NameLimit(strconv.Itoa(namedLimit))
 	f.startStatements(rng, &c)
+	if c.leaving != nil {
+		c.leaving.SetCrashingPart("") // its next incarnation would not leave
+	}
 	f.wait.Add(1)
 	go f.restoreStore()
 	return c
