core: two methods that nothing calls are gone

ledger.Client.SetAppendInterval and router.Control.RecentRequest had no caller, in programs or in tests. The interval stays the default; operators' queries use recentRequests.find themselves.

Checked: go test -race ./core/ledger/... ./core/router/..., ok.

--- a/core/ledger/client.go
+++ b/core/ledger/client.go
@@ -150,10 +150,6 @@
 	s.nextOffset = from
 }
 
-// SetAppendInterval sets the shortest time between two append calls to a stream,
-// for fleets so large that the default would exceed the rate of the log.
-func (c *Client) SetAppendInterval(name string, d time.Duration) { c.stream(name).appendInterval = d }
-
 // Append queues a record and returns its id. It fails without effect if the body
 // cannot be encoded or is too large, or if too much is queued. Otherwise exactly
 // one of EventConfirmed, EventAbsent, EventRefused and EventUnknown follows.
--- a/core/router/recent.go
+++ b/core/router/recent.go
@@ -58,9 +58,3 @@
 func matchesRequest(id, asked proto.RequestID) bool {
 	return id == asked || strings.HasPrefix(string(id), string(asked)+"~")
 }
-
-// RecentRequest returns the audit record of a request that ended on this
-// router, if the record is still in memory.
-func (c *Control) RecentRequest(id proto.RequestID) (proto.RequestEnded, bool) {
-	return c.recentRequests.find(id)
-}
