app/front: the choice of an endpoint is apart from the wait for its answer

Each request that waits for its endpoint held the copies of its placement on its stack: nextAttempt chose the endpoint, sent and waited in one function with a frame of 1,232 bytes. Its stack grew to 16 KiB and did not shrink.

Change: beginAttempt chooses, nextAttempt waits. Nothing else changes.

Checked: go test -race ./app/front, ok.

--- a/app/front/attempt.go
+++ b/app/front/attempt.go
@@ -38,33 +38,49 @@
 	errStopping = errors.New("the router stops")
 )
 
-// nextAttempt sends the request to one endpoint and decides what follows.
+// nextAttempt sends the request to one endpoint and decides what follows. It is apart from
+// beginAttempt so that the stacks of waiting requests are small.
 func (x *request) nextAttempt(ctx context.Context) relay.Decision {
+	attempt, decision := x.beginAttempt(ctx)
+	if attempt == nil {
+		return decision
+	}
+	result := attempt.run(ctx)
+	ended := driver.Now()
+	attempt.recordOutcome(ended, result)
+	decision = x.relay.AttemptEnded(ended, result, x.deadline.Sub(ended))
+	attempt.log(ended, result, decision)
+	return decision
+}
+
+// beginAttempt chooses an endpoint and returns the attempt at it, or nil and what to do
+// instead.
+func (x *request) beginAttempt(ctx context.Context) (*attempt, relay.Decision) {
 	now := driver.Now()
 	switch {
 	case x.deadline.Sub(now) <= 0, errors.Is(context.Cause(ctx), errStopping):
-		return x.relay.Expired()
+		return nil, x.relay.Expired()
 	case x.r.Context().Err() != nil:
-		return x.relay.CallerGone()
+		return nil, x.relay.CallerGone()
 	}
 	if decision, ok := x.relay.Resume(now); !ok {
-		return decision
+		return nil, decision
 	}
 	q := x.query()
 	choice, ok := x.front.placer.Choose(now, q)
 	if !ok {
-		return x.noEndpoint(choice)
+		return nil, x.noEndpoint(choice)
 	}
 	if !x.relay.IsCommitted() && x.isOverloaded(q, choice) {
-		return x.relay.NoEndpoint("overload", min(choice.ExpectedTTFB-x.route.TargetLatency, maxOverloadRetryAfter))
+		return nil, x.relay.NoEndpoint("overload", min(choice.ExpectedTTFB-x.route.TargetLatency, maxOverloadRetryAfter))
 	}
 	if x.relay.IsCommitted() && x.front.crashes.IsBlocked(now, x.traits) {
-		return x.relay.NoEndpoint("crashes_endpoints", 0) // it is no trial, however long it waits
+		return nil, x.relay.NoEndpoint("crashes_endpoints", 0) // it is no trial, however long it waits
 	}
 	admission := x.front.crashes.Admit(now, x.traits)
 	if !admission.Allowed {
 		x.obstacle = []any{"trait", string(admission.Trait), "rounds", admission.Rounds}
-		return x.relay.NoEndpoint("crashes_endpoints", admission.RetryAfter)
+		return nil, x.relay.NoEndpoint("crashes_endpoints", admission.RetryAfter)
 	}
 	if admission.Trial {
 		x.front.log.Info("trial of a blocked trait", "id", x.info.ID, "trait", string(admission.Trait), "rounds", admission.Rounds)
@@ -76,13 +92,7 @@
 	if choice.Urgent() {
 		x.front.requestEarlySend()
 	}
-	attempt := &attempt{request: x, choice: choice, placement: placement, sentAt: now, limit: noLimit, isTrial: admission.Trial}
-	result := attempt.run(ctx)
-	ended := driver.Now()
-	attempt.recordOutcome(ended, result)
-	decision := x.relay.AttemptEnded(ended, result, x.deadline.Sub(ended))
-	attempt.log(ended, result, decision)
-	return decision
+	return &attempt{request: x, choice: choice, placement: placement, sentAt: now, limit: noLimit, isTrial: admission.Trial}, relay.Decision{}
 }
 
 // isOverloaded reports whether a request would wait for so long at the chosen endpoint
