app/upstream: all answers in progress together have a limit of memory

What callers saw: a faulty engine sent bytes that were no answer, without end, in a head or a body; the machine that had called it ran out of memory, and the requests of other clients on it ended with no answer.

Cause: each answer had a limit (heads 64 KiB, events 1 MiB, buffered bodies 256 KiB, control calls 2 MiB), all of them together had none, and the memory in the settings was used only as the soft limit of the Go runtime.

Change: upstream.Memory counts what answers in progress hold beyond 2 KiB each. Above 1/32 of the memory in the settings one is given up: the growing one if it holds at least half as much as the largest, otherwise the largest. Bodies are passed on as they arrive once half of the limit is held, through 4 KiB instead of 32. The request of an answer that was given up may have run: it is attempted elsewhere where its route allows, otherwise its caller gets 502. It does not count as a lost connection. Read buffers have 2 KiB instead of 4.

--- a/app/front/call.go
+++ b/app/front/call.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"io"
 	"net/http"
 	"time"
 
@@ -50,7 +49,7 @@
 	if call.Endpoint != nil {
 		c.observe(call.Endpoint, platform.DecodeResponse(resp.Status, resp.Header))
 	}
-	respBody, err := io.ReadAll(io.LimitReader(resp.Body, maxControlResponseBytes))
+	respBody, _, err := resp.ReadBody(maxControlResponseBytes)
 	if err != nil {
 		return 0, nil, Error.Wrap(err)
 	}
--- a/app/front/front.go
+++ b/app/front/front.go
@@ -60,6 +60,9 @@
 	idleTimeout   = 30 * time.Second
 	// maxHeaderBytes limits the size of a request's header.
 	maxHeaderBytes = 64 << 10
+	// responseMemoryFraction is the fraction of the process's memory limit that the
+	// responses in progress of endpoints may take together.
+	responseMemoryFraction = 1.0 / 32
 )
 
 // Config holds what the process needs in addition to the platform's settings.
@@ -190,6 +193,7 @@
 		HeartbeatTimeout: 2*s.HeartbeatInterval + registryLag,
 	})
 	f.endpointStates.SetDrainTimeout(s.DrainTimeout)
+	f.client.Memory.Limit.Store(int64(responseMemoryFraction * float64(s.MemoryBytes)))
 	// If engines check fencing tokens, no delay is needed after a holder has
 	// released the lease.
 	afterRelease := s.LeaseTakeoverDelay
--- a/app/front/response.go
+++ b/app/front/response.go
@@ -18,6 +18,9 @@
 // full before it is forwarded, so that one that breaks off can be retried.
 const maxBufferedResponse = 256 << 10
 
+// copyBufferBytes is the size of the buffer of a response that is forwarded as it arrives.
+const copyBufferBytes = 4 << 10
+
 var (
 	errNoEvent       = errors.New("the connection ended before the first event")
 	errCannotFollow  = errors.New("the answer cannot follow the part of a stream that the caller has")
@@ -48,11 +51,11 @@
 		resp.Discard()
 		return a.unusable(errCannotFollow)
 	}
-	body, err := io.ReadAll(io.LimitReader(resp.Body, maxBufferedResponse))
+	body, whole, err := resp.ReadBody(maxBufferedResponse)
 	if err != nil {
 		return a.brokenOff(ctx, err)
 	}
-	if len(body) == maxBufferedResponse {
+	if !whole {
 		stall.Stop() // what is forwarded cannot go on elsewhere
 		return a.forwardResponse(ctx, resp, body)
 	}
@@ -63,7 +66,7 @@
 	return relay.Completed
 }
 
-// forwardResponse forwards a response that is too long to be buffered.
+// forwardResponse forwards a response that is not buffered in full.
 func (a *attempt) forwardResponse(ctx context.Context, resp *upstream.Response, prefix []byte) relay.Result {
 	x := a.request
 	x.relay.Delivery().BeginBody()
@@ -71,7 +74,8 @@
 	if _, err := x.w.Write(prefix); err != nil {
 		return relay.CallerGone
 	}
-	_, err := io.Copy(x.w, resp.Body)
+	resp.Release()
+	_, err := io.CopyBuffer(struct{ io.Writer }{x.w}, resp.Body, make([]byte, copyBufferBytes))
 	switch {
 	case err == nil:
 		return relay.Completed
@@ -103,7 +107,7 @@
 		a.detail = "not a stream"
 		return relay.Broken
 	}
-	events := upstream.NewEventReader(resp.Body)
+	events := resp.Events()
 	for {
 		e, err := events.Next()
 		stall.Stop() // the endpoint does not answer for a slow caller
@@ -164,7 +168,7 @@
 // brokenOff returns the result of an attempt whose response ended with an error.
 func (a *attempt) brokenOff(ctx context.Context, err error) relay.Result {
 	a.detail = err.Error()
-	a.connectionLost = ctx.Err() == nil
+	a.connectionLost = ctx.Err() == nil && !errors.Is(err, upstream.ErrMemory)
 	return a.interrupted(ctx)
 }
 
--- a/app/upstream/client.go
+++ b/app/upstream/client.go
@@ -25,7 +25,7 @@
 
 const (
 	// readBufferBytes is the size of a connection's read buffer.
-	readBufferBytes = 4 << 10
+	readBufferBytes = 2 << 10
 	// maxMismatched is the number of responses to earlier requests that are
 	// skipped before a request fails.
 	maxMismatched = 2
@@ -91,13 +91,16 @@
 // Client sends requests and pools idle connections by address. It is safe for
 // concurrent use.
 type Client struct {
-	Stats Stats
-	mu    sync.Mutex
-	idle  map[string][]*conn
+	Stats  Stats
+	Memory Memory
+	mu     sync.Mutex
+	idle   map[string][]*conn
 }
 
 // New returns a client with an empty connection pool.
-func New() *Client { return &Client{idle: map[string][]*conn{}} }
+func New() *Client {
+	return &Client{Memory: Memory{counted: map[*hold]struct{}{}}, idle: map[string][]*conn{}}
+}
 
 // Send sends a request exactly once and returns the head of its response. Its
 // errors are of type *SendError. The connection is closed when the context ends.
@@ -107,6 +110,7 @@
 		return nil, &SendError{Verdict: proto.NotRun, ConnectionLost: true, Err: err}
 	}
 	stop := context.AfterFunc(ctx, func() { _ = cn.Close() })
+	cn.hold = &hold{memory: &c.Memory, conn: cn}
 	written := make(chan error, 1)
 	data := encodeRequest(req)
 	if len(data) <= maxInlineRequestBytes {
@@ -122,6 +126,7 @@
 	if err != nil {
 		stop()
 		_ = cn.Close()
+		cn.hold.release()
 		return nil, newSendError(ctx, err)
 	}
 	r := &Response{
@@ -177,13 +182,13 @@
 
 // readOneHead reads the head of the next response, of at most maxHeadBytes.
 func (cn *conn) readOneHead(method string) (*http.Response, error) {
-	cn.limit.left, cn.limit.limited = maxHeadBytes, true
-	defer func() { cn.limit.limited = false }()
+	cn.headLeft, cn.inHead = maxHeadBytes, true
+	defer func() { cn.inHead = false }()
 	if _, err := cn.reader.Peek(1); err != nil {
 		return nil, err
 	}
 	resp, err := http.ReadResponse(cn.reader, &http.Request{Method: method})
-	if err == nil || errors.Is(err, io.ErrUnexpectedEOF) || isNetError(err) {
+	if err == nil || errors.Is(err, io.ErrUnexpectedEOF) || errors.Is(err, ErrMemory) || isNetError(err) {
 		return resp, err
 	}
 	return nil, &invalidResponseError{"not an HTTP answer: " + err.Error()}
--- a/app/upstream/events.go
+++ b/app/upstream/events.go
@@ -29,6 +29,7 @@
 type EventReader struct {
 	reader *bufio.Reader
 	buffer []byte
+	hold   *hold
 }
 
 // NewEventReader returns an EventReader that reads from r.
@@ -39,6 +40,10 @@
 // Next returns the next complete event. It returns io.EOF at the end of the
 // stream and io.ErrUnexpectedEOF if the stream ends within an event.
 func (s *EventReader) Next() (Event, error) {
+	if len(s.buffer) > uncountedBytes {
+		s.buffer = nil
+	}
+	s.hold.release()
 	s.buffer = s.buffer[:0]
 	e := Event{}
 	for {
@@ -66,6 +71,9 @@
 func (s *EventReader) readLine() error {
 	for {
 		part, err := s.reader.ReadSlice('\n')
+		if full := s.hold.add(len(part)); full != nil {
+			return full
+		}
 		s.buffer = append(s.buffer, part...)
 		if len(s.buffer) > maxEventBytes {
 			return Error.New("an event has more than %d bytes", maxEventBytes)
--- a/app/upstream/pool.go
+++ b/app/upstream/pool.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"context"
 	"errors"
 	"net"
@@ -30,8 +31,11 @@
 	net.Conn
 	addr   string
 	reader *bufio.Reader
-	// limit bounds what reader reads from Conn.
-	limit *limitedReader
+	// hold is the memory of the response that is read, if any.
+	hold *hold
+	// headLeft is the number of bytes that may still be read while inHead is set.
+	headLeft int
+	inHead   bool
 	// reused is set if another request was sent before, strayed once a response was
 	// received that did not match its request.
 	reused, strayed bool
@@ -40,24 +44,31 @@
 	keepAliveTimeout time.Duration
 }
 
-// limitedReader reads from a connection and fails once a limit is used up.
-type limitedReader struct {
-	from net.Conn
-	// left is the number of bytes that may still be read; it applies if limited.
-	left    int
-	limited bool
-}
+// headCopies is how often the text of a head is held while it is read, headLineBytes what
+// each of its lines takes in addition.
+const (
+	headCopies    = 2
+	headLineBytes = 64
+)
 
-// Read implements io.Reader.
-func (r *limitedReader) Read(p []byte) (int, error) {
-	if !r.limited {
-		return r.from.Read(p)
-	}
-	if r.left <= 0 {
+// Read implements io.Reader. It limits and counts what is read of a head.
+func (cn *conn) Read(p []byte) (int, error) {
+	if cn.inHead && cn.headLeft <= 0 {
 		return 0, &invalidResponseError{"the head of the answer is too long"}
 	}
-	n, err := r.from.Read(p[:min(len(p), r.left)])
-	r.left -= n
+	if cn.inHead {
+		p = p[:min(len(p), cn.headLeft)]
+	}
+	n, err := cn.Conn.Read(p)
+	held := 0
+	if cn.inHead {
+		cn.headLeft -= n
+		head, _, _ := bytes.Cut(p[:n], []byte("\r\n\r\n"))
+		held = headCopies*len(head) + headLineBytes*bytes.Count(head, []byte("\n"))
+	}
+	if full := cn.hold.add(held); full != nil {
+		return 0, full
+	}
 	return n, err
 }
 
@@ -119,10 +130,9 @@
 	if err != nil {
 		return nil, Error.Wrap(err)
 	}
-	limit := &limitedReader{from: nc}
-	return &conn{
-		Conn: nc, addr: addr, reader: bufio.NewReaderSize(limit, readBufferBytes), limit: limit, keepAliveTimeout: defaultKeepAlive,
-	}, nil
+	cn := &conn{Conn: nc, addr: addr, keepAliveTimeout: defaultKeepAlive}
+	cn.reader = bufio.NewReaderSize(cn, readBufferBytes)
+	return cn, nil
 }
 
 func setUserTimeout(_, _ string, raw syscall.RawConn) error {
--- a/app/upstream/response.go
+++ b/app/upstream/response.go
@@ -1,9 +1,11 @@
 package upstream
 
 import (
+	"cmp"
 	"errors"
 	"io"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -21,6 +23,8 @@
 	// its connection usable, discardTimeout how long that may take.
 	maxDrainBytes  = 1 << 20
 	discardTimeout = 50 * time.Millisecond
+	// minBodyBuffer is the least room for a read of a body.
+	minBodyBuffer = 512
 )
 
 // Response is the head of a response and its unread body. Close must be called.
@@ -79,10 +83,38 @@
 	}
 }
 
+// ReadBody reads the body up to a number of bytes and reports whether that is all. It ends
+// earlier where the responses in progress hold much memory. Body has the rest.
+func (r *Response) ReadBody(limit int) (body []byte, whole bool, err error) {
+	for len(body) < limit && (len(body) < uncountedBytes || !r.client.Memory.isHalfHeld()) {
+		body = slices.Grow(body, minBodyBuffer)
+		n, err := r.Body.Read(body[len(body):min(cap(body), limit)])
+		body = body[:len(body)+n]
+		if errors.Is(err, io.EOF) {
+			return body, true, nil
+		}
+		if err = cmp.Or(err, r.conn.hold.add(n)); err != nil {
+			return nil, false, err
+		}
+	}
+	return body, false, nil
+}
+
+// Release says that what was read of the body is no longer held.
+func (r *Response) Release() { r.conn.hold.release() }
+
+// Events returns a reader of the events of the body.
+func (r *Response) Events() *EventReader {
+	events := NewEventReader(r.Body)
+	events.hold = r.conn.hold
+	return events
+}
+
 // Close returns the connection to the pool if the body was read to the end and
 // the connection can be reused, and closes it otherwise.
 func (r *Response) Close() {
 	r.once.Do(func() {
+		r.Release()
 		stopped := r.stop()
 		if stopped && r.reusable() {
 			r.client.put(r.conn)
--- a/proof/soak/fleet.go
+++ b/proof/soak/fleet.go
@@ -4,6 +4,7 @@
 package soak
 
 import (
+	"cmp"
 	"encoding/json"
 	"fmt"
 	"net"
@@ -25,7 +26,9 @@
 	gracePeriod       = 4 * time.Second
 	heartbeatInterval = 300 * time.Millisecond
 	maxConfigDelay    = 2 * time.Second
-	host              = "soak.example"
+	// defaultMemoryMb is the memory limit of a router in MiB.
+	defaultMemoryMb = 134
+	host            = "soak.example"
 )
 
 // process is a router and its current process.
@@ -54,6 +57,7 @@
 // Fleet runs router processes, endpoints and the stand-in for the platform.
 type Fleet struct {
 	binary, dir string
+	memoryMb    int
 	store       *hosting.LogStore
 	storeProxy  *proxy
 	storeServer *http.Server
@@ -76,11 +80,15 @@
 }
 
 // Size holds the number of router processes and endpoints of a fleet.
-type Size struct{ Routers, Engines, Plain int }
+type Size struct {
+	Routers, Engines, Plain int
+	// MemoryMb is the memory limit in the settings of the routers; 0 means defaultMemoryMb.
+	MemoryMb int
+}
 
 // NewFleet starts a fleet from a built router binary. Settings and logs go to dir.
 func NewFleet(binary, dir string, size Size) (*Fleet, error) {
-	f := &Fleet{binary: binary, dir: dir, store: hosting.NewLogStore(), stop: make(chan struct{}), version: 1, revoked: map[string]time.Time{}}
+	f := &Fleet{binary: binary, dir: dir, memoryMb: size.MemoryMb, store: hosting.NewLogStore(), stop: make(chan struct{}), version: 1, revoked: map[string]time.Time{}}
 	var err error
 	if f.faultLog, err = os.Create(filepath.Join(dir, "faults.log")); err != nil {
 		return nil, err
@@ -189,7 +197,7 @@
 	settings, err := json.Marshal(map[string]any{
 		"nodeName": p.name, "ipAddress": "127.0.0.1", "zone": zone,
 		"listenAddresses": map[string]string{"front": p.callerAddr, "ready": p.readinessAddr}, "internalPortRange": []int{number, number},
-		"limits": map[string]any{"memoryMb": 134, "fileDescriptors": 4096}, "heartbeatIntervalMs": heartbeatInterval.Milliseconds(),
+		"limits": map[string]any{"memoryMb": cmp.Or(f.memoryMb, defaultMemoryMb), "fileDescriptors": 4096}, "heartbeatIntervalMs": heartbeatInterval.Milliseconds(),
 		"bounds": map[string]any{"gracePeriodS": gracePeriod.Seconds(), "retryBudgetRatio": 0.2, "budgetWindowS": 10, "budgetSlack": 52,
 			"leaseMs": 1000, "fencingEnforced": true, "versionMs": 8000, "drainMs": 1500, "contactMs": 1500},
 		"platform": map[string]any{"address": f.storeProxy.addr(), "form": "log"},
