--- a/app/front/attempt.go
+++ b/app/front/attempt.go
@@ -63,7 +63,7 @@
 		return nil, x.relay.CallerGone()
 	}
 	if !x.relay.MayHaveRun() && x.isTooLate() {
-		return x.relay.NoEndpoint(reasonStopping, stoppingRetryAfter)
+		return nil, x.relay.NoEndpoint(reasonStopping, stoppingRetryAfter)
 	}
 	if decision, ok := x.relay.Resume(now); !ok {
 		return nil, decision
