--- a/app/front/front.go
+++ b/app/front/front.go
@@ -54,6 +54,9 @@
 	idleTimeout   = 30 * time.Second
 	// maxHeaderBytes limits the size of a request's header.
 	maxHeaderBytes = 64 << 10
+	// responseMemoryFraction is the fraction of the process's memory limit that the
+	// responses in progress of endpoints may take together.
+	responseMemoryFraction = 1.0 / 32
 )
 
 // Config holds what the process needs in addition to the platform's settings.
@@ -193,6 +196,7 @@
 		HeartbeatTimeout: 2*s.HeartbeatInterval + registryLag,
 	})
 	f.endpointStates.SetDrainTimeout(s.DrainTimeout)
+	f.client.Memory.Limit.Store(int64(responseMemoryFraction * float64(s.MemoryBytes)))
 	// If engines check fencing tokens, no delay is needed after a holder has
 	// released the lease.
 	afterRelease := s.LeaseTakeoverDelay
@@ -261,6 +265,7 @@
 		f.tomb.Go(func() error { return f.followRouters(ctx) })
 		f.tomb.Go(func() error { return f.followEra(ctx) })
 		f.tomb.Go(func() error { return f.keepTraits(ctx) })
+		f.tomb.Go(func() error { return f.keepSpending(ctx) })
 		f.tomb.Go(func() error { return f.receivePeerMessages(ctx) })
 		f.tomb.Go(func() error { return f.sendPeerMessages(ctx) })
 		f.tomb.Go(func() error { return f.upgradeEngines(ctx) })
@@ -310,11 +315,11 @@
 }
 
 func (f *Front) handleReadiness(w http.ResponseWriter, _ bunrouter.Request) error {
+	status := http.StatusServiceUnavailable
 	if f.isReady() {
-		w.WriteHeader(http.StatusOK)
-	} else {
-		w.WriteHeader(http.StatusServiceUnavailable)
+		status = http.StatusOK
 	}
+	w.WriteHeader(status)
 	return nil
 }
 
