quota: an account is within its limit again once its unreported spending is covered

Cause: what peers have not reported was allowed for only while an account counted as beyond its limit, which began at a negative balance and ended at a quarter of the burst. Peers' reports arrive late, so that the balance passes both while most of what was spent is unknown.

Change: an account counts as within its limit again when its balance, less what peers are expected not to have reported, is a quarter of its burst. A full bucket still suffices for any request.

--- a/core/quota/forgotten_test.go
+++ b/core/quota/forgotten_test.go
@@ -59,6 +59,33 @@
 	}
 }
 
+// Guards against all routers spending the whole burst at the begin of a surge before they
+// hear of each other's spending (kcm-ops-grown, refusals --seed 546044860799: 542,903 units
+// in 0.5 s where burst and rate give 355,000).
+func TestSurgeStaysWithinLimit(t *testing.T) {
+	const window = 8 * time.Second
+	limit := quota.Limit{Rate: 237_000, Burst: 237_000}
+	for _, routers := range []int{27, 103} {
+		for _, latency := range []time.Duration{20 * time.Millisecond, 100 * time.Millisecond, 200 * time.Millisecond} {
+			if routers > 27 && latency < 200*time.Millisecond {
+				continue
+			}
+			t.Run(fmt.Sprintf("routers=%d/latency=%v", routers, latency), func(t *testing.T) {
+				s := simulation{
+					routers: routers, limit: limit, duration: 12 * time.Second, latency: latency,
+					demand: surge(limit.Rate, 0.7, 7.5, 3*time.Second, 12*time.Second), unit: logNormalUnit(2000, 1),
+				}
+				s.run()
+				spent, allowed := s.most(window), allowedUnits(limit, window)
+				t.Logf("%d units in %v, %d allowed; %d in 0.5 s", spent, window, allowed, s.most(500*time.Millisecond))
+				if spent > allowed {
+					t.Errorf("want at most %d units in %v, spent %d", allowed, window, spent)
+				}
+			})
+		}
+	}
+}
+
 // Guards against refusing an account within its limit, in calm and after restarts of one
 // and of all routers: at most for two seconds after a restart of all, or for as long as an
 // empty bucket takes to refill if nobody has told what was spent.
@@ -93,3 +120,23 @@
 		}
 	}
 }
+
+// Guards against refusing an account that spends nearly its whole burst within a few
+// moments, because of what its peers may have spent: that is within its limit.
+func TestClumpsWithinBurstAreServed(t *testing.T) {
+	const pause, clump, settled = 2 * time.Second, 300 * time.Millisecond, 2 * time.Second
+	limit := quota.Limit{Rate: 237_000, Burst: 237_000}
+	s := simulation{
+		routers: 27, limit: limit, duration: 14 * time.Second, latency: 20 * time.Millisecond, unit: logNormalUnit(2000, 1),
+		demand: func(at time.Duration) float64 {
+			if at%pause < clump {
+				return 4 * float64(limit.Rate) // 0.9 of the burst beyond the rate
+			}
+			return 0.35 * float64(limit.Rate)
+		},
+	}
+	s.run()
+	if refused := s.refusedSince(settled); refused > 0 {
+		t.Errorf("%d of %d requests were refused", refused, s.asked)
+	}
+}
--- a/core/quota/quota.go
+++ b/core/quota/quota.go
@@ -157,7 +157,8 @@
 	// averagingTime.
 	own, peers float64
 	// exceeded is set while the account exceeds its limit: from a negative level or a
-	// refusal until the level reaches recoveredFraction of the burst.
+	// refusal until the level, less what is unreported, reaches recoveredFraction of the
+	// burst.
 	exceeded bool
 }
 
@@ -260,8 +261,7 @@
 	d := Decision{Balance: int64(b.level), Share: share}
 	// A request larger than the burst would never be admitted, so it needs only a
 	// full bucket; the balance then becomes negative.
-	need := min(float64(units), float64(b.limit.Burst)*share)
-	need += t.unreported(b, now)
+	need := min(float64(units)+t.unreported(b, now), float64(b.limit.Burst)*share)
 	if b.level < need {
 		d.RetryAfter = b.retryAfter(need, share)
 		b.exceeded = b.exceeded || t.informed && share == 1
@@ -333,7 +333,8 @@
 	average := math.Exp(-elapsed / averagingTime.Seconds())
 	b.own *= average
 	b.peers *= average
-	b.exceeded = b.level+due < 0 || b.exceeded && b.level <= recoveredFraction*float64(b.limit.Burst)*share
+	surplus := b.level - t.unreported(b, now)
+	b.exceeded = b.level+due < 0 || b.exceeded && surplus <= recoveredFraction*float64(b.limit.Burst)*share
 }
 
 func (b *bucket) retryAfter(need, share float64) time.Duration {
--- a/core/quota/quota_test.go
+++ b/core/quota/quota_test.go
@@ -182,6 +182,23 @@
 	}
 }
 
+// Guards against never admitting a request as large as the burst, as what peers may have
+// spent is needed besides.
+func TestRequestBeyondBurstPassesBesidePeers(t *testing.T) {
+	f := newFleet(2, quota.Limit{Rate: 100, Burst: 100})
+	for range 20 {
+		f.spend(0, 5)
+		f.spend(1, 5)
+		f.exchange()
+	}
+	for range 20 { // the bucket becomes full
+		f.exchange()
+	}
+	if !f.spend(0, 500) {
+		t.Fatal("refused with a full bucket")
+	}
+}
+
 // Guards against granting the burst to an account beyond its limit that the store or a peer
 // names before the configuration is read.
 func TestExceededAccountIsKnownBeforeConfiguration(t *testing.T) {
