--- a/core/quota/quota_test.go
+++ b/core/quota/quota_test.go
@@ -212,6 +212,18 @@
 	}
 }
 
+// Guards against naming an account for ever that was removed while it was beyond its limit,
+// as each router that starts reads it from the store.
+func TestRemovedAccountIsNoLongerNamed(t *testing.T) {
+	now := proto.Instant(time.Hour)
+	tracker := quota.New(now, "r", 1)
+	tracker.Configure(now, map[proto.AccountID]quota.Limit{account: {Rate: 100, Burst: 1000}})
+	tracker.RestoreExceeded(now, map[proto.AccountID]int64{"removed": -5})
+	if levels := tracker.Exceeded(now); len(levels) != 0 {
+		t.Errorf("names %v", levels)
+	}
+}
+
 // Guards against charging for requests that did not run.
 func TestRefund(t *testing.T) {
 	f := newFleet(1, quota.Limit{Rate: 1, Burst: 100})
