front: what crashes engines is in the store from the block on

Cause: only a failed trial was written to the store, 1.5 s after the block at the earliest, and not before the request happened to come again.

Evidence: TestBlockIsStoredBeforeATrial fails with the condition before ("timed out waiting for: the part is in the store", 10 s).

Change: the set of crashes of a trait is written when it is blocked, by the routers that have observed one of its last two crashes (the condition Certain is gone), and again when a further round is known. A write that fails is tried again as before.

--- a/app/front/crash_test.go
+++ b/app/front/crash_test.go
@@ -8,6 +8,7 @@
 	"testing"
 	"time"
 
+	"github.com/kumquatsill/kumquatsill/platform"
 	"github.com/kumquatsill/kumquatsill/standin/hosting"
 )
 
@@ -189,3 +190,29 @@
 		t.Errorf("%d runs, want 3", n)
 	}
 }
+
+// Guards against a restart of all routers that forgets what crashes engines, because the
+// store does not hold it until a trial has failed.
+func TestBlockIsStoredBeforeATrial(t *testing.T) {
+	b := newTestbed(t)
+	b.configure(func(cfg map[string]any) { cfg["tenants"].([]any)[0].(map[string]any)["ratePerS"] = 0 })
+	traffic := &crashingTraffic{b: b, routers: []*router{b.startReady("r1"), b.startReady("r2")}}
+	b.crashEnginesOn("bad")
+	eventually(t, "the part is blocked", func() bool {
+		traffic.send("bad")
+		time.Sleep(100 * time.Millisecond) // crashes at the same moment would be one round
+		return b.crashes("bad") >= 3
+	})
+	eventually(t, "the part is in the store", func() bool { return len(b.store.Keys(platform.TopicCrashes)) > 0 })
+	for _, r := range traffic.routers {
+		if err := r.Drain(); err != nil {
+			t.Fatal(err)
+		}
+	}
+	before := b.crashes("bad")
+	traffic.routers = []*router{b.startReady("r1"), b.startReady("r2")}
+	traffic.runFor(3 * time.Second)
+	if n := b.crashes("bad") - before; n > 1 {
+		t.Errorf("%d requests with the part reached engines after the restart, 1 is allowed as a trial", n)
+	}
+}
--- a/app/front/crashes.go
+++ b/app/front/crashes.go
@@ -41,7 +41,7 @@
 		} else {
 			log.Info("trait released")
 		}
-		if c.Observed && (!c.Blocked || c.Certain()) {
+		if c.Observed {
 			f.saveTrait(c)
 		}
 	}
--- a/core/crash/register.go
+++ b/core/crash/register.go
@@ -59,9 +59,6 @@
 	Evidence Evidence
 }
 
-// Certain reports whether a trial has shown that a blocked trait crashes endpoints.
-func (c Change) Certain() bool { return c.Blocked && c.Rounds > blockThreshold }
-
 const (
 	// blameInterval is the minimum time between two decisions of assignBlame.
 	blameInterval = 50 * time.Millisecond
