soak, front: stand-in engines that crash do not all come back at once

Change: the soak's engines need between 1.5 s and 3 s to be back, and the ones that leave and refuse keep their incarnation when they crash, as before.

--- a/standin/hosting/engine.go
+++ b/standin/hosting/engine.go
@@ -28,6 +28,11 @@
 	ResponseDelay time.Duration
 	// RejectsLoads makes the engine respond to each order as if it were busy.
 	RejectsLoads bool
+	// CrashDowntime is how long the engine refuses requests after a crash. It is longer than
+	// routers take to read the registration of the next incarnation.
+	CrashDowntime time.Duration
+	// KeepsIncarnation makes a crash of the engine reset the connection of the run only.
+	KeepsIncarnation bool
 	// OnRestart, if set, is called when a new incarnation of the engine has begun.
 	OnRestart func()
 
@@ -117,7 +122,7 @@
 // NewEngine returns an engine with model version 1 that serves every request.
 func NewEngine(id, service, model string) *Engine {
 	return &Engine{
-		ID: id, Service: service, Model: model, Events: 5, EventInterval: 2 * time.Millisecond,
+		ID: id, Service: service, Model: model, Events: 5, EventInterval: 2 * time.Millisecond, CrashDowntime: defaultCrashDowntime,
 		startedAt: time.Now().UnixMilli(), version: 1, targetVersion: 1, failureForRun: func(int) Failure { return NoFailure },
 		retryAfter: func() string { return "" },
 	}
@@ -130,12 +135,10 @@
 	e.failureForRun = f
 }
 
-// crashDowntime is how long an engine that has crashed refuses requests. It is longer
-// than routers take to read the registration of the next incarnation.
-const crashDowntime = 1500 * time.Millisecond
+const defaultCrashDowntime = 1500 * time.Millisecond
 
 // SetCrashingPart makes the engine crash after the head of the response to each run whose
-// prompt contains a part. Its next incarnation registers at once, and serves crashDowntime
+// prompt contains a part. Its next incarnation registers at once, and serves CrashDowntime
 // later.
 func (e *Engine) SetCrashingPart(id string) {
 	e.mu.Lock()
@@ -155,9 +158,12 @@
 	return true
 }
 
-// crash ends the incarnation; mu must be held.
+// crash ends the incarnation, unless the engine keeps it; mu must be held.
 func (e *Engine) crash() {
-	e.downUntil = time.Now().Add(crashDowntime)
+	if e.KeepsIncarnation {
+		return
+	}
+	e.downUntil = time.Now().Add(e.CrashDowntime)
 	e.restart()
 }
 
