--- a/app/cmd/kumquatsill/front.go
+++ b/app/cmd/kumquatsill/front.go
@@ -17,13 +17,16 @@
 	// memoryLimitFraction is the fraction of the process's memory limit that is
 	// given to the Go runtime as its soft limit.
 	memoryLimitFraction = 0.7
-	// logFlushTimeout limits the wait for buffered log lines at exit.
+	// logFlushTimeout limits the wait for buffered log lines at exit, as does the share
+	// of the grace period that logFlushShare divides it into.
 	logFlushTimeout = 300 * time.Millisecond
+	logFlushShare   = 16
 )
 
 type frontFlags struct {
-	Settings string `long:"settings" env:"KUMQUATSILL_BOOT" description:"path of the platform's settings file"`
-	LogLevel string `long:"log-level" env:"KUMQUATSILL_LOG_LEVEL" default:"info" description:"least level of log lines: debug, info, warn or error"`
+	Settings    string `long:"settings" env:"KUMQUATSILL_BOOT" description:"path of the platform's settings file"`
+	MetricsPort uint16 `long:"metrics-port" env:"KUMQUATSILL_METRICS_PORT" description:"port of this host at which metrics are served, beside the address for readiness checks"`
+	LogLevel    string `long:"log-level" env:"KUMQUATSILL_LOG_LEVEL" default:"info" description:"least level of log lines: debug, info, warn or error"`
 }
 
 func frontCommand() settings.Command {
@@ -50,6 +53,9 @@
 	if err := c.Err(); err != nil {
 		return err
 	}
+	// A SIGHUP that arrives while the settings are read for the first time waits here.
+	hangups := make(chan os.Signal, 1)
+	signal.Notify(hangups, syscall.SIGHUP)
 	s, err := platform.ReadSettings(f.Settings)
 	if err != nil {
 		return &settings.Error{Problems: []string{err.Error()}}
@@ -58,34 +64,22 @@
 		debug.SetMemoryLimit(int64(memoryLimitFraction * float64(s.MemoryBytes)))
 	}
 	out := front.NewLogWriter(os.Stdout)
-	defer out.Close(logFlushTimeout)
+	defer out.Close(min(logFlushTimeout, s.GracePeriod/logFlushShare))
 	var level slog.Level
 	if err := level.UnmarshalText([]byte(f.LogLevel)); err != nil {
 		return &settings.Error{Problems: []string{err.Error()}}
 	}
 	p, err := front.New(front.Config{
-		Settings: s, SettingsPath: f.Settings, LogDropped: out.Dropped,
+		Settings: s, MetricsPort: f.MetricsPort, SettingsPath: f.Settings, LogDropped: out.Dropped,
 		Log: slog.New(slog.NewJSONHandler(out, &slog.HandlerOptions{Level: level})),
 	})
 	if err != nil {
 		return err
 	}
-	stop := reloadOnHangup(p)
-	defer stop()
-	return settings.RunUntilSignal(p)
-}
-
-// reloadOnHangup reloads the settings on each SIGHUP until stop is called.
-func reloadOnHangup(p *front.Front) (stop func()) {
-	hangups := make(chan os.Signal, 1)
-	signal.Notify(hangups, syscall.SIGHUP)
 	go func() {
 		for range hangups {
 			p.Reload()
 		}
 	}()
-	return func() {
-		signal.Stop(hangups)
-		close(hangups)
-	}
+	return settings.RunUntilSignal(p)
 }
--- a/app/front/front.go
+++ b/app/front/front.go
@@ -9,6 +9,7 @@
 	"log/slog"
 	"net"
 	"net/http"
+	"strconv"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -23,6 +24,7 @@
 	"github.com/kumquatsill/kumquatsill/core/place"
 	"github.com/kumquatsill/kumquatsill/core/proto"
 	"github.com/kumquatsill/kumquatsill/core/quota"
+	"github.com/kumquatsill/kumquatsill/core/relay"
 	"github.com/kumquatsill/kumquatsill/core/serving"
 	"github.com/kumquatsill/kumquatsill/core/upgrade"
 	"github.com/kumquatsill/kumquatsill/platform"
@@ -35,14 +37,6 @@
 var Error = errs.Class("front")
 
 const (
-	// deregistrationDelay is how long after SIGTERM new connections may still
-	// arrive: the load balancer removes a host after two failed readiness
-	// checks, one per second.
-	deregistrationDelay = 2500 * time.Millisecond
-	// lastAnswerTime is how long requests that a stop ends may take to say so.
-	lastAnswerTime = 100 * time.Millisecond
-	// exitMargin is the part of the grace period reserved for the process to exit.
-	exitMargin = 700 * time.Millisecond
 	// versionStartMargin is the part of a model version's lifetime reserved for a
 	// request to reach its engine and begin. Requests that are expected to wait
 	// for longer are not sent, and those that do are withdrawn.
@@ -71,6 +65,9 @@
 	// SettingsPath is the file that Reload reads again.
 	SettingsPath string
 	Log          *slog.Logger
+	// MetricsPort is a further port of the readiness server, which also serves the
+	// metrics, or 0.
+	MetricsPort uint16
 	// LogDropped returns the number of log lines dropped so far.
 	LogDropped func() int64
 }
@@ -96,8 +93,12 @@
 	config atomic.Pointer[serving.Config]
 	// storeReadAt is when the operator's records were last read.
 	storeReadAt atomic.Int64
-	draining    atomic.Bool
-	inFlight    atomic.Int64
+	// stop is nil until the router stops.
+	stop atomic.Pointer[stopTimes]
+	// inFlight counts the requests of callers, callerConns their connections.
+	inFlight, callerConns atomic.Int64
+	// durations holds how long requests of each route take.
+	durations relay.Durations
 
 	quota  *quota.Tracker
 	placer *place.Placer
@@ -140,7 +141,9 @@
 	endRequests                       context.CancelCauseFunc
 	callerServer, readinessServer     *http.Server
 	callerListener, readinessListener net.Listener
-	peerConn                          *net.UDPConn
+	// metricsListener is nil if there is none.
+	metricsListener net.Listener
+	peerConn        *net.UDPConn
 	// farMessages counts the messages to far peers. Only the goroutine that sends
 	// them uses it.
 	farMessages int
@@ -219,11 +222,18 @@
 	if f.readinessListener, err = net.Listen("tcp4", f.cfg.Settings.ReadinessAddr); err != nil {
 		return errors.Join(Error.Wrap(err), f.peerConn.Close(), f.callerListener.Close())
 	}
+	if f.cfg.MetricsPort != 0 {
+		addr := net.JoinHostPort(f.cfg.Settings.IP, strconv.Itoa(int(f.cfg.MetricsPort)))
+		if f.metricsListener, err = net.Listen("tcp4", addr); err != nil {
+			f.log.Warn("metrics not served", "addr", addr, "error", err.Error())
+		}
+	}
 	requests, endRequests := context.WithCancelCause(context.Background())
 	f.endRequests = endRequests
 	f.callerServer = &http.Server{
 		Handler:           http.HandlerFunc(f.serve),
 		BaseContext:       func(net.Listener) context.Context { return requests },
+		ConnState:         func(_ net.Conn, state http.ConnState) { f.callerConns.Add(connChange[state]) },
 		ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
 		ErrorLog: slog.NewLogLogger(f.log.Handler(), slog.LevelWarn),
 	}
@@ -246,6 +256,9 @@
 	f.tomb.Go(func() error {
 		f.tomb.Go(func() error { return serveHTTP(f.callerServer, f.callerListener) })
 		f.tomb.Go(func() error { return serveHTTP(f.readinessServer, f.readinessListener) })
+		if f.metricsListener != nil {
+			f.tomb.Go(func() error { return serveHTTP(f.readinessServer, f.metricsListener) })
+		}
 		ctx := f.tomb.Context(context.Background())
 		f.tomb.Go(func() error { return f.followOperator(ctx) })
 		f.tomb.Go(func() error { return f.followEndpoints(ctx) })
@@ -280,38 +293,6 @@
 	return nil
 }
 
-// Drain implements settings.Process: it takes this host out of rotation,
-// completes the requests in flight, and stops.
-func (f *Front) Drain() error {
-	started := time.Now()
-	f.draining.Store(true)
-	gracePeriod := f.settings.Load().GracePeriod
-	f.log.Info("draining", "in_flight", f.inFlight.Load(), "for", gracePeriod.String())
-	deadline := started.Add(gracePeriod - exitMargin)
-	time.Sleep(min(deregistrationDelay, time.Until(deadline)))
-	ctx, cancel := context.WithDeadline(context.Background(), deadline)
-	defer cancel()
-	err := f.callerServer.Shutdown(ctx)
-	if err != nil {
-		f.log.Warn("requests aborted at the end of the stop time", "in_flight", f.inFlight.Load())
-		f.endRequests(errStopping)
-		lastAnswers, cancelLast := context.WithTimeout(context.Background(), lastAnswerTime)
-		defer cancelLast()
-		_ = f.callerServer.Shutdown(lastAnswers) // what is left then is closed below
-	}
-	f.announceLeaving()
-	release, cancelRelease := context.WithTimeout(context.Background(), exitMargin/2)
-	defer cancelRelease()
-	f.releaseLease(release)
-	f.tomb.Kill(nil)
-	_ = f.readinessServer.Close()
-	_ = f.callerServer.Close()
-	_ = f.peerConn.Close()
-	err = f.tomb.Wait()
-	f.log.Info("stopped", "after", time.Since(started).String())
-	return err
-}
-
 // Reload reads the settings file again and puts it in force, except for the
 // identity and the addresses of this process, which need a restart. An invalid
 // file changes nothing.
@@ -333,15 +314,15 @@
 }
 
 func (f *Front) handleReadiness(w http.ResponseWriter, _ bunrouter.Request) error {
+	status := http.StatusServiceUnavailable
 	if f.isReady() {
-		w.WriteHeader(http.StatusOK)
-	} else {
-		w.WriteHeader(http.StatusServiceUnavailable)
+		status = http.StatusOK
 	}
+	w.WriteHeader(status)
 	return nil
 }
 
-func (f *Front) isReady() bool { return !f.draining.Load() && f.config.Load() != nil }
+func (f *Front) isReady() bool { return f.stop.Load() == nil && f.config.Load() != nil }
 
 // every calls f at intervals until the context ends.
 func every(ctx context.Context, interval time.Duration, f func(now proto.Instant)) error {
--- a/app/front/response.go
+++ b/app/front/response.go
@@ -22,7 +22,7 @@
 const copyBufferBytes = 4 << 10
 
 var (
-	errNoEvent       = errors.New("the connection ended before the first event")
+	errNoBody        = errors.New("the connection ended before the body")
 	errCannotFollow  = errors.New("the answer cannot follow the part of a stream that the caller has")
 	errEventNotNext  = errors.New("an event does not follow those that the caller has")
 	errShorterStream = errors.New("the stream ended before the caller's position in it")
@@ -59,6 +59,9 @@
 		stall.Stop() // what is forwarded cannot go on elsewhere
 		return a.forwardResponse(ctx, resp, body)
 	}
+	if len(body) == 0 && resp.Status < http.StatusMultipleChoices && resp.EndsWithConnection() {
+		return a.brokenOff(ctx, errNoBody)
+	}
 	x.saved = &savedResponse{status: resp.Status, header: resp.Header, body: body}
 	if resp.Status >= 500 {
 		return relay.Failed
@@ -88,6 +91,7 @@
 
 // writeHead writes the head of a response that is forwarded as it arrives.
 func (x *request) writeHead(resp *upstream.Response) {
+	x.closeIfStopping()
 	platform.CopyResponseHeader(x.w.Header(), resp.Header, x.route.Kind != serving.Stream)
 	x.w.WriteHeader(resp.Status)
 }
@@ -157,7 +161,7 @@
 	delivery := a.request.relay.Delivery()
 	switch {
 	case !delivery.HasEvents() && resp.EndsWithConnection():
-		return a.brokenOff(ctx, errNoEvent)
+		return a.brokenOff(ctx, errNoBody)
 	case !delivery.CanEnd():
 		return a.unusable(errShorterStream)
 	}
--- a/core/ledger/client.go
+++ b/core/ledger/client.go
@@ -298,7 +298,7 @@
 func (c *Client) stream(name string) *stream {
 	s := c.streams[name]
 	if s == nil {
-		s = &stream{c: c, name: name, appendInterval: minAppendInterval, sentIDs: map[uint64][]proto.RecordID{}}
+		s = &stream{c: c, name: name, sentIDs: map[uint64][]proto.RecordID{}}
 		c.streams[name] = s
 		c.streamOrder = append(c.streamOrder, s)
 	}
