--- a/proof/soak/fleet.go
+++ b/proof/soak/fleet.go
@@ -100,7 +100,10 @@
 
 // NewFleet starts a fleet from a built router binary. Settings and logs go to dir.
 func NewFleet(binary, dir string, size Size) (*Fleet, error) {
-	f := &Fleet{binary: binary, dir: dir, memoryMb: size.MemoryMb, store: hosting.NewLogStore(), stop: make(chan struct{}), version: 1, revoked: map[string]time.Time{}, chooseAddr: freeport.Addr}
+	f := &Fleet{
+		binary: binary, dir: dir, memoryMb: size.MemoryMb, store: hosting.NewLogStore(), stop: make(chan struct{}), version: 1,
+		revoked: map[string]time.Time{}, chooseAddr: freeport.Addr,
+	}
 	var err error
 	if f.faultLog, err = os.Create(filepath.Join(dir, "faults.log")); err != nil {
 		return nil, err
