core/relay: a refused return to an endpoint is not repeated at once

What callers saw: while one begun stream went back to the endpoint that it was moved away from, and that endpoint refused it or could not be reached, requests of the same service that needed a retry got none for seconds. Cause: a stream that returns is restricted to the endpoints where it was given up, and no longer excludes those just tried. A refusal led to the next attempt at once, at the same endpoint, until the retry budget of the service was spent; other waiting requests go round all endpoints and then wait. Change: after an attempt that did not run, a stream that returns waits as it does if no endpoint can take it, 50 to 400 ms. After: the test passes, the stream still ends whole.

--- a/app/front/return_test.go
+++ b/app/front/return_test.go
@@ -3,6 +3,7 @@
 import (
 	"net/http"
 	"testing"
+	"time"
 
 	"github.com/kumquatsill/kumquatsill/standin/hosting"
 )
@@ -32,3 +33,34 @@
 		b.t.Errorf("status %d, events %q; want 200 and 1,2", status, eventIDs(body))
 	}
 }
+
+// Guards against spending the retry budget of a service within milliseconds on an endpoint
+// that refuses the stream that returns to it.
+func TestRefusedReturnIsNotRepeatedAtOnce(t *testing.T) {
+	const minGap = 50 * time.Millisecond
+	b := silentTestbed(t)
+	b.engines[0].SetFailure(func(run int) hosting.Failure {
+		if run > 0 {
+			return hosting.Shed
+		}
+		return hosting.NoFailure
+	})
+	time.AfterFunc(3*silence, func() {
+		b.engines[0].SetFailure(func(int) hosting.Failure { return hosting.NoFailure })
+	})
+	b.engines[1].SetFailure(func(int) hosting.Failure { return hosting.ClientError })
+	b.expectStreamDespiteFailures(b.start("r1"), 1)
+	last, tooEarly := time.Time{}, 0
+	for _, a := range b.engines[0].Arrivals() {
+		if a.AttemptID == "" {
+			continue
+		}
+		if a.At.Sub(last) < minGap {
+			tooEarly++
+		}
+		last = a.At
+	}
+	if tooEarly > 0 {
+		t.Errorf("%d requests followed a refusal within %v", tooEarly, minGap)
+	}
+}
--- a/core/relay/relay.go
+++ b/core/relay/relay.go
@@ -236,8 +236,7 @@
 	}
 	switch {
 	case r.retryReserved || r.budget.Take(now):
-		r.retryReserved = false
-		return Decision{Action: Retry, Reason: "retry_after_" + result.String()}
+		return r.retry(result)
 	case r.IsCommitted():
 		r.owesRetry = true
 		return r.wait(retryBudgetSpent)
@@ -245,6 +244,17 @@
 	return r.giveUp(retryBudgetSpent)
 }
 
+// retry returns the decision to make another attempt after one with the given result. An
+// endpoint that the response returns to, and that did not run it, is not asked again at once.
+func (r *Request) retry(result Result) Decision {
+	r.retryReserved = false
+	reason := "retry_after_" + result.String()
+	if r.returning && result.Verdict() == proto.NotRun {
+		return r.wait(reason)
+	}
+	return Decision{Action: Retry, Reason: reason}
+}
+
 // recordAbandonment records whether the begun response may go on at the endpoint of the
 // attempt that has ended.
 func (r *Request) recordAbandonment(result Result) {
