app/front: a long answer of an attempt that was given up is not begun

What callers saw: nothing so far; by the test, a caller of an idempotent call could get the first 256 KiB of an answer and a closed connection. Cause: a call is given up for another endpoint while its answer is read. The stop of that watch before a long answer is passed on did not ask whether the attempt had just been given up. If so, the begin went out, the rest did not follow, and the reserved retry was no longer allowed. Evidence: TestLongAnswerOfStalledAttemptIsNotBegun on the code before: 262144 bytes passed on. Change: such an attempt ends as stalled before anything is passed on, and the reserved retry follows. After: the test passes.

--- a/app/front/response.go
+++ b/app/front/response.go
@@ -54,6 +54,9 @@
 	}
 	if len(body) == maxBufferedResponse {
 		stall.Stop() // what is forwarded cannot go on elsewhere
+		if errors.Is(context.Cause(ctx), errStalled) {
+			return a.brokenOff(ctx, errStalled) // given up as the body arrived
+		}
 		return a.forwardResponse(ctx, resp, body)
 	}
 	if len(body) == 0 && resp.Status < http.StatusMultipleChoices && resp.EndsWithConnection() {
