--- a/app/front/given_up_test.go
+++ b/app/front/given_up_test.go
@@ -26,14 +26,20 @@
 		route: route, relay: relay.New(route, nil),
 	}
 	a := &attempt{request: x, placement: &place.Attempt{}}
-	body := io.MultiReader(strings.NewReader(strings.Repeat("x", maxBufferedResponse)), failingReader{})
-	result := a.readResponse(ctx, &upstream.Response{Status: http.StatusOK, Body: body}, &stallWatch{})
+	long := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		_, _ = io.WriteString(w, strings.Repeat("x", 2*maxBufferedResponse)) // fails once the test ends
+	}))
+	defer long.Close()
+	resp, err := upstream.New().Send(t.Context(), &upstream.Request{
+		Addr: long.Listener.Addr().String(), Method: http.MethodGet, Target: "/", Host: "h.example",
+		Matches: func(http.Header, bool) bool { return true },
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer resp.Close()
+	result := a.readResponse(ctx, resp, &stallWatch{})
 	if result != relay.Stalled || !x.relay.Delivery().IsEmpty() || caller.Body.Len() > 0 {
 		t.Errorf("result %v, %d bytes passed on; want %v and none", result, caller.Body.Len(), relay.Stalled)
 	}
 }
-
-// failingReader is a body whose connection is closed.
-type failingReader struct{}
-
-func (failingReader) Read([]byte) (int, error) { return 0, io.ErrUnexpectedEOF }
