--- a/standin/hosting/engine.go
+++ b/standin/hosting/engine.go
@@ -4,11 +4,9 @@
 	"encoding/json"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"slices"
 	"strconv"
-	"strings"
 	"sync"
 	"time"
 )
@@ -139,33 +137,6 @@
 
 const defaultCrashDowntime = 1500 * time.Millisecond
 
-// SetCrashingPart makes the engine crash after the head of the response to each run whose
-// prompt contains a part. Its next incarnation registers at once, and serves CrashDowntime
-// later.
-func (e *Engine) SetCrashingPart(id string) {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	e.crashingPart = id
-}
-
-// crashes reports whether a request makes the engine crash, and begins its next
-// incarnation if so.
-func (e *Engine) crashes(r *http.Request) bool {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	if e.crashingPart == "" || !strings.Contains(r.Header.Get("Kumquatsill-Prompt-Prefix"), e.crashingPart+":") {
-		return false
-	}
-	e.crash()
-	return true
-}
-
-// crash ends the incarnation; mu must be held.
-func (e *Engine) crash() {
-	e.downUntil = time.Now().Add(e.CrashDowntime)
-	e.restart()
-}
-
 // NameLimit makes the engine name a number of requests per second in its answers. An
 // empty string ends that.
 func (e *Engine) NameLimit(limit string) {
@@ -174,30 +145,6 @@
 	e.namedLimit = limit
 }
 
-// SayLeaving makes the engine say in all its answers whether it leaves.
-func (e *Engine) SayLeaving(leaving bool) {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	e.leaving = leaving
-}
-
-// Restart begins a new incarnation of the engine, which does not leave unless KeepsLeaving is
-// set.
-func (e *Engine) Restart() {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	e.restart()
-}
-
-// restart begins a new incarnation; mu must be held.
-func (e *Engine) restart() {
-	e.startedAt = max(e.startedAt+1, time.Now().UnixMilli())
-	e.leaving = e.leaving && e.KeepsLeaving
-	if e.OnRestart != nil {
-		go e.OnRestart()
-	}
-}
-
 // RefuseWithRetryAfter makes the engine refuse requests and control calls with status
 // 503. The function returns the Retry-After time, or "" to take the request.
 func (e *Engine) RefuseWithRetryAfter(f func() string) {
@@ -236,17 +183,6 @@
 	return a.RetryAfter
 }
 
-// isLeaving reports whether the engine says that it leaves.
-func (e *Engine) isLeaving() bool {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	return e.leaving && !e.isDown()
-}
-
-// isDown reports whether the engine has crashed and is not back yet. It refuses all runs then
-// and says nothing of itself; mu must be held.
-func (e *Engine) isDown() bool { return time.Now().Before(e.downUntil) }
-
 // SignatureOf returns the signature of the answers of an engine.
 func SignatureOf(id string) string { return "sig." + id }
 
@@ -532,44 +468,3 @@
 		e.ID, r.Header.Get("Kumquatsill-Attempt-Id")) // the connection ends in any case
 	_ = conn.Close()
 }
-
-// crashSilently ends the incarnation some time before its connections are reset.
-func (e *Engine) crashSilently() {
-	e.mu.Lock()
-	e.crash()
-	e.mu.Unlock()
-	time.Sleep(silentCrashTime)
-}
-
-// silentCrashTime is longer than the begin of an answer, and too short for a stall.
-const silentCrashTime = 700 * time.Millisecond
-
-// trickleInterval is the time between two bytes of a stream that never gets on.
-const trickleInterval = 50 * time.Millisecond
-
-// trickle sends a byte now and then until the caller leaves.
-func trickle(w http.ResponseWriter, r *http.Request) {
-	control := http.NewResponseController(w)
-	for {
-		if _, err := io.WriteString(w, ":"); err != nil || control.Flush() != nil {
-			return
-		}
-		select {
-		case <-r.Context().Done():
-			return
-		case <-time.After(trickleInterval):
-		}
-	}
-}
-
-// resetConnection resets the connection before the response is complete.
-func resetConnection(w http.ResponseWriter) {
-	conn, _, err := http.NewResponseController(w).Hijack()
-	if err != nil {
-		panic(http.ErrAbortHandler)
-	}
-	if tcp, ok := conn.(*net.TCPConn); ok {
-		_ = tcp.SetLinger(0)
-	}
-	_ = conn.Close()
-}
