core/crash, core/peer: each crash is told once, in pages that peers confirm

Cause: each message told again, trait by trait, what its sender had observed in the last 2.5 s, and early messages did so up to 25 times a second, to far peers too. On links of 10 Mbit/s the counts of the limits were lost with the rest, and routers counted as silent to each other. And what was beyond the first 128 traits was never told while these lasted.

TestSharedPartIsToldAmongManyRequests fails on the code before (as a trial with its interface): 12 engines that crash at the same moment under 10 requests each, and the part that all prompts share is neither in Observations nor in State.

Change: a router keeps a log of what it has observed and tells it in pages of one packet, a crash once with its traits; peers confirm with their next periodic message, and what is not confirmed 0.6 s after the last progress is sent again (core/peer, FactSync). The pages leave in order and at a rate that no fleet size exceeds. What a peer has told that restarts, stops or falls silent is passed on by those who know it. Counts come first in a message of their own when a message does not fit into a packet (Pack), so that a long one is no longer dropped whole. Fingerprints of contents are told by a hash of 64 bits.

Tests: those of Observations and State ask the pages of the log instead, and the same of them; TestEvidenceFitsIntoAMessage became TestAllEvidenceIsToldInPages, which also asks that nothing is left out.

Conclusion: the cause of the fall is the repetition in messages.

--- a/app/front/abandon_test.go
+++ b/app/front/abandon_test.go
@@ -161,13 +161,18 @@
 	})
 	eventually(t, "the stream has begun", func() bool { return len(b.engines[0].Runs()) == 1 })
 	time.Sleep(1300 * time.Millisecond) // the crashes follow the begin of the stream
-	sendToRouter(t, peerAddr, peer.Message{Counts: quota.Counts{Router: "r2"}, Suspects: []crash.Evidence{{
-		Trait: crash.PartTrait("m", "bad"), Crashes: []crash.Event{{ID: "e1", AgeMillis: 1100}, {ID: "e2", AgeMillis: 600}, {ID: "e3", AgeMillis: 100}},
+	sendToRouter(t, peerAddr, peer.Message{Counts: quota.Counts{Router: "r2"}, Facts: &crash.Page{First: true, To: 3, Crashes: []crash.Report{
+		crashUnder("e1", 1100), crashUnder("e2", 600), crashUnder("e3", 100),
 	}}})
 	b.engines[1].SetCrashingPart("bad")
 	b.register(1, "ready")
 }
 
+// crashUnder returns the report of a crash under the part "bad".
+func crashUnder(id crash.EventID, ageMillis int64) crash.Report {
+	return crash.Report{ID: id, Traits: map[crash.Trait]int64{crash.PartTrait("m", "bad"): ageMillis}}
+}
+
 // sendToRouter sends a peer's message to a router, more than once in case one is lost.
 func sendToRouter(t *testing.T, addr string, m peer.Message) {
 	t.Helper()
--- a/app/front/crashes.go
+++ b/app/front/crashes.go
@@ -130,7 +130,7 @@
 		f.log.Info("trait restored", "trait", r.Key, "crashes", len(stored.Evidence.Crashes))
 		stored.Evidence.Trait = trait
 		now := driver.Now()
-		f.crashes.Merge(now, now, []crash.Evidence{stored.Evidence})
+		f.crashes.Merge(now, now, "", []crash.Evidence{stored.Evidence})
 	}
 	f.reportCrashChanges()
 	return nil
--- a/app/front/forward.go
+++ b/app/front/forward.go
@@ -15,12 +15,11 @@
 // sendFar sends a message to one far peer of each other failure domain, which forwards
 // it to the others there.
 func (f *Front) sendFar(now proto.Instant, m peer.Message) {
-	data, ok := f.encode(m)
-	if !ok {
-		return
-	}
 	f.farMessages++
-	f.sendDatagram(peer.MarkForwarded(data), f.forwarders(now, f.farMessages))
+	forwarders := f.forwarders(now, f.farMessages)
+	for _, data := range f.pack(m) {
+		f.sendDatagram(peer.MarkForwarded(data), forwarders)
+	}
 }
 
 // forwarders returns the addresses of the far peers that forward the n-th message.
--- a/app/front/front.go
+++ b/app/front/front.go
@@ -21,6 +21,7 @@
 	"github.com/kumquatsill/kumquatsill/core/discovery"
 	"github.com/kumquatsill/kumquatsill/core/endpointstate"
 	"github.com/kumquatsill/kumquatsill/core/leader"
+	"github.com/kumquatsill/kumquatsill/core/peer"
 	"github.com/kumquatsill/kumquatsill/core/place"
 	"github.com/kumquatsill/kumquatsill/core/proto"
 	"github.com/kumquatsill/kumquatsill/core/quota"
@@ -117,6 +118,8 @@
 	planner *upgrade.Planner
 	lease   *leader.Lease
 	peers   map[proto.RouterID]*peerState
+	// facts tells the peers what crashes endpoints, and reads what they tell.
+	facts *peer.FactSync
 	// loading maps the engines that this router has ordered to load weights, or
 	// that have reported to it that they are busy with an order, to the time until
 	// which they are expected to take no work. Peers are notified of them.
@@ -174,6 +177,7 @@
 		storeFollowers:   map[string]context.CancelFunc{},
 		earlySend:        make(chan struct{}, 1),
 	}
+	f.facts = peer.NewFactSync(id, incarnation, f.crashes)
 	f.engines = platform.NewEngineClient(endpointCaller{client: f.client, admit: f.admitControlCall, observe: f.observeControlAnswer})
 	f.planner.SetSaysLeaving(f.saysLeaving)
 	f.metrics = newTelemetry(f)
--- a/app/front/peer_fuzz_test.go
+++ b/app/front/peer_fuzz_test.go
@@ -39,7 +39,7 @@
 	f.Add([]byte(`{"counts":{"router":"r2"},"loads":[{"endpoint":"e1","for_ms":9223372036854775807}],"silent":["e1"]}`))
 	f.Add([]byte(`{"counts":{"router":"r2"},"reached":[{"endpoint":"e1","model":"m","version":9223372036854775807}]}`))
 	f.Add([]byte(`{"counts":{"router":"r2"},"store":{"addr":"x","page":{"epoch":1}},"cache":{"endpoint":"e1","started":1,"events":[{"add":true,"n":-1}]}}`))
-	f.Add([]byte(`{"counts":{"router":"r2"},"sent_at":9223372036854775807,"suspects":[{"trait":"t","crash_events":[{"id":"a"},{"id":"b","age_ms":9223372036854775807},{"id":"c","age_ms":-9223372036854775808}],"trial_events":[{"id":"d","cleared":true}],"refused_ms":-1}]}`))
+	f.Add([]byte(`{"counts":{"router":"r2"},"sent_at":9223372036854775807,"facts":{"first":true,"from":-1,"to":9223372036854775807,"crashes":[{"id":"a","traits":{"t":0}},{"id":"b","traits":{"t":9223372036854775807}},{"id":"c","cleared":{"t":-9223372036854775808}}],"trials":[{"id":"d","traits":{"t":1}}],"refused":{"t":-1}},"confirmed":[{"router":0,"life":-1,"read":9223372036854775807}]}`))
 	f.Add([]byte(`{"counts":{"router":"r2"},"limits":[{"endpoint":"e1","started":1,"per_s":1e308,"age_ms":-1}],"named":[{"model":"m","version":1,"age_ms":9223372036854775807}]}`))
 	f.Add([]byte(`{"counts":{"router":"r2"},"attempts":[{"endpoint":"e1","started":1,"in_ms":9223372036854775807,"reading":-1}],"seen":[{"endpoint":"e1"}]}`))
 	f.Add([]byte(`{"addr":"[::1]:0","domain":"a","life":1}`))
--- a/app/front/peers.go
+++ b/app/front/peers.go
@@ -116,6 +116,7 @@
 	}
 	f.peers[id] = &peerState{addr: ap, domain: domain}
 	f.quota.AddMember(now, id)
+	f.facts.Add(id)
 	f.log.Info("router added", "router", string(id), "addr", addr)
 }
 
@@ -123,6 +124,7 @@
 func (f *Front) removePeer(id proto.RouterID) {
 	if f.peers[id] != nil {
 		delete(f.peers, id)
+		f.facts.Remove(id)
 		f.log.Info("router left", "router", string(id))
 	}
 	f.quota.RemoveMember(id)
@@ -174,6 +176,7 @@
 		case <-tick.C:
 			n++
 			f.sendPeriodic(driver.Now(), sent, n)
+			f.sendFacts(driver.Now())
 		case <-f.earlySend:
 			if earlyTimer == nil {
 				earlyTimer = time.After(lastEarly.Add(earlyInterval(f.peerCount())).Sub(driver.Now()))
@@ -181,6 +184,7 @@
 		case <-earlyTimer:
 			earlyTimer, lastEarly = nil, driver.Now()
 			f.sendEarly(lastEarly)
+			f.sendFacts(lastEarly)
 		}
 	}
 }
@@ -193,17 +197,19 @@
 	m.Counts = f.quota.Counts(now, sent.near, full, complete)
 	m.Attempts = f.placer.TakeAttemptNotices()
 	m.Seen = f.placer.TakeSeen(now)
+	m.Confirmed = f.takeConfirmations(near)
 	f.send(m, f.peersAt(near))
 	m.Seen = nil
 	if n%farPeriod == 0 || full {
+		m.Confirmed = f.takeConfirmations(far)
 		m.Counts = f.quota.Counts(now, sent.far, full, complete)
 		m.Attempts = firstPrefills(m.Attempts)
 		f.sendFar(now, m)
 	}
 }
 
-// sendEarly reports attempts and load orders that have just begun, endpoints that
-// have just crashed, and changed states of endpoints.
+// sendEarly reports attempts and load orders that have just begun, and changed states of
+// endpoints.
 func (f *Front) sendEarly(now proto.Instant) {
 	m := f.emptyMessage()
 	m.SentAt = now
@@ -214,12 +220,14 @@
 		f.mu.Unlock()
 	}
 	m.Attempts = f.placer.TakeAttemptNotices()
-	m.Suspects = f.crashes.Observations(now)
 	notices := f.endpointStates.Changes(now)
 	m.SetNotices(notices)
+	if !ordered && len(m.Attempts) == 0 && notices.IsEmpty() {
+		return
+	}
 	f.send(m, f.peersAt(near))
 	m.Attempts = firstPrefills(m.Attempts)
-	if ordered || len(m.Attempts) > 0 || len(m.Suspects) > 0 || !notices.IsEmpty() {
+	if ordered || len(m.Attempts) > 0 || !notices.IsEmpty() {
 		f.sendFar(now, m)
 	}
 }
@@ -246,8 +254,7 @@
 	defer f.mu.Unlock()
 	var addrs []netip.AddrPort
 	for _, p := range f.peers {
-		isNear := p.domain == f.cfg.Settings.Domain || len(f.peers) <= maxPeersAllNear
-		if isNear == (d == near) {
+		if f.isNear(p) == (d == near) {
 			addrs = append(addrs, p.addr)
 		}
 	}
@@ -276,12 +283,10 @@
 	}
 	f.mu.Unlock()
 	if !full {
-		m.Suspects = f.crashes.Observations(now)
 		m.SetNotices(f.endpointStates.Changes(now))
 		return m
 	}
 	m.Addr, m.Domain = f.cfg.Settings.PeerAddr, f.cfg.Settings.Domain
-	m.Suspects = f.crashes.State(now)
 	m.SetNotices(f.endpointStates.State(now))
 	m.AnnouncedVersions = f.placer.AnnouncedVersions(now)
 	return m
@@ -289,18 +294,18 @@
 
 // send sends a message to each of the addresses.
 func (f *Front) send(m peer.Message, to []netip.AddrPort) {
-	if data, ok := f.encode(m); ok {
+	for _, data := range f.pack(m) {
 		f.sendDatagram(data, to)
 	}
 }
 
-// encode returns the encoded message, or false if it cannot be sent.
-func (f *Front) encode(m peer.Message) ([]byte, bool) {
-	data, err := peer.Encode(m)
+// pack returns the datagrams of a message, without what fits into none.
+func (f *Front) pack(m peer.Message) [][]byte {
+	datagrams, err := peer.Pack(m)
 	if err != nil {
-		f.log.Error("peer message not encoded", "error", err.Error())
+		f.log.Error("part of a peer message not encoded", "error", err.Error())
 	}
-	return data, err == nil
+	return datagrams
 }
 
 func (f *Front) sendDatagram(data []byte, to []netip.AddrPort) {
@@ -320,6 +325,7 @@
 			continue
 		}
 		p.silent = true
+		f.facts.Silent(id)
 		share, members := f.quota.Share(now)
 		f.log.Warn("router silent", "router", string(id), "for", now.Sub(p.lastHeardAt).String(), "share", share, "members", members)
 	}
@@ -412,6 +418,7 @@
 		}
 		p.lastHeardAt, p.silent, p.incarnation = now, false, m.Counts.Incarnation
 	}
+	f.readFacts(now, sentAt, m)
 	for _, r := range m.VersionLoaded {
 		f.planner.VersionLoaded(now, r.Endpoint, r.Model, r.Version)
 	}
@@ -420,8 +427,9 @@
 	}
 	f.mu.Unlock()
 	f.quota.Merge(now, m.Counts)
-	f.crashes.Merge(now, sentAt, m.Suspects)
-	f.reportCrashChanges()
+	if m.Facts != nil {
+		f.reportCrashChanges()
+	}
 	f.mergeEndpointStates(now, m.Notices())
 	for _, l := range m.Loads {
 		f.placer.SetLoading(l.Endpoint, now.Add(time.Duration(l.RemainingMillis)*time.Millisecond))
--- a/app/front/telemetry.go
+++ b/app/front/telemetry.go
@@ -26,6 +26,11 @@
 		peerBadMessages: set.NewCounter("kumquatsill_peer_bad_messages_total"),
 	}
 	set.NewGauge("kumquatsill_requests_in_flight", func() float64 { return float64(f.inFlight.Load()) })
+	set.NewGauge("kumquatsill_peer_facts_unconfirmed", func() float64 {
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		return float64(f.facts.Unconfirmed())
+	})
 	set.NewGauge("kumquatsill_endpoints", func() float64 { return float64(t.endpoints.Load()) })
 	set.NewGauge("kumquatsill_log_lines_dropped_total", func() float64 { return float64(f.cfg.LogDropped()) })
 	set.NewGauge("kumquatsill_upstream_dials_total", func() float64 { return float64(f.client.Stats.Dials.Load()) })
--- a/core/crash/entry.go
+++ b/core/crash/entry.go
@@ -39,8 +39,8 @@
 	// soundAt is when the last answer began that this router has seen go beyond
 	// BeginPhase.
 	soundAt proto.Instant
-	// refusedAt is when a request was refused last.
-	refusedAt proto.Instant
+	// refusedAt is when a request was refused last, refusalToldAt when peers were told so.
+	refusedAt, refusalToldAt proto.Instant
 	// observedAt is when this router has observed anything.
 	observedAt proto.Instant
 	// sent is the number of requests with the trait that this router has let through
--- a/core/crash/event.go
+++ b/core/crash/event.go
@@ -35,6 +35,12 @@
 	// cleared is set if the event does not count, as an answer that began later did no
 	// harm.
 	cleared bool
+	// observer is the peer that has told the event, or has cleared it, and tells the
+	// others; empty if this router does, or the store has told it.
+	observer proto.RouterID
+	// untold is set until the event is in the log of facts, orphaned if its observer can
+	// no longer tell it.
+	untold, orphaned bool
 }
 
 func (e event) compare(other event) int {
@@ -50,11 +56,12 @@
 func (s *events) merge(e event) bool {
 	if i := slices.IndexFunc(*s, func(known event) bool { return known.id == e.id }); i >= 0 {
 		known := (*s)[i]
-		e = event{id: e.id, at: min(e.at, known.at), own: e.own || known.own, cleared: e.cleared || known.cleared}
-		if e == known {
+		if e.at >= known.at && (known.cleared || !e.cleared) {
+			(*s)[i].own = e.own || known.own
 			return false
 		}
 		*s = slices.Delete(*s, i, i+1)
+		e = e.join(known)
 	}
 	i, _ := slices.BinarySearchFunc(*s, e, event.compare)
 	*s = slices.Insert(*s, i, e)
@@ -64,36 +71,62 @@
 	return true
 }
 
+// join returns the event with what was known of it before. Who clears an event tells that.
+func (e event) join(known event) event {
+	observer := known.observer
+	if e.cleared && !known.cleared {
+		observer = e.observer
+	}
+	return event{
+		id: e.id, at: min(e.at, known.at), own: e.own || known.own, cleared: e.cleared || known.cleared,
+		observer: observer, untold: e.untold || known.untold, orphaned: known.orphaned,
+	}
+}
+
 // clear clears the events up to a time and reports whether any counted before.
 func (s events) clear(until proto.Instant) bool {
 	changed := false
 	for i := range s {
 		if s[i].at <= until && !s[i].cleared {
-			s[i].cleared, s[i].own, changed = true, true, true
+			s[i].clear()
+			changed = true
 		}
 	}
 	return changed
 }
 
-// repeatCleared has this router tell that an event is cleared, and reports whether it is.
-func (s events) repeatCleared(id EventID) bool {
-	i := slices.IndexFunc(s, func(e event) bool { return e.id == id && e.cleared })
-	if i >= 0 {
-		s[i].own = true
-	}
-	return i >= 0
+// clear records that this router has seen that the event does not count.
+func (e *event) clear() {
+	e.cleared, e.own, e.untold, e.observer, e.orphaned = true, true, true, "", false
 }
 
 // clearLastOwn clears the last event that this router has observed.
 func (s events) clearLastOwn() {
 	for i := len(s) - 1; i >= 0; i-- {
 		if s[i].own && !s[i].cleared {
-			s[i].cleared = true
+			s[i].clear()
 			return
 		}
 	}
 }
 
+// orphan marks the events that a peer has told, as it no longer does.
+func (s events) orphan(observer proto.RouterID) {
+	for i := range s {
+		if s[i].observer == observer {
+			s[i].observer, s[i].orphaned = "", true
+		}
+	}
+}
+
+// find returns the event with an ID, or nil.
+func (s events) find(id EventID) *event {
+	if i := slices.IndexFunc(s, func(e event) bool { return e.id == id }); i >= 0 {
+		return &s[i]
+	}
+	return nil
+}
+
 // counted returns the events that are not cleared.
 func (s events) counted() events {
 	return slices.DeleteFunc(slices.Clone(s), func(e event) bool { return e.cleared })
--- a/core/crash/fleet_faults_test.go
+++ b/core/crash/fleet_faults_test.go
@@ -12,7 +12,8 @@
 
 // faults holds what disturbs the routers of a fleet, and the store that outlasts them.
 type faults struct {
-	suspendedUntil []proto.Instant
+	suspendedAt, suspendedUntil []proto.Instant
+	incarnations                []int64
 	// disturbedAt is when each router was last suspended or restarted.
 	disturbedAt []proto.Instant
 	// late holds what each suspended router observes when it wakes.
@@ -25,7 +26,8 @@
 
 func newFaults(routers int) faults {
 	return faults{
-		suspendedUntil: make([]proto.Instant, routers), disturbedAt: make([]proto.Instant, routers),
+		suspendedAt: make([]proto.Instant, routers), suspendedUntil: make([]proto.Instant, routers),
+		incarnations: make([]int64, routers), disturbedAt: make([]proto.Instant, routers),
 		late: make([][]func(), routers), clocks: map[[2]int]*peer.Clock{}, store: map[crash.Trait]crash.Evidence{},
 	}
 }
@@ -98,13 +100,13 @@
 }
 
 func (f *fleet) suspend(router int) {
-	f.faults.suspendedUntil[router] = f.now.Add(longestSuspension)
+	f.faults.suspendedAt[router], f.faults.suspendedUntil[router] = f.now, f.now.Add(longestSuspension)
 	f.faults.disturbedAt[router] = f.now.Add(longestSuspension)
 }
 
 // restart replaces a router by one that knows only what the store holds.
 func (f *fleet) restart(router int) {
-	f.routers[router] = crash.NewRegister()
+	f.startRouter(router)
 	f.faults.late[router], f.faults.suspendedUntil[router] = nil, 0
 	f.faults.disturbedAt[router] = f.now
 	for _, e := range f.engines {
@@ -114,7 +116,7 @@
 	}
 	for t, stored := range f.faults.store {
 		stored.Trait = t
-		merge(f.routers[router], f.now, []crash.Evidence{stored})
+		f.routers[router].Merge(f.now, f.now, "", []crash.Evidence{stored})
 	}
 }
 
--- a/core/crash/fleet_test.go
+++ b/core/crash/fleet_test.go
@@ -3,10 +3,13 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"strconv"
+	"strings"
 	"testing"
 	"time"
 
 	"github.com/kumquatsill/kumquatsill/core/crash"
+	"github.com/kumquatsill/kumquatsill/core/peer"
 	"github.com/kumquatsill/kumquatsill/core/proto"
 )
 
@@ -44,9 +47,11 @@
 }
 
 type delivery struct {
-	at, sentAt proto.Instant
-	from, to   int
-	evidence   []crash.Evidence
+	at        proto.Instant
+	from, to  int
+	sentAt    proto.Instant
+	facts     *crash.Page
+	confirmed []peer.Confirmation
 }
 
 // fleet simulates routers that share their evidence, and engines that crash.
@@ -54,6 +59,7 @@
 	rng      *rand.Rand
 	now      proto.Instant
 	routers  []*crash.Register
+	facts    []*peer.FactSync
 	engines  []*engine
 	messages []delivery
 	// early lists when routers send messages before the next periodic one.
@@ -70,16 +76,29 @@
 
 func newFleet(seed uint64, routers, engines int) *fleet {
 	f := &fleet{rng: rand.New(rand.NewPCG(seed, 1)), now: now, early: map[int]proto.Instant{}}
-	for range routers {
-		f.routers = append(f.routers, crash.NewRegister())
-	}
 	f.faults = newFaults(routers)
+	f.routers, f.facts = make([]*crash.Register, routers), make([]*peer.FactSync, routers)
+	for i := range routers {
+		f.startRouter(i)
+	}
 	for i := range engines {
 		f.engines = append(f.engines, &engine{id: proto.EndpointID(fmt.Sprint("e", i))})
 	}
 	return f
 }
 
+// startRouter starts a router that knows nothing but its peers.
+func (f *fleet) startRouter(i int) {
+	f.faults.incarnations[i]++
+	f.routers[i] = crash.NewRegister()
+	f.facts[i] = peer.NewFactSync(routerID(i), f.faults.incarnations[i], f.routers[i])
+	for other := range f.routers {
+		if other != i {
+			f.facts[i].Add(routerID(other))
+		}
+	}
+}
+
 // request sends a request with the given part through a random router. All requests
 // share their first part.
 func (f *fleet) request(part string, harmful bool) {
@@ -162,33 +181,77 @@
 	var left []delivery
 	for _, m := range f.messages {
 		if m.at <= f.now && !f.isSuspended(m.to) {
-			f.routers[m.to].Merge(f.now, f.faults.clock(m).Convert(f.now, m.sentAt), m.evidence)
+			f.deliver(m)
 		} else {
 			left = append(left, m)
 		}
 	}
 	f.messages = left
 	tick := int(f.now.Sub(now) / step)
-	for i, r := range f.routers {
+	for i := range f.routers {
 		const interval = int(400 * time.Millisecond / step)
 		early, isEarly := f.early[i]
-		isEarly = isEarly && f.now >= early
-		if (tick+i)%interval != 0 && !isEarly || f.isSuspended(i) {
+		isPeriodic := (tick+i)%interval == 0
+		if f.isSuspended(i) || !isPeriodic && (!isEarly || f.now < early) {
 			continue
 		}
 		delete(f.early, i)
-		evidence := r.Observations(f.now)
-		if (tick+i)%(5*interval) == 0 {
-			evidence = r.State(f.now)
+		if isPeriodic {
+			f.hearPeers(i)
+			f.confirm(i)
 		}
-		for to := range f.routers {
-			if len(evidence) > 0 && to != i && f.rng.IntN(20) > 0 {
-				f.messages = append(f.messages, delivery{at: f.now.Add(f.duration(50 * time.Millisecond)), sentAt: f.now, from: i, to: to, evidence: evidence})
+		due, _ := f.facts[i].Due(f.now)
+		for _, d := range due {
+			for _, to := range d.To {
+				f.post(delivery{from: i, to: routerIndex(to), facts: &d.Page})
 			}
 		}
 	}
 }
 
+func (f *fleet) post(m delivery) {
+	if f.rng.IntN(20) > 0 {
+		m.at, m.sentAt = f.now.Add(f.duration(50*time.Millisecond)), f.now
+		f.messages = append(f.messages, m)
+	}
+}
+
+func (f *fleet) deliver(m delivery) {
+	from := routerID(m.from)
+	f.facts[m.to].Confirmed(f.now, from, m.confirmed)
+	if m.facts != nil {
+		f.facts[m.to].Read(f.now, f.faults.clock(m).Convert(f.now, m.sentAt), from, m.facts)
+	}
+}
+
+// confirm sends what a router has to confirm.
+func (f *fleet) confirm(router int) {
+	confirmed := f.facts[router].TakeConfirmations(func(proto.RouterID) bool { return true })
+	for to := range f.routers {
+		if len(confirmed) > 0 && to != router {
+			f.post(delivery{from: router, to: to, confirmed: confirmed})
+		}
+	}
+}
+
+// hearPeers lets a router learn which others send messages.
+func (f *fleet) hearPeers(router int) {
+	for other := range f.routers {
+		switch {
+		case other == router:
+		case f.isSuspended(other) && f.now.Sub(f.faults.suspendedAt[other]) >= silence:
+			f.facts[router].Silent(routerID(other))
+		default:
+			f.facts[router].Heard(routerID(other), f.faults.incarnations[other])
+		}
+	}
+}
+
+func routerIndex(id proto.RouterID) int {
+	i, _ := strconv.Atoi(strings.TrimPrefix(string(id), "r"))
+	return i
+}
+
 // pattern is a load of harmful requests: first a burst, then one at each interval.
 type pattern struct {
 	burst    int
--- a/core/crash/old_messages_test.go
+++ b/core/crash/old_messages_test.go
@@ -18,7 +18,7 @@
 	var messages [][]crash.Evidence
 	const interval, pause = 200 * time.Millisecond, 1400 * time.Millisecond
 	for sent := time.Duration(0); sent <= pause; sent += interval {
-		messages = append(messages, observer.Observations(start.Add(sent)))
+		messages = append(messages, told(observer, start.Add(sent)))
 	}
 	for _, m := range messages {
 		merge(suspended, start.Add(pause), m)
--- a/core/crash/register.go
+++ b/core/crash/register.go
@@ -78,6 +78,7 @@
 	// blamedAt is when assignBlame decided last.
 	blamedAt proto.Instant
 	changes  []Change
+	log      factLog
 }
 
 // NewRegister returns an empty register.
@@ -93,10 +94,11 @@
 	defer r.mu.Unlock()
 	for _, t := range traits {
 		e := r.entry(t)
-		if e.crashes.merge(event{id: ended.eventID(), at: at, own: true, cleared: at <= e.soundAt}) {
+		if e.crashes.merge(event{id: ended.eventID(), at: at, own: true, untold: true, cleared: at <= e.soundAt}) {
 			e.observedAt = now
 			r.updateCandidate(now, t, e)
 		}
+		r.tell(t, e)
 	}
 }
 
@@ -109,6 +111,7 @@
 		if e := r.entries[t]; e != nil && e.markSound(begunAt) {
 			e.observedAt = now
 			r.updateCandidate(now, t, e)
+			r.tell(t, e)
 		}
 	}
 }
@@ -120,13 +123,13 @@
 	defer r.mu.Unlock()
 	r.assignBlame(now)
 	a := Admission{Allowed: true}
-	var blocked []*entry
+	var blocked []candidate
 	for _, t := range traits {
 		e := r.entries[t]
 		if e == nil || !e.blocked || now.Sub(e.lastAt()) >= retention {
 			continue
 		}
-		blocked = append(blocked, e)
+		blocked = append(blocked, candidate{t, e})
 		wait := e.nextTrial().Sub(now)
 		if a.Trait == "" || wait > a.RetryAfter {
 			a = Admission{Allowed: wait <= 0, Trial: wait <= 0, Trait: t, Rounds: e.rounds(), RetryAfter: wait}
@@ -136,12 +139,14 @@
 	if a.Allowed {
 		r.countSent(traits)
 	}
-	for _, e := range blocked {
+	for _, b := range blocked {
 		if a.Allowed {
-			e.trials.merge(event{id: trialID(now), at: now, own: true})
-			e.observedAt = now
+			b.entry.trials.merge(event{id: trialID(now), at: now, own: true, untold: true})
+			b.entry.observedAt = now
+			r.tell(b.trait, b.entry)
 		} else {
-			e.refusedAt = now
+			b.entry.refusedAt = now
+			r.tellRefusal(now, b.trait, b.entry)
 		}
 	}
 	return a
@@ -166,6 +171,7 @@
 	for _, t := range traits {
 		if e := r.entries[t]; e != nil && e.blocked {
 			e.trials.clearLastOwn()
+			r.tell(t, e)
 		}
 	}
 }
@@ -190,7 +196,7 @@
 	return changes
 }
 
-// Expire forgets the traits whose retention is over.
+// Expire forgets the traits whose retention is over, and what there was to tell of them.
 func (r *Register) Expire(now proto.Instant) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -199,6 +205,11 @@
 			r.remove(now, t, e)
 		}
 	}
+	n := 0
+	for n < len(r.log.facts) && !r.isKnown(r.log.facts[n]) {
+		n++
+	}
+	r.log.drop(n)
 }
 
 // remove forgets a trait; mu must be held.
--- a/core/crash/register_test.go
+++ b/core/crash/register_test.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"maps"
 	"math"
 	"testing"
 	"time"
@@ -35,7 +36,29 @@
 }
 
 // merge merges evidence that is read at once.
-func merge(r *crash.Register, at proto.Instant, evidence []crash.Evidence) { r.Merge(at, at, evidence) }
+func merge(r *crash.Register, at proto.Instant, evidence []crash.Evidence) {
+	r.Merge(at, at, "peer", evidence)
+}
+
+// pages returns all that a router tells one that knows nothing.
+func pages(r *crash.Register, at proto.Instant) []crash.Page {
+	var all []crash.Page
+	for from := r.First(); from < r.End(); {
+		p := r.Page(at, from)
+		all = append(all, p)
+		from = p.To
+	}
+	return all
+}
+
+// told returns the evidence in all that a router tells one that knows nothing.
+func told(r *crash.Register, at proto.Instant) []crash.Evidence {
+	var evidence []crash.Evidence
+	for _, p := range pages(r, at) {
+		evidence = append(evidence, p.Evidence()...)
+	}
+	return evidence
+}
 
 // allows reports whether a request with the traits may be sent, other than as a trial.
 func allows(r *crash.Register, at proto.Instant, traits ...crash.Trait) bool {
@@ -52,13 +75,13 @@
 	connectionLost(r2, now.Add(time.Second), "e2", traits)
 	at := now.Add(2 * time.Second)
 	for range 3 {
-		merge(r1, at, r2.Observations(at))
+		merge(r1, at, told(r2, at))
 	}
 	if !allows(r1, at, bad) {
 		t.Fatal("blocked after two crashes, which other requests may explain")
 	}
 	connectionLost(r3, at, "e3", traits)
-	merge(r1, at, r3.Observations(at))
+	merge(r1, at, told(r3, at))
 	if a := r1.Admit(at, traits); a.Allowed || a.Rounds != 3 || a.RetryAfter <= 0 {
 		t.Fatalf("after three crashes: %+v", a)
 	}
@@ -111,12 +134,12 @@
 func TestReleaseReachesPeers(t *testing.T) {
 	r1, r2 := crash.NewRegister(), crash.NewRegister()
 	last := lose(r1, 3, first)
-	merge(r2, last, r1.State(last))
+	merge(r2, last, told(r1, last))
 	r1.Survived(last.Add(time.Second), last.Add(time.Millisecond), []crash.Trait{first})
 	at := last.Add(20 * time.Second) // r2 has missed all messages in between
-	merge(r1, at, r2.State(at))
-	merge(r2, at, r1.State(at))
-	merge(r1, at, r2.State(at))
+	merge(r1, at, told(r2, at))
+	merge(r2, at, told(r1, at))
+	merge(r1, at, told(r2, at))
 	if !allows(r1, at, first) || !allows(r2, at, first) {
 		t.Fatal("still refused after the release")
 	}
@@ -129,8 +152,8 @@
 	at := lose(r1, 3, bad)
 	trials, lastTrial := 0, at
 	for end := at.Add(time.Hour); at < end; at = at.Add(100 * time.Millisecond) {
-		merge(r1, at, r2.Observations(at))
-		merge(r2, at, r1.Observations(at))
+		merge(r1, at, told(r2, at))
+		merge(r2, at, told(r1, at))
 		for _, r := range []*crash.Register{r1, r2} {
 			if a := r.Admit(at, []crash.Trait{bad}); a.Allowed {
 				if trials++; trials > 1 && at.Sub(lastTrial) < 2*time.Minute {
@@ -138,8 +161,8 @@
 				}
 				lastTrial = at
 				connectionLost(r, at.Add(time.Millisecond), proto.EndpointID(fmt.Sprint("t", trials)), []crash.Trait{bad})
-				merge(r1, at, r2.Observations(at))
-				merge(r2, at, r1.Observations(at))
+				merge(r1, at, told(r2, at))
+				merge(r2, at, told(r1, at))
 			}
 		}
 	}
@@ -154,7 +177,7 @@
 	r := crash.NewRegister()
 	later := lose(r, 5, bad).Add(11 * time.Minute)
 	r.Expire(later)
-	if !allows(r, later, bad) || len(r.State(later)) != 0 {
+	if !allows(r, later, bad) || len(told(r, later)) != 0 {
 		t.Fatal("an expired entry still counts")
 	}
 }
@@ -167,8 +190,8 @@
 	lose(b, 5, bad)
 	const delay = 5 * time.Millisecond
 	for at := now.Add(5 * time.Second); at < end; at = at.Add(2 * time.Second) {
-		merge(a, at.Add(delay), b.State(at))
-		merge(b, at.Add(delay), a.State(at))
+		merge(a, at.Add(delay), told(b, at))
+		merge(b, at.Add(delay), told(a, at))
 	}
 	a.Expire(end)
 	b.Expire(end)
@@ -185,33 +208,61 @@
 	for i := range 10_000 {
 		connectionLost(r, at, "e9", []crash.Trait{crash.PartTrait("m", fmt.Sprint(i))})
 	}
-	merge(peer, at, r.Observations(at))
+	merge(peer, at, told(r, at))
 	if allows(r, at, bad) || allows(peer, at, bad) {
 		t.Fatal("no longer blocked")
 	}
 }
 
-// Guards against messages to peers that outgrow a datagram, and so are not sent at all,
-// when many endpoints crash under many requests.
-func TestEvidenceFitsIntoAMessage(t *testing.T) {
-	const maxBytes = 20_000 // a third of a datagram
+// Guards against messages to peers that outgrow a packet, and against evidence that is never
+// told behind other evidence, when many endpoints crash under many requests.
+func TestAllEvidenceIsToldInPages(t *testing.T) {
+	const maxBytes = 1200
 	r := crash.NewRegister()
+	want := map[crash.Trait]int{}
 	for i := range 100 {
 		var traits []crash.Trait
 		for j := range 100 {
 			traits = append(traits, crash.PartTrait("m", fmt.Sprint("part", j)))
 		}
 		connectionLost(r, now.Add(time.Duration(i)*20*time.Millisecond), proto.EndpointID(fmt.Sprint("i-0123456789", i)), traits)
+		for _, trait := range traits {
+			want[trait] = min(i+1, 32) // the register keeps 32 of a trait
+		}
 	}
 	at := now.Add(2 * time.Second)
-	for name, evidence := range map[string][]crash.Evidence{"observations": r.Observations(at), "state": r.State(at)} {
-		data, err := json.Marshal(evidence)
+	got := map[crash.Trait]int{}
+	for _, p := range pages(r, at) {
+		data, err := json.Marshal(p)
 		if err != nil {
 			t.Fatal(err)
 		}
-		if len(evidence) == 0 || len(data) > maxBytes {
-			t.Errorf("%s: %d bytes for %d traits", name, len(data), len(evidence))
+		if len(data) > maxBytes {
+			t.Errorf("a page of %d bytes", len(data))
 		}
+		for _, ev := range p.Evidence() {
+			got[ev.Trait] += len(ev.Crashes)
+		}
+	}
+	if !maps.Equal(got, want) {
+		t.Errorf("told %v, want %v", got, want)
+	}
+}
+
+// Guards against a part that most prompts share being told never, as the content of single
+// requests was told first: twelve engines crash at the same moment, each under ten requests.
+func TestSharedPartIsToldAmongManyRequests(t *testing.T) {
+	r, peer := crash.NewRegister(), crash.NewRegister()
+	for engine := range 12 {
+		for request := range 10 {
+			id := fmt.Sprint(engine, "/", request)
+			connectionLost(r, now, proto.EndpointID(fmt.Sprint("e", engine)),
+				[]crash.Trait{crash.ContentTrait(proto.Fingerprint(id)), first, crash.PartTrait("m", fmt.Sprint(request%5)), crash.PartTrait("m", id)})
+		}
+	}
+	merge(peer, now, told(r, now))
+	if peer.Rounds(first) == 0 {
+		t.Error("the peer does not know the part that all prompts share")
 	}
 }
 
@@ -222,14 +273,14 @@
 	start := lose(r1, 3, bad)
 	trials := map[time.Duration]int{time.Minute: 0, time.Hour: 0}
 	for at := start; at < start.Add(time.Hour); at = at.Add(100 * time.Millisecond) {
-		merge(r1, at, r2.State(at))
-		merge(r2, at, r1.State(at))
+		merge(r1, at, told(r2, at))
+		merge(r2, at, told(r1, at))
 		for _, r := range []*crash.Register{r1, r2} {
 			if !r.Admit(at, []crash.Trait{bad}).Allowed {
 				continue
 			}
-			merge(r1, at, r2.Observations(at))
-			merge(r2, at, r1.Observations(at))
+			merge(r1, at, told(r2, at))
+			merge(r2, at, told(r1, at))
 			for within := range trials {
 				if at.Sub(start) < within {
 					trials[within]++
@@ -260,13 +311,13 @@
 func TestReleaseIsToldAmongManySuspects(t *testing.T) {
 	r, peer := crash.NewRegister(), crash.NewRegister()
 	last := lose(r, 3, first)
-	merge(peer, last, r.State(last))
+	merge(peer, last, told(r, last))
 	for i := range 1000 {
 		connectionLost(r, last, "e9", []crash.Trait{crash.PartTrait("m", fmt.Sprint(i))})
 	}
 	at := last.Add(time.Second)
 	r.Survived(at, last.Add(time.Millisecond), []crash.Trait{first})
-	merge(peer, at, r.Observations(at))
+	merge(peer, at, told(r, at))
 	if !allows(peer, at, first) {
 		t.Fatal("still refused by the peer")
 	}
--- a/core/crash/trait.go
+++ b/core/crash/trait.go
@@ -13,7 +13,9 @@
 
 // ContentTrait returns the trait of requests with the same content, by their
 // fingerprint.
-func ContentTrait(f proto.Fingerprint) Trait { return Trait("c" + string(f)) }
+func ContentTrait(f proto.Fingerprint) Trait {
+	return Trait("c" + strconv.FormatUint(xxhash.Sum64String(string(f)), 36))
+}
 
 // PartTrait returns the trait of requests for a model whose prompts have a part in
 // common.
--- a/core/peer/peer.go
+++ b/core/peer/peer.go
@@ -64,8 +64,11 @@
 	Domain proto.Domain `json:"domain,omitempty"`
 	// Leaving is set in the last messages of a router that shuts down.
 	Leaving bool `json:"leaving,omitempty"`
-	// Suspects is the evidence on what makes requests crash endpoints.
-	Suspects []crash.Evidence `json:"suspects,omitempty"`
+	// Facts is what the sender has observed of requests that crash endpoints. It is set in
+	// messages of its own.
+	Facts *crash.Page `json:"facts,omitempty"`
+	// Confirmed tells how far the sender has read the facts of others.
+	Confirmed []Confirmation `json:"confirmed,omitempty"`
 	// Limits lists the limits that endpoints have named to the sender.
 	Limits []endpointstate.LimitNotice `json:"limits,omitempty"`
 	// LeavingEndpoints lists the endpoints that have said to the sender that they leave.
