core/endpointstate: what a new incarnation says before it is registered holds for it

Cause: an engine that is back under its identifier answers at its old address before its registration is read. The router kept its pause under the old incarnation, and dropped it when it read the new one. The same holds for a limit that it names.

Change: a statement keeps its time of day. When the registration of an incarnation is read, what this router took for the word of an earlier one but was said after this one's start is taken over (Tracker.Begin). That an endpoint leaves is not: an incarnation that leaves says so again, and where clocks differ a new one would be given up for good.

Evidence: TestWordOfANewIncarnationHoldsOnceItIsRegistered; with Begin taken out both the pause and the limit end with the registration.

Conclusion: where the clocks of engine and router differ, a word in that span may still be kept for the wrong one of the two; a pause is at most 60 s.

--- a/app/front/endpoint_states.go
+++ b/app/front/endpoint_states.go
@@ -22,7 +22,7 @@
 			return
 		}
 	}
-	report := endpointstate.Report{Leaving: head.Leaving, Pause: head.Pause}
+	report := endpointstate.Report{Leaving: head.Leaving, Pause: head.Pause, SaidAt: time.Now().UnixMilli()}
 	report.Limit, report.HasLimit = limitOf(head)
 	change := f.endpointStates.Observe(now, endpointstate.EndpointOf(e), report)
 	if change.Limit {
--- a/app/front/watch.go
+++ b/app/front/watch.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/kumquatsill/kumquatsill/app/driver"
+	"github.com/kumquatsill/kumquatsill/core/endpointstate"
 	"github.com/kumquatsill/kumquatsill/core/proto"
 	"github.com/kumquatsill/kumquatsill/core/quota"
 	"github.com/kumquatsill/kumquatsill/platform"
@@ -310,6 +311,7 @@
 	changed := f.table.Put(now, e)
 	f.placer.ObserveRegistration(now, e.ID, r.At, changed)
 	if changed {
+		f.endpointStates.Begin(now, endpointstate.EndpointOf(e))
 		f.log.Info("endpoint changed", "endpoint", r.Key, "service", e.Service, "addr", e.Addr, "domain", string(e.Domain),
 			"leaving", e.Leaving, "started", e.Started, "versions", e.Versions, "offset", r.At.Offset)
 	}
--- a/core/endpointstate/limit.go
+++ b/core/endpointstate/limit.go
@@ -30,8 +30,9 @@
 	Limit
 	// observedAt is when the limit was named last, changedAt when it changed.
 	observedAt, changedAt proto.Instant
-	// own is set if this router has made the last observation.
-	own bool
+	// own is set if this router has made the last observation, saidAt its time of day.
+	own    bool
+	saidAt int64
 	// rate is this router's share of the limit in requests per second, valid if rateKnown
 	// is set.
 	rate      float64
@@ -50,6 +51,8 @@
 	limit Limit
 	at    proto.Instant
 	own   bool
+	// saidAt is the time of day of an own observation, in Unix milliseconds.
+	saidAt int64
 }
 
 // applyLimit records an observation and reports whether the limit has changed; mu must be
@@ -67,7 +70,7 @@
 		// Requests that were just sent have used up the first ones.
 		l.tokens, l.refilledAt = 0, now
 	}
-	l.Limit, l.observedAt, l.own = o.limit, o.at, o.own
+	l.Limit, l.observedAt, l.own, l.saidAt = o.limit, o.at, o.own, o.saidAt
 	if changed {
 		l.changedAt, l.rateKnown = now, false
 	}
--- a/core/endpointstate/notices.go
+++ b/core/endpointstate/notices.go
@@ -125,7 +125,7 @@
 	}
 	for _, n := range notices.Limits {
 		at := now.Add(-time.Duration(n.AgeMillis) * time.Millisecond)
-		if t.applyLimit(now, limitObservation{incarnation{n.Endpoint, n.Started}, Limit{PerSecond: n.PerSecond, Named: !n.Ended}, at, false}) {
+		if t.applyLimit(now, limitObservation{incarnation{n.Endpoint, n.Started}, Limit{PerSecond: n.PerSecond, Named: !n.Ended}, at, false, 0}) {
 			changes.Limits = append(changes.Limits, n)
 		}
 	}
--- a/core/endpointstate/pause.go
+++ b/core/endpointstate/pause.go
@@ -18,6 +18,10 @@
 // this router. Peers are not told, as each router gets answers of its own.
 type pauseState struct {
 	until proto.Instant
+	// saidAt is the time of day at which the pause was named last, in Unix milliseconds,
+	// saidUntil the end that was named then.
+	saidAt    int64
+	saidUntil proto.Instant
 	// calls is the number of control calls since the pause began.
 	calls int
 }
@@ -26,12 +30,13 @@
 
 // extend begins a pause of that length or makes the present one last so long. It reports
 // whether a pause has begun. An earlier pause that lasts longer holds.
-func (p *pauseState) extend(now proto.Instant, d time.Duration) bool {
+func (p *pauseState) extend(now proto.Instant, d time.Duration, saidAt int64) bool {
 	begins := !p.inForce(now)
 	if begins {
 		p.calls = 0
 	}
-	p.until = max(p.until, now.Add(min(d, maxPause)))
+	p.saidAt, p.saidUntil = saidAt, now.Add(min(d, maxPause))
+	p.until = max(p.until, p.saidUntil)
 	return begins
 }
 
--- a/core/endpointstate/pause_test.go
+++ b/core/endpointstate/pause_test.go
@@ -59,6 +59,35 @@
 	}
 }
 
+// Guards against requests during a pause, or beyond a limit, that an endpoint named which
+// had started anew under its identifier, before its registration was read.
+func TestWordOfANewIncarnationHoldsOnceItIsRegistered(t *testing.T) {
+	const startedAt = 1000 // Unix milliseconds
+	next := endpoint
+	next.Started = startedAt
+	for _, c := range []struct {
+		name   string
+		saidAt int64
+		holds  bool
+	}{{"before its start", startedAt - 1, false}, {"at its start", startedAt, true}, {"after its start", startedAt + 400, true}} {
+		r := newTracker("r")
+		r.Observe(now, endpoint, endpointstate.Report{Pause: time.Minute, SaidAt: 1})
+		r.Observe(now, endpoint, endpointstate.Report{Pause: 3 * time.Second, Limit: named(1), HasLimit: true, SaidAt: c.saidAt})
+		at := now.Add(time.Second)
+		r.Begin(at, next)
+		if p := r.Check(at, next); p.OK == c.holds || c.holds && (p.Reason != endpointstate.Paused || p.Wait != 2*time.Second) {
+			t.Errorf("%s: %+v", c.name, p)
+		}
+		r.Take(now.Add(4*time.Second), next)
+		if p := r.Check(now.Add(4*time.Second), next); c.holds != (p.Reason == endpointstate.LimitReached) {
+			t.Errorf("%s: after the pause: %+v", c.name, p)
+		}
+		if r.IsLeaving(next) {
+			t.Errorf("%s: leaves", c.name)
+		}
+	}
+}
+
 // Guards against a pause that the limit's trials, or the last resort of an endpoint that
 // leaves, do not respect, and against telling callers that such an endpoint comes back.
 func TestPauseComesBeforeOtherStatements(t *testing.T) {
--- a/core/endpointstate/tracker.go
+++ b/core/endpointstate/tracker.go
@@ -59,6 +59,8 @@
 	// Pause is the time for which the endpoint takes no requests from this router; 0 for
 	// none. More than maxPause counts as maxPause.
 	Pause time.Duration
+	// SaidAt is the time of day of the answer, in Unix milliseconds.
+	SaidAt int64
 }
 
 // Change tells which parts of an endpoint's state an observation has changed.
@@ -123,13 +125,13 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if r.HasLimit {
-		change.Limit = t.applyLimit(now, limitObservation{e.incarnation(), r.Limit, now, true})
+		change.Limit = t.applyLimit(now, limitObservation{e.incarnation(), r.Limit, now, true, r.SaidAt})
 	}
 	if r.Leaving {
 		change.Leaving = t.applyLeaving(e.incarnation(), now, true)
 	}
 	if r.Pause > 0 {
-		change.Pause = t.stateFor(e.incarnation()).pause.extend(now, r.Pause)
+		change.Pause = t.stateFor(e.incarnation()).pause.extend(now, r.Pause, r.SaidAt)
 	}
 	return change
 }
