app/e2e: a failed test of the log's reader shows its requests and the metrics

TestRouterOutlivesTheReaderOfItsLog failed once ("timed out waiting for dropped lines are counted") and left nothing to trace it by. Its three requests ignored their errors, so that a failed one looked like an uncounted line. They now fail the test with their error, and a failed run prints the metrics page. The test asks no less: three lines counted within the same time.

--- a/app/e2e/front_test.go
+++ b/app/e2e/front_test.go
@@ -219,9 +219,18 @@
 	}
 	_ = reader.Close()
 	r.awaitReady()
-	for range 3 {
-		get("http://" + r.callerAddr() + "/none/1") // each refusal is one line
+	for range 3 { // each refusal is one line
+		resp, err := http.Get("http://" + r.callerAddr() + "/none/1")
+		if err != nil {
+			t.Fatal(err)
+		}
+		_ = resp.Body.Close()
 	}
+	t.Cleanup(func() {
+		if t.Failed() {
+			t.Logf("metrics:\n%s", get("http://"+r.readyAddr+"/metrics"))
+		}
+	})
 	r.await("dropped lines are counted", func() bool {
 		_, count, _ := strings.Cut(get("http://"+r.readyAddr+"/metrics"), "\nkumquatsill_log_lines_dropped_total ")
 		count, _, _ = strings.Cut(count, "\n")
