core/quota: a router that is not configured yet names the accounts that the store has told it

Cause: a router that starts reads which accounts are beyond their limits, and may read its configuration some milliseconds later. Until then it named no such account, as their limits were not known; as it had heard no other router yet, it took itself for the one that writes, and wrote an empty list. The routers that read the store after it granted the burst once more.

Reproduced: the simulation lets every other router read its configuration 20 ms after the store has told, and each write at once, as it has heard nobody: TestRestartsOfAllRoutersGrantOneBurst with 27 and 103 routers fails with 4,188,474 and 4,154,887 units, 2,456,300 allowed.

Change: until the configuration is read, the accounts that the store has told are named, whatever their limits.

After: 1,214,177 and 1,547,439 units in the simulation.

Conclusion: what is restored outlasts the restart also where the configuration is read last. Why it was missed: the simulation configured each router before the store told it anything.

--- a/core/quota/exceeded.go
+++ b/core/quota/exceeded.go
@@ -18,7 +18,7 @@
 	share := t.share(now)
 	levels := map[proto.AccountID]int64{}
 	for id, b := range t.buckets {
-		if t.refill(b, now, share); b.exceeded && b.limit.Rate > 0 {
+		if t.refill(b, now, share); b.exceeded && (b.limit.Rate > 0 || !t.configured) {
 			levels[id] = int64(b.level)
 		}
 	}
--- a/core/quota/quota.go
+++ b/core/quota/quota.go
@@ -175,7 +175,9 @@
 	// informed is set once the store, or a peer that has not just started, has told
 	// which accounts are beyond their limits.
 	informed bool
-	buckets  map[proto.AccountID]*bucket
+	// configured is set once the limits of all accounts are known.
+	configured bool
+	buckets    map[proto.AccountID]*bucket
 }
 
 // New returns the tracker of a router that starts now and knows no members yet.
@@ -193,6 +195,7 @@
 func (t *Tracker) Configure(now proto.Instant, limits map[proto.AccountID]Limit) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	t.configured = true
 	share := t.share(now)
 	for id, limit := range limits {
 		b := t.buckets[id]
--- a/core/quota/simulation_test.go
+++ b/core/quota/simulation_test.go
@@ -17,8 +17,11 @@
 	// simDomains is the number of failure domains; near routers send to each other in every
 	// interval, far ones in every second.
 	simDomains = 4
-	// simStoreLag is how long after its start a router has read the store, and is ready.
-	simStoreLag = 30 * time.Millisecond
+	// simStoreLag is how long after its start a router has read which accounts are beyond
+	// their limits. Every other router reads the configuration at the same time, the rest
+	// simConfigLag later; then a router is ready.
+	simStoreLag  = 30 * time.Millisecond
+	simConfigLag = 20 * time.Millisecond
 	// simReconnect is how long a caller waits before it tries another router.
 	simReconnect = 50 * time.Millisecond
 )
@@ -163,12 +166,15 @@
 		return
 	}
 	age := at - s.startedAt[r]
-	if age == simStoreLag {
+	if age == simStoreLag && !s.storeDown {
+		tracker.RestoreExceeded(s.now, s.store)
+	}
+	if age == simStoreLag+time.Duration(r%2)*simConfigLag {
 		tracker.Configure(s.now, map[proto.AccountID]quota.Limit{account: s.limit})
 		s.ready[r] = true
-		if !s.storeDown {
-			tracker.RestoreExceeded(s.now, s.store)
-		}
+	}
+	if age == simStoreLag && !s.storeDown {
+		s.write(r) // it has not heard another router that writes
 	}
 	if age == listDelay {
 		for other := range s.routers {
