app/front: peers tell a router that has just started who there is

Cause: such a router had peers that sent it messages, as they knew its address from before, but these do not name their sender's address more than every two seconds, and far ones are forwarded. It told nobody that it had started, and so nobody told it what crashes engines.

Change: a router that gets a message of one that it does not know answers the address that the message came from with a full message, at most once a second. Who hears of a new incarnation of a near router tells it the routers that it knows, and soon what it has observed. So membership and evidence come back without the store.

Conclusion: what is left is a router that can reach neither the store nor a near router.

--- a/app/front/peers.go
+++ b/app/front/peers.go
@@ -366,8 +366,9 @@
 // receivePeerMessages receives and handles the messages of other routers.
 func (f *Front) receivePeerMessages(ctx context.Context) error {
 	buffer := make([]byte, peer.MaxBytes+1)
+	greeter := greeter{front: f, greetedAt: map[netip.AddrPort]proto.Instant{}}
 	for ctx.Err() == nil {
-		n, _, err := f.peerConn.ReadFromUDPAddrPort(buffer)
+		n, sender, err := f.peerConn.ReadFromUDPAddrPort(buffer)
 		if errors.Is(err, net.ErrClosed) {
 			return nil
 		}
@@ -385,29 +386,38 @@
 		if forward {
 			f.sendDatagram(data, f.domainPeers())
 		}
-		f.handlePeerMessage(driver.Now(), m)
+		now := driver.Now()
+		if known := f.handlePeerMessage(now, m); !known {
+			greeter.greet(now, sender)
+		}
 	}
 	return nil
 }
 
-func (f *Front) handlePeerMessage(now proto.Instant, m peer.Message) {
+// handlePeerMessage applies a message and reports whether its sender is known.
+func (f *Front) handlePeerMessage(now proto.Instant, m peer.Message) (known bool) {
 	id := m.Counts.Router
 	if id == proto.RouterID(f.cfg.Settings.Host) {
-		return
+		return true
 	}
 	f.mu.Lock()
 	if m.Leaving {
 		f.removePeer(id)
 		f.mu.Unlock()
-		return
+		return true
 	}
 	if m.Addr != "" {
 		f.addPeer(now, id, m.Addr, m.Domain)
 	}
+	f.addIntroduced(now, m.Routers)
 	sentAt := now
-	if p := f.peers[id]; p != nil {
+	p := f.peers[id]
+	if p != nil {
 		if p.incarnation != m.Counts.Incarnation {
 			p.clock = peer.Clock{}
+			if f.isNear(p) {
+				defer f.introduce(p.addr)
+			}
 		}
 		sentAt = p.clock.Convert(now, m.SentAt)
 		if p.silent {
@@ -455,6 +465,7 @@
 	for _, v := range m.AnnouncedVersions {
 		f.placer.HandlePeerVersion(v.Model, v.Version, now.Add(-v.Age()))
 	}
+	return p != nil
 }
 
 // announceLeaving tells the peers that this router leaves.
--- a/core/peer/pack.go
+++ b/core/peer/pack.go
@@ -33,7 +33,7 @@
 // split returns the message without its lists, and one with these alone.
 func (m Message) split() (head, lists Message) {
 	head, lists = m, m
-	head.Confirmed, head.Limits, head.LeavingEndpoints, head.Loads, head.VersionLoaded = nil, nil, nil, nil, nil
+	head.Routers, head.Confirmed, head.Limits, head.LeavingEndpoints, head.Loads, head.VersionLoaded = nil, nil, nil, nil, nil, nil
 	head.Attempts, head.AnnouncedVersions, head.Seen, head.Silent = nil, nil, nil, nil
 	lists.Counts = quota.Counts{Router: m.Counts.Router, Incarnation: m.Counts.Incarnation}
 	lists.Addr, lists.Domain, lists.LeaseDisclaimer = "", "", nil
@@ -85,6 +85,7 @@
 // halve returns two messages with half of each list.
 func (m Message) halve() (first, second Message) {
 	first, second = m, m
+	first.Routers, second.Routers = halve(m.Routers)
 	first.Confirmed, second.Confirmed = halve(m.Confirmed)
 	first.Limits, second.Limits = halve(m.Limits)
 	first.LeavingEndpoints, second.LeavingEndpoints = halve(m.LeavingEndpoints)
@@ -99,7 +100,7 @@
 
 // listItems returns the number of items in all lists.
 func (m *Message) listItems() int {
-	return len(m.Confirmed) + len(m.Limits) + len(m.LeavingEndpoints) + len(m.Loads) + len(m.VersionLoaded) +
+	return len(m.Routers) + len(m.Confirmed) + len(m.Limits) + len(m.LeavingEndpoints) + len(m.Loads) + len(m.VersionLoaded) +
 		len(m.Attempts) + len(m.AnnouncedVersions) + len(m.Seen) + len(m.Silent)
 }
 
--- a/core/peer/peer.go
+++ b/core/peer/peer.go
@@ -53,6 +53,13 @@
 	Page place.StorePage `json:"page"`
 }
 
+// Member is a router that another one knows.
+type Member struct {
+	Router proto.RouterID `json:"router"`
+	Addr   string         `json:"addr"`
+	Domain proto.Domain   `json:"domain"`
+}
+
 // Message is the state that one router sends to its peers.
 type Message struct {
 	Counts quota.Counts `json:"counts"`
@@ -62,6 +69,8 @@
 	// domain. Both are set only in messages with full counts.
 	Addr   string       `json:"addr,omitempty"`
 	Domain proto.Domain `json:"domain,omitempty"`
+	// Routers lists the routers that the sender knows, for one that has just started.
+	Routers []Member `json:"routers,omitempty"`
 	// Leaving is set in the last messages of a router that shuts down.
 	Leaving bool `json:"leaving,omitempty"`
 	// Facts is what the sender has observed of requests that crash endpoints. It is set in
