--- a/app/front/newcomer_test.go
+++ b/app/front/newcomer_test.go
@@ -14,14 +14,7 @@
 // Guards against a router that has just started and cannot read the list of routers, which
 // nobody tells what crashes endpoints although its peers know its address (soak seed 53010).
 func TestNewcomerIsGreetedWithoutTheStore(t *testing.T) {
-	b := newTestbed(t)
-	var peerAddr string
-	b.startWith("r1", func(c *front.Config) { peerAddr = c.Settings.PeerAddr })
-	conn, err := net.ListenUDP("udp4", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { _ = conn.Close() })
+	peerAddr, conn := startedRouterAndPeer(t)
 	r2 := quota.Counts{Router: "r2", Incarnation: 1}
 	sendFrom(t, conn, peerAddr, peer.Message{Counts: r2})
 	awaitMessage(t, conn, "a greeting", func(m peer.Message) bool {
@@ -37,18 +30,23 @@
 
 // Guards against a router that does not learn of the others from one that introduces them.
 func TestIntroducedRoutersAreToldMessages(t *testing.T) {
-	b := newTestbed(t)
-	var peerAddr string
-	b.startWith("r1", func(c *front.Config) { peerAddr = c.Settings.PeerAddr })
+	peerAddr, conn := startedRouterAndPeer(t)
+	sendToRouter(t, peerAddr, peer.Message{Counts: quota.Counts{Router: "r2"}, Routers: []peer.Member{
+		{Router: "r3", Addr: conn.LocalAddr().String(), Domain: "zone-a"}, {Router: "r4", Addr: "no address"}, {},
+	}})
+	awaitMessage(t, conn, "a message to r3", func(m peer.Message) bool { return m.Counts.Router == proto.RouterID("r1") })
+}
+
+// startedRouterAndPeer returns the address of a router r1 and the socket of a peer.
+func startedRouterAndPeer(t *testing.T) (peerAddr string, conn *net.UDPConn) {
+	t.Helper()
+	newTestbed(t).startWith("r1", func(c *front.Config) { peerAddr = c.Settings.PeerAddr })
 	conn, err := net.ListenUDP("udp4", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
 	if err != nil {
 		t.Fatal(err)
 	}
 	t.Cleanup(func() { _ = conn.Close() })
-	sendToRouter(t, peerAddr, peer.Message{Counts: quota.Counts{Router: "r2"}, Routers: []peer.Member{
-		{Router: "r3", Addr: conn.LocalAddr().String(), Domain: "zone-a"}, {Router: "r4", Addr: "no address"}, {},
-	}})
-	awaitMessage(t, conn, "a message to r3", func(m peer.Message) bool { return m.Counts.Router == proto.RouterID("r1") })
+	return peerAddr, conn
 }
 
 func sendFrom(t *testing.T, conn *net.UDPConn, to string, m peer.Message) {
