--- a/core/crash/fleet_test.go
+++ b/core/crash/fleet_test.go
@@ -3,8 +3,6 @@
 import (
 	"fmt"
 	"math/rand/v2"
-	"strconv"
-	"strings"
 	"testing"
 	"time"
 
@@ -60,6 +58,8 @@
 	now      proto.Instant
 	routers  []*crash.Register
 	facts    []*peer.FactSync
+	ids      []proto.RouterID
+	indexes  map[proto.RouterID]int
 	engines  []*engine
 	messages []delivery
 	// early lists when routers send messages before the next periodic one.
@@ -78,6 +78,11 @@
 	f := &fleet{rng: rand.New(rand.NewPCG(seed, 1)), now: now, early: map[int]proto.Instant{}}
 	f.faults = newFaults(routers)
 	f.routers, f.facts = make([]*crash.Register, routers), make([]*peer.FactSync, routers)
+	f.indexes = map[proto.RouterID]int{}
+	for i := range routers {
+		f.ids = append(f.ids, routerID(i))
+		f.indexes[f.ids[i]] = i
+	}
 	for i := range routers {
 		f.startRouter(i)
 	}
@@ -91,10 +96,10 @@
 func (f *fleet) startRouter(i int) {
 	f.faults.incarnations[i]++
 	f.routers[i] = crash.NewRegister()
-	f.facts[i] = peer.NewFactSync(routerID(i), f.faults.incarnations[i], f.routers[i])
+	f.facts[i] = peer.NewFactSync(f.ids[i], f.faults.incarnations[i], f.routers[i])
 	for other := range f.routers {
 		if other != i {
-			f.facts[i].Add(routerID(other))
+			f.facts[i].Add(f.ids[other])
 		}
 	}
 }
@@ -178,7 +183,7 @@
 
 // exchange delivers messages and sends those that are due. One in twenty is lost.
 func (f *fleet) exchange() {
-	var left []delivery
+	left := f.messages[:0]
 	for _, m := range f.messages {
 		if m.at <= f.now && !f.isSuspended(m.to) {
 			f.deliver(m)
@@ -203,7 +208,7 @@
 		due, _ := f.facts[i].Due(f.now)
 		for _, d := range due {
 			for _, to := range d.To {
-				f.post(delivery{from: i, to: routerIndex(to), facts: &d.Page})
+				f.post(delivery{from: i, to: f.indexes[to], facts: &d.Page})
 			}
 		}
 	}
@@ -217,7 +222,7 @@
 }
 
 func (f *fleet) deliver(m delivery) {
-	from := routerID(m.from)
+	from := f.ids[m.from]
 	f.facts[m.to].Confirmed(f.now, from, m.confirmed)
 	if m.facts != nil {
 		f.facts[m.to].Read(f.now, f.faults.clock(m).Convert(f.now, m.sentAt), from, m.facts)
@@ -240,18 +245,13 @@
 		switch {
 		case other == router:
 		case f.isSuspended(other) && f.now.Sub(f.faults.suspendedAt[other]) >= silence:
-			f.facts[router].Silent(routerID(other))
+			f.facts[router].Silent(f.ids[other])
 		default:
-			f.facts[router].Heard(routerID(other), f.faults.incarnations[other])
+			f.facts[router].Heard(f.ids[other], f.faults.incarnations[other])
 		}
 	}
 }
 
-func routerIndex(id proto.RouterID) int {
-	i, _ := strconv.Atoi(strings.TrimPrefix(string(id), "r"))
-	return i
-}
-
 // pattern is a load of harmful requests: first a burst, then one at each interval.
 type pattern struct {
 	burst    int
