core/crash: what is told stands with the log; comments that were out of date

Moved without a change: ObserverLost and tellRefusal from page.go to log.go. Two comments told of the messages as they were before the pages.

--- a/app/front/peers.go
+++ b/app/front/peers.go
@@ -136,7 +136,7 @@
 	farPeriod = 2
 	// fullPeriod is the number of intervals between full messages, which also
 	// carry the sender's address, the routers that it hears, all that it knows of
-	// blocked traits and of the states of endpoints, and the announced versions.
+	// the states of endpoints, and the announced versions.
 	fullPeriod = 10
 	// fullMessageTime is how long every periodic message is full after the start
 	// of this router or of a peer, so that routers soon know who receives whose
--- a/core/crash/log.go
+++ b/core/crash/log.go
@@ -1,11 +1,19 @@
 package crash
 
+import (
+	"time"
+
+	"github.com/kumquatsill/kumquatsill/core/proto"
+)
+
 const (
 	// maxFacts bounds the facts that are kept to be told. Older ones are no longer told to
 	// routers that have not read them.
 	maxFacts = 2 * maxEntries
 	// maxMoved bounds the facts that are moved to the end of the log for a new one.
 	maxMoved = 32
+	// refusalRepeatTime is the time after which peers are told again that a trait is refused.
+	refusalRepeatTime = time.Minute
 )
 
 // Position is a place in a register's log of facts: the number of facts before it.
@@ -91,3 +99,23 @@
 	}
 	return ids
 }
+
+// ObserverLost has this router pass on what a peer has told that cannot tell it again, as
+// it has stopped, started anew or fallen silent.
+func (r *Register) ObserverLost(observer proto.RouterID) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for t, e := range r.entries {
+		e.crashes.orphan(observer)
+		e.trials.orphan(observer)
+		r.tell(t, e)
+	}
+}
+
+// tellRefusal adds a refusal to the log unless one was added lately; mu must be held.
+func (r *Register) tellRefusal(now proto.Instant, t Trait, e *entry) {
+	if e.refusalToldAt == 0 || now.Sub(e.refusalToldAt) >= refusalRepeatTime {
+		e.refusalToldAt = now
+		r.addFact(fact{trait: t, kind: refusalFact})
+	}
+}
--- a/core/crash/page.go
+++ b/core/crash/page.go
@@ -2,7 +2,6 @@
 
 import (
 	"iter"
-	"time"
 
 	"github.com/kumquatsill/kumquatsill/core/proto"
 )
@@ -178,26 +177,3 @@
 		}
 	}
 }
-
-// ObserverLost has this router pass on what a peer has told that cannot tell it again, as
-// it has stopped, started anew or fallen silent.
-func (r *Register) ObserverLost(observer proto.RouterID) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	for t, e := range r.entries {
-		e.crashes.orphan(observer)
-		e.trials.orphan(observer)
-		r.tell(t, e)
-	}
-}
-
-// refusalRepeatTime is the time after which peers are told again that a trait is refused.
-const refusalRepeatTime = time.Minute
-
-// tellRefusal adds a refusal to the log unless one was added lately; mu must be held.
-func (r *Register) tellRefusal(now proto.Instant, t Trait, e *entry) {
-	if e.refusalToldAt == 0 || now.Sub(e.refusalToldAt) >= refusalRepeatTime {
-		e.refusalToldAt = now
-		r.addFact(fact{trait: t, kind: refusalFact})
-	}
-}
--- a/core/endpointstate/tracker.go
+++ b/core/endpointstate/tracker.go
@@ -7,6 +7,9 @@
 //   - that it leaves, after which it gets no new requests (leaving.go);
 //   - a pause, a time for which it takes no requests from this router (pause.go).
 //
+// What an endpoint says before its incarnation is registered is taken over by that one
+// (incarnation.go).
+//
 // To add another kind: decode it in platform.DecodeResponse, add a field to Report and one
 // to state, and let Check take it into account. Notices tell the peers (notices.go).
 package endpointstate
