--- a/app/front/silence_changes_test.go
+++ b/app/front/silence_changes_test.go
@@ -124,7 +124,7 @@
 
 // Guards against requests that get neither an answer nor a refusal while sound endpoints
 // fall silent for a second or so, beside changes of the configuration, new weights and
-// endpoints that drain (issue 36, LOST).
+// endpoints that drain (incident unanswered-after-silence).
 func TestNothingIsLostBesideSilenceAndChanges(t *testing.T) {
 	b := newChangingTestbed(t)
 	var callers sync.WaitGroup
