front, pace: report the pace of streams and the endpoint's load

No log line or metric told the longest gap of a stream, so a late stream could not be attributed to its first event or to a gap. The attempt line of a stream now has the time to its first event from the request's arrival, the longest gap with its offset and the requests running then, the time between first and last event, the number of events, and which bound was exceeded. It also has the load that the endpoint reported, with the fourth figure of Kumquatsill-Server-Load. Histograms by route kind and priority report the longest gap and the time to the first byte.

--- a/app/front/attempt.go
+++ b/app/front/attempt.go
@@ -11,6 +11,7 @@
 	"github.com/kumquatsill/kumquatsill/app/driver"
 	"github.com/kumquatsill/kumquatsill/app/upstream"
 	"github.com/kumquatsill/kumquatsill/core/crash"
+	"github.com/kumquatsill/kumquatsill/core/pace"
 	"github.com/kumquatsill/kumquatsill/core/place"
 	"github.com/kumquatsill/kumquatsill/core/proto"
 	"github.com/kumquatsill/kumquatsill/core/relay"
@@ -152,7 +153,11 @@
 	// firstByteAt and lastByteAt are when the first and the last part of the response
 	// arrived, or 0.
 	firstByteAt, lastByteAt proto.Instant
-	status                  int
+	// timing records the events of a stream, load what the endpoint reported with the
+	// head of the response.
+	timing pace.Timing
+	load   place.EndpointLoad
+	status int
 	// limit is the number of requests per second that the endpoint named, or -1.
 	limit float64
 	// version is the last model version that the endpoint reported.
@@ -265,7 +270,8 @@
 // observe records what the head of a response reports about the endpoint.
 func (a *attempt) observe(head platform.ResponseInfo) {
 	x := a.request
-	if head.HasLoad {
+	a.load = head.Load
+	if head.HasLoad && head.Load.Slowdown == 0 {
 		x.front.placer.ObserveLoad(driver.Now(), a.placement, head.Load)
 	}
 	x.front.observeEndpointState(driver.Now(), a.choice.Endpoint, head)
@@ -290,6 +296,7 @@
 func (a *attempt) progress() {
 	now := driver.Now()
 	a.lastByteAt = now
+	a.timing.Record(now, a.placement.Running())
 	if a.firstByteAt == 0 {
 		a.firstByteAt = now
 		a.versionTimer.Stop()
--- a/app/front/outcome.go
+++ b/app/front/outcome.go
@@ -100,10 +100,11 @@
 	silentFor := now.Sub(max(a.sentAt, a.lastByteAt))
 	c := a.choice
 	limited, _ := c.Excluded.Limited()
-	x.front.log.Info("attempt", "id", x.info.ID, "n", x.relay.Sends(), "endpoint", string(c.Endpoint.ID),
+	x.front.log.Info("attempt", append([]any{"id", x.info.ID, "n", x.relay.Sends(), "endpoint", string(c.Endpoint.ID),
 		"domain", string(c.Endpoint.Domain), "version", c.Version, "candidates", c.Candidates, "throttled", limited, "excluded", c.Excluded.String(),
 		"expected_ms", c.ExpectedTTFB.Milliseconds(), "held_tokens", c.CachedTokens, "shared_tokens", c.SharedTokens, "moved_tokens", c.FetchedTokens, "again_tokens", c.RecomputedTokens, "source", c.Source,
 		"result", result.String(), "status", a.status, "limit", a.limit, "detail", a.detail, "first_ms", firstMillis,
-		"silent_ms", silentFor.Milliseconds(), "begun", !x.relay.Delivery().IsEmpty(), "took_ms", now.Sub(a.sentAt).Milliseconds(), "next", next.Action.String())
+		"silent_ms", silentFor.Milliseconds(), "begun", !x.relay.Delivery().IsEmpty(), "took_ms", now.Sub(a.sentAt).Milliseconds(), "next", next.Action.String()}, a.pacing()...)...)
 	x.front.metrics.attempted(x.service, result, a)
+	x.front.metrics.paced(a)
 }
--- /dev/null
+++ b/app/front/pacing.go
@@ -0,0 +1,47 @@
+package front
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/kumquatsill/kumquatsill/core/serving"
+)
+
+// pacing returns the log attributes on the pace of an attempt's stream and on the
+// load that its endpoint reported. It returns none for other kinds of response.
+func (a *attempt) pacing() []any {
+	x := a.request
+	if x.route.Kind != serving.Stream {
+		return nil
+	}
+	t := &a.timing
+	fromArrival := int64(-1)
+	if t.Events > 0 {
+		fromArrival = t.First.Sub(x.arrived).Milliseconds()
+	}
+	return []any{
+		"route", x.route.Name, "first_from_arrival_ms", fromArrival, "events", t.Events, "events_ms", millis(t.Duration()),
+		"gap_ms", millis(t.LongestGap), "gap_at_ms", millis(t.GapOffset), "gap_running", t.GapRunning,
+		"late", string(t.Lateness(x.arrived, x.route.TargetLatency, x.route.TargetGap)),
+		"load_running", a.load.Running, "load_waiting", a.load.Waiting, "load_slots", a.load.Slots, "load_slowdown", a.load.Slowdown,
+	}
+}
+
+// millis returns a time in milliseconds with one decimal.
+func millis(d time.Duration) float64 {
+	return float64(d.Round(100*time.Microsecond)) / float64(time.Millisecond)
+}
+
+// paced records the longest gap of a stream and the time from the request's arrival to
+// the first byte, labeled with the route's kind and priority.
+func (t *telemetry) paced(a *attempt) {
+	x := a.request
+	if a.firstByteAt == 0 {
+		return
+	}
+	labels := fmt.Sprintf(`{kind=%q,priority="%d"}`, x.route.Kind, x.route.Priority)
+	t.set.GetOrCreateHistogram("kumquatsill_route_first_byte_seconds" + labels).Update(a.firstByteAt.Sub(x.arrived).Seconds())
+	if x.route.Kind == serving.Stream && a.timing.Events > 1 {
+		t.set.GetOrCreateHistogram("kumquatsill_stream_longest_gap_seconds" + labels).Update(a.timing.LongestGap.Seconds())
+	}
+}
--- /dev/null
+++ b/core/pace/timing_test.go
@@ -0,0 +1,34 @@
+package pace_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/kumquatsill/kumquatsill/core/pace"
+	"github.com/kumquatsill/kumquatsill/core/proto"
+)
+
+// Guards against a report of the wrong gap or the wrong cause for a stream that
+// stops once for longer than its route permits.
+func TestTimingReportsLongestGap(t *testing.T) {
+	const gap, target = 200 * time.Millisecond, 400 * time.Millisecond
+	at := func(ms int) proto.Instant { return proto.Instant(0).Add(time.Duration(ms) * time.Millisecond) }
+	var stream pace.Timing
+	for i, ms := range []int{100, 110, 130, 390, 400} {
+		stream.Record(at(ms), i)
+	}
+	if stream.LongestGap != 260*time.Millisecond || stream.GapOffset != 30*time.Millisecond || stream.GapRunning != 3 ||
+		stream.Duration() != 300*time.Millisecond || stream.Events != 5 {
+		t.Errorf("%+v", stream)
+	}
+	if got := stream.Lateness(at(0), target, gap); got != pace.LateGap {
+		t.Errorf("late by %q", got)
+	}
+	var short pace.Timing
+	short.Record(at(450), 0)
+	for requested, want := range map[int]pace.Lateness{0: pace.LateTarget, 100: pace.NotLate} {
+		if got := short.Lateness(at(requested), target, gap); got != want {
+			t.Errorf("requested at %d ms: late by %q, want %q", requested, got, want)
+		}
+	}
+}
--- a/core/place/attempt.go
+++ b/core/place/attempt.go
@@ -34,6 +34,7 @@
 		p.cfg.States.Take(now, endpointstate.EndpointOf(c.Endpoint))
 	}
 	l.inFlight++
+	l.publishRunning()
 	l.prefillTokens += a.prefillTokens
 	l.awaitingFirstByte[a.id] = newPendingAttempt(now, c.ExpectedTTFB)
 	if q.Model != "" && len(q.Parts) > 0 {
@@ -89,6 +90,16 @@
 	}
 }
 
+// Running returns the number of requests that the attempt's endpoint held when
+// this router last learned of a change, or 0 if its incarnation has ended. It
+// takes no lock.
+func (a *Attempt) Running() int {
+	if a.load == nil {
+		return 0
+	}
+	return int(a.load.running.Load())
+}
+
 // InFlight returns the number of requests in flight at an endpoint: this
 // router's attempts plus those of other routers by the endpoint's last report.
 func (p *Placer) InFlight(now proto.Instant, id proto.EndpointID) int {
@@ -104,6 +115,9 @@
 // EndpointLoad is the load that an endpoint reports with a response.
 type EndpointLoad struct {
 	Running, Waiting, Slots int
+	// Slowdown is how long work takes on the endpoint at this moment, as a
+	// percentage of the usual time; 0 if it is not reported.
+	Slowdown int
 }
 
 // ObserveLoad records the load that an endpoint reported for an attempt.
@@ -116,6 +130,7 @@
 	}
 	l.otherInFlight = max(0, r.Running+r.Waiting-l.inFlight)
 	l.reportedAt = now
+	l.publishRunning()
 	if r.Slots > 0 {
 		l.slots = r.Slots
 	}
@@ -133,6 +148,7 @@
 	responded := a.gotFirstByte
 	a.markFirstByte(l)
 	l.inFlight = max(0, l.inFlight-1)
+	l.publishRunning()
 	if healthy {
 		l.response.refresh(now)
 		l.failures = 0
--- a/core/place/load.go
+++ b/core/place/load.go
@@ -66,6 +66,8 @@
 	lastHeartbeat proto.Instant
 	renewals      int
 	response      lastResponse
+	// running is inFlight plus otherInFlight, for readers without the lock.
+	running atomic.Int64
 	// silentUntil is set after a peer has reported the endpoint as silent.
 	silentUntil proto.Instant
 	parts       *partCache
@@ -112,6 +114,9 @@
 	l.parts.clear()
 }
 
+// publishRunning sets running after a change.
+func (l *load) publishRunning() { l.running.Store(int64(l.inFlight + l.otherInFlight)) }
+
 func (l *load) otherInFlightAt(now proto.Instant) int {
 	age := now.Sub(l.reportedAt)
 	if l.reportedAt == 0 || age >= maxReportAge {
