front: metrics of bytes between failure domains

The request path pays one map lookup for each attempt that leaves the domain and one atomic addition for each read of its response.

--- a/app/front/attempt.go
+++ b/app/front/attempt.go
@@ -181,12 +181,14 @@
 	defer a.versionTimer.Stop()
 	req := a.upstreamRequest()
 	x.triedAddrs = append(x.triedAddrs, req.Addr)
+	a.countRequest(req)
 	resp, err := x.front.client.Send(ctx, req)
 	if err != nil {
 		return a.sendFailure(ctx, err)
 	}
 	defer resp.Close()
 	a.status = resp.Status
+	a.countResponse(resp)
 	head := platform.DecodeResponse(resp.Status, resp.Header)
 	a.observe(head)
 	switch {
--- a/app/front/peers.go
+++ b/app/front/peers.go
@@ -111,10 +111,14 @@
 		f.log.Warn("router registration ignored", "router", string(id), "addr", addr, "error", err.Error())
 		return
 	}
-	if old := f.peers[id]; old != nil && old.addr == ap {
-		return
+	if old := f.peers[id]; old != nil {
+		if old.addr == ap {
+			return
+		}
+		f.metrics.domainBytes.removePeer(old.addr)
 	}
 	f.peers[id] = &peerState{addr: ap, domain: domain}
+	f.metrics.domainBytes.setPeer(ap, domain)
 	f.quota.AddMember(now, id)
 	f.facts.Add(id)
 	f.log.Info("router added", "router", string(id), "addr", addr)
@@ -122,7 +126,8 @@
 
 // removePeer removes a router; mu must be held.
 func (f *Front) removePeer(id proto.RouterID) {
-	if f.peers[id] != nil {
+	if p := f.peers[id]; p != nil {
+		f.metrics.domainBytes.removePeer(p.addr)
 		delete(f.peers, id)
 		f.facts.Remove(id)
 		f.log.Info("router left", "router", string(id))
@@ -312,7 +317,9 @@
 	for _, addr := range to {
 		if _, err := f.peerConn.WriteToUDPAddrPort(data, addr); err != nil {
 			f.metrics.peerSendErrors.Inc()
+			continue
 		}
+		f.metrics.domainBytes.sent(addr, len(data))
 	}
 }
 
--- a/app/front/telemetry.go
+++ b/app/front/telemetry.go
@@ -16,6 +16,7 @@
 	peerSendErrors  *metrics.Counter
 	peerBadMessages *metrics.Counter
 	endpoints       atomic.Int64
+	domainBytes     domainBytes
 }
 
 func newTelemetry(f *Front) *telemetry {
@@ -24,6 +25,7 @@
 		set:             set,
 		peerSendErrors:  set.NewCounter("kumquatsill_peer_send_errors_total"),
 		peerBadMessages: set.NewCounter("kumquatsill_peer_bad_messages_total"),
+		domainBytes:     domainBytes{set: set, own: f.cfg.Settings.Domain},
 	}
 	set.NewGauge("kumquatsill_requests_in_flight", func() float64 { return float64(f.inFlight.Load()) })
 	set.NewGauge("kumquatsill_peer_facts_unconfirmed", func() float64 {
