--- a/app/front/attempt.go
+++ b/app/front/attempt.go
@@ -296,7 +296,7 @@
 func (a *attempt) progress() {
 	now := driver.Now()
 	a.lastByteAt = now
-	a.timing.Record(now, a.placement.Running())
+	a.timing.Record(now, a.placement.Running(), a.request.front.ownDelay.Total(now))
 	if a.firstByteAt == 0 {
 		a.firstByteAt = now
 		a.versionTimer.Stop()
--- a/app/front/pacing.go
+++ b/app/front/pacing.go
@@ -21,7 +21,7 @@
 	}
 	return []any{
 		"route", x.route.Name, "first_from_arrival_ms", fromArrival, "events", t.Events, "events_ms", millis(t.Duration()),
-		"gap_ms", millis(t.LongestGap), "gap_at_ms", millis(t.GapOffset), "gap_running", t.GapRunning,
+		"gap_ms", millis(t.LongestGap), "gap_at_ms", millis(t.GapOffset), "gap_running", t.GapRunning, "gap_own_delay_ms", millis(t.GapOwnDelay),
 		"late", string(t.Lateness(x.arrived, x.route.TargetLatency, x.route.TargetGap)),
 		"load_running", a.load.Running, "load_waiting", a.load.Waiting, "load_slots", a.load.Slots, "load_slowdown", a.load.Slowdown,
 	}
--- a/core/pace/timing.go
+++ b/core/pace/timing.go
@@ -34,20 +34,29 @@
 	// fewer than two events.
 	LongestGap, GapOffset time.Duration
 	GapRunning            int
+	// GapOwnDelay is the part of LongestGap in which the router itself did not run.
+	GapOwnDelay time.Duration
+	// runningSum is the sum of the number of requests over all events.
+	runningSum int
+	// ownDelay is the router's total delay at the last event.
+	ownDelay time.Duration
 }
 
 // Record records the arrival of an event. The argument running is the number of
-// requests that the endpoint is believed to hold.
-func (t *Timing) Record(now proto.Instant, running int) {
+// requests that the endpoint is believed to hold, ownDelay the total time in which
+// the router was ready to run but did not.
+func (t *Timing) Record(now proto.Instant, running int, ownDelay time.Duration) {
 	t.Events++
+	t.runningSum += running
 	if t.Events == 1 {
-		t.First, t.Last = now, now
+		t.First, t.Last, t.ownDelay = now, now, ownDelay
 		return
 	}
 	if gap := now.Sub(t.Last); gap > t.LongestGap {
 		t.LongestGap, t.GapOffset, t.GapRunning = gap, t.Last.Sub(t.First), running
+		t.GapOwnDelay = min(gap, max(0, ownDelay-t.ownDelay))
 	}
-	t.Last = now
+	t.Last, t.ownDelay = now, ownDelay
 }
 
 // Duration returns the time from the first to the last event.
