place: charge the expected lateness of streams by each endpoint's pace

The choice assumed equal speeds, and nothing told it that an endpoint's streams break their permitted gap. For streams with a limit for gaps, at endpoints that report their slowdown, the wait and the prompt now follow the endpoint's estimates; the chance that the first event or a gap comes too late costs the wait after which callers abandon a stream; and a long prompt is charged what it delays the streams in progress. An endpoint whose streams of this router have stopped is expected to go on as late again.

--- a/app/front/attempt.go
+++ b/app/front/attempt.go
@@ -95,7 +95,7 @@
 	if choice.Urgent() {
 		x.front.requestEarlySend()
 	}
-	return &attempt{request: x, choice: choice, placement: placement, sentAt: now, limit: noLimit, isTrial: admission.Trial}, relay.Decision{}
+	return &attempt{request: x, choice: choice, placement: placement, sentAt: now, limit: noLimit, isTrial: admission.Trial, ownDelay: x.front.ownDelay.Total(now)}, relay.Decision{}
 }
 
 // isOverloaded reports whether a request would wait for so long at the chosen endpoint
@@ -157,7 +157,9 @@
 	// head of the response.
 	timing pace.Timing
 	load   place.EndpointLoad
-	status int
+	// ownDelay is the router's total delay when the attempt was sent.
+	ownDelay time.Duration
+	status   int
 	// limit is the number of requests per second that the endpoint named, or -1.
 	limit float64
 	// version is the last model version that the endpoint reported.
@@ -271,7 +273,7 @@
 func (a *attempt) observe(head platform.ResponseInfo) {
 	x := a.request
 	a.load = head.Load
-	if head.HasLoad && head.Load.Slowdown == 0 {
+	if head.HasLoad {
 		x.front.placer.ObserveLoad(driver.Now(), a.placement, head.Load)
 	}
 	x.front.observeEndpointState(driver.Now(), a.choice.Endpoint, head)
@@ -300,6 +302,7 @@
 	if a.firstByteAt == 0 {
 		a.firstByteAt = now
 		a.versionTimer.Stop()
+		a.placement.ExcludeDelay(a.request.front.ownDelay.Total(now) - a.ownDelay)
 		a.request.front.placer.RecordFirstByte(now, a.placement)
 		return
 	}
--- a/app/front/endpoint_states.go
+++ b/app/front/endpoint_states.go
@@ -60,6 +60,9 @@
 // observeControlAnswer records what the answer to a control call says about an engine.
 func (f *Front) observeControlAnswer(e *discovery.Endpoint, head platform.ResponseInfo) {
 	f.observeEndpointState(driver.Now(), e, head)
+	if head.HasLoad {
+		f.placer.ObserveEndpointLoad(driver.Now(), e, head.Load)
+	}
 }
 
 // admitControlCall reports whether an engine takes a control call now, and counts it.
--- a/app/front/front.go
+++ b/app/front/front.go
@@ -21,6 +21,7 @@
 	"github.com/kumquatsill/kumquatsill/core/discovery"
 	"github.com/kumquatsill/kumquatsill/core/endpointstate"
 	"github.com/kumquatsill/kumquatsill/core/leader"
+	"github.com/kumquatsill/kumquatsill/core/pace"
 	"github.com/kumquatsill/kumquatsill/core/peer"
 	"github.com/kumquatsill/kumquatsill/core/place"
 	"github.com/kumquatsill/kumquatsill/core/proto"
@@ -98,6 +99,8 @@
 	stop atomic.Pointer[stopTimes]
 	// inFlight counts the requests of callers, callerConns their connections.
 	inFlight, callerConns atomic.Int64
+	// ownDelay measures for how long this process did not run.
+	ownDelay pace.OwnDelay
 	// durations holds how long requests of each route take.
 	durations relay.Durations
 
@@ -163,6 +166,7 @@
 		cfg: cfg, log: cfg.Log, incarnation: incarnation,
 		store:            platform.NewLogStore(cfg.Settings.Store),
 		client:           upstream.New(),
+		ownDelay:         pace.OwnDelay{Interval: delayTick},
 		quota:            quota.New(now, id, incarnation),
 		placer:           place.New(place.Config{Domain: cfg.Settings.Domain, Costs: place.DefaultCosts(), Seed: uint64(incarnation), States: states}),
 		endpointStates:   states,
@@ -274,6 +278,7 @@
 		f.tomb.Go(func() error { return f.sendPeerMessages(ctx) })
 		f.tomb.Go(func() error { return f.upgradeEngines(ctx) })
 		f.tomb.Go(func() error { return every(ctx, engineFeedTick, f.followEngines(ctx)) })
+		f.tomb.Go(func() error { return every(ctx, delayTick, f.ownDelay.Tick) })
 		f.tomb.Go(func() error { return every(ctx, housekeepingInterval, f.runHousekeeping) })
 		f.tomb.Go(func() error { return every(ctx, dropReportInterval, f.reportDrops()) })
 		return nil
--- a/app/front/outcome.go
+++ b/app/front/outcome.go
@@ -42,6 +42,7 @@
 			f.placer.Pause(now, a.choice.Endpoint.ID, misdirectedPause)
 		}
 	}
+	f.placer.ObserveStream(now, a.placement, &a.timing)
 	f.placer.EndAttempt(now, a.placement, healthy)
 	switch {
 	case a.connectionLost && result == relay.Broken:
--- a/app/front/pacing.go
+++ b/app/front/pacing.go
@@ -4,9 +4,23 @@
 	"fmt"
 	"time"
 
+	"github.com/kumquatsill/kumquatsill/core/proto"
 	"github.com/kumquatsill/kumquatsill/core/serving"
 )
 
+// delayTick is the interval of the tick that measures for how long the process did not run.
+// It is short compared to the gaps that routes permit.
+const delayTick = 20 * time.Millisecond
+
+// latencyLeft returns the time until the request's first event is late, or 0 if it is
+// late already or its route has no target.
+func (x *request) latencyLeft(now proto.Instant) time.Duration {
+	if x.route.TargetLatency <= 0 || !x.relay.Delivery().IsEmpty() {
+		return 0
+	}
+	return max(0, x.route.TargetLatency-now.Sub(x.arrived))
+}
+
 // pacing returns the log attributes on the pace of an attempt's stream and on the
 // load that its endpoint reported. It returns none for other kinds of response.
 func (a *attempt) pacing() []any {
--- a/app/front/serve.go
+++ b/app/front/serve.go
@@ -348,6 +348,10 @@
 	if x.info.Model == "" || !x.route.PromptParts {
 		return q
 	}
+	if x.route.Kind == serving.Stream {
+		now := driver.Now()
+		q.TargetGap, q.TargetLatency, q.Behind = x.route.TargetGap, x.latencyLeft(now), x.front.ownDelay.Behind(now)
+	}
 	q.Model = x.info.Model
 	q.Parts = x.info.Parts
 	q.Bytes = int64(len(x.body)) + bytesPerToken*x.info.OutputTokens
--- a/core/pace/average.go
+++ b/core/pace/average.go
@@ -103,19 +103,35 @@
 	return shares
 }
 
-// chance returns the share of values that exceed a bound, interpolated between
-// edges. A bound of 0 or less is always exceeded.
-func (x *exceedance) chance(bound time.Duration) float64 {
-	if bound <= 0 {
-		return 1
-	}
+// locate returns the interval of a positive bound, and the part of the interval below
+// the bound.
+func locate(bound time.Duration) (interval int, part float64) {
 	for i := 1; i < len(edges); i++ {
 		if bound < edges[i] {
-			part := float64(bound-edges[i-1]) / float64(edges[i]-edges[i-1])
-			return x[i-1] + part*(x[i]-x[i-1])
+			return i - 1, float64(bound-edges[i-1]) / float64(edges[i]-edges[i-1])
 		}
 	}
-	return x[len(x)-1]
+	return len(edges) - 1, 0
+}
+
+// chanceAt returns the share of values that exceed a bound, interpolated between
+// edges.
+func (x *exceedance) chanceAt(interval int, part float64) float64 {
+	if part == 0 {
+		return x[interval]
+	}
+	return x[interval] + part*(x[interval+1]-x[interval])
+}
+
+// medianStep is by how much a share follows those of single endpoints.
+const medianStep = 0.01
+
+// follow moves each share by a step towards that of an endpoint, so that they follow the
+// median of all endpoints.
+func (x *exceedance) follow(endpoint *exceedance) {
+	for i, share := range endpoint {
+		x[i] += clamp(share-x[i], -medianStep, medianStep)
+	}
 }
 
 // punctual is the prior of delays: none exceeds any bound.
--- a/core/pace/estimator.go
+++ b/core/pace/estimator.go
@@ -29,14 +29,11 @@
 	RunningRequest time.Duration
 }
 
-// rates are observations and the estimates derived from them.
+// rates are observations of which estimates are averages.
 type rates struct {
 	interval line
 	token    average
 	others   average
-	gaps     distribution
-	firsts   distribution
-	current  estimates
 }
 
 // estimates are what the observations and the prior amount to.
@@ -47,19 +44,18 @@
 	gaps, firsts exceedance
 }
 
-func (r *rates) update(prior *estimates) {
-	r.current = estimates{
-		interval: r.interval.fit(prior.interval), token: r.token.mean(prior.token), others: r.others.mean(prior.others),
-		gaps: r.gaps.exceedance(&prior.gaps), firsts: r.firsts.exceedance(&prior.firsts),
-	}
+func (r *rates) apply(to, prior *estimates) {
+	to.interval, to.token, to.others = r.interval.fit(prior.interval), r.token.mean(prior.token), r.others.mean(prior.others)
 }
 
 // Service holds what is known of the endpoints of a service together. It is the
 // prior of each of them, so that one that is not known yet is neither preferred
-// to nor avoided in favour of the others.
+// to nor avoided in favour of the others. Its delays are those of the median
+// endpoint: some bad ones must not make an unknown one look bad, as it would then
+// get no work that shows the opposite.
 type Service struct {
 	rates
-	prior estimates
+	prior, current estimates
 	// reports is set once an endpoint has reported its slowdown.
 	reports bool
 }
@@ -69,7 +65,7 @@
 	s := &Service{prior: estimates{
 		interval: fit{slope: float64(p.RunningRequest)}, token: float64(p.PromptToken), gaps: punctual, firsts: punctual,
 	}}
-	s.update(&s.prior)
+	s.current = s.prior
 	return s
 }
 
@@ -77,8 +73,10 @@
 // for concurrent use, nor are estimators of the same service.
 type Estimator struct {
 	rates
-	service  *Service
-	slowdown slowdown
+	gaps, firsts distribution
+	current      estimates
+	service      *Service
+	slowdown     slowdown
 	// observedAt is when a response was observed last, or 0.
 	observedAt proto.Instant
 	// silent is set if the endpoint reports its load without a slowdown.
@@ -110,11 +108,9 @@
 // by late, where tokens were expected to be processed in tokenTime each.
 func (e *Estimator) ObserveFirst(now proto.Instant, late time.Duration, tokens int64, tokenTime time.Duration) {
 	e.firsts.add(late)
-	e.service.firsts.add(late)
 	if tokens >= minPromptTokens {
 		prior := e.service.prior.token
 		took := clamp(float64(tokenTime)+float64(late)/float64(tokens), prior/maxTokenFactor, prior*maxTokenFactor)
-		took /= e.slowdown.current(now)
 		e.token.add(took)
 		e.service.token.add(took)
 	}
@@ -135,14 +131,17 @@
 	}
 	excess := t.LongestGap - t.GapOwnDelay - time.Duration(e.estimates().interval.at(float64(t.GapRunning)))
 	e.gaps.add(excess)
-	e.service.gaps.add(excess)
 	e.observed(now)
 }
 
 func (e *Estimator) observed(now proto.Instant) {
 	e.observedAt = now
-	e.service.update(&e.service.prior)
-	e.update(&e.service.current)
+	s := e.service
+	s.apply(&s.current, &s.prior)
+	e.apply(&e.current, &s.current)
+	e.current.gaps, e.current.firsts = e.gaps.exceedance(&s.current.gaps), e.firsts.exceedance(&s.current.firsts)
+	s.current.gaps.follow(&e.current.gaps)
+	s.current.firsts.follow(&e.current.firsts)
 }
 
 // estimates returns those of the endpoint, or of the service if there are none.
@@ -181,10 +180,14 @@
 }
 
 func (e *Estimator) chance(now proto.Instant, slack time.Duration, service, own *exceedance) float64 {
-	all := service.chance(slack)
+	if slack <= 0 {
+		return 1
+	}
+	i, part := locate(slack)
+	all := service.chanceAt(i, part)
 	age := now.Sub(e.observedAt)
 	if e.observedAt == 0 || age >= delayMemory {
 		return all
 	}
-	return all + (own.chance(slack)-all)*(1-float64(age)/float64(delayMemory))
+	return all + (own.chanceAt(i, part)-all)*(1-float64(age)/float64(delayMemory))
 }
--- a/core/pace/timing_test.go
+++ b/core/pace/timing_test.go
@@ -37,7 +37,7 @@
 // of the endpoints, whether its tick or the event is handled first afterwards.
 func TestOwnDelayCountsMissedTicks(t *testing.T) {
 	at := func(ms int) proto.Instant { return proto.Instant(time.Hour).Add(time.Duration(ms) * time.Millisecond) }
-	d := pace.NewOwnDelay(20 * time.Millisecond)
+	d := pace.OwnDelay{Interval: 20 * time.Millisecond}
 	for ms := 0; ms <= 100; ms += 20 {
 		d.Tick(at(ms))
 	}
@@ -51,4 +51,11 @@
 	if got := d.Total(at(401)); got != 260*time.Millisecond {
 		t.Errorf("%v after the tick", got)
 	}
+	if got := d.Behind(at(401)); got != 260*time.Millisecond {
+		t.Errorf("%v behind", got)
+	}
+	d.Tick(at(420))
+	if got := d.Behind(at(421)); got != 0 {
+		t.Errorf("%v behind after a further tick", got)
+	}
 }
--- a/core/place/attempt.go
+++ b/core/place/attempt.go
@@ -17,6 +17,10 @@
 	sentAt        proto.Instant
 	prefillTokens int64
 	gotFirstByte  bool
+	// limitsGaps is set for streams whose route limits gaps.
+	limitsGaps bool
+	// ownDelay is for how long the router did not run before the first byte.
+	ownDelay time.Duration
 }
 
 // StartAttempt records that an attempt was sent to the chosen endpoint.
@@ -24,7 +28,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.attempts++
-	a := &Attempt{id: p.attempts, choice: c, sentAt: now, prefillTokens: c.PrefillTokens}
+	a := &Attempt{id: p.attempts, choice: c, sentAt: now, prefillTokens: c.PrefillTokens, limitsGaps: q.TargetGap > 0}
 	l := p.loads[c.Endpoint.ID]
 	if l == nil || l.incarnation != c.Endpoint.Started {
 		return a
@@ -49,7 +53,9 @@
 	defer p.mu.Unlock()
 	if l := a.load; l != nil {
 		l.response.record(now)
-		l.updateLag(now, now.Sub(a.sentAt)-(a.choice.ExpectedTTFB-a.choice.Lag))
+		late := now.Sub(a.sentAt) - (a.choice.ExpectedTTFB - a.choice.Lag)
+		l.updateLag(now, late)
+		a.observeFirst(now, late)
 		a.markFirstByte(l)
 	}
 }
@@ -124,11 +130,14 @@
 func (p *Placer) ObserveLoad(now proto.Instant, a *Attempt, r EndpointLoad) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	l := a.load
-	if l == nil {
-		return
+	if a.load != nil {
+		a.load.observeLoad(now, r)
 	}
+}
+
+func (l *load) observeLoad(now proto.Instant, r EndpointLoad) {
 	l.otherInFlight = max(0, r.Running+r.Waiting-l.inFlight)
+	l.pace.ObserveLoad(now, l.otherInFlight, r.Slowdown)
 	l.reportedAt = now
 	l.publishRunning()
 	if r.Slots > 0 {
--- a/core/place/choose.go
+++ b/core/place/choose.go
@@ -49,6 +49,10 @@
 	// the key of each part of the prompt.
 	transfer time.Duration
 	keys     []PartKey
+	// tokenTime is the time expected for a prompt token, slowdown the factor of the
+	// endpoint's slowdown in it.
+	tokenTime time.Duration
+	slowdown  float64
 }
 
 // Choose returns the endpoint of the least cost, or false if none can take the
--- a/core/place/load.go
+++ b/core/place/load.go
@@ -4,6 +4,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/kumquatsill/kumquatsill/core/pace"
 	"github.com/kumquatsill/kumquatsill/core/proto"
 )
 
@@ -71,6 +72,7 @@
 	// silentUntil is set after a peer has reported the endpoint as silent.
 	silentUntil proto.Instant
 	parts       *partCache
+	pace        *pace.Estimator
 }
 
 // lastResponse is the time when an endpoint last sent any part of a response to
--- a/core/place/notices.go
+++ b/core/place/notices.go
@@ -113,7 +113,7 @@
 	for _, h := range t.Cached {
 		l.parts.put(expectedPart(h.Key, h.Tokens, ready))
 	}
-	l.peerPrefillUntil = max(now, l.peerPrefillUntil).Add(time.Duration(t.PrefillTokens) * p.cfg.Costs.PrefillToken)
+	l.peerPrefillUntil = max(now, l.peerPrefillUntil).Add(time.Duration(t.PrefillTokens) * p.promptToken(l))
 	p.reserveLinks(now, t.Transfer)
 }
 
--- a/core/place/place.go
+++ b/core/place/place.go
@@ -102,6 +102,12 @@
 	Parts []Part
 	// Salt returns the cache salt for a version of the model.
 	Salt func(version int64) string
+	// TargetGap is the longest permitted gap between two events of the response, and
+	// TargetLatency the time left until its first event is late; 0 if there is none.
+	TargetGap, TargetLatency time.Duration
+	// Behind is for how long the router did not run until just now. It may not have
+	// handled what arrived meanwhile.
+	Behind time.Duration
 	// Bytes is the size of the request plus the expected size of the response.
 	Bytes int64
 	// Exclude lists endpoints that were already tried.
@@ -125,6 +131,8 @@
 	announced map[string][]announcedVersion
 	attempts  uint64
 	rng       *rand.Rand
+	// paced holds the pace of the endpoints by service.
+	paced map[string]*pacedService
 	// notices collects the attempts to report to the peers.
 	notices []AttemptNotice
 }
@@ -166,6 +174,7 @@
 
 		storeFreeAt: map[string]proto.Instant{},
 		announced:   map[string][]announcedVersion{},
+		paced:       map[string]*pacedService{},
 	}
 }
 
@@ -181,6 +190,9 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.config = cfg
+	for service, s := range p.paced {
+		s.configure(p, service)
+	}
 	// Endpoints may already be listed, and their cache size may have changed.
 	for id, e := range p.list.ByID {
 		p.loads[id].parts.resize(p.partCapacity(e))
@@ -229,6 +241,7 @@
 		l = &load{
 			incarnation: e.Started, idHash: xxhash.Sum64String(string(e.ID)), version: map[string]int64{}, slots: e.Slots,
 			awaitingFirstByte: map[uint64]pendingAttempt{}, parts: newPartCache(p.partCapacity(e)),
+			pace: p.pacedServiceOf(e.Service).estimates.NewEstimator(),
 		}
 		p.loads[e.ID] = l
 	}
--- a/core/place/score.go
+++ b/core/place/score.go
@@ -27,6 +27,7 @@
 	affinityHash uint64
 	// prompts holds the prompt for each version considered.
 	prompts map[int64]*versionedPrompt
+	service *pacedService
 }
 
 // versionedPrompt is the prompt as cached under one version of the model.
@@ -53,7 +54,7 @@
 }
 
 func newScorer(p *Placer, now proto.Instant, q *Query) *scorer {
-	s := &scorer{placer: p, now: now, q: q, prompts: map[int64]*versionedPrompt{}}
+	s := &scorer{placer: p, now: now, q: q, prompts: map[int64]*versionedPrompt{}, service: p.pacedServiceOf(q.Service)}
 	if p.config != nil && q.Model != "" {
 		s.links = p.linksFor(q.Service)
 	}
@@ -142,8 +143,9 @@
 	c := Choice{Endpoint: e}
 	costs := s.placer.cfg.Costs
 	penalty := time.Duration(0)
-	c.Lag = l.currentLag(s.now)
-	c.ExpectedTTFB = s.wait(l) + c.Lag
+	v := s.viewOf(l)
+	c.Lag, c.tokenTime, c.slowdown = l.currentLag(s.now), v.tokenTime, v.slowdown
+	c.ExpectedTTFB = s.wait(l, &v) + c.Lag
 	if s.q.Model != "" {
 		c.Version = l.version[s.q.Model]
 		took, promptPenalty := s.promptCost(&c, l)
@@ -153,12 +155,15 @@
 	if e.Domain != s.placer.cfg.Domain {
 		penalty += time.Duration(float64(costs.CrossDomainKilobyte) * float64(s.q.Bytes) / 1024)
 	}
-	penalty += s.healthPenalty(l)
+	penalty += s.healthPenalty(l) + s.latenessCost(&c, l, &v)
 	return c, float64(c.ExpectedTTFB+penalty) - s.affinity(l)
 }
 
 // wait returns the time until an endpoint begins a new request.
-func (s *scorer) wait(l *load) time.Duration {
+func (s *scorer) wait(l *load, v *view) time.Duration {
+	if v.active {
+		return s.pacedWait(l, v)
+	}
 	costs := s.placer.cfg.Costs
 	running := l.inFlight + l.otherInFlightAt(s.now)
 	wait := time.Duration(running)*costs.RunningRequest + time.Duration(l.prefillTokens)*costs.PrefillToken
@@ -212,7 +217,7 @@
 	c.RecomputedTokens = c.SharedTokens - s.prefixTokens[from.parts]
 	c.PrefillTokens = s.ownTokens + c.RecomputedTokens
 	costs := s.placer.cfg.Costs
-	took = time.Duration(c.PrefillTokens) * costs.PrefillToken
+	took = time.Duration(c.PrefillTokens) * c.tokenTime
 	penalty = time.Duration(c.RecomputedTokens) * costs.RecomputedToken
 	if c.FetchedTokens > 0 {
 		c.transfer = from.took
