place: account for the memory that requests take on each endpoint

Engines reject, preempt or crash when the requests that they hold exceed their memory, and routers did not know how much of it was in use. A ledger for each endpoint now counts the prompts of attempts in flight, the outputs to expect (the length hint corrected for its observed error) and shared parts once, for this router's attempts and for those that peers have reported. A request that exceeds the room left is charged the time until it fits, and the attempt line reports that time. A prompt that exceeds the whole memory of an endpoint that reports its slowdown is excluded; other endpoints may take it as before. The ledger applies where the service's configuration has cacheTokens and the request states its token counts. The comparison with the choices of the code before also covers requests with sizes.

--- a/app/front/attempt.go
+++ b/app/front/attempt.go
@@ -302,7 +302,9 @@
 	if a.firstByteAt == 0 {
 		a.firstByteAt = now
 		a.versionTimer.Stop()
-		a.placement.ExcludeDelay(a.request.front.ownDelay.Total(now) - a.ownDelay)
+		if a.status < http.StatusMultipleChoices {
+			a.placement.MeasureFirst(a.request.front.ownDelay.Total(now) - a.ownDelay)
+		}
 		a.request.front.placer.RecordFirstByte(now, a.placement)
 		return
 	}
--- a/app/front/outcome.go
+++ b/app/front/outcome.go
@@ -43,6 +43,9 @@
 		}
 	}
 	f.placer.ObserveStream(now, a.placement, &a.timing)
+	if result == relay.Completed && a.isWholeStream() {
+		f.placer.ObserveOutput(now, a.placement, a.timing.Events)
+	}
 	f.placer.EndAttempt(now, a.placement, healthy)
 	switch {
 	case a.connectionLost && result == relay.Broken:
--- a/app/front/pacing.go
+++ b/app/front/pacing.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"net/http"
 	"time"
 
 	"github.com/kumquatsill/kumquatsill/core/proto"
@@ -37,10 +38,17 @@
 		"route", x.route.Name, "first_from_arrival_ms", fromArrival, "events", t.Events, "events_ms", millis(t.Duration()),
 		"gap_ms", millis(t.LongestGap), "gap_at_ms", millis(t.GapOffset), "gap_running", t.GapRunning, "gap_own_delay_ms", millis(t.GapOwnDelay),
 		"late", string(t.Lateness(x.arrived, x.route.TargetLatency, x.route.TargetGap)),
+		"memory_wait_ms", a.choice.MemoryWait.Milliseconds(),
 		"load_running", a.load.Running, "load_waiting", a.load.Waiting, "load_slots", a.load.Slots, "load_slowdown", a.load.Slowdown,
 	}
 }
 
+// isWholeStream reports whether the response is a stream that no other attempt has begun.
+func (a *attempt) isWholeStream() bool {
+	x := a.request
+	return x.route.Kind == serving.Stream && a.status < http.StatusMultipleChoices && x.relay.Sends() == 1 && !x.info.HasLastEvent
+}
+
 // millis returns a time in milliseconds with one decimal.
 func millis(d time.Duration) float64 {
 	return float64(d.Round(100*time.Microsecond)) / float64(time.Millisecond)
--- a/app/front/serve.go
+++ b/app/front/serve.go
@@ -354,6 +354,9 @@
 	}
 	q.Model = x.info.Model
 	q.Parts = x.info.Parts
+	if x.info.HasTokens {
+		q.Size = place.Size{PromptTokens: x.info.PromptTokens, MaxOutput: x.info.OutputTokens, LengthHint: x.info.LengthHint}
+	}
 	q.Bytes = int64(len(x.body)) + bytesPerToken*x.info.OutputTokens
 	q.Salt = x.salt
 	return q
--- a/core/place/attempt.go
+++ b/core/place/attempt.go
@@ -19,8 +19,12 @@
 	gotFirstByte  bool
 	// limitsGaps is set for streams whose route limits gaps.
 	limitsGaps bool
-	// ownDelay is for how long the router did not run before the first byte.
+	// measured is set once the first byte is to be measured, ownDelay is for how long the router did not run before the first byte.
+	measured bool
 	ownDelay time.Duration
+	// size is that of the request, hold the memory that the attempt takes.
+	size Size
+	hold hold
 }
 
 // StartAttempt records that an attempt was sent to the chosen endpoint.
@@ -40,6 +44,7 @@
 	l.inFlight++
 	l.publishRunning()
 	l.prefillTokens += a.prefillTokens
+	a.takeMemory(p.pacedServiceOf(q.Service), q)
 	l.awaitingFirstByte[a.id] = newPendingAttempt(now, c.ExpectedTTFB)
 	if q.Model != "" && len(q.Parts) > 0 {
 		p.trackAttempt(now, l, q, c)
@@ -158,6 +163,7 @@
 	a.markFirstByte(l)
 	l.inFlight = max(0, l.inFlight-1)
 	l.publishRunning()
+	a.releaseMemory()
 	if healthy {
 		l.response.refresh(now)
 		l.failures = 0
--- a/core/place/choose.go
+++ b/core/place/choose.go
@@ -37,6 +37,9 @@
 	RecomputedTokens int64
 	// PrefillTokens is the number of prompt tokens that the endpoint prefills.
 	PrefillTokens int64
+	// MemoryWait is the expected time until the request fits the memory of the endpoint;
+	// 0 if it fits now or its size is not known.
+	MemoryWait time.Duration
 	// StartWithin is the time within which the request has to begin, so that it
 	// does not run on a version that is too old; 0 means no limit.
 	StartWithin time.Duration
@@ -74,6 +77,10 @@
 			excluded.add(excludedVersion, 0)
 			continue
 		}
+		if s.cannotFit(l) {
+			excluded.add(excludedMemory, 0)
+			continue
+		}
 		c, cost := s.score(e, l)
 		if permission.CheckDue {
 			cost -= float64(limitCheckBonus)
--- a/core/place/exclusions.go
+++ b/core/place/exclusions.go
@@ -28,11 +28,13 @@
 	// excludedVersion means that the endpoint loads weights or has none that the request
 	// may run on.
 	excludedVersion
+	// excludedMemory means that the prompt exceeds the endpoint's whole memory.
+	excludedMemory
 	numExclusions
 )
 
 var exclusionNames = [numExclusions]string{
-	excludedLimit: "limit", excludedPause: "pause", excludedLeaving: "leaving", excludedTried: "tried", excludedAttempts: "attempts", excludedVersion: "version",
+	excludedLimit: "limit", excludedPause: "pause", excludedLeaving: "leaving", excludedTried: "tried", excludedAttempts: "attempts", excludedVersion: "version", excludedMemory: "memory",
 }
 
 // exclusionOf returns why an endpoint cannot take a request, apart from its version.
--- a/core/place/load.go
+++ b/core/place/load.go
@@ -73,6 +73,7 @@
 	silentUntil proto.Instant
 	parts       *partCache
 	pace        *pace.Estimator
+	memory      memory
 }
 
 // lastResponse is the time when an endpoint last sent any part of a response to
--- a/core/place/notices.go
+++ b/core/place/notices.go
@@ -115,6 +115,7 @@
 	}
 	l.peerPrefillUntil = max(now, l.peerPrefillUntil).Add(time.Duration(t.PrefillTokens) * p.promptToken(l))
 	p.reserveLinks(now, t.Transfer)
+	p.takePeerMemory(now, l, &t)
 }
 
 // trackAttempt records the expected effects of an attempt on its endpoint, and
--- a/core/place/pacing.go
+++ b/core/place/pacing.go
@@ -43,6 +43,7 @@
 	// gap is the least gap that any route of the service permits, or 0; lateCost is
 	// the cost of a late stream of that route.
 	gap, lateCost time.Duration
+	outputs       outputs
 }
 
 // pacedServiceOf returns the state of a service and creates it if missing; mu must be
@@ -52,7 +53,7 @@
 	if s == nil {
 		s = &pacedService{estimates: pace.NewService(pace.Prior{
 			PromptToken: p.cfg.Costs.PrefillToken, RunningRequest: p.cfg.Costs.RunningRequest,
-		})}
+		}), outputs: newOutputs()}
 		s.configure(p, service)
 		p.paced[service] = s
 	}
@@ -68,14 +69,15 @@
 	s.gap, s.lateCost = gap, patience(latency, gap)
 }
 
-// ExcludeDelay records that the router itself did not run for some of the time since
-// the attempt was sent. It must be called before RecordFirstByte.
-func (a *Attempt) ExcludeDelay(d time.Duration) { a.ownDelay = d }
+// MeasureFirst makes RecordFirstByte take the time to the first byte for the endpoint's
+// pace, less the time for which the router itself did not run. A response that shows
+// nothing about the pace, such as an error, is not measured.
+func (a *Attempt) MeasureFirst(ownDelay time.Duration) { a.measured, a.ownDelay = true, ownDelay }
 
 // observeFirst records when the first event of a stream came; mu must be held.
 func (a *Attempt) observeFirst(now proto.Instant, late time.Duration) {
 	l := a.load
-	if !a.limitsGaps || !l.pace.Active() {
+	if !a.measured || !a.limitsGaps || !l.pace.Active() {
 		return
 	}
 	tokens := a.prefillTokens
--- a/core/place/pacing_test.go
+++ b/core/place/pacing_test.go
@@ -56,6 +56,7 @@
 	a := r.placer.StartAttempt(r.now, q, r.choose(q))
 	r.now = r.now.Add(e.interval + time.Duration(tokens)*e.token)
 	r.placer.ObserveLoad(r.now, a, place.EndpointLoad{Running: 1, Slots: 8, Slowdown: e.slowdown})
+	a.MeasureFirst(0)
 	r.placer.RecordFirstByte(r.now, a)
 	var timing pace.Timing
 	for n := range events {
--- a/core/place/place.go
+++ b/core/place/place.go
@@ -108,6 +108,8 @@
 	// Behind is for how long the router did not run until just now. It may not have
 	// handled what arrived meanwhile.
 	Behind time.Duration
+	// Size holds the sizes in tokens that the request states.
+	Size Size
 	// Bytes is the size of the request plus the expected size of the response.
 	Bytes int64
 	// Exclude lists endpoints that were already tried.
@@ -241,7 +243,7 @@
 		l = &load{
 			incarnation: e.Started, idHash: xxhash.Sum64String(string(e.ID)), version: map[string]int64{}, slots: e.Slots,
 			awaitingFirstByte: map[uint64]pendingAttempt{}, parts: newPartCache(p.partCapacity(e)),
-			pace: p.pacedServiceOf(e.Service).estimates.NewEstimator(),
+			pace: p.pacedServiceOf(e.Service).estimates.NewEstimator(), memory: newMemory(),
 		}
 		p.loads[e.ID] = l
 	}
--- a/core/place/score.go
+++ b/core/place/score.go
@@ -155,7 +155,7 @@
 	if e.Domain != s.placer.cfg.Domain {
 		penalty += time.Duration(float64(costs.CrossDomainKilobyte) * float64(s.q.Bytes) / 1024)
 	}
-	penalty += s.healthPenalty(l) + s.latenessCost(&c, l, &v)
+	penalty += s.healthPenalty(l) + s.latenessCost(&c, l, &v) + s.memoryCost(&c, l)
 	return c, float64(c.ExpectedTTFB+penalty) - s.affinity(l)
 }
 
--- a/core/place/unchanged_test.go
+++ b/core/place/unchanged_test.go
@@ -45,11 +45,14 @@
 }
 
 // Guards against other choices for a deployment whose engines report no slowdown, whether
-// or not its routes limit gaps.
+// or not its routes limit gaps and its requests state sizes that fit the memory.
 func TestWithoutSlowdownChoicesAreAsBefore(t *testing.T) {
 	for name, set := range map[string]func(*place.Query){
 		"without bounds": func(*place.Query) {},
 		"with bounds":    func(q *place.Query) { q.TargetGap, q.TargetLatency = testGap, testLatency },
+		"with sizes": func(q *place.Query) {
+			q.Size = place.Size{PromptTokens: 6800, MaxOutput: 200, LengthHint: 60}
+		},
 	} {
 		if got := choicesDigest(t, set); got != digestBefore {
 			t.Errorf("%s: %s, before %s", name, got, digestBefore)
--- a/core/relay/request_info.go
+++ b/core/relay/request_info.go
@@ -19,6 +19,8 @@
 	// of the output. Both are valid only if HasTokens is set.
 	PromptTokens, OutputTokens int64
 	HasTokens                  bool
+	// LengthHint estimates the length of the output in tokens; 0 if not stated.
+	LengthHint float64
 	// Parts lists the parts of the prompt in order; the last part is specific to
 	// this request.
 	Parts []place.Part
