--- a/core/pace/estimator.go
+++ b/core/pace/estimator.go
@@ -158,6 +158,12 @@
 	return time.Duration(e.estimates().interval.at(float64(running)))
 }
 
+// Intervals returns Interval for a number of running requests, and for one more.
+func (e *Estimator) Intervals(running int) (now, next time.Duration) {
+	f := &e.estimates().interval
+	return time.Duration(f.at(float64(running))), time.Duration(f.at(float64(running + 1)))
+}
+
 // PromptToken returns the time to process one prompt token at the usual speed.
 func (e *Estimator) PromptToken() time.Duration { return time.Duration(e.estimates().token) }
 
--- a/core/place/choose.go
+++ b/core/place/choose.go
@@ -66,6 +66,7 @@
 	best, lastResort, excluded := newCheapest(), newCheapest(), Exclusions{}
 	s := newScorer(p, now, q)
 	oldestUsable := p.oldestUsable(now, q.Model)
+	var c Choice
 	for _, e := range p.list.ForService(q.Service) {
 		permission := p.permission(now, e)
 		if reason := exclusionOf(e, permission, q); reason != notExcluded {
@@ -73,7 +74,7 @@
 			continue
 		}
 		l := p.loadFor(e)
-		if l.isLoading(now) || l.version[q.Model] < oldestUsable {
+		if l.isLoading(now) || l.versionOf(q.Model) < oldestUsable {
 			excluded.add(excludedVersion, 0)
 			continue
 		}
@@ -81,11 +82,11 @@
 			excluded.add(excludedMemory, 0)
 			continue
 		}
-		c, cost := s.score(e, l)
+		cost := s.score(&c, e, l)
 		if permission.CheckDue {
 			cost -= float64(limitCheckBonus)
 		}
-		if s.retiresBeforeStart(c) {
+		if s.retiresBeforeStart(&c) {
 			excluded.add(excludedVersion, 0)
 			continue
 		}
@@ -94,10 +95,10 @@
 		cost += jitter * float64(c.ExpectedTTFB) * p.rng.Float64()
 		if permission.LastResort {
 			excluded.add(excludedLeaving, 0)
-			lastResort.offer(c, cost)
+			lastResort.offer(&c, cost)
 			continue
 		}
-		best.offer(c, cost)
+		best.offer(&c, cost)
 	}
 	if best.offers == 0 {
 		best = lastResort
@@ -117,10 +118,10 @@
 
 func newCheapest() cheapest { return cheapest{cost: math.Inf(1)} }
 
-func (b *cheapest) offer(c Choice, cost float64) {
+func (b *cheapest) offer(c *Choice, cost float64) {
 	b.offers++
 	if cost < b.cost {
-		b.choice, b.cost = c, cost
+		b.choice, b.cost = *c, cost
 	}
 }
 
--- a/core/place/load.go
+++ b/core/place/load.go
@@ -33,8 +33,10 @@
 type load struct {
 	incarnation int64
 	// idHash is the hash of the endpoint ID.
-	idHash   uint64
-	version  map[string]int64
+	idHash  uint64
+	version map[string]int64
+	// last is the version looked up last; most endpoints have one model.
+	last     modelVersion
 	inFlight int
 	// prefillTokens is the number of prompt tokens sent in attempts that have no
 	// first byte yet.
@@ -76,6 +78,19 @@
 	memory      memory
 }
 
+type modelVersion struct {
+	model   string
+	version int64
+}
+
+// versionOf returns the version of a model that the endpoint runs, or 0.
+func (l *load) versionOf(model string) int64 {
+	if l.last.model != model {
+		l.last = modelVersion{model: model, version: l.version[model]}
+	}
+	return l.last.version
+}
+
 // lastResponse is the time when an endpoint last sent any part of a response to
 // this router or, as far as known, to a peer. It is safe for concurrent use.
 type lastResponse struct {
@@ -112,7 +127,7 @@
 	if version <= l.version[model] {
 		return
 	}
-	l.version[model] = version
+	l.version[model], l.last = version, modelVersion{}
 	l.loading = false
 	l.parts.clear()
 }
--- a/core/place/pacing.go
+++ b/core/place/pacing.go
@@ -113,10 +113,10 @@
 	running int
 	// slowdown is by which factor work takes longer at this moment, tokenTime the time
 	// to process a prompt token, and interval the time between events with one more
-	// request, both at this moment.
-	slowdown  float64
-	tokenTime time.Duration
-	interval  time.Duration
+	// request, before that without it, all at this moment.
+	slowdown         float64
+	tokenTime        time.Duration
+	before, interval time.Duration
 }
 
 // viewOf returns the view of a candidate. The estimates apply to streams with a limit
@@ -127,7 +127,8 @@
 	}
 	v := view{active: true, running: l.inFlight + l.othersAt(s.now), slowdown: l.pace.Slowdown(s.now)}
 	v.tokenTime = scale(l.pace.PromptToken(), v.slowdown)
-	v.interval = scale(l.pace.Interval(v.running+1), v.slowdown)
+	v.before, v.interval = l.pace.Intervals(v.running)
+	v.before, v.interval = scale(v.before, v.slowdown), scale(v.interval, v.slowdown)
 	return v
 }
 
@@ -135,12 +136,11 @@
 
 // pacedWait returns the time until an endpoint begins a new request, by the estimates.
 func (s *scorer) pacedWait(l *load, v *view) time.Duration {
-	interval := scale(l.pace.Interval(v.running), v.slowdown)
-	wait := interval + time.Duration(l.prefillTokens)*v.tokenTime + max(0, l.peerPrefillUntil.Sub(s.now))
+	wait := v.before + time.Duration(l.prefillTokens)*v.tokenTime + max(0, l.peerPrefillUntil.Sub(s.now))
 	if l.slots > 0 && v.running >= l.slots {
 		wait += time.Duration(v.running-l.slots+1) * s.placer.cfg.Costs.QueuedRequest
 	}
-	return wait + l.interruption(s.now, s.q.Behind, interval)
+	return wait + l.interruption(s.now, s.q.Behind, v.before)
 }
 
 // interruption returns for how long an endpoint is expected to produce no events, which
--- a/core/place/score.go
+++ b/core/place/score.go
@@ -27,7 +27,10 @@
 	affinityHash uint64
 	// prompts holds the prompt for each version considered.
 	prompts map[int64]*versionedPrompt
-	service *pacedService
+	// last is the prompt for lastVersion, that of the candidate before.
+	last        *versionedPrompt
+	lastVersion int64
+	service     *pacedService
 }
 
 // versionedPrompt is the prompt as cached under one version of the model.
@@ -75,6 +78,9 @@
 
 // promptFor returns the prompt for a version.
 func (s *scorer) promptFor(version int64) *versionedPrompt {
+	if s.last != nil && s.lastVersion == version {
+		return s.last
+	}
 	c := s.prompts[version]
 	if c == nil {
 		c = &versionedPrompt{salt: s.q.Salt(version)}
@@ -82,6 +88,7 @@
 		c.sources = s.sourcesFor(c)
 		s.prompts[version] = c
 	}
+	s.last, s.lastVersion = c, version
 	return c
 }
 
@@ -138,25 +145,25 @@
 	return cmp.Or(cmp.Compare(b.parts, a.parts), cmp.Compare(a.tokenTime, b.tokenTime), cmp.Compare(a.domain, b.domain))
 }
 
-// score returns the choice of an endpoint and its cost.
-func (s *scorer) score(e *discovery.Endpoint, l *load) (Choice, float64) {
-	c := Choice{Endpoint: e}
+// score sets the choice of an endpoint and returns its cost.
+func (s *scorer) score(c *Choice, e *discovery.Endpoint, l *load) float64 {
+	*c = Choice{Endpoint: e}
 	costs := s.placer.cfg.Costs
 	penalty := time.Duration(0)
 	v := s.viewOf(l)
 	c.Lag, c.tokenTime, c.slowdown = l.currentLag(s.now), v.tokenTime, v.slowdown
 	c.ExpectedTTFB = s.wait(l, &v) + c.Lag
 	if s.q.Model != "" {
-		c.Version = l.version[s.q.Model]
-		took, promptPenalty := s.promptCost(&c, l)
+		c.Version = l.versionOf(s.q.Model)
+		took, promptPenalty := s.promptCost(c, l)
 		c.ExpectedTTFB += took
 		penalty += promptPenalty + s.oldVersionPenalty(c.Version)
 	}
 	if e.Domain != s.placer.cfg.Domain {
 		penalty += time.Duration(float64(costs.CrossDomainKilobyte) * float64(s.q.Bytes) / 1024)
 	}
-	penalty += s.healthPenalty(l) + s.latenessCost(&c, l, &v) + s.memoryCost(&c, l)
-	return c, float64(c.ExpectedTTFB+penalty) - s.affinity(l)
+	penalty += s.healthPenalty(l) + s.latenessCost(c, l, &v) + s.memoryCost(c, l)
+	return float64(c.ExpectedTTFB+penalty) - s.affinity(l)
 }
 
 // wait returns the time until an endpoint begins a new request.
--- a/core/place/versions.go
+++ b/core/place/versions.go
@@ -115,7 +115,7 @@
 
 // retiresBeforeStart reports whether the version of a choice would be too old by
 // the time that the request begins.
-func (s *scorer) retiresBeforeStart(c Choice) bool {
+func (s *scorer) retiresBeforeStart(c *Choice) bool {
 	if s.q.Model == "" {
 		return false
 	}
@@ -146,7 +146,7 @@
 		l.setVersion(model, newest)
 		return
 	}
-	l.version[model] = e.Versions[model]
+	l.version[model], l.last = e.Versions[model], modelVersion{}
 	l.parts.clear()
 	pause := min(minMismatchPause<<min(l.mismatches, 4), maxMismatchPause)
 	l.mismatches++
