--- a/core/place/choose.go
+++ b/core/place/choose.go
@@ -67,13 +67,13 @@
 	s := newScorer(p, now, q)
 	oldestUsable := p.oldestUsable(now, q.Model)
 	var c Choice
-	for _, e := range p.list.ForService(q.Service) {
+	for _, candidate := range p.candidates(q.Service) {
+		e, l := candidate.endpoint, candidate.load
 		permission := p.permission(now, e)
 		if reason := exclusionOf(e, permission, q); reason != notExcluded {
 			excluded.add(reason, permission.Wait)
 			continue
 		}
-		l := p.loadFor(e)
 		if l.isLoading(now) || l.versionOf(q.Model) < oldestUsable {
 			excluded.add(excludedVersion, 0)
 			continue
@@ -109,6 +109,26 @@
 	return choice, best.offers > 0
 }
 
+// candidate is an endpoint of a service with its state.
+type candidate struct {
+	endpoint *discovery.Endpoint
+	load     *load
+}
+
+// candidates returns the endpoints of a service. They are kept until the list of
+// endpoints changes; mu must be held.
+func (p *Placer) candidates(service string) []candidate {
+	known, ok := p.byService[service]
+	if ok {
+		return known
+	}
+	for _, e := range p.list.ForService(service) {
+		known = append(known, candidate{endpoint: e, load: p.loadFor(e)})
+	}
+	p.byService[service] = known
+	return known
+}
+
 // cheapest keeps the choice of the least cost of those that were offered.
 type cheapest struct {
 	choice Choice
--- a/core/place/place.go
+++ b/core/place/place.go
@@ -126,7 +126,9 @@
 	list   *discovery.Snapshot
 	config *serving.Config
 	loads  map[proto.EndpointID]*load
-	stores map[string]*StoreIndex
+	// byService holds the candidates of services since the list last changed.
+	byService map[string][]candidate
+	stores    map[string]*StoreIndex
 	// storeFreeAt is when the link of each store becomes free, by address.
 	storeFreeAt map[string]proto.Instant
 	// announced holds the announced versions of each model, the newest last.
@@ -170,9 +172,10 @@
 func New(cfg Config) *Placer {
 	return &Placer{
 		cfg: cfg, rng: rand.New(rand.NewPCG(cfg.Seed, 1)),
-		list:   discovery.NewTable().Snapshot(),
-		loads:  map[proto.EndpointID]*load{},
-		stores: map[string]*StoreIndex{},
+		list:      discovery.NewTable().Snapshot(),
+		loads:     map[proto.EndpointID]*load{},
+		byService: map[string][]candidate{},
+		stores:    map[string]*StoreIndex{},
 
 		storeFreeAt: map[string]proto.Instant{},
 		announced:   map[string][]announcedVersion{},
@@ -213,6 +216,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.list = list
+	clear(p.byService)
 	for id := range p.loads {
 		if list.ByID[id] == nil {
 			delete(p.loads, id)
--- a/core/place/score.go
+++ b/core/place/score.go
@@ -102,9 +102,9 @@
 		return nil
 	}
 	var sources []source
-	for _, e := range s.placer.list.ForService(s.q.Service) {
-		l := s.placer.loads[e.ID]
-		if l == nil || s.now < l.backoffUntil || l.isSilent(s.now) || s.now < l.silentUntil || l.isLoading(s.now) {
+	for _, candidate := range s.placer.candidates(s.q.Service) {
+		e, l := candidate.endpoint, candidate.load
+		if s.now < l.backoffUntil || l.isSilent(s.now) || s.now < l.silentUntil || l.isLoading(s.now) {
 			continue
 		}
 		if n := prefilledPrefix(l, s.sharedKeys(c), s.now); n > 0 {
