place: learn the lag of stores' links, and prefill where a full link takes longer

After a stop of all routers one of three stores held back most of the fetches for about 1.9 s: the routers plan only the transfers that they know of, and charged the delay to the endpoints, and told their peers so. The lag of a first byte after a fetch from a store is now charged to the store's link, decays within 3 s, counts as wait for each choice, and a fetch that takes longer than prefilling the parts is not made.

--- a/core/place/attempt.go
+++ b/core/place/attempt.go
@@ -59,6 +59,7 @@
 	if l := a.load; l != nil {
 		l.response.record(now)
 		late := now.Sub(a.sentAt) - (a.choice.ExpectedTTFB - a.choice.Lag)
+		late = p.observeTransferLag(now, &a.choice, late)
 		l.updateLag(now, late)
 		a.observeFirst(now, late)
 		a.markFirstByte(l)
--- a/core/place/choose.go
+++ b/core/place/choose.go
@@ -52,6 +52,8 @@
 	// the key of each part of the prompt.
 	transfer time.Duration
 	keys     []PartKey
+	// sourceLag is the part of ExpectedTTFB that stems from the lag of the source's link.
+	sourceLag time.Duration
 	// tokenTime is the time expected for a prompt token, slowdown the factor of the
 	// endpoint's slowdown in it.
 	tokenTime time.Duration
--- a/core/place/links.go
+++ b/core/place/links.go
@@ -33,6 +33,8 @@
 	freeAt proto.Instant
 	// tokenTime is the time to send the cache entry of one token.
 	tokenTime time.Duration
+	// lag is by how much later than planned transfers end.
+	lag time.Duration
 }
 
 // links describes the links over which the engines of one service fetch cache
@@ -45,7 +47,7 @@
 }
 
 // linksFor returns the links of a service; mu must be held.
-func (p *Placer) linksFor(service string) links {
+func (p *Placer) linksFor(now proto.Instant, service string) links {
 	var l links
 	svc := p.config.Services[service]
 	if svc == nil || svc.Engine == nil {
@@ -61,7 +63,7 @@
 			continue
 		}
 		l.stores = append(l.stores, storeLink{
-			index: index, addr: other.Store.Addr, domain: other.Store.Domain, freeAt: p.storeFreeAt[other.Store.Addr],
+			index: index, addr: other.Store.Addr, domain: other.Store.Domain, freeAt: p.storeFreeAt[other.Store.Addr], lag: p.storeLags[other.Store.Addr].current(now),
 			tokenTime: max(l.tokenTime, transmitTime(svc.Engine.TokenBytes, other.Store.LinkBitsPerSecond)),
 		})
 	}
--- a/core/place/place.go
+++ b/core/place/place.go
@@ -131,6 +131,8 @@
 	stores    map[string]*StoreIndex
 	// storeFreeAt is when the link of each store becomes free, by address.
 	storeFreeAt map[string]proto.Instant
+	// storeLags holds by how much transfers from each store lag, by address.
+	storeLags map[string]*linkLag
 	// announced holds the announced versions of each model, the newest last.
 	announced map[string][]announcedVersion
 	attempts  uint64
@@ -178,6 +180,7 @@
 		stores:    map[string]*StoreIndex{},
 
 		storeFreeAt: map[string]proto.Instant{},
+		storeLags:   map[string]*linkLag{},
 		announced:   map[string][]announcedVersion{},
 		paced:       map[string]*pacedService{},
 	}
--- a/core/place/score.go
+++ b/core/place/score.go
@@ -54,12 +54,14 @@
 	// cache entry of one token.
 	linkFreeAt proto.Instant
 	tokenTime  time.Duration
+	// lag is by how much later than planned transfers from a store end.
+	lag time.Duration
 }
 
 func newScorer(p *Placer, now proto.Instant, q *Query) *scorer {
 	s := &scorer{placer: p, now: now, q: q, prompts: map[int64]*versionedPrompt{}, service: p.pacedServiceOf(q.Service)}
 	if p.config != nil && q.Model != "" {
-		s.links = p.linksFor(q.Service)
+		s.links = p.linksFor(now, q.Service)
 	}
 	if len(q.Parts) == 0 {
 		return s
@@ -116,7 +118,7 @@
 	for _, store := range s.links.stores {
 		if n := store.index.LeadingParts(c.salt, s.shared); n > 0 {
 			sources = append(sources, source{
-				addr: store.addr, domain: store.domain, parts: n, linkFreeAt: store.freeAt, tokenTime: store.tokenTime,
+				addr: store.addr, domain: store.domain, parts: n, linkFreeAt: store.freeAt, tokenTime: store.tokenTime, lag: store.lag,
 			})
 		}
 	}
@@ -128,7 +130,7 @@
 // itself.
 func leastBusy(sources []source, now proto.Instant) []source {
 	slices.SortStableFunc(sources, func(a, b source) int {
-		return cmp.Or(a.compare(&b), cmp.Compare(max(a.linkFreeAt, now), max(b.linkFreeAt, now)))
+		return cmp.Or(a.compare(&b), cmp.Compare(max(a.linkFreeAt, now).Add(a.lag), max(b.linkFreeAt, now).Add(b.lag)))
 	})
 	kept := sources[:0]
 	for _, from := range sources {
@@ -260,10 +262,10 @@
 		if from.engine == c.Endpoint.ID {
 			continue
 		}
-		f := fetchPlan{parts: max(from.parts, held), wait: max(0, max(from.linkFreeAt, l.linkFreeAt).Sub(s.now))}
+		f := fetchPlan{parts: max(from.parts, held), wait: max(0, max(from.linkFreeAt, l.linkFreeAt).Sub(s.now)) + from.lag}
 		tokens := s.prefixTokens[f.parts] - s.prefixTokens[held]
 		f.took = transferTime(tokens, from.tokenTime, from.domain != c.Endpoint.Domain)
-		if f.wait+f.took > maxTransferWait && tokens > 0 {
+		if f.wait+f.took > maxTransferWait && tokens > 0 || from.lag > 0 && !s.isWorthLag(c, &f, from.lag, tokens) {
 			continue
 		}
 		if f.cost = f.wait + f.took; from.engine != "" {
@@ -271,12 +273,21 @@
 		}
 		if f.parts > best.parts || f.parts == best.parts && (c.Source == "" || f.cost < best.cost) {
 			best = f
-			c.Source, c.SourceEngine = from.addr, from.engine
+			c.Source, c.SourceEngine, c.sourceLag = from.addr, from.engine, from.lag
 		}
 	}
 	return best
 }
 
+// isWorthLag reports whether parts are worth fetching from a store whose link lags: prefilling
+// them must cost more.
+func (s *scorer) isWorthLag(c *Choice, f *fetchPlan, lag time.Duration, tokens int64) bool {
+	if tokens == 0 {
+		return lag <= maxIdleSourceLag
+	}
+	return f.wait+f.took < time.Duration(tokens)*(c.tokenTime+s.placer.cfg.Costs.RecomputedToken)
+}
+
 // heldPrefix returns how many of the leading parts an endpoint holds or is about
 // to hold.
 func heldPrefix(l *load, keys []PartKey, now proto.Instant) int {
