--- a/app/front/outcome.go
+++ b/app/front/outcome.go
@@ -42,6 +42,10 @@
 			f.placer.Pause(now, a.choice.Endpoint.ID, misdirectedPause)
 		}
 	}
+	f.placer.ObserveStream(now, a.placement, &a.timing)
+	if result == relay.Completed && a.isWholeStream() {
+		f.placer.ObserveOutput(now, a.placement, a.timing.Events)
+	}
 	f.placer.EndAttempt(now, a.placement, healthy)
 	switch {
 	case a.connectionLost && result == relay.Broken:
--- a/app/front/serve.go
+++ b/app/front/serve.go
@@ -348,8 +348,15 @@
 	if x.info.Model == "" || !x.route.PromptParts {
 		return q
 	}
+	if x.route.Kind == serving.Stream {
+		now := driver.Now()
+		q.TargetGap, q.TargetLatency, q.Behind = x.route.TargetGap, x.latencyLeft(now), x.front.ownDelay.Behind(now)
+	}
 	q.Model = x.info.Model
 	q.Parts = x.info.Parts
+	if x.info.HasTokens {
+		q.Size = place.Size{PromptTokens: x.info.PromptTokens, MaxOutput: x.info.OutputTokens, LengthHint: x.info.LengthHint}
+	}
 	q.Bytes = int64(len(x.body)) + bytesPerToken*x.info.OutputTokens
 	q.Salt = x.salt
 	return q
--- a/core/place/attempt.go
+++ b/core/place/attempt.go
@@ -17,6 +17,14 @@
 	sentAt        proto.Instant
 	prefillTokens int64
 	gotFirstByte  bool
+	// limitsGaps is set for streams whose route limits gaps.
+	limitsGaps bool
+	// measured is set once the first byte is to be measured, ownDelay is for how long the router did not run before the first byte.
+	measured bool
+	ownDelay time.Duration
+	// size is that of the request, hold the memory that the attempt takes.
+	size Size
+	hold hold
 }
 
 // StartAttempt records that an attempt was sent to the chosen endpoint.
@@ -24,7 +32,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.attempts++
-	a := &Attempt{id: p.attempts, choice: c, sentAt: now, prefillTokens: c.PrefillTokens}
+	a := &Attempt{id: p.attempts, choice: c, sentAt: now, prefillTokens: c.PrefillTokens, limitsGaps: q.TargetGap > 0}
 	l := p.loads[c.Endpoint.ID]
 	if l == nil || l.incarnation != c.Endpoint.Started {
 		return a
@@ -36,6 +44,7 @@
 	l.inFlight++
 	l.publishRunning()
 	l.prefillTokens += a.prefillTokens
+	a.takeMemory(p.pacedServiceOf(q.Service), q)
 	l.awaitingFirstByte[a.id] = newPendingAttempt(now, c.ExpectedTTFB)
 	if q.Model != "" && len(q.Parts) > 0 {
 		p.trackAttempt(now, l, q, c)
@@ -49,7 +58,10 @@
 	defer p.mu.Unlock()
 	if l := a.load; l != nil {
 		l.response.record(now)
-		l.updateLag(now, now.Sub(a.sentAt)-(a.choice.ExpectedTTFB-a.choice.Lag))
+		late := now.Sub(a.sentAt) - (a.choice.ExpectedTTFB - a.choice.Lag)
+		late = p.observeTransferLag(now, &a.choice, late)
+		l.updateLag(now, late)
+		a.observeFirst(now, late)
 		a.markFirstByte(l)
 	}
 }
@@ -124,11 +136,14 @@
 func (p *Placer) ObserveLoad(now proto.Instant, a *Attempt, r EndpointLoad) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	l := a.load
-	if l == nil {
-		return
+	if a.load != nil {
+		a.load.observeLoad(now, r)
 	}
+}
+
+func (l *load) observeLoad(now proto.Instant, r EndpointLoad) {
 	l.otherInFlight = max(0, r.Running+r.Waiting-l.inFlight)
+	l.pace.ObserveLoad(now, l.otherInFlight, r.Slowdown)
 	l.reportedAt = now
 	l.publishRunning()
 	if r.Slots > 0 {
@@ -149,6 +164,7 @@
 	a.markFirstByte(l)
 	l.inFlight = max(0, l.inFlight-1)
 	l.publishRunning()
+	a.releaseMemory()
 	if healthy {
 		l.response.refresh(now)
 		l.failures = 0
--- a/core/place/choose.go
+++ b/core/place/choose.go
@@ -37,6 +37,9 @@
 	RecomputedTokens int64
 	// PrefillTokens is the number of prompt tokens that the endpoint prefills.
 	PrefillTokens int64
+	// MemoryWait is the expected time until the request fits the memory of the endpoint;
+	// 0 if it fits now or its size is not known.
+	MemoryWait time.Duration
 	// StartWithin is the time within which the request has to begin, so that it
 	// does not run on a version that is too old; 0 means no limit.
 	StartWithin time.Duration
@@ -49,6 +52,12 @@
 	// the key of each part of the prompt.
 	transfer time.Duration
 	keys     []PartKey
+	// sourceLag is the part of ExpectedTTFB that stems from the lag of the source's link.
+	sourceLag time.Duration
+	// tokenTime is the time expected for a prompt token, slowdown the factor of the
+	// endpoint's slowdown in it.
+	tokenTime time.Duration
+	slowdown  float64
 }
 
 // Choose returns the endpoint of the least cost, or false if none can take the
@@ -59,22 +68,27 @@
 	best, lastResort, excluded := newCheapest(), newCheapest(), Exclusions{}
 	s := newScorer(p, now, q)
 	oldestUsable := p.oldestUsable(now, q.Model)
-	for _, e := range p.list.ForService(q.Service) {
+	var c Choice
+	for _, candidate := range p.candidates(q.Service) {
+		e, l := candidate.endpoint, candidate.load
 		permission := p.permission(now, e)
 		if reason := exclusionOf(e, permission, q); reason != notExcluded {
 			excluded.add(reason, permission.Wait)
 			continue
 		}
-		l := p.loadFor(e)
-		if l.isLoading(now) || l.version[q.Model] < oldestUsable {
+		if l.isLoading(now) || l.versionOf(q.Model) < oldestUsable {
 			excluded.add(excludedVersion, 0)
 			continue
 		}
-		c, cost := s.score(e, l)
+		if s.cannotFit(l) {
+			excluded.add(excludedMemory, 0)
+			continue
+		}
+		cost := s.score(&c, e, l)
 		if permission.CheckDue {
 			cost -= float64(limitCheckBonus)
 		}
-		if s.retiresBeforeStart(c) {
+		if s.retiresBeforeStart(&c) {
 			excluded.add(excludedVersion, 0)
 			continue
 		}
@@ -83,10 +97,10 @@
 		cost += jitter * float64(c.ExpectedTTFB) * p.rng.Float64()
 		if permission.LastResort {
 			excluded.add(excludedLeaving, 0)
-			lastResort.offer(c, cost)
+			lastResort.offer(&c, cost)
 			continue
 		}
-		best.offer(c, cost)
+		best.offer(&c, cost)
 	}
 	if best.offers == 0 {
 		best = lastResort
@@ -97,6 +111,26 @@
 	return choice, best.offers > 0
 }
 
+// candidate is an endpoint of a service with its state.
+type candidate struct {
+	endpoint *discovery.Endpoint
+	load     *load
+}
+
+// candidates returns the endpoints of a service. They are kept until the list of
+// endpoints changes; mu must be held.
+func (p *Placer) candidates(service string) []candidate {
+	known, ok := p.byService[service]
+	if ok {
+		return known
+	}
+	for _, e := range p.list.ForService(service) {
+		known = append(known, candidate{endpoint: e, load: p.loadFor(e)})
+	}
+	p.byService[service] = known
+	return known
+}
+
 // cheapest keeps the choice of the least cost of those that were offered.
 type cheapest struct {
 	choice Choice
@@ -106,10 +140,10 @@
 
 func newCheapest() cheapest { return cheapest{cost: math.Inf(1)} }
 
-func (b *cheapest) offer(c Choice, cost float64) {
+func (b *cheapest) offer(c *Choice, cost float64) {
 	b.offers++
 	if cost < b.cost {
-		b.choice, b.cost = c, cost
+		b.choice, b.cost = *c, cost
 	}
 }
 
--- a/core/place/place.go
+++ b/core/place/place.go
@@ -102,6 +102,14 @@
 	Parts []Part
 	// Salt returns the cache salt for a version of the model.
 	Salt func(version int64) string
+	// TargetGap is the longest permitted gap between two events of the response, and
+	// TargetLatency the time left until its first event is late; 0 if there is none.
+	TargetGap, TargetLatency time.Duration
+	// Behind is for how long the router did not run until just now. It may not have
+	// handled what arrived meanwhile.
+	Behind time.Duration
+	// Size holds the sizes in tokens that the request states.
+	Size Size
 	// Bytes is the size of the request plus the expected size of the response.
 	Bytes int64
 	// Exclude lists endpoints that were already tried.
@@ -118,13 +126,19 @@
 	list   *discovery.Snapshot
 	config *serving.Config
 	loads  map[proto.EndpointID]*load
-	stores map[string]*StoreIndex
+	// byService holds the candidates of services since the list last changed.
+	byService map[string][]candidate
+	stores    map[string]*StoreIndex
 	// storeFreeAt is when the link of each store becomes free, by address.
 	storeFreeAt map[string]proto.Instant
+	// storeLags holds by how much transfers from each store lag, by address.
+	storeLags map[string]*linkLag
 	// announced holds the announced versions of each model, the newest last.
 	announced map[string][]announcedVersion
 	attempts  uint64
 	rng       *rand.Rand
+	// paced holds the pace of the endpoints by service.
+	paced map[string]*pacedService
 	// notices collects the attempts to report to the peers.
 	notices []AttemptNotice
 }
@@ -160,12 +174,15 @@
 func New(cfg Config) *Placer {
 	return &Placer{
 		cfg: cfg, rng: rand.New(rand.NewPCG(cfg.Seed, 1)),
-		list:   discovery.NewTable().Snapshot(),
-		loads:  map[proto.EndpointID]*load{},
-		stores: map[string]*StoreIndex{},
+		list:      discovery.NewTable().Snapshot(),
+		loads:     map[proto.EndpointID]*load{},
+		byService: map[string][]candidate{},
+		stores:    map[string]*StoreIndex{},
 
 		storeFreeAt: map[string]proto.Instant{},
+		storeLags:   map[string]*linkLag{},
 		announced:   map[string][]announcedVersion{},
+		paced:       map[string]*pacedService{},
 	}
 }
 
@@ -181,6 +198,9 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.config = cfg
+	for service, s := range p.paced {
+		s.configure(p, service)
+	}
 	// Endpoints may already be listed, and their cache size may have changed.
 	for id, e := range p.list.ByID {
 		p.loads[id].parts.resize(p.partCapacity(e))
@@ -199,6 +219,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.list = list
+	clear(p.byService)
 	for id := range p.loads {
 		if list.ByID[id] == nil {
 			delete(p.loads, id)
@@ -229,6 +250,7 @@
 		l = &load{
 			incarnation: e.Started, idHash: xxhash.Sum64String(string(e.ID)), version: map[string]int64{}, slots: e.Slots,
 			awaitingFirstByte: map[uint64]pendingAttempt{}, parts: newPartCache(p.partCapacity(e)),
+			pace: p.pacedServiceOf(e.Service).estimates.NewEstimator(), memory: newMemory(),
 		}
 		p.loads[e.ID] = l
 	}
--- a/core/place/score.go
+++ b/core/place/score.go
@@ -27,6 +27,10 @@
 	affinityHash uint64
 	// prompts holds the prompt for each version considered.
 	prompts map[int64]*versionedPrompt
+	// last is the prompt for lastVersion, that of the candidate before.
+	last        *versionedPrompt
+	lastVersion int64
+	service     *pacedService
 }
 
 // versionedPrompt is the prompt as cached under one version of the model.
@@ -50,12 +54,14 @@
 	// cache entry of one token.
 	linkFreeAt proto.Instant
 	tokenTime  time.Duration
+	// lag is by how much later than planned transfers from a store end.
+	lag time.Duration
 }
 
 func newScorer(p *Placer, now proto.Instant, q *Query) *scorer {
-	s := &scorer{placer: p, now: now, q: q, prompts: map[int64]*versionedPrompt{}}
+	s := &scorer{placer: p, now: now, q: q, prompts: map[int64]*versionedPrompt{}, service: p.pacedServiceOf(q.Service)}
 	if p.config != nil && q.Model != "" {
-		s.links = p.linksFor(q.Service)
+		s.links = p.linksFor(now, q.Service)
 	}
 	if len(q.Parts) == 0 {
 		return s
@@ -74,6 +80,9 @@
 
 // promptFor returns the prompt for a version.
 func (s *scorer) promptFor(version int64) *versionedPrompt {
+	if s.last != nil && s.lastVersion == version {
+		return s.last
+	}
 	c := s.prompts[version]
 	if c == nil {
 		c = &versionedPrompt{salt: s.q.Salt(version)}
@@ -81,6 +90,7 @@
 		c.sources = s.sourcesFor(c)
 		s.prompts[version] = c
 	}
+	s.last, s.lastVersion = c, version
 	return c
 }
 
@@ -94,9 +104,9 @@
 		return nil
 	}
 	var sources []source
-	for _, e := range s.placer.list.ForService(s.q.Service) {
-		l := s.placer.loads[e.ID]
-		if l == nil || s.now < l.backoffUntil || l.isSilent(s.now) || s.now < l.silentUntil || l.isLoading(s.now) {
+	for _, candidate := range s.placer.candidates(s.q.Service) {
+		e, l := candidate.endpoint, candidate.load
+		if s.now < l.backoffUntil || l.isSilent(s.now) || s.now < l.silentUntil || l.isLoading(s.now) {
 			continue
 		}
 		if n := prefilledPrefix(l, s.sharedKeys(c), s.now); n > 0 {
@@ -108,7 +118,7 @@
 	for _, store := range s.links.stores {
 		if n := store.index.LeadingParts(c.salt, s.shared); n > 0 {
 			sources = append(sources, source{
-				addr: store.addr, domain: store.domain, parts: n, linkFreeAt: store.freeAt, tokenTime: store.tokenTime,
+				addr: store.addr, domain: store.domain, parts: n, linkFreeAt: store.freeAt, tokenTime: store.tokenTime, lag: store.lag,
 			})
 		}
 	}
@@ -120,7 +130,7 @@
 // itself.
 func leastBusy(sources []source, now proto.Instant) []source {
 	slices.SortStableFunc(sources, func(a, b source) int {
-		return cmp.Or(a.compare(&b), cmp.Compare(max(a.linkFreeAt, now), max(b.linkFreeAt, now)))
+		return cmp.Or(a.compare(&b), cmp.Compare(max(a.linkFreeAt, now).Add(a.lag), max(b.linkFreeAt, now).Add(b.lag)))
 	})
 	kept := sources[:0]
 	for _, from := range sources {
@@ -137,28 +147,32 @@
 	return cmp.Or(cmp.Compare(b.parts, a.parts), cmp.Compare(a.tokenTime, b.tokenTime), cmp.Compare(a.domain, b.domain))
 }
 
-// score returns the choice of an endpoint and its cost.
-func (s *scorer) score(e *discovery.Endpoint, l *load) (Choice, float64) {
-	c := Choice{Endpoint: e}
+// score sets the choice of an endpoint and returns its cost.
+func (s *scorer) score(c *Choice, e *discovery.Endpoint, l *load) float64 {
+	*c = Choice{Endpoint: e}
 	costs := s.placer.cfg.Costs
 	penalty := time.Duration(0)
-	c.Lag = l.currentLag(s.now)
-	c.ExpectedTTFB = s.wait(l) + c.Lag
+	v := s.viewOf(l)
+	c.Lag, c.tokenTime, c.slowdown = l.currentLag(s.now), v.tokenTime, v.slowdown
+	c.ExpectedTTFB = s.wait(l, &v) + c.Lag
 	if s.q.Model != "" {
-		c.Version = l.version[s.q.Model]
-		took, promptPenalty := s.promptCost(&c, l)
+		c.Version = l.versionOf(s.q.Model)
+		took, promptPenalty := s.promptCost(c, l)
 		c.ExpectedTTFB += took
 		penalty += promptPenalty + s.oldVersionPenalty(c.Version)
 	}
 	if e.Domain != s.placer.cfg.Domain {
 		penalty += time.Duration(float64(costs.CrossDomainKilobyte) * float64(s.q.Bytes) / 1024)
 	}
-	penalty += s.healthPenalty(l)
-	return c, float64(c.ExpectedTTFB+penalty) - s.affinity(l)
+	penalty += s.healthPenalty(l) + s.latenessCost(c, l, &v) + s.memoryCost(c, l)
+	return float64(c.ExpectedTTFB+penalty) - s.affinity(l)
 }
 
 // wait returns the time until an endpoint begins a new request.
-func (s *scorer) wait(l *load) time.Duration {
+func (s *scorer) wait(l *load, v *view) time.Duration {
+	if v.active {
+		return s.pacedWait(l, v)
+	}
 	costs := s.placer.cfg.Costs
 	running := l.inFlight + l.otherInFlightAt(s.now)
 	wait := time.Duration(running)*costs.RunningRequest + time.Duration(l.prefillTokens)*costs.PrefillToken
@@ -212,7 +226,7 @@
 	c.RecomputedTokens = c.SharedTokens - s.prefixTokens[from.parts]
 	c.PrefillTokens = s.ownTokens + c.RecomputedTokens
 	costs := s.placer.cfg.Costs
-	took = time.Duration(c.PrefillTokens) * costs.PrefillToken
+	took = time.Duration(c.PrefillTokens) * c.tokenTime
 	penalty = time.Duration(c.RecomputedTokens) * costs.RecomputedToken
 	if c.FetchedTokens > 0 {
 		c.transfer = from.took
@@ -248,10 +262,10 @@
 		if from.engine == c.Endpoint.ID {
 			continue
 		}
-		f := fetchPlan{parts: max(from.parts, held), wait: max(0, max(from.linkFreeAt, l.linkFreeAt).Sub(s.now))}
+		f := fetchPlan{parts: max(from.parts, held), wait: max(0, max(from.linkFreeAt, l.linkFreeAt).Sub(s.now)) + from.lag}
 		tokens := s.prefixTokens[f.parts] - s.prefixTokens[held]
 		f.took = transferTime(tokens, from.tokenTime, from.domain != c.Endpoint.Domain)
-		if f.wait+f.took > maxTransferWait && tokens > 0 {
+		if f.wait+f.took > maxTransferWait && tokens > 0 || from.lag > 0 && !s.isWorthLag(c, &f, from.lag, tokens) {
 			continue
 		}
 		if f.cost = f.wait + f.took; from.engine != "" {
@@ -259,12 +273,21 @@
 		}
 		if f.parts > best.parts || f.parts == best.parts && (c.Source == "" || f.cost < best.cost) {
 			best = f
-			c.Source, c.SourceEngine = from.addr, from.engine
+			c.Source, c.SourceEngine, c.sourceLag = from.addr, from.engine, from.lag
 		}
 	}
 	return best
 }
 
+// isWorthLag reports whether parts are worth fetching from a store whose link lags: prefilling
+// them must cost more.
+func (s *scorer) isWorthLag(c *Choice, f *fetchPlan, lag time.Duration, tokens int64) bool {
+	if tokens == 0 {
+		return lag <= maxIdleSourceLag
+	}
+	return f.wait+f.took < time.Duration(tokens)*(c.tokenTime+s.placer.cfg.Costs.RecomputedToken)
+}
+
 // heldPrefix returns how many of the leading parts an endpoint holds or is about
 // to hold.
 func heldPrefix(l *load, keys []PartKey, now proto.Instant) int {
