Move a service to a new software version within the bounds of exposure

An operator's order op/rollout/SERVICE had no effect, and endpoints of a new version got requests as soon as they were registered.

core/canary decides by service which release gets a request, from cumulative counts that the routers exchange; app/front applies it to endpoint choice, reports the outcome of each attempt, and writes the status under the existing lease. Without the bounds in the settings nothing changes.

--- a/app/front/attempt.go
+++ b/app/front/attempt.go
@@ -10,6 +10,7 @@
 
 	"github.com/kumquatsill/kumquatsill/app/driver"
 	"github.com/kumquatsill/kumquatsill/app/upstream"
+	"github.com/kumquatsill/kumquatsill/core/canary"
 	"github.com/kumquatsill/kumquatsill/core/crash"
 	"github.com/kumquatsill/kumquatsill/core/place"
 	"github.com/kumquatsill/kumquatsill/core/proto"
@@ -47,6 +48,7 @@
 	result := attempt.run(ctx)
 	ended := driver.Now()
 	attempt.recordOutcome(ended, result)
+	attempt.recordRelease(ended, result)
 	decision = x.relay.AttemptEnded(ended, result, x.deadline.Sub(ended))
 	attempt.log(ended, result, decision)
 	return decision
@@ -69,7 +71,8 @@
 		return nil, decision
 	}
 	q := x.query()
-	choice, ok := x.front.placer.Choose(now, q)
+	permit, choice, ok := x.chooseEndpoint(now, q)
+	defer permit.Cancel()
 	if !ok {
 		return nil, x.noEndpoint(choice)
 	}
@@ -94,7 +97,7 @@
 	if choice.Urgent() {
 		x.front.requestEarlySend()
 	}
-	return &attempt{request: x, choice: choice, placement: placement, sentAt: now, limit: noLimit, isTrial: admission.Trial}, relay.Decision{}
+	return &attempt{request: x, choice: choice, placement: placement, sentAt: now, limit: noLimit, isTrial: admission.Trial, ticket: permit.Start(now, choice.Endpoint)}, relay.Decision{}
 }
 
 // isOverloaded reports whether a request would wait for so long at the chosen endpoint
@@ -168,6 +171,8 @@
 	versionTimer *checkTimer
 	// respondent is the endpoint that rejected a misdirected request.
 	respondent proto.EndpointID
+	// ticket is the attempt as evidence about the endpoint's release, or nil.
+	ticket *canary.Ticket
 }
 
 // run sends the request and forwards or buffers the response.
--- a/app/front/front.go
+++ b/app/front/front.go
@@ -17,6 +17,7 @@
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/kumquatsill/kumquatsill/app/driver"
 	"github.com/kumquatsill/kumquatsill/app/upstream"
+	"github.com/kumquatsill/kumquatsill/core/canary"
 	"github.com/kumquatsill/kumquatsill/core/crash"
 	"github.com/kumquatsill/kumquatsill/core/discovery"
 	"github.com/kumquatsill/kumquatsill/core/endpointstate"
@@ -108,6 +109,14 @@
 	crashes        *crash.Register
 	// unsavedTraits holds the changes of blocked traits that wait to be written.
 	unsavedTraits chan crash.Change
+	// rollouts decides which release of a service gets a request. rolloutsChanged is set if
+	// the peers should be told of it early. statusWrites holds the services whose status is
+	// being written.
+	rollouts        *canary.Table
+	rolloutsChanged atomic.Bool
+	statusWrites    sync.Map
+	// routersListed is set once the registrations of the routers were read.
+	routersListed atomic.Bool
 	// retryBudgets maps a service's name to its *relay.RetryBudget.
 	retryBudgets sync.Map
 
@@ -167,6 +176,7 @@
 		placer:           place.New(place.Config{Domain: cfg.Settings.Domain, Costs: place.DefaultCosts(), Seed: uint64(incarnation), States: states}),
 		endpointStates:   states,
 		crashes:          crash.NewRegister(),
+		rollouts:         canary.NewTable(id, incarnation),
 		unsavedTraits:    make(chan crash.Change, maxUnsavedTraits),
 		table:            discovery.NewTable(),
 		planner:          upgrade.New(),
@@ -181,6 +191,7 @@
 	f.engines = platform.NewEngineClient(endpointCaller{client: f.client, admit: f.admitControlCall, observe: f.observeControlAnswer})
 	f.planner.SetSaysLeaving(f.saysLeaving)
 	f.metrics = newTelemetry(f)
+	f.rollouts.SetBounds(cfg.Settings.Rollout)
 	f.applySettings(cfg.Settings)
 	f.fullUntil.Store(int64(now.Add(fullMessageTime)))
 	if err := f.listen(); err != nil {
@@ -243,6 +254,7 @@
 	}
 	router := bunrouter.New()
 	router.GET("/metrics", f.handleMetrics)
+	router.GET("/rollouts", f.handleRollouts)
 	router.GET("/*path", f.handleReadiness)
 	f.readinessServer = &http.Server{
 		Handler:           router,
@@ -267,6 +279,8 @@
 		f.tomb.Go(func() error { return f.followOperator(ctx) })
 		f.tomb.Go(func() error { return f.followEndpoints(ctx) })
 		f.tomb.Go(func() error { return f.followRouters(ctx) })
+		f.tomb.Go(func() error { return f.followRollouts(ctx) })
+		f.tomb.Go(func() error { return f.runRollouts(ctx) })
 		f.tomb.Go(func() error { return f.followEra(ctx) })
 		f.tomb.Go(func() error { return f.keepTraits(ctx) })
 		f.tomb.Go(func() error { return f.keepSpending(ctx) })
--- a/app/front/peers.go
+++ b/app/front/peers.go
@@ -69,6 +69,7 @@
 			pause = time.Second
 		} else {
 			f.quota.MembersListed()
+			f.routersListed.Store(true)
 		}
 		sleepUntilClosed(ctx, pause, restored)
 	}
@@ -87,7 +88,7 @@
 
 func (f *Front) applyRouter(now proto.Instant, r platform.Record) {
 	id := proto.RouterID(r.Key)
-	if r.Key == f.cfg.Settings.Host || r.Key == "" {
+	if _, isStatus := platform.RolloutService(r); isStatus || r.Key == f.cfg.Settings.Host || r.Key == "" {
 		return
 	}
 	f.mu.Lock()
@@ -222,12 +223,16 @@
 	m.Attempts = f.placer.TakeAttemptNotices()
 	notices := f.endpointStates.Changes(now)
 	m.SetNotices(notices)
-	if !ordered && len(m.Attempts) == 0 && notices.IsEmpty() {
+	released := f.rolloutsChanged.Swap(false)
+	if released {
+		m.Releases = f.rollouts.Reports(now)
+	}
+	if !released && !ordered && len(m.Attempts) == 0 && notices.IsEmpty() {
 		return
 	}
 	f.send(m, f.peersAt(near))
 	m.Attempts = firstPrefills(m.Attempts)
-	if ordered || len(m.Attempts) > 0 || !notices.IsEmpty() {
+	if released || ordered || len(m.Attempts) > 0 || !notices.IsEmpty() {
 		f.sendFar(now, m)
 	}
 }
@@ -275,7 +280,7 @@
 // newMessage returns the content common to all peers, without counts and
 // attempts.
 func (f *Front) newMessage(now proto.Instant, full bool) peer.Message {
-	m := peer.Message{SentAt: now, Silent: f.placer.Silent(now)}
+	m := peer.Message{SentAt: now, Silent: f.placer.Silent(now), Releases: f.rollouts.Reports(now)}
 	f.mu.Lock()
 	m.Loads, m.VersionLoaded = f.loadingEngines(now), f.loadedVersions()
 	if d, ok := f.lease.Disclaimer(now); ok {
@@ -437,6 +442,7 @@
 	}
 	f.mu.Unlock()
 	f.quota.Merge(now, m.Counts)
+	f.mergeRollouts(now, id, m.Counts.Incarnation, m.Releases)
 	if m.Facts != nil {
 		f.reportCrashChanges()
 	}
--- a/app/front/watch.go
+++ b/app/front/watch.go
@@ -205,6 +205,8 @@
 		f.applyConfig(now, r)
 	case platform.IsVersion(r):
 		f.applyVersion(now, r)
+	case platform.IsRolloutOrder(r):
+		f.applyRolloutOrder(now, r)
 	}
 }
 
@@ -312,7 +314,7 @@
 	f.placer.ObserveRegistration(now, e.ID, r.At, changed)
 	if changed {
 		f.endpointStates.Begin(now, endpointstate.EndpointOf(e))
-		f.log.Info("endpoint changed", "endpoint", r.Key, "service", e.Service, "addr", e.Addr, "domain", string(e.Domain),
+		f.log.Info("endpoint changed", "endpoint", r.Key, "service", e.Service, "release", e.Release, "addr", e.Addr, "domain", string(e.Domain),
 			"leaving", e.Leaving, "started", e.Started, "versions", e.Versions, "offset", r.At.Offset)
 	}
 	return changed
@@ -322,6 +324,7 @@
 // and metrics; mu must be held.
 func (f *Front) publishEndpoints() {
 	list := f.table.Snapshot()
+	f.rollouts.Update(driver.Now(), list)
 	f.placer.Update(list)
 	f.planner.Update(list)
 	f.retainEndpointStates(list)
--- a/core/discovery/discovery.go
+++ b/core/discovery/discovery.go
@@ -35,7 +35,9 @@
 	Service  string
 	Addr     string
 	Domain   proto.Domain
-	Slots    int
+	// Release is the software version of the endpoint, or "" if it does not tell.
+	Release string
+	Slots   int
 	// Leaving endpoints get no new work.
 	Leaving bool
 	// Versions holds the version of each model that the endpoint has loaded.
@@ -171,7 +173,7 @@
 }
 
 func equal(a, b *Endpoint) bool {
-	return a.incarnation() == b.incarnation() && a.Service == b.Service && a.Addr == b.Addr && a.Domain == b.Domain &&
+	return a.incarnation() == b.incarnation() && a.Service == b.Service && a.Release == b.Release && a.Addr == b.Addr && a.Domain == b.Domain &&
 		a.Slots == b.Slots && a.Leaving == b.Leaving && maps.Equal(a.Versions, b.Versions)
 }
 
--- a/core/peer/peer.go
+++ b/core/peer/peer.go
@@ -6,6 +6,7 @@
 import (
 	"encoding/json"
 
+	"github.com/kumquatsill/kumquatsill/core/canary"
 	"github.com/kumquatsill/kumquatsill/core/crash"
 	"github.com/kumquatsill/kumquatsill/core/endpointstate"
 	"github.com/kumquatsill/kumquatsill/core/leader"
@@ -96,6 +97,8 @@
 	// CacheEvents and StorePage are set in messages of their own.
 	CacheEvents *CacheEvents `json:"cache,omitempty"`
 	StorePage   *StorePage   `json:"store,omitempty"`
+	// Releases lists the rollouts that the sender takes part in.
+	Releases []canary.Report `json:"releases,omitempty"`
 	// Silent lists endpoints that have stopped responding to the sender.
 	Silent []proto.EndpointID `json:"silent,omitempty"`
 }
--- a/core/place/exclusions.go
+++ b/core/place/exclusions.go
@@ -28,11 +28,14 @@
 	// excludedVersion means that the endpoint loads weights or has none that the request
 	// may run on.
 	excludedVersion
+	// excludedRelease means that the request may not be sent to the endpoint's release.
+	excludedRelease
 	numExclusions
 )
 
 var exclusionNames = [numExclusions]string{
 	excludedLimit: "limit", excludedPause: "pause", excludedLeaving: "leaving", excludedTried: "tried", excludedAttempts: "attempts", excludedVersion: "version",
+	excludedRelease: "release",
 }
 
 // exclusionOf returns why an endpoint cannot take a request, apart from its version.
@@ -40,6 +43,8 @@
 	switch {
 	case len(q.Only) > 0 && !slices.Contains(q.Only, e.ID):
 		return excludedAttempts
+	case !q.allows(e):
+		return q.releaseExclusion()
 	case e.Leaving:
 		return excludedLeaving
 	case p.Reason == endpointstate.Paused:
--- a/core/place/place.go
+++ b/core/place/place.go
@@ -108,6 +108,9 @@
 	Exclude []proto.EndpointID
 	// Only restricts the choice to some endpoints, unless it is empty.
 	Only []proto.EndpointID
+	// Allows reports whether the request may be sent to the release of an endpoint; nil means
+	// that it may be sent to all.
+	Allows func(e *discovery.Endpoint) bool
 }
 
 // Placer chooses endpoints for one router. It is safe for concurrent use.
