--- a/core/canary/baseline.go
+++ b/core/canary/baseline.go
@@ -14,9 +14,11 @@
 	spreadMemory = 400
 	// minBaseline is the number of values below which a spread says nothing.
 	minBaseline = 20
-	// slowMedian and slowTail are the multiples of the median and of tailQuantile of the
-	// old release above both of which a response is slow. Bad releases are several times slower.
-	slowMedian, slowTail, tailQuantile = 2.5, 1.25, 0.97
+	// slowMedian is the multiple of the old release's median above which a response is slow
+	// if it also exceeds slowQuantile. Bad releases are several times slower.
+	slowMedian, slowQuantile = 2.5, 0.9
+	// tailQuantile is the quantile that few responses of the old release exceed.
+	tailQuantile = 0.97
 	// overdueTail is the multiple of tailQuantile of the duration after which an attempt
 	// that has not ended counts as slow.
 	overdueTail = 3
@@ -64,7 +66,7 @@
 
 // isSlow reports whether a value is several times greater than those of the spread.
 func (s *spread) isSlow(v float64) bool {
-	return s.total >= minBaseline && v > max(slowMedian*s.quantile(0.5), slowTail*s.quantile(tailQuantile))
+	return s.total >= minBaseline && v > max(slowMedian*s.quantile(0.5), s.quantile(slowQuantile))
 }
 
 // baseline holds the recent times of the responses of a route by the old release.
--- a/core/canary/evidence.go
+++ b/core/canary/evidence.go
@@ -21,6 +21,10 @@
 	return Tally{Ended: t.Ended + o.Ended, Failed: t.Failed + o.Failed, Slow: t.Slow + o.Slow}
 }
 
+func (t Tally) sub(o Tally) Tally {
+	return Tally{Ended: t.Ended - o.Ended, Failed: t.Failed - o.Failed, Slow: t.Slow - o.Slow}
+}
+
 // merge returns the later one of two states of the same counts.
 func (t Tally) merge(o Tally) Tally {
 	return Tally{Ended: max(t.Ended, o.Ended), Failed: max(t.Failed, o.Failed), Slow: max(t.Slow, o.Slow)}
@@ -78,6 +82,29 @@
 	}
 }
 
+// clone returns a copy that does not change with e.
+func (e evidence) clone() evidence {
+	c := evidence{}
+	for name, r := range e {
+		copied := r.clone()
+		c[name] = &copied
+	}
+	return c
+}
+
+// since returns what was added to the counts after an earlier state of them.
+func (e evidence) since(earlier evidence) evidence {
+	added := e.clone()
+	for name, before := range earlier {
+		r := added.route(name)
+		r.Old, r.New, r.Sent = r.Old.sub(before.Old), r.New.sub(before.New), r.Sent-before.Sent
+		for id, n := range before.BadAt {
+			r.BadAt[id] -= n
+		}
+	}
+	return added
+}
+
 // total returns the counts of all routes together.
 func (e evidence) total() *RouteEvidence {
 	t := &RouteEvidence{BadAt: map[EndpointHash]int64{}}
--- a/core/canary/rollout.go
+++ b/core/canary/rollout.go
@@ -27,6 +27,11 @@
 	reportTime = 30 * time.Second
 	// minMoveTime is the least time before the schedule's end for a good verdict.
 	minMoveTime = 300 * time.Millisecond
+	// historyInterval and historyLength are how often the counts are kept and how many of
+	// them. The responses since the oldest are tested on their own, so that a release that
+	// turns bad is not outweighed by its earlier responses.
+	historyInterval = time.Second
+	historyLength   = 3
 )
 
 // rollout is the state of one order.
@@ -43,6 +48,9 @@
 	merged evidence
 	dirty  bool
 	chance float64
+	// recent holds copies of merged, one for each historyInterval, the oldest first.
+	recent   []evidence
+	recentAt proto.Instant
 
 	// good and bad are the verdicts. Both are never taken back; bad has precedence.
 	good, bad bool
@@ -152,7 +160,23 @@
 	for _, p := range r.peers {
 		r.merged.sum(p.evidence)
 	}
-	r.chance = r.merged.chance(newEndpoints)
+	r.chance = r.merged.chance(newEndpoints, nil)
+	if len(r.recent) > 0 {
+		r.chance = min(r.chance, r.merged.since(r.recent[0]).chance(newEndpoints, r.merged))
+	}
+}
+
+// keepHistory keeps a copy of the merged evidence now and then.
+func (r *rollout) keepHistory(now proto.Instant) {
+	if now.Sub(r.recentAt) < historyInterval {
+		return
+	}
+	r.recentAt = now
+	r.recent = append(r.recent, r.merged.clone())
+	if len(r.recent) > historyLength {
+		r.recent = r.recent[1:]
+	}
+	r.dirty = true
 }
 
 // oldInFlight returns the number of this router's attempts at the old release.
--- a/core/canary/sim_test.go
+++ b/core/canary/sim_test.go
@@ -132,6 +132,16 @@
 	return ids
 }
 
+// phase returns a router's phase of the rollout.
+func (s *sim) phase(i int) string {
+	for _, v := range s.routers[i].table.Views(s.now) {
+		if v.Rollout != nil {
+			return v.Rollout.Phase
+		}
+	}
+	return ""
+}
+
 func (s *sim) after(d time.Duration, f func()) {
 	at := s.now.Add(max(simTick, d.Round(simTick)))
 	s.events[at] = append(s.events[at], f)
--- a/core/canary/table.go
+++ b/core/canary/table.go
@@ -254,6 +254,7 @@
 	if r.final == "" {
 		r.dirty = r.countOverdue(now, s) || r.dirty
 		r.schedule = newSchedule(r.order.Duration, s.requestTime())
+		r.keepHistory(now)
 		r.refresh(len(s.endpointsOf(r.order.To)))
 		r.sampled = t.sampledEndpoints(s, r, in.Usable)
 		t.completeIfThere(now, s, in)
--- a/core/canary/verdict.go
+++ b/core/canary/verdict.go
@@ -9,10 +9,10 @@
 	// badChance is the probability below which bad responses of a release that is as good as
 	// the old one are ruled out. It is low because the counts are tested several times a
 	// second, by route.
-	badChance = 1e-4
+	badChance = 1e-3
 	// doubtChance is the probability below which a release is in doubt: it is observed for
 	// longer, and rolled back if the doubt remains.
-	doubtChance = 5e-3
+	doubtChance = 2e-2
 	// minBad is the number of bad responses below which a release is not rolled back.
 	minBad = 3
 	// rateTolerance is the multiple of the old release's rate of bad responses that a good
@@ -20,7 +20,11 @@
 	rateTolerance = 2
 	// minFailureRate and minSlowRate are rates that a good release may have in any case.
 	// Some responses are slow because endpoints of a release that has just started are.
-	minFailureRate, minSlowRate = 0.01, 0.04
+	minFailureRate, minSlowRate = 0.01, 0.03
+	// manyBad is the number of bad responses, without those of the worst endpoint, from which
+	// on a release in doubt is bad. The operator's bound
+	// counts from the 50th bad response.
+	manyBad = 15
 	// sufficientEnded is the number of responses that suffice for a verdict, fewEnded the
 	// number that is needed in any case, and sufficientShare the part of the service's
 	// requests that suffices if there are few.
@@ -28,38 +32,66 @@
 )
 
 // chance returns the greatest probability that a release as good as the old one gives the
-// observed responses. The bad responses of the worst endpoint do not count if there are
-// others, since one endpoint may fail for reasons of its own.
-func (r *RouteEvidence) chance(endpoints int) float64 {
-	ignored := int64(0)
-	if endpoints > 1 {
-		for _, n := range r.BadAt {
-			ignored = max(ignored, n)
-		}
-	}
-	n := r.New.Ended
-	test := func(bad, oldBad int64, least float64) float64 {
-		if bad -= ignored; bad < minBad {
+// observed responses. Reference holds earlier counts of the old release, whose rates count if
+// they are higher: while all requests move, it has few responses. The bad responses of the
+// worst endpoint do not count if there are others, since one endpoint may fail for reasons of
+// its own.
+func (r *RouteEvidence) chance(endpoints int, reference Tally) float64 {
+	ignored, n := r.worstEndpoint(endpoints)
+	n = r.New.Ended - n
+	test := func(bad func(Tally) int64, least float64) float64 {
+		tolerated := max(rateTolerance*rate(bad(r.Old), r.Old.Ended), rateTolerance*rate(bad(reference), reference.Ended), least)
+		observed := bad(r.New) - ignored
+		if observed < minBad {
 			return 1
 		}
-		old := (float64(oldBad) + 0.5) / float64(r.Old.Ended+1)
-		if r.Old.Ended == 0 {
-			old = 0
+		p := binomialTail(n, observed, tolerated)
+		if observed >= manyBad && p < doubtChance {
+			return 0
 		}
-		return binomialTail(n, bad, max(rateTolerance*old, least))
+		return p
 	}
 	return min(
-		test(r.New.Failed, r.Old.Failed, minFailureRate),
-		test(r.New.Slow, r.Old.Slow, minSlowRate),
-		test(r.New.bad(), r.Old.bad(), minFailureRate+minSlowRate),
+		test(func(t Tally) int64 { return t.Failed }, minFailureRate),
+		test(func(t Tally) int64 { return t.Slow }, minSlowRate),
+		test(Tally.bad, minFailureRate+minSlowRate),
 	)
 }
 
-// chance returns the least chance of all routes and of their sum.
-func (e evidence) chance(endpoints int) float64 {
-	least := e.total().chance(endpoints)
-	for _, r := range e {
-		least = min(least, r.chance(endpoints))
+// worstEndpoint returns the bad responses of the worst endpoint of several, and an estimate of
+// all its responses: it has at most an equal share of those of the sampled endpoints, and less
+// if bad responses are spread over more endpoints.
+func (r *RouteEvidence) worstEndpoint(endpoints int) (bad, ended int64) {
+	if endpoints < 2 {
+		return 0, 0
+	}
+	for _, n := range r.BadAt {
+		bad = max(bad, n)
+	}
+	if bad == 0 {
+		return 0, 0
+	}
+	return bad, min(r.New.Ended/int64(min(endpoints, minSampled)), r.New.Ended*bad/max(1, r.New.bad()))
+}
+
+// rate returns an upper estimate of the rate of bad responses of the old release, or 0 if it
+// has ended none.
+func rate(bad, ended int64) float64 {
+	if ended == 0 {
+		return 0
+	}
+	return min(1, (float64(bad)+math.Sqrt(float64(bad))+1)/float64(ended+1))
+}
+
+// chance returns the least chance of all routes and of their sum; see RouteEvidence.chance.
+func (e evidence) chance(endpoints int, reference evidence) float64 {
+	least := e.total().chance(endpoints, reference.total().Old)
+	for name, r := range e {
+		earlier := Tally{}
+		if from := reference[name]; from != nil {
+			earlier = from.Old
+		}
+		least = min(least, r.chance(endpoints, earlier))
 	}
 	return least
 }
--- a/standin/hosting/engine.go
+++ b/standin/hosting/engine.go
@@ -18,6 +18,8 @@
 	Service string
 	// Model is empty for a plain service.
 	Model string
+	// Release is the software version that the engine registers.
+	Release string
 	// Events is the number of events in a stream, EventInterval the time between
 	// two of them.
 	Events        int
@@ -122,7 +124,7 @@
 // NewEngine returns an engine with model version 1 that serves every request.
 func NewEngine(id, service, model string) *Engine {
 	return &Engine{
-		ID: id, Service: service, Model: model, Events: 5, EventInterval: 2 * time.Millisecond, CrashDowntime: defaultCrashDowntime,
+		ID: id, Service: service, Model: model, Release: "v1", Events: 5, EventInterval: 2 * time.Millisecond, CrashDowntime: defaultCrashDowntime,
 		startedAt: time.Now().UnixMilli(), version: 1, targetVersion: 1, failureForRun: func(int) Failure { return NoFailure },
 		retryAfter: func() string { return "" },
 	}
@@ -226,7 +228,7 @@
 	e.completeDueLoad()
 	e.heartbeats++
 	entry := map[string]any{
-		"service": e.Service, "address": addr, "zone": zone, "version": "v1", "slots": 8, "state": state,
+		"service": e.Service, "address": addr, "zone": zone, "version": e.Release, "slots": 8, "state": state,
 		"coldRemainingMs": 0, "sequence": e.heartbeats, "born": e.startedAt,
 	}
 	if e.Model != "" {
--- a/standin/hosting/store.go
+++ b/standin/hosting/store.go
@@ -156,6 +156,18 @@
 	return keys
 }
 
+// Value returns the newest value of a key, or nil if it has none.
+func (s *LogStore) Value(name, key string) []byte {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	t := s.topic(name)
+	offset, ok := t.newest[key]
+	if !ok || offset < t.first {
+		return nil
+	}
+	return slices.Clone(t.records[offset-t.first][1+len(key):])
+}
+
 // Truncate deletes all records of a topic, including the newest of each key.
 func (s *LogStore) Truncate(name string) {
 	s.mu.Lock()
