core/canary: bound the load of sampled endpoints; orders that are invalid, repeated or restored

The first samples of a fleet reached three endpoints at once, which would make a good release look slow, and an older order of a restored store would have begun a rollout back.

New endpoints get at most 1.5 times the share of requests that an old one gets, and an order counts once by its offset and release.

--- a/app/front/rollouts.go
+++ b/app/front/rollouts.go
@@ -182,6 +182,7 @@
 // logRollouts logs the changes of releases and rollouts.
 func (f *Front) logRollouts(now proto.Instant) {
 	for _, c := range f.rollouts.TakeChanges(now) {
+		f.metrics.rolloutShare(c.Service, c.Share)
 		f.log.Info("rollout", "service", c.Service, "established", c.Established, "to", c.To, "phase", c.Phase.String(), "reason", c.Reason,
 			"good", c.Good, "bad", c.Bad, "final", string(c.Final), "stored", string(c.Stored), "elapsed_ms", c.ElapsedMillis,
 			"share", c.Share, "slack", c.Slack, "requests", c.Requests, "sent", c.Sent, "sampled_endpoints", c.Sampled,
@@ -222,7 +223,7 @@
 		return
 	}
 	x := a.request
-	timing := canary.Timing{Total: now.Sub(a.sentAt), PrefillTokens: a.choice.PrefillTokens, OutputTokens: x.info.OutputTokens}
+	timing := canary.Timing{Total: now.Sub(a.sentAt), PrefillTokens: a.choice.PrefillTokens + a.choice.FetchedTokens, OutputTokens: x.info.OutputTokens}
 	timing.FirstByte = timing.Total
 	if a.firstByteAt != 0 {
 		timing.FirstByte = a.firstByteAt.Sub(a.sentAt)
@@ -248,6 +249,11 @@
 	return canary.Neutral
 }
 
+// rolloutShare records the share of a service's requests that may go to the ordered release.
+func (t *telemetry) rolloutShare(service string, share float64) {
+	t.set.GetOrCreateGauge(fmt.Sprintf(`kumquatsill_rollout_share{service=%q}`, service), nil).Set(share)
+}
+
 // releaseAttempted counts an attempt by the release of its endpoint.
 func (t *telemetry) releaseAttempted(service, release string, v canary.Verdict) {
 	t.set.GetOrCreateCounter(fmt.Sprintf(`kumquatsill_release_attempts_total{service=%q,release=%q,verdict=%q}`, service, release, v)).Inc()
--- a/core/canary/baseline.go
+++ b/core/canary/baseline.go
@@ -81,8 +81,8 @@
 type Timing struct {
 	// FirstByte and Total are the times to the first byte and to the end.
 	FirstByte, Total time.Duration
-	// PrefillTokens is the number of prompt tokens that the endpoint had to prefill by the
-	// router's knowledge of its cache, OutputTokens the expected number of output tokens.
+	// PrefillTokens is the number of prompt tokens that the endpoint had to prefill or fetch by
+	// the router's knowledge of its cache, OutputTokens the expected number of output tokens.
 	PrefillTokens, OutputTokens int64
 }
 
--- a/core/canary/rollout.go
+++ b/core/canary/rollout.go
@@ -16,6 +16,9 @@
 	// minSampled is the least number of endpoints that samples go to, so that one endpoint
 	// with a fault of its own does not decide.
 	minSampled = 3
+	// maxLoadFactor bounds the load of the new endpoints, as a multiple of that of the old
+	// ones. More would make a good release look slow.
+	maxLoadFactor = 1.5
 	// firstLoadShare is the share of requests at the beginning of Loading. It rises to all
 	// requests within half of the phase.
 	firstLoadShare = 0.2
@@ -65,7 +68,10 @@
 	sawOther bool
 	// sampled lists the endpoints of the new release that samples go to.
 	sampled []proto.EndpointID
-	tickets map[*Ticket]struct{}
+	// sampledShare and newShare are the shares of requests that load the sampled endpoints,
+	// and all new ones, by maxLoadFactor.
+	sampledShare, newShare float64
+	tickets                map[*Ticket]struct{}
 	// phase is the phase that was last logged.
 	phase Phase
 }
@@ -122,7 +128,7 @@
 	case Loading:
 		half := float64(r.schedule.move-r.schedule.load) / 2
 		progress := float64(r.elapsed(now)-r.schedule.load) / max(half, 1)
-		return min(1, firstLoadShare+(1-firstLoadShare)*progress)
+		return min(1, r.newShare, firstLoadShare+(1-firstLoadShare)*progress)
 	case Sampling:
 		return steadyFraction * r.ledger.share
 	}
@@ -141,12 +147,15 @@
 // wants reports whether a request is to be sampled if the bound allows it. The argument
 // random is uniform in [0, 1).
 func (r *rollout) wants(now proto.Instant, route string, random float64) bool {
-	if r.currentPhase(now) == Sampling {
-		if m := r.merged[route]; m == nil || max(m.Sent, r.own.route(route).Sent) < routeTarget {
-			return true
-		}
+	if r.currentPhase(now) != Sampling {
+		return random < r.share(now)
+	}
+	isLoaded := float64(r.ledger.sent+1) > r.sampledShare*float64(r.ledger.requests+1)
+	if isLoaded && random >= r.sampledShare {
+		return false
 	}
-	return random < r.share(now)
+	m := r.merged[route]
+	return m == nil || max(m.Sent, r.own.route(route).Sent) < routeTarget || random < r.share(now)
 }
 
 // refresh recomputes the merged evidence and its test if there are new counts.
--- a/core/canary/service.go
+++ b/core/canary/service.go
@@ -47,6 +47,8 @@
 	rollout *rollout
 	// pending is an order that waits for the end of the rollout, or nil.
 	pending *pendingOrder
+	// handled holds the orders that were read before.
+	handled map[orderKey]bool
 	// otherAt is when a peer last reported a running rollout to another release.
 	otherAt   proto.Instant
 	baselines map[string]*baseline
@@ -58,8 +60,14 @@
 	at    proto.Instant
 }
 
+// orderKey identifies an order. A restore of the store keeps the offsets.
+type orderKey struct {
+	offset int64
+	to     string
+}
+
 func newService(name string) *service {
-	return &service{name: name, releases: map[string]*release{}, baselines: map[string]*baseline{}}
+	return &service{name: name, releases: map[string]*release{}, baselines: map[string]*baseline{}, handled: map[orderKey]bool{}}
 }
 
 // update applies the current endpoints of the service.
--- a/core/canary/table.go
+++ b/core/canary/table.go
@@ -103,12 +103,16 @@
 		return
 	}
 	s := t.service(o.Service)
+	key := orderKey{o.At.Offset, o.To}
+	if s.handled[key] {
+		return // listed again, perhaps by a store that was restored from an older copy
+	}
+	s.handled[key] = true
 	if r := s.rollout; r != nil {
 		switch {
 		case r.order.To == o.To:
-			if r.order.At != o.At {
-				t.change(s, Change{Reason: "order repeated", To: o.To})
-			}
+			s.pending = nil
+			t.change(s, Change{Reason: "order repeated", To: o.To})
 			return
 		case r.final == "":
 			s.pending = &pendingOrder{order: o, fresh: fresh, at: now}
@@ -256,7 +260,7 @@
 		r.schedule = newSchedule(r.order.Duration, s.requestTime())
 		r.keepHistory(now)
 		r.refresh(len(s.endpointsOf(r.order.To)))
-		r.sampled = t.sampledEndpoints(s, r, in.Usable)
+		t.selectSampled(s, r, in.Usable)
 		t.completeIfThere(now, s, in)
 		r.judge(now, in)
 	}
@@ -294,11 +298,11 @@
 	t.begin(now, s, *p, members)
 }
 
-// sampledEndpoints returns the endpoints that samples go to. There are so few that these see
+// selectSampled determines the endpoints that samples go to. There are so few that these see
 // about the load of the old ones, and all routers take the same.
-func (t *Table) sampledEndpoints(s *service, r *rollout, usable func(proto.EndpointID) bool) []proto.EndpointID {
-	old := len(s.endpointsOf(s.established))
-	ids := slices.DeleteFunc(slices.Clone(s.endpointsOf(r.order.To)), func(id proto.EndpointID) bool {
+func (t *Table) selectSampled(s *service, r *rollout, usable func(proto.EndpointID) bool) {
+	old, all := len(s.endpointsOf(s.established)), s.endpointsOf(r.order.To)
+	ids := slices.DeleteFunc(slices.Clone(all), func(id proto.EndpointID) bool {
 		return usable != nil && !usable(id)
 	})
 	hash := func(id proto.EndpointID) uint64 { return xxhash.Sum64String(r.order.To + "\x00" + string(id)) }
@@ -306,7 +310,9 @@
 		return cmp.Or(cmp.Compare(hash(a), hash(b)), cmp.Compare(a, b))
 	})
 	n := max(minSampled, int(steadyFraction*r.ledger.share*float64(old)+0.5))
-	return ids[:min(n, len(ids))]
+	r.sampled = ids[:min(n, len(ids))]
+	r.sampledShare = maxLoadFactor * float64(len(r.sampled)) / float64(max(1, old))
+	r.newShare = maxLoadFactor * float64(len(all)) / float64(max(1, old))
 }
 
 // HasWork reports whether the lease is needed for a rollout: one that has not ended, or one
