--- a/core/canary/admit.go
+++ b/core/canary/admit.go
@@ -221,7 +221,7 @@
 	switch {
 	case v == Failure:
 		outcome.Failed = 1
-	case v == Answered && base.isSlow(timing), v == GivenUp && base.isOverdue(timing.Total):
+	case v != Neutral && base.isSlow(timing), v == GivenUp && base.isOverdue(timing.Total):
 		outcome.Slow = 1
 	case v != Answered:
 		outcome = Tally{}
