--- a/core/canary/rollout.go
+++ b/core/canary/rollout.go
@@ -22,8 +22,6 @@
 	// firstLoadShare is the share of requests at the beginning of Loading. It rises to all
 	// requests within half of the phase.
 	firstLoadShare = 0.2
-	// spreadTime is how long after the good verdict routers may still have to learn of it.
-	spreadTime = 800 * time.Millisecond
 	// confirmationTime is how long a peer's report of its phase is valid.
 	confirmationTime = 3 * time.Second
 	// reportTime is how long after its end a rollout is still reported to the peers.
