--- a/core/place/exclusions.go
+++ b/core/place/exclusions.go
@@ -30,11 +30,14 @@
 	excludedVersion
 	// excludedMemory means that the prompt exceeds the endpoint's whole memory.
 	excludedMemory
+	// excludedRelease means that the request may not be sent to the endpoint's release.
+	excludedRelease
 	numExclusions
 )
 
 var exclusionNames = [numExclusions]string{
-	excludedLimit: "limit", excludedPause: "pause", excludedLeaving: "leaving", excludedTried: "tried", excludedAttempts: "attempts", excludedVersion: "version", excludedMemory: "memory",
+	excludedLimit: "limit", excludedPause: "pause", excludedLeaving: "leaving", excludedTried: "tried", excludedAttempts: "attempts", excludedVersion: "version",
+	excludedMemory: "memory", excludedRelease: "release",
 }
 
 // exclusionOf returns why an endpoint cannot take a request, apart from its version.
@@ -42,6 +45,8 @@
 	switch {
 	case len(q.Only) > 0 && !slices.Contains(q.Only, e.ID):
 		return excludedAttempts
+	case !q.allows(e):
+		return q.releaseExclusion()
 	case e.Leaving:
 		return excludedLeaving
 	case p.Reason == endpointstate.Paused:
