core/canary: sample half of the exposure share; judge rare routes by the usual rate; verdicts until the deadline

A holder that took the lease shortly before the scheduled status rolled back a good release (seen in a run of the tests of app/front on a busy machine: the lease was held 3.4 s after an order of 4 s), and a release that failed half of the requests of a rare route was not told from the old one, which had few of them.

--- a/core/canary/rollout.go
+++ b/core/canary/rollout.go
@@ -9,10 +9,10 @@
 const (
 	// steadyFraction is the part of the exposure share that is used while sampling. The rest
 	// is left for Loading.
-	steadyFraction = 0.35
+	steadyFraction = 0.5
 	// routeTarget is the number of requests of each route that are sampled first, with the
 	// whole exposure share.
-	routeTarget = 20
+	routeTarget = 30
 	// minSampled is the least number of endpoints that samples go to, so that one endpoint
 	// with a fault of its own does not decide.
 	minSampled = 3
@@ -26,7 +26,8 @@
 	confirmationTime = 3 * time.Second
 	// reportTime is how long after its end a rollout is still reported to the peers.
 	reportTime = 30 * time.Second
-	// minMoveTime is the least time before the schedule's end for a good verdict.
+	// minMoveTime is the least time between a good verdict and the status, in which routers
+	// learn of it.
 	minMoveTime = 300 * time.Millisecond
 	// historyInterval and historyLength are how often the counts are kept and how many of
 	// them. The responses since the oldest are tested on their own, so that a release that
@@ -251,17 +252,17 @@
 	if r.final != "" || r.bad || r.committed != "" {
 		return
 	}
-	elapsed := r.elapsed(now)
+	elapsed, isSufficient := r.elapsed(now), r.merged.isSufficient()
 	switch {
 	case r.chance < badChance:
 		r.fail("bad responses")
-	case !in.HoldsLease || r.good || elapsed < r.schedule.move || !in.InContact:
-		if in.HoldsLease && !r.good && elapsed >= r.schedule.complete {
-			r.fail("no verdict in time")
-		}
-	case r.merged.isSufficient() && r.chance >= doubtChance && elapsed < r.schedule.complete-minMoveTime:
+	case !in.HoldsLease || r.good || elapsed < r.schedule.move:
+	case elapsed >= r.order.Duration:
+		r.fail("no verdict in time")
+	case !in.InContact:
+	case isSufficient && r.chance >= doubtChance:
 		r.good, r.goodAt, r.reason = true, now, "as good as the old release"
-	case elapsed >= r.schedule.decide && !r.merged.isSufficient():
+	case elapsed >= r.schedule.decide && !isSufficient:
 		r.fail("too few responses")
 	case elapsed >= r.schedule.decide:
 		r.fail("in doubt")
--- a/core/canary/verdict.go
+++ b/core/canary/verdict.go
@@ -21,6 +21,9 @@
 	// rateTolerance is the multiple of the old release's rate of bad responses that a good
 	// release may have.
 	rateTolerance = 2
+	// priorWeight is the number of responses that the rate of all routes counts for on one.
+	// Most requests of a route with few of them are samples, so the old release has few.
+	priorWeight = 50
 	// minFailureRate and minSlowRate are rates that a good release may have in any case.
 	// Some responses are slow because endpoints of a release that has just started are.
 	minFailureRate, minSlowRate = 0.01, 0.03
@@ -39,11 +42,13 @@
 // they are higher: while all requests move, it has few responses. The bad responses of the
 // worst endpoint do not count if there are others, since one endpoint may fail for reasons of
 // its own.
-func (r *RouteEvidence) chance(endpoints int, reference Tally) float64 {
+func (r *RouteEvidence) chance(endpoints int, reference, all Tally) float64 {
 	ignored, n := r.worstEndpoint(endpoints)
 	n = r.New.Ended - n
 	test := func(bad func(Tally) int64, fewest int64, least float64) float64 {
-		tolerated := max(rateTolerance*rate(bad(r.Old), r.Old.Ended), rateTolerance*rate(bad(reference), reference.Ended), least)
+		usual := rate(bad(all), all.Ended, 0)
+		tolerated := max(rate(bad(r.Old), r.Old.Ended, usual), rate(bad(reference), reference.Ended, usual))
+		tolerated = max(rateTolerance*tolerated, least)
 		observed := bad(r.New) - ignored
 		if observed < fewest {
 			return 1
@@ -77,24 +82,29 @@
 	return bad, min(r.New.Ended/int64(min(endpoints, minSampled)), r.New.Ended*bad/max(1, r.New.bad()))
 }
 
-// rate returns an upper estimate of the rate of bad responses of the old release, or 0 if it
-// has ended none.
-func rate(bad, ended int64) float64 {
+// rate returns an upper estimate of the rate of bad responses of the old release on one route,
+// or 0 if it has ended none. With few responses, the rate of all routes counts more.
+func rate(bad, ended int64, all float64) float64 {
 	if ended == 0 {
 		return 0
 	}
-	return min(1, (float64(bad)+math.Sqrt(float64(bad))+1)/float64(ended+1))
+	weight := 0.0
+	if all > 0 {
+		weight = priorWeight
+	}
+	return min(1, (float64(bad)+math.Sqrt(float64(bad))+1+weight*all)/(float64(ended)+1+weight))
 }
 
 // chance returns the least chance of all routes and of their sum; see RouteEvidence.chance.
 func (e evidence) chance(endpoints int, reference evidence) float64 {
-	least := e.total().chance(endpoints, reference.total().Old)
+	total, before := e.total(), reference.total()
+	least := total.chance(endpoints, before.Old, Tally{})
 	for name, r := range e {
 		earlier := Tally{}
 		if from := reference[name]; from != nil {
 			earlier = from.Old
 		}
-		least = min(least, r.chance(endpoints, earlier))
+		least = min(least, r.chance(endpoints, earlier, total.Old.add(before.Old)))
 	}
 	return least
 }
@@ -152,10 +162,10 @@
 	// Parts of the order's duration with their limits: before the deadline for the store's
 	// answer, before that for the requests in flight, before that for observation under load.
 	writeFraction, minWrite, maxWrite = 0.06, 400 * time.Millisecond, 3 * time.Second
-	drainFraction, minDrain           = 0.2, 600 * time.Millisecond
+	drainFraction, minDrain           = 0.2, 700 * time.Millisecond
 	loadFraction, minLoad, maxLoad    = 0.1, 600 * time.Millisecond, 10 * time.Second
 	// drainMargin is added to the duration of requests for the time until all routers move.
-	drainMargin = 500 * time.Millisecond
+	drainMargin = 700 * time.Millisecond
 	// decideFraction is the part of the drain time that is left after the last decision.
 	decideFraction = 0.4
 )
