core/canary: sample in different failure domains; leave the lease without contact

The loss of a domain with all sampled endpoints looked like a fault of the release, and a holder cut off from its peers kept the lease although it may not take a verdict.

--- a/app/front/upgrade.go
+++ b/app/front/upgrade.go
@@ -69,7 +69,7 @@
 	rank := f.rank(now)
 	// A draining router keeps working for as long as it holds the lease, so
 	// that its successor takes over from a release instead of an expiry.
-	hasWork := (plan.outdated > 0 || f.rollouts.HasWork()) && (plan.holds || rank < maxLeaseCandidates && f.stop.Load() == nil)
+	hasWork := (plan.outdated > 0 || f.rollouts.HasWork(now)) && (plan.holds || rank < maxLeaseCandidates && f.stop.Load() == nil)
 	f.lease.SetHasWork(now, hasWork, rank)
 	plan.op = f.lease.Next(now)
 	if !plan.holds {
--- a/core/canary/admit.go
+++ b/core/canary/admit.go
@@ -1,8 +1,6 @@
 package canary
 
 import (
-	"time"
-
 	"github.com/kumquatsill/kumquatsill/core/discovery"
 	"github.com/kumquatsill/kumquatsill/core/proto"
 )
@@ -240,16 +238,6 @@
 	return k.isNew && outcome.bad() > 0
 }
 
-// Elapsed returns the time since the order of a service's rollout, for tests and reports.
-func (t *Table) Elapsed(now proto.Instant, service string) time.Duration {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	if s := t.services[service]; s != nil && s.rollout != nil {
-		return s.rollout.elapsed(now)
-	}
-	return 0
-}
-
 var verdictNames = [...]string{Neutral: "neutral", Answered: "answered", Failure: "failure", GivenUp: "given_up"}
 
 // String returns the verdict's name.
--- a/core/canary/fleet_test.go
+++ b/core/canary/fleet_test.go
@@ -144,6 +144,12 @@
 			}
 			return response{canary.Answered, r.usual}
 		},
+		"a failure domain is lost": func(r simRequest) response {
+			if r.endpoint%3 == 1 && r.at > 4*time.Second && r.at < 6*time.Second {
+				return failing(r)
+			}
+			return response{canary.Answered, r.usual}
+		},
 		"some of all responses fail": func(r simRequest) response {
 			if r.random < 0.1 {
 				return failing(r)
--- a/core/canary/orders_test.go
+++ b/core/canary/orders_test.go
@@ -155,3 +155,22 @@
 		t.Error("an order's release is established without a status")
 	}
 }
+
+// Guards against a router without contact that keeps the lease, so that no other one can take a
+// verdict, and against a rollout that nobody ends after its deadline.
+func TestRouterWithoutContactLeavesTheLease(t *testing.T) {
+	s := newSingle("v1", "v2")
+	s.order("v2", 1)
+	s.table.Step(s.now, canary.StepInput{HoldsLease: true})
+	if s.table.HasWork(s.now) {
+		t.Error("the lease is kept without contact")
+	}
+	s.now = s.now.Add(4 * time.Second)
+	if !s.table.HasWork(s.now) {
+		t.Error("nobody ends the rollout")
+	}
+	s.table.Step(s.now, canary.StepInput{InContact: true})
+	if !s.table.HasWork(s.now) {
+		t.Error("the lease is not claimed with contact")
+	}
+}
--- a/core/canary/service.go
+++ b/core/canary/service.go
@@ -24,6 +24,7 @@
 type release struct {
 	// endpoints holds the IDs of those that do not leave, oldest is the earliest start.
 	endpoints []proto.EndpointID
+	domains   map[proto.EndpointID]proto.Domain
 	oldest    int64
 }
 
@@ -76,7 +77,7 @@
 	for _, e := range endpoints {
 		r := s.releases[e.Release]
 		if r == nil {
-			r = &release{oldest: math.MaxInt64}
+			r = &release{oldest: math.MaxInt64, domains: map[proto.EndpointID]proto.Domain{}}
 			s.releases[e.Release] = r
 		}
 		if e.Started > 0 {
@@ -84,6 +85,7 @@
 		}
 		if !e.Leaving {
 			r.endpoints = append(r.endpoints, e.ID)
+			r.domains[e.ID] = e.Domain
 		}
 	}
 	s.reviewEstablished(now)
--- a/core/canary/sim_test.go
+++ b/core/canary/sim_test.go
@@ -93,6 +93,7 @@
 		for n := range simEndpoints {
 			table.Put(s.now, &discovery.Endpoint{
 				ID: proto.EndpointID(fmt.Sprint(release, "-", n)), Service: simService, Release: release, Started: int64(1 + i*1000 + n),
+				Domain: proto.Domain(fmt.Sprint("d", n%3)),
 			})
 		}
 	}
--- a/core/canary/table.go
+++ b/core/canary/table.go
@@ -299,7 +299,8 @@
 }
 
 // selectSampled determines the endpoints that samples go to. There are so few that these see
-// about the load of the old ones, and all routers take the same.
+// about the load of the old ones, and all routers take the same. They are in different failure
+// domains where possible, so that the loss of one does not look like a fault of the release.
 func (t *Table) selectSampled(s *service, r *rollout, usable func(proto.EndpointID) bool) {
 	old, all := len(s.endpointsOf(s.established)), s.endpointsOf(r.order.To)
 	ids := slices.DeleteFunc(slices.Clone(all), func(id proto.EndpointID) bool {
@@ -309,22 +310,41 @@
 	slices.SortFunc(ids, func(a, b proto.EndpointID) int {
 		return cmp.Or(cmp.Compare(hash(a), hash(b)), cmp.Compare(a, b))
 	})
+	if to := s.releases[r.order.To]; to != nil {
+		spreadDomains(ids, to.domains)
+	}
 	n := max(minSampled, int(steadyFraction*r.ledger.share*float64(old)+0.5))
 	r.sampled = ids[:min(n, len(ids))]
 	r.sampledShare = maxLoadFactor * float64(len(r.sampled)) / float64(max(1, old))
 	r.newShare = maxLoadFactor * float64(len(all)) / float64(max(1, old))
 }
 
+// spreadDomains moves the first endpoint of each failure domain to the front, then the second
+// ones, and so on.
+func spreadDomains(ids []proto.EndpointID, domains map[proto.EndpointID]proto.Domain) {
+	rank, inDomain := map[proto.EndpointID]int{}, map[proto.Domain]int{}
+	for _, id := range ids {
+		rank[id] = inDomain[domains[id]]
+		inDomain[domains[id]]++
+	}
+	slices.SortStableFunc(ids, func(a, b proto.EndpointID) int { return cmp.Compare(rank[a], rank[b]) })
+}
+
 // HasWork reports whether the lease is needed for a rollout: one that has not ended, or one
-// whose status the store lacks.
-func (t *Table) HasWork() bool {
+// whose status the store lacks. Before the deadline, a router that does not hear its peers leaves
+// the lease to others, as it may not take a verdict.
+func (t *Table) HasWork(now proto.Instant) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if !t.bounds.Enabled() || !t.statusRead {
 		return false
 	}
 	for _, s := range t.services {
-		if r := s.rollout; r != nil && (r.final == "" || s.stored != Status{State: r.final, To: r.order.To}) {
+		switch r := s.rollout; {
+		case r == nil:
+		case r.final != "" && s.stored != Status{State: r.final, To: r.order.To}:
+			return true
+		case r.final == "" && (t.inContact || r.elapsed(now) >= r.order.Duration):
 			return true
 		}
 	}
