place: charge what a request delays other streams, and more for recomputed parts

A recomputed part now costs four times as much for such requests, and a request is charged a tenth of what it delays the streams in progress.

--- a/core/pace/estimator.go
+++ b/core/pace/estimator.go
@@ -164,6 +164,10 @@
 	return time.Duration(f.at(float64(running))), time.Duration(f.at(float64(running + 1)))
 }
 
+// Growth returns by how much one more running request lengthens the time between two
+// events at the usual speed.
+func (e *Estimator) Growth() time.Duration { return time.Duration(e.estimates().interval.slope) }
+
 // PromptToken returns the time to process one prompt token at the usual speed.
 func (e *Estimator) PromptToken() time.Duration { return time.Duration(e.estimates().token) }
 
--- a/core/place/memory.go
+++ b/core/place/memory.go
@@ -182,7 +182,7 @@
 
 // ownTokensOf returns the memory that a request needs apart from shared parts.
 func (s *scorer) ownTokensOf(c *Choice) int64 {
-	return wholeBlocks(s.q.Size.PromptTokens-c.SharedTokens) + wholeBlocks(s.service.outputs.expect(&s.q.Size))
+	return wholeBlocks(s.q.Size.PromptTokens-c.SharedTokens) + wholeBlocks(s.output)
 }
 
 // cannotFit reports whether a prompt exceeds the whole memory of an endpoint, which
--- a/core/place/pacing.go
+++ b/core/place/pacing.go
@@ -18,6 +18,14 @@
 	// slowedFactor is the slowdown from which an endpoint shows nothing about its usual
 	// speed.
 	slowedFactor = 1.5
+	// delayWeight is the cost of a delay of other streams that breaks no bound, compared
+	// to the same delay of the request. At 0.3, simulated routers sent more streams to
+	// endpoints that are slowed now and then, as these have fewer others.
+	delayWeight = 0.1
+	// pacedRecompute multiplies Costs.RecomputedToken. Estimates of the time to process
+	// a prompt are lower than the constant, and near saturation simulated routers
+	// recomputed ten times as many tokens without it.
+	pacedRecompute = 4
 	// stallIntervals is the number of usual times between events without any event
 	// after which an endpoint with streams in progress counts as interrupted. It is at
 	// least minStall, as single events may come later by that.
@@ -132,6 +140,14 @@
 	return v
 }
 
+// recomputedToken returns the cost of a recomputed token apart from its time.
+func (s *scorer) recomputedToken(v *view) time.Duration {
+	if v.active {
+		return pacedRecompute * s.placer.cfg.Costs.RecomputedToken
+	}
+	return s.placer.cfg.Costs.RecomputedToken
+}
+
 func scale(d time.Duration, factor float64) time.Duration { return time.Duration(float64(d) * factor) }
 
 // pacedWait returns the time until an endpoint begins a new request, by the estimates.
@@ -182,15 +198,17 @@
 }
 
 // harm returns what it costs the callers of the streams in progress that the request's
-// prompt is processed between their events.
+// prompt is processed between their events, and that there is one more request.
 func (s *scorer) harm(c *Choice, l *load, v *view) time.Duration {
+	delay := float64(c.PrefillTokens)*float64(v.tokenTime) + float64(s.output)*float64(l.pace.Growth())*v.slowdown
+	cost := time.Duration(delayWeight * delay * float64(v.running))
 	if c.PrefillTokens < minHarmTokens || v.running == 0 || s.service.gap <= 0 {
-		return 0
+		return cost
 	}
 	slack := s.service.gap - v.interval
 	chunk := time.Duration(min(c.PrefillTokens, promptChunkTokens)) * v.tokenTime
 	more := l.pace.GapChance(s.now, slack-chunk) - l.pace.GapChance(s.now, slack)
-	return scale(s.service.lateCost, more*float64(v.running))
+	return cost + scale(s.service.lateCost, more*float64(v.running))
 }
 
 // promptToken returns the time to process a prompt token; mu must be held.
--- a/core/place/score.go
+++ b/core/place/score.go
@@ -31,6 +31,8 @@
 	last        *versionedPrompt
 	lastVersion int64
 	service     *pacedService
+	// output is the expected length of the output in tokens, 0 if unknown.
+	output int64
 }
 
 // versionedPrompt is the prompt as cached under one version of the model.
@@ -61,6 +63,9 @@
 	if p.config != nil && q.Model != "" {
 		s.links = p.linksFor(q.Service)
 	}
+	if q.Size.isKnown() {
+		s.output = s.service.outputs.expect(&q.Size)
+	}
 	if len(q.Parts) == 0 {
 		return s
 	}
@@ -155,7 +160,7 @@
 	c.ExpectedTTFB = s.wait(l, &v) + c.Lag
 	if s.q.Model != "" {
 		c.Version = l.versionOf(s.q.Model)
-		took, promptPenalty := s.promptCost(c, l)
+		took, promptPenalty := s.promptCost(c, l, &v)
 		c.ExpectedTTFB += took
 		penalty += promptPenalty + s.oldVersionPenalty(c.Version)
 	}
@@ -211,7 +216,7 @@
 
 // promptCost returns the time to fetch and prefill the prompt, and the cost in
 // addition to that time. It fills in the fields of the choice on the prompt.
-func (s *scorer) promptCost(c *Choice, l *load) (took, penalty time.Duration) {
+func (s *scorer) promptCost(c *Choice, l *load, v *view) (took, penalty time.Duration) {
 	cached := s.promptFor(c.Version)
 	c.Salt, c.keys = cached.salt, cached.keys
 	if len(s.q.Parts) == 0 {
@@ -225,7 +230,7 @@
 	c.PrefillTokens = s.ownTokens + c.RecomputedTokens
 	costs := s.placer.cfg.Costs
 	took = time.Duration(c.PrefillTokens) * c.tokenTime
-	penalty = time.Duration(c.RecomputedTokens) * costs.RecomputedToken
+	penalty = time.Duration(c.RecomputedTokens) * s.recomputedToken(v)
 	if c.FetchedTokens > 0 {
 		c.transfer = from.took
 		took += from.wait + from.took
