--- a/app/front/telemetry.go
+++ b/app/front/telemetry.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
+	"github.com/kumquatsill/kumquatsill/app/driver"
 	"github.com/kumquatsill/kumquatsill/core/relay"
 	"github.com/kumquatsill/kumquatsill/core/serving"
 )
@@ -33,6 +34,7 @@
 	})
 	set.NewGauge("kumquatsill_endpoints", func() float64 { return float64(t.endpoints.Load()) })
 	set.NewGauge("kumquatsill_log_lines_dropped_total", func() float64 { return float64(f.cfg.LogDropped()) })
+	set.NewGauge("kumquatsill_own_delay_seconds_total", func() float64 { return f.ownDelay.Total(driver.Now()).Seconds() })
 	set.NewGauge("kumquatsill_upstream_dials_total", func() float64 { return float64(f.client.Stats.Dials.Load()) })
 	set.NewGauge("kumquatsill_upstream_stale_connections_total", func() float64 { return float64(f.client.Stats.Stale.Load()) })
 	set.NewGauge("kumquatsill_upstream_foreign_answers_total", func() float64 { return float64(f.client.Stats.Mismatched.Load()) })
