--- a/standin/hosting/engine.go
+++ b/standin/hosting/engine.go
@@ -22,6 +22,10 @@
 	// two of them.
 	Events        int
 	EventInterval time.Duration
+	// Pause is added between the second and the third event of a stream.
+	Pause time.Duration
+	// Load, if set, returns the load that the engine reports, from its running requests.
+	Load func(running int) string
 	// ResponseDelay is how long a plain service takes to respond.
 	ResponseDelay time.Duration
 	// RejectsLoads makes the engine respond to each order as if it were busy.
@@ -191,6 +195,9 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	h.Set("Kumquatsill-Response-Signature", SignatureOf(e.ID))
+	if e.Load != nil {
+		h.Set("Kumquatsill-Server-Load", e.Load(e.running))
+	}
 	if e.namedLimit != "" {
 		h.Set("Kumquatsill-Server-Limit", e.namedLimit)
 	}
@@ -452,12 +459,20 @@
 		select {
 		case <-r.Context().Done():
 			return
-		case <-time.After(e.EventInterval):
+		case <-time.After(e.intervalAfter(i - after)):
 		}
 	}
 	e.setFinished(n)
 }
 
+// intervalAfter returns the time to wait after an event of a stream.
+func (e *Engine) intervalAfter(event int) time.Duration {
+	if event == 2 {
+		return e.EventInterval + e.Pause
+	}
+	return e.EventInterval
+}
+
 // endUnframed sends the head of a response that ends with its connection, and ends it.
 func (e *Engine) endUnframed(w http.ResponseWriter, r *http.Request) {
 	conn, _, err := http.NewResponseController(w).Hijack()
