place, pace: bound the sizes that callers and the figures that endpoints state

Sums in the memory ledger overflowed with absurd token counts, which callers control. One request is counted for at most an endpoint's memory, and a slowdown for at most 100 times the usual time.

--- a/core/pace/slowdown.go
+++ b/core/pace/slowdown.go
@@ -14,8 +14,9 @@
 	// slowedFrom is the ratio to an endpoint's usual figure from which it counts as
 	// slowed.
 	slowedFrom = 1.5
-	// minRatio bounds the ratio from below; observations are divided by it.
+	// minRatio and maxRatio bound the ratio, as the figure may be any number.
 	minRatio = 0.25
+	maxRatio = 100
 	// priorValidity is how long a reported slowdown counts before any repetition was
 	// observed: endpoints are slowed for some tenths of a second at a time.
 	priorValidity = 300 * time.Millisecond
@@ -42,7 +43,7 @@
 func newSlowdown() slowdown { return slowdown{usual: usualSlowdown, ratio: 1, validity: priorValidity} }
 
 func (s *slowdown) observe(now proto.Instant, figure int) {
-	ratio := max(minRatio, float64(figure)/s.usual)
+	ratio := clamp(float64(figure)/s.usual, minRatio, maxRatio)
 	s.observeDuration(now, ratio >= slowedFrom)
 	switch {
 	case float64(figure) > s.usual:
--- a/core/place/memory.go
+++ b/core/place/memory.go
@@ -22,6 +22,8 @@
 	// usualDuration is how long an attempt is taken to hold memory before one was
 	// observed.
 	usualDuration = time.Second
+	// maxTokens bounds the numbers that callers state, so that sums do not overflow.
+	maxTokens = 1 << 30
 	// maxPeerHolds bounds the attempts of peers that are kept for one endpoint.
 	maxPeerHolds = 256
 )
@@ -52,10 +54,11 @@
 
 // expect returns the output to expect of a request.
 func (o *outputs) expect(s *Size) int64 {
+	most := boundTokens(s.MaxOutput)
 	if s.LengthHint > 0 {
-		return min(int64(s.LengthHint*o.lengthRatio)+1, s.MaxOutput)
+		return min(int64(min(s.LengthHint*o.lengthRatio, maxTokens))+1, most)
 	}
-	return int64(float64(s.MaxOutput) * o.share)
+	return int64(float64(most) * o.share)
 }
 
 // observe records a complete output.
@@ -105,6 +108,13 @@
 
 func newMemory() memory { return memory{shared: map[PartKey]sharedUse{}} }
 
+func boundTokens(tokens int64) int64 { return min(max(0, tokens), maxTokens) }
+
+// ownPrompt returns the memory that a prompt takes apart from its shared parts.
+func (s *Size) ownPrompt(shared int64) int64 {
+	return wholeBlocks(boundTokens(boundTokens(s.PromptTokens) - boundTokens(shared)))
+}
+
 // wholeBlocks rounds a number of tokens up to blocks.
 func wholeBlocks(tokens int64) int64 { return (tokens + blockTokens - 1) / blockTokens * blockTokens }
 
@@ -113,7 +123,7 @@
 	for _, part := range h.parts {
 		use := m.shared[part.Key]
 		if use.users == 0 {
-			use.tokens = wholeBlocks(part.Tokens)
+			use.tokens = wholeBlocks(boundTokens(part.Tokens))
 			m.used += use.tokens
 		}
 		use.users++
@@ -182,14 +192,14 @@
 
 // ownTokensOf returns the memory that a request needs apart from shared parts.
 func (s *scorer) ownTokensOf(c *Choice) int64 {
-	return wholeBlocks(s.q.Size.PromptTokens-c.SharedTokens) + wholeBlocks(s.output)
+	return s.q.Size.ownPrompt(c.SharedTokens) + wholeBlocks(s.output)
 }
 
 // cannotFit reports whether a prompt exceeds the whole memory of an endpoint, which
 // rejects it however long it waits. Endpoints that do not report their slowdown may
 // take it.
 func (s *scorer) cannotFit(l *load) bool {
-	return s.q.Size.isKnown() && l.pace.Active() && l.parts.capacity > 0 && wholeBlocks(s.q.Size.PromptTokens) > l.parts.capacity
+	return s.q.Size.isKnown() && l.pace.Active() && l.parts.capacity > 0 && s.q.Size.ownPrompt(0) > l.parts.capacity
 }
 
 // memoryCost returns the cost of a request that exceeds the memory of an endpoint, and
@@ -200,12 +210,12 @@
 	}
 	l.memory.expire(s.now)
 	own := s.ownTokensOf(c)
-	missing := l.memory.missing(l.parts.capacity, own, c.SharedTokens, c.keys[:len(s.shared)])
+	missing := l.memory.missing(l.parts.capacity, own, boundTokens(c.SharedTokens), c.keys[:len(s.shared)])
 	if missing == 0 {
 		return 0
 	}
 	c.MemoryWait = scale(s.service.outputs.duration, min(1, float64(missing)/float64(max(1, l.memory.used))))
-	return c.MemoryWait + scale(overflowCost, min(1, float64(missing)/float64(max(1, own+c.SharedTokens))))
+	return c.MemoryWait + scale(overflowCost, min(1, float64(missing)/float64(max(1, own+boundTokens(c.SharedTokens)))))
 }
 
 // takeMemory records the memory of an attempt; mu must be held.
@@ -214,7 +224,9 @@
 		return
 	}
 	a.size = q.Size
-	a.hold.own = wholeBlocks(q.Size.PromptTokens-a.choice.SharedTokens) + wholeBlocks(s.outputs.expect(&q.Size))
+	// A caller that states too much must not make the endpoint look full beyond its
+	// own request.
+	a.hold.own = min(q.Size.ownPrompt(a.choice.SharedTokens)+wholeBlocks(s.outputs.expect(&q.Size)), max(0, a.load.parts.capacity))
 	for i, part := range q.Parts[:len(q.Parts)-1] {
 		a.hold.parts = append(a.hold.parts, Cached{Key: a.choice.keys[i], Tokens: part.Tokens})
 	}
@@ -249,10 +261,10 @@
 	o := &p.pacedServiceOf(e.Service).outputs
 	var sharedTokens int64
 	for _, part := range t.Cached {
-		sharedTokens += part.Tokens
+		sharedTokens += boundTokens(part.Tokens)
 	}
 	// What is prefilled may include some of the shared parts.
-	own := wholeBlocks(max(0, t.PrefillTokens-sharedTokens)) + wholeBlocks(int64(o.tokens))
+	own := wholeBlocks(boundTokens(t.PrefillTokens-sharedTokens)) + wholeBlocks(int64(o.tokens))
 	until := now.Add(time.Duration(t.ReadyInMillis)*time.Millisecond + o.duration)
 	l.memory.takePeer(hold{own: own, parts: t.Cached}, until)
 }
--- a/core/place/memory_test.go
+++ b/core/place/memory_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"testing"
 	"time"
 
@@ -119,3 +120,26 @@
 		t.Errorf("%v, excluded %q", ok, c.Excluded.String())
 	}
 }
+
+// Guards against sums that overflow, and a ledger that stays wrong, after a caller stated
+// absurd sizes.
+func TestAbsurdSizesDoNotHarmTheLedger(t *testing.T) {
+	r := newFixture(t, 1)
+	for _, size := range []place.Size{
+		{PromptTokens: math.MaxInt64, MaxOutput: math.MaxInt64, LengthHint: math.MaxFloat64},
+		{PromptTokens: 1, MaxOutput: -5, LengthHint: 3},
+	} {
+		q := r.sized("absurd", 100, 100)
+		q.Size = size
+		a := r.placer.StartAttempt(r.now, q, r.choose(q))
+		q = r.sized("sound", 1000, 100)
+		if c := r.choose(q); c.MemoryWait < 0 || c.MemoryWait > time.Second {
+			t.Errorf("a wait of %v beside %+v", c.MemoryWait, size)
+		}
+		r.placer.ObserveOutput(r.now, a, 10)
+		r.placer.EndAttempt(r.now, a, true)
+		if c := r.choose(q); c.MemoryWait != 0 {
+			t.Errorf("a wait of %v after %+v", c.MemoryWait, size)
+		}
+	}
+}
