quota: schedule of retry times for accounts beyond their limits

All refused callers of an account beyond its limit were told about the same time, which ignored those refused before them. They returned together, and most of them were refused again while new requests took what had accrued.

Each refusal now takes the next position in the time in which the balance recovers, at this router's part of the rate. The balance of a promised position is reserved: new requests do not take it, a returning one does. A returning request is recognized by its content at the same router, and at others by having less time left than its account's callers have at first.

Routers' views of an overloaded account differed for as long as the overload lasted, so that some admitted all and others nothing; they now move towards the average of the levels that full messages already carry.

The existing simulations run with and without recognition of returning requests; none of their bounds changes.

--- a/app/front/front.go
+++ b/app/front/front.go
@@ -100,6 +100,8 @@
 	inFlight, callerConns atomic.Int64
 	// durations holds how long requests of each route take.
 	durations relay.Durations
+	// patience holds how long callers of each route and account wait at first.
+	patience relay.Durations
 
 	quota  *quota.Tracker
 	placer *place.Placer
--- a/app/front/serve.go
+++ b/app/front/serve.go
@@ -250,9 +250,11 @@
 		return true
 	}
 	units := x.account.Cost(x.info.Tokens(), x.info.HasTokens)
-	d := x.front.quota.Spend(x.arrived, x.account.ID, units)
+	d := x.front.quota.Admit(x.arrived, x.account.ID, x.quotaRequest(units))
+	x.front.metrics.noteQuota(d)
 	if !d.OK {
-		x.log = x.log.With("account", string(x.account.ID), "units", units, "balance", d.Balance, "share", d.Share)
+		x.log = x.log.With("account", string(x.account.ID), "units", units, "balance", d.Balance, "share", d.Share,
+			"promised", d.Promised, "promises", d.Promises, "returning", d.Returning)
 		return x.reject(http.StatusTooManyRequests, "over_limit", d.RetryAfter)
 	}
 	x.chargedUnits = units
--- a/core/quota/exceeded.go
+++ b/core/quota/exceeded.go
@@ -57,6 +57,7 @@
 	first := !t.informed
 	t.informed = true
 	if now.Sub(t.started) >= startupTime {
+		t.averageLevels(now, levels)
 		return
 	}
 	if first {
@@ -74,3 +75,26 @@
 		b.level, b.exceeded = min(0, b.level, float64(level)), true
 	}
 }
+
+// averageLevels moves the levels of accounts beyond their limits towards those of a peer.
+// Views of one account differ for as long as it asks for more than its rate, since what
+// accrues to a full bucket is lost while the peers' spending is not known yet: some routers
+// would admit all and others nothing, and a request that returns to any of them could not
+// count on what one has promised. The average neither adds nor removes balance. The caller
+// must hold mu.
+func (t *Tracker) averageLevels(now proto.Instant, levels map[proto.AccountID]int64) {
+	exchanging, all := t.exchanging(now)
+	if 2*exchanging <= all {
+		return // on the smaller side of a partition levels are of another scale
+	}
+	share := float64(exchanging) / float64(all)
+	for id, level := range levels {
+		b := t.buckets[id]
+		if b == nil || b.limit.Rate <= 0 {
+			continue
+		}
+		if t.refill(b, now, share); b.exceeded {
+			b.level += (float64(level) - b.level) / float64(len(t.members)+1)
+		}
+	}
+}
--- a/core/quota/forgotten_test.go
+++ b/core/quota/forgotten_test.go
@@ -28,6 +28,13 @@
 	}
 }
 
+// runRecognizedOrNot runs a test with and without routers that recognize returning requests.
+func runRecognizedOrNot(t *testing.T, name string, run func(t *testing.T, recognized bool)) {
+	for _, recognized := range []bool{false, true} {
+		t.Run(fmt.Sprintf("%s/recognized=%v", name, recognized), func(t *testing.T) { run(t, recognized) })
+	}
+}
+
 // Guards against each restart of all routers granting the burst again to an account beyond
 // its limit (review/5 on kcm-ops).
 func TestRestartsOfAllRoutersGrantOneBurst(t *testing.T) {
@@ -39,9 +46,9 @@
 			if storeDown && routers > 27 {
 				continue
 			}
-			t.Run(fmt.Sprintf("routers=%d/storeDown=%v", routers, storeDown), func(t *testing.T) {
+			runRecognizedOrNot(t, fmt.Sprintf("routers=%d/storeDown=%v", routers, storeDown), func(t *testing.T, recognized bool) {
 				s := simulation{
-					routers: routers, limit: limit, duration: 11 * time.Second, latency: 20 * time.Millisecond, storeDown: storeDown,
+					routers: routers, recognized: recognized, limit: limit, duration: 11 * time.Second, latency: 20 * time.Millisecond, storeDown: storeDown,
 					demand: surge(limit.Rate, 0.55, 7.5, 3*time.Second, 9500*time.Millisecond), unit: logNormalUnit(2000, 1),
 				}
 				for i := range 4 {
@@ -70,9 +77,9 @@
 			if routers > 27 && latency < 200*time.Millisecond {
 				continue
 			}
-			t.Run(fmt.Sprintf("routers=%d/latency=%v", routers, latency), func(t *testing.T) {
+			runRecognizedOrNot(t, fmt.Sprintf("routers=%d/latency=%v", routers, latency), func(t *testing.T, recognized bool) {
 				s := simulation{
-					routers: routers, limit: limit, duration: 12 * time.Second, latency: latency,
+					routers: routers, recognized: recognized, limit: limit, duration: 12 * time.Second, latency: latency,
 					demand: surge(limit.Rate, 0.7, 7.5, 3*time.Second, 12*time.Second), unit: logNormalUnit(2000, 1),
 				}
 				s.run()
@@ -100,9 +107,9 @@
 		{27, 0, false}, {27, 1, false}, {27, 27, false}, {27, 27, true},
 		{103, 103, false},
 	} {
-		for _, usual := range []float64{0.55, 0.8} {
+		for i, usual := range []float64{0.55, 0.8, 0.55, 0.8} {
 			s := simulation{
-				routers: c.routers, limit: limit, duration: 6 * time.Second, latency: 20 * time.Millisecond, storeDown: c.storeDown,
+				routers: c.routers, recognized: i >= 2, limit: limit, duration: 6 * time.Second, latency: 20 * time.Millisecond, storeDown: c.storeDown,
 				demand: surge(limit.Rate, usual, 1, 0, 0), unit: logNormalUnit(2000, 1), seed: 1,
 				restarts: []simRestart{{at: restartAt, down: down, count: c.restarted}},
 			}
@@ -126,17 +133,19 @@
 func TestClumpsWithinBurstAreServed(t *testing.T) {
 	const pause, clump, settled = 2 * time.Second, 300 * time.Millisecond, 2 * time.Second
 	limit := quota.Limit{Rate: 237_000, Burst: 237_000}
-	s := simulation{
-		routers: 27, limit: limit, duration: 14 * time.Second, latency: 20 * time.Millisecond, unit: logNormalUnit(2000, 1),
-		demand: func(at time.Duration) float64 {
-			if at%pause < clump {
-				return 4 * float64(limit.Rate) // 0.9 of the burst beyond the rate
-			}
-			return 0.35 * float64(limit.Rate)
-		},
-	}
-	s.run()
-	if refused := s.refusedSince(settled); refused > 0 {
-		t.Errorf("%d of %d requests were refused", refused, s.asked)
-	}
+	runRecognizedOrNot(t, "clumps", func(t *testing.T, recognized bool) {
+		s := simulation{
+			routers: 27, recognized: recognized, limit: limit, duration: 14 * time.Second, latency: 20 * time.Millisecond, unit: logNormalUnit(2000, 1),
+			demand: func(at time.Duration) float64 {
+				if at%pause < clump {
+					return 4 * float64(limit.Rate) // 0.9 of the burst beyond the rate
+				}
+				return 0.35 * float64(limit.Rate)
+			},
+		}
+		s.run()
+		if refused := s.refusedSince(settled); refused > 0 {
+			t.Errorf("%d of %d requests were refused", refused, s.asked)
+		}
+	})
 }
--- a/core/quota/quota.go
+++ b/core/quota/quota.go
@@ -113,14 +113,21 @@
 // NewSentState returns the state of peers that have been sent nothing.
 func NewSentState() *SentState { return &SentState{sent: map[proto.AccountID]int64{}} }
 
-// Decision is the result of Spend.
+// Decision is the result of Admit.
 type Decision struct {
 	OK bool
 	// Balance is the account's balance before the request, in units.
 	Balance int64
-	// RetryAfter is the time until the balance suffices for the request, if the
-	// account spends nothing else meanwhile. It is set only if OK is not.
+	// RetryAfter is the time until the balance suffices for the request and for those
+	// that were promised theirs before. It is set only if OK is not.
 	RetryAfter time.Duration
+	// Promised is set if the balance is reserved for the request from RetryAfter on. It is
+	// not if the caller does not wait for so long.
+	Promised bool
+	// Promises is the number of requests that were promised a time before.
+	Promises int
+	// Returning is set if the request has returned after a refusal.
+	Returning bool
 	// Share is the fraction of the account's limit that this router may use now.
 	Share float64
 }
@@ -160,6 +167,10 @@
 	// refusal until the level, less what is unreported, reaches recoveredFraction of the
 	// burst.
 	exceeded bool
+	schedule schedule
+	// admitted and refused are the numbers of this router's decisions within about
+	// averagingTime.
+	admitted, refused float64
 }
 
 // Tracker holds one router's buckets of all accounts and its view of the other
@@ -250,29 +261,10 @@
 	return m
 }
 
-// Spend takes units from an account's bucket or, if the balance is too low,
-// returns when to retry. An account without a limit may always spend.
+// Spend takes units from an account's bucket like Admit, for a request of which nothing
+// else is known.
 func (t *Tracker) Spend(now proto.Instant, id proto.AccountID, units int64) Decision {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	share := t.share(now)
-	b := t.buckets[id]
-	if b == nil || b.limit.Rate <= 0 {
-		return Decision{OK: true, Share: share}
-	}
-	t.refill(b, now, share)
-	d := Decision{Balance: int64(b.level), Share: share}
-	// A request larger than the burst would never be admitted, so it needs only a
-	// full bucket; the balance then becomes negative.
-	need := min(float64(units)+t.unreported(b, now), float64(b.limit.Burst)*share)
-	if b.level < need {
-		d.RetryAfter = b.retryAfter(need, share)
-		b.exceeded = b.exceeded || t.informed && share == 1
-		return d
-	}
-	d.OK = true
-	b.charge(units)
-	return d
+	return t.Admit(now, id, Request{Units: units})
 }
 
 // Refund returns the units of a request that did not run.
@@ -336,20 +328,24 @@
 	average := math.Exp(-elapsed / averagingTime.Seconds())
 	b.own *= average
 	b.peers *= average
-	surplus := b.level - t.unreported(b, now)
+	b.admitted *= average
+	b.refused *= average
+	// What is promised is as good as spent: callers return for it.
+	surplus := b.level - t.unreported(b, now) - b.schedule.expectedUnits()*b.routers(len(t.members)+1)
 	b.exceeded = b.level+due < 0 || b.exceeded && surplus <= recoveredFraction*float64(b.limit.Burst)*share
 }
 
-func (b *bucket) retryAfter(need, share float64) time.Duration {
-	rate := float64(b.limit.Rate) * share
-	seconds := (need - b.level) / math.Max(rate, 1)
-	return min(time.Duration(seconds*float64(time.Second)), maxRetryAfter)
-}
-
 // share returns the fraction of the limits that this router may use. The caller
 // must hold mu.
 func (t *Tracker) share(now proto.Instant) float64 {
-	exchanging, all := 1, 1
+	exchanging, all := t.exchanging(now)
+	return float64(exchanging) / float64(all)
+}
+
+// exchanging returns the number of members that exchange counts with this router, and of
+// all members, both with itself. The caller must hold mu.
+func (t *Tracker) exchanging(now proto.Instant) (exchanging, all int) {
+	exchanging, all = 1, 1
 	for id, m := range t.members {
 		if now.Sub(m.lastSeenAt) > memberTimeout {
 			delete(t.members, id)
@@ -363,7 +359,7 @@
 	if !t.listed {
 		all = max(all, assumedMembers)
 	}
-	return float64(exchanging) / float64(all)
+	return exchanging, all
 }
 
 func (m *member) heardRecently(now proto.Instant) bool {
--- a/core/quota/quota_test.go
+++ b/core/quota/quota_test.go
@@ -55,7 +55,11 @@
 
 // broadcast delivers one message from a tracker to every other one.
 func (f *fleet) broadcast(i int) {
-	counts := f.trackers[i].Counts(f.now, quota.NewSentState(), true, true)
+	f.deliver(i, f.trackers[i].Counts(f.now, quota.NewSentState(), true, true))
+}
+
+// deliver delivers a message of a tracker to every other one.
+func (f *fleet) deliver(i int, counts quota.Counts) {
 	for j, to := range f.trackers {
 		if i != j && !f.cut[[2]int{i, j}] {
 			to.Merge(f.now, counts)
--- a/core/quota/simulation_test.go
+++ b/core/quota/simulation_test.go
@@ -24,6 +24,8 @@
 	simConfigLag = 20 * time.Millisecond
 	// simReconnect is how long a caller waits before it tries another router.
 	simReconnect = 50 * time.Millisecond
+	// simRemaining is how long callers wait for an answer.
+	simRemaining = 5 * time.Second
 )
 
 // simRestart stops the first count routers at a moment and starts them again after down.
@@ -46,7 +48,9 @@
 	restarts []simRestart
 	// storeDown is set if the store neither tells nor accepts accounts beyond their limits.
 	storeDown bool
-	seed      uint64
+	// recognized is set if routers recognize requests that return after a refusal.
+	recognized bool
+	seed       uint64
 
 	random    *rand.Rand
 	now       proto.Instant
@@ -144,7 +148,7 @@
 		s.sendAgain(at+simReconnect, q)
 		return 0
 	}
-	d := s.trackers[r].Spend(s.now, account, q.units)
+	d := s.spend(s.trackers[r], q)
 	if d.OK {
 		return q.units
 	}
@@ -155,6 +159,13 @@
 	return 0
 }
 
+func (s *simulation) spend(t *quota.Tracker, q simRequest) quota.Decision {
+	if !s.recognized {
+		return t.Spend(s.now, account, q.units)
+	}
+	return t.Admit(s.now, account, quota.Request{Units: q.units, Key: s.random.Uint64(), Remaining: simRemaining, Returning: q.refused})
+}
+
 func (s *simulation) sendAgain(at time.Duration, q simRequest) {
 	s.retries[at] = append(s.retries[at], q)
 }
