place, peer: routers tell each other of replaced, unreachable and full endpoints

Each router found out on its own that endpoints had restarted (421), were full (503) or accepted no connection, with one or more lost sends for each of them.

An attempt that did not run for one of these reasons is now reported in the next early message and repeated in one more. A notice names the incarnation, the kind and the age. The peers prefer other endpoints for what is left of 1.5 s, 80 ms or 500 ms. Notices of other incarnations, too old ones, and those older than the endpoint's last answer to the receiver are ignored. A router sends at most 64 notices at once and 20 a second over all receivers, about 1 KB/s.

The penalty of such an endpoint rises from 0.5 to 1.5 s, that of one that fails: it was still chosen where others had a wait of some hundred milliseconds.

--- a/app/front/outcome.go
+++ b/app/front/outcome.go
@@ -4,7 +4,6 @@
 	"cmp"
 	"net/http"
 	"strings"
-	"time"
 
 	"github.com/kumquatsill/kumquatsill/core/crash"
 	"github.com/kumquatsill/kumquatsill/core/place"
@@ -12,16 +11,6 @@
 	"github.com/kumquatsill/kumquatsill/core/relay"
 )
 
-const (
-	// misdirectedPause is how long other endpoints are preferred to one at whose
-	// address another endpoint responded. It covers the time until the registry
-	// shows the new one.
-	misdirectedPause = 1500 * time.Millisecond
-	// shedPause is how long other endpoints are preferred to one that refused a
-	// request because it was too busy.
-	shedPause = 80 * time.Millisecond
-)
-
 // noLimit is logged for an answer that named no limit.
 const noLimit = -1
 
@@ -31,15 +20,18 @@
 	f := a.request.front
 	healthy := true
 	switch result {
-	case relay.Unreachable, relay.Broken, relay.Stalled:
+	case relay.Unreachable:
+		healthy = false
+		a.recordIncident(now, place.Unreachable)
+	case relay.Broken, relay.Stalled:
 		healthy = false
 	case relay.Shed:
-		f.placer.Pause(now, a.choice.Endpoint.ID, shedPause)
+		a.recordIncident(now, place.Full)
 	case relay.Misdirected:
 		if a.respondent == a.choice.Endpoint.ID && a.choice.Version > 0 {
 			f.placer.HandleVersionMismatch(now, a.choice.Endpoint.ID, a.request.info.Model, a.choice.Version)
 		} else {
-			f.placer.Pause(now, a.choice.Endpoint.ID, misdirectedPause)
+			a.recordIncident(now, place.Replaced)
 		}
 	}
 	f.placer.EndAttempt(now, a.placement, healthy)
--- a/app/front/peers.go
+++ b/app/front/peers.go
@@ -222,12 +222,16 @@
 	m.Attempts = f.placer.TakeAttemptNotices()
 	notices := f.endpointStates.Changes(now)
 	m.SetNotices(notices)
-	if !ordered && len(m.Attempts) == 0 && notices.IsEmpty() {
+	incidents, more := f.placer.TakeIncidents(now, f.receivers())
+	if m.Incidents = incidents; more {
+		f.requestEarlySend()
+	}
+	if !ordered && len(m.Attempts) == 0 && notices.IsEmpty() && len(incidents) == 0 {
 		return
 	}
 	f.send(m, f.peersAt(near))
 	m.Attempts = firstPrefills(m.Attempts)
-	if ordered || len(m.Attempts) > 0 || !notices.IsEmpty() {
+	if ordered || len(m.Attempts) > 0 || !notices.IsEmpty() || len(incidents) > 0 {
 		f.sendFar(now, m)
 	}
 }
@@ -441,6 +445,7 @@
 		f.reportCrashChanges()
 	}
 	f.mergeEndpointStates(now, m.Notices())
+	f.handleIncidents(now, sentAt, id, m.Incidents)
 	for _, l := range m.Loads {
 		f.placer.SetLoading(l.Endpoint, now.Add(time.Duration(l.RemainingMillis)*time.Millisecond))
 	}
--- a/core/peer/peer.go
+++ b/core/peer/peer.go
@@ -96,6 +96,8 @@
 	// CacheEvents and StorePage are set in messages of their own.
 	CacheEvents *CacheEvents `json:"cache,omitempty"`
 	StorePage   *StorePage   `json:"store,omitempty"`
+	// Incidents lists endpoints that were replaced, unreachable or full at an attempt.
+	Incidents []place.IncidentNotice `json:"incidents,omitempty"`
 	// Silent lists endpoints that have stopped responding to the sender.
 	Silent []proto.EndpointID `json:"silent,omitempty"`
 }
--- a/core/place/attempt.go
+++ b/core/place/attempt.go
@@ -1,8 +1,6 @@
 package place
 
 import (
-	"time"
-
 	"github.com/kumquatsill/kumquatsill/core/endpointstate"
 	"github.com/kumquatsill/kumquatsill/core/proto"
 )
@@ -143,13 +141,3 @@
 	}
 	l.recordFailure(now)
 }
-
-// Pause makes an endpoint less preferred for a time, for example after it
-// refused a request.
-func (p *Placer) Pause(now proto.Instant, id proto.EndpointID, d time.Duration) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	if l := p.loads[id]; l != nil {
-		l.pausedUntil = max(l.pausedUntil, now.Add(d))
-	}
-}
--- a/core/place/load.go
+++ b/core/place/load.go
@@ -56,6 +56,7 @@
 	failures      int
 	// backoffUntil is set after failures, pausedUntil after refused requests.
 	backoffUntil, pausedUntil proto.Instant
+	avoided                   avoidance
 	loading                   bool
 	loadingUntil              proto.Instant
 	// mismatches counts version mismatches since the last successful response.
--- a/core/place/place.go
+++ b/core/place/place.go
@@ -65,8 +65,9 @@
 	silentCost          = 1500 * time.Millisecond
 	failingCost         = 1500 * time.Millisecond
 	missedHeartbeatCost = 1000 * time.Millisecond
-	// pausedCost penalizes endpoints that have just refused a request.
-	pausedCost = 500 * time.Millisecond
+	// pausedCost penalizes endpoints that have just refused a request, were replaced or
+	// accept no connection, like those that fail.
+	pausedCost = 1500 * time.Millisecond
 	// minStoreTokens is the least number of recomputed tokens for which the parts
 	// are copied to the store: its space is better used for parts that take long
 	// to compute.
@@ -126,7 +127,8 @@
 	attempts  uint64
 	rng       *rand.Rand
 	// notices collects the attempts to report to the peers.
-	notices []AttemptNotice
+	notices   []AttemptNotice
+	incidents incidentLog
 }
 
 // Config configures a Placer.
