relay: the last part of the retry budget is kept for requests that need it most

The budget went to whoever asked first. In an overload requests that had not run and whose callers would have come back took it, and others that only the router could save were lost.

Refusals for want of what is kept have the reason retry_budget_kept. The verdicts and the bound on all retries are unchanged. An idempotent request that got an endpoint's own 500 is retried as before if the budget and the route's attempts allow it; it now precedes requests whose callers come back.

The existing tests of the budget ask with the highest need, to which the whole budget is open.

--- a/app/front/serve.go
+++ b/app/front/serve.go
@@ -137,8 +137,9 @@
 		return false
 	}
 	retryBudget := f.retryBudget(x.service)
-	retryBudget.RecordRequest(x.arrived)
+	retryBudget.RecordRequest(x.arrived, x.priority())
 	x.relay = relay.New(x.route, retryBudget)
+	x.relay.SetRank(x.priority())
 	return true
 }
 
--- a/core/relay/budget.go
+++ b/core/relay/budget.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"math"
 	"sync"
 	"time"
 
@@ -30,11 +31,15 @@
 	// requestRate is a decaying average of the requests per second.
 	requestRate float64
 	updatedAt   proto.Instant
+	// urgentRank is the most urgent rank of the requests of the last window, last seen at
+	// urgentAt.
+	urgentRank int
+	urgentAt   proto.Instant
 }
 
 // NewRetryBudget returns a budget with a full reserve.
 func NewRetryBudget(now proto.Instant, cfg BudgetConfig) *RetryBudget {
-	return &RetryBudget{cfg: cfg, available: cfg.Reserve, updatedAt: now}
+	return &RetryBudget{cfg: cfg, available: cfg.Reserve, updatedAt: now, urgentRank: math.MaxInt}
 }
 
 // Configure replaces the configuration. If the reserve grows, the difference
@@ -47,27 +52,16 @@
 	b.available = min(b.available, b.maxAvailable())
 }
 
-// RecordRequest records a request from a caller.
-func (b *RetryBudget) RecordRequest(now proto.Instant) {
+// RecordRequest records a request of a rank from a caller.
+func (b *RetryBudget) RecordRequest(now proto.Instant, rank int) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.advance(now)
+	b.noteRank(now, rank)
 	b.requestRate += 1 / b.cfg.Window.Seconds()
 	b.available = min(b.available+b.cfg.Ratio, b.maxAvailable())
 }
 
-// Take spends one retry and reports whether the budget allowed it.
-func (b *RetryBudget) Take(now proto.Instant) bool {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	b.advance(now)
-	if b.available < 1 {
-		return false
-	}
-	b.available--
-	return true
-}
-
 // advance decays the request rate and refills the reserve for the time since the
 // last update.
 func (b *RetryBudget) advance(now proto.Instant) {
--- a/core/relay/relay.go
+++ b/core/relay/relay.go
@@ -129,13 +129,14 @@
 
 // Budget decides whether a retry is allowed; see RetryBudget.
 type Budget interface {
-	Take(now proto.Instant) bool
+	TakeFor(now proto.Instant, c Claim) Grant
 }
 
 // Request tracks the attempts of one request. It is not safe for concurrent use.
 type Request struct {
 	route  *serving.Route
 	budget Budget
+	rank   int
 
 	sends int
 	// ran counts the attempts that ran or may have run.
@@ -184,8 +185,10 @@
 
 // Resume returns whether the next attempt may be made now, and else what to do.
 func (r *Request) Resume(now proto.Instant) (Decision, bool) {
-	if r.owesRetry && !r.budget.Take(now) {
-		return r.wait(retryBudgetSpent), false
+	if r.owesRetry {
+		if grant := r.take(now, NothingElse); grant != Granted {
+			return r.wait(grant.reason()), false
+		}
 	}
 	r.owesRetry = false
 	return Decision{}, true
@@ -234,14 +237,18 @@
 	if reason != "" && !r.returning {
 		return r.giveUp(reason)
 	}
-	switch {
-	case r.retryReserved || r.budget.Take(now):
+	if r.retryReserved {
+		return r.retry(result)
+	}
+	switch grant := r.take(now, r.need(left)); {
+	case grant == Granted:
 		return r.retry(result)
 	case r.IsCommitted():
 		r.owesRetry = true
-		return r.wait(retryBudgetSpent)
+		return r.wait(grant.reason())
+	default:
+		return r.giveUp(grant.reason())
 	}
-	return r.giveUp(retryBudgetSpent)
 }
 
 // retry returns the decision to make another attempt after one with the given result. An
@@ -299,8 +306,12 @@
 	if reason := r.stopReason(r.ran+1, r.unknownOutcomes+r.stallOutcomes(), left); reason != "" {
 		return reason
 	}
-	if !r.retryReserved && !r.budget.Take(now) {
-		return retryBudgetSpent
+	if r.retryReserved {
+		return ""
+	}
+	// The endpoint may still answer.
+	if grant := r.take(now, CallerRepeats); grant != Granted {
+		return grant.reason()
 	}
 	r.retryReserved = true
 	return ""
@@ -310,6 +321,9 @@
 const (
 	// retryBudgetSpent means that the retry budget does not allow a retry.
 	retryBudgetSpent = "retry_budget_spent"
+	// retryBudgetKept means that what is left of the budget is kept for requests that depend
+	// on it more.
+	retryBudgetKept = "retry_budget_kept"
 	// attemptsSpent means that the route allows no further endpoint.
 	attemptsSpent = "attempts_spent"
 )
--- a/core/relay/relay_test.go
+++ b/core/relay/relay_test.go
@@ -15,9 +15,17 @@
 
 type fixedBudget struct{ left int }
 
-func (b *fixedBudget) Take(proto.Instant) bool {
+func (b *fixedBudget) TakeFor(proto.Instant, relay.Claim) relay.Grant {
 	b.left--
-	return b.left >= 0
+	if b.left >= 0 {
+		return relay.Granted
+	}
+	return relay.Spent
+}
+
+// take spends a retry for a request that nothing else can save.
+func take(b *relay.RetryBudget, now proto.Instant) bool {
+	return b.TakeFor(now, relay.Claim{Need: relay.NothingElse}) == relay.Granted
 }
 
 var results = []relay.Result{
@@ -155,9 +163,9 @@
 		}
 		taken := 0
 		for range perTick {
-			b.RecordRequest(now)
+			b.RecordRequest(now, 0)
 		}
-		for b.Take(now) {
+		for take(b, now) {
 			taken++
 		}
 		requests, retries = append(requests, perTick), append(retries, taken)
@@ -182,7 +190,7 @@
 	cfg.Reserve = 2
 	b.Configure(0, cfg)
 	taken := 0
-	for b.Take(0) {
+	for take(b, 0) {
 		taken++
 	}
 	if taken != 2 {
@@ -190,10 +198,10 @@
 	}
 	cfg.Reserve = 40
 	b.Configure(0, cfg)
-	if b.Take(0) {
+	if take(b, 0) {
 		t.Error("a larger reserve is available at once, want a refill over the window")
 	}
-	if !b.Take(proto.Instant(time.Second)) {
+	if !take(b, proto.Instant(time.Second)) {
 		t.Error("a larger reserve does not refill")
 	}
 }
