admission: less urgent requests are refused first when a service is full

When a service had too little capacity, requests of all ranks waited alike, and those with the shorter targets, which are often the more urgent ones, missed them first.

core/admission compares the outcomes of the ranks of a service, this router's and those that peers report every 1.2 s while the service is under pressure. If at least 10% of the more urgent requests miss their target, more than of the less urgent ones, and the endpoints have no spare capacity, it admits only a fraction of the least urgent rank: the same one of each account, kind and size, at least 0.35. Refusals are immediate, state that the request has not run, and name the next position among those that return. All is admitted again when the more urgent requests are served, when there is spare capacity, or when no other rank is left. The most urgent rank is never refused.

Nothing is refused with one rank, with enough capacity, or where the more urgent rank is served as well.

--- a/app/front/front.go
+++ b/app/front/front.go
@@ -17,6 +17,7 @@
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/kumquatsill/kumquatsill/app/driver"
 	"github.com/kumquatsill/kumquatsill/app/upstream"
+	"github.com/kumquatsill/kumquatsill/core/admission"
 	"github.com/kumquatsill/kumquatsill/core/crash"
 	"github.com/kumquatsill/kumquatsill/core/discovery"
 	"github.com/kumquatsill/kumquatsill/core/endpointstate"
@@ -107,6 +108,7 @@
 	placer *place.Placer
 	// endpointStates keeps what endpoints say about themselves.
 	endpointStates *endpointstate.Tracker
+	admission      *admission.Controller
 	crashes        *crash.Register
 	// unsavedTraits holds the changes of blocked traits that wait to be written.
 	unsavedTraits chan crash.Change
@@ -168,6 +170,7 @@
 		quota:            quota.New(now, id, incarnation),
 		placer:           place.New(place.Config{Domain: cfg.Settings.Domain, Costs: place.DefaultCosts(), Seed: uint64(incarnation), States: states}),
 		endpointStates:   states,
+		admission:        admission.New(),
 		crashes:          crash.NewRegister(),
 		unsavedTraits:    make(chan crash.Change, maxUnsavedTraits),
 		table:            discovery.NewTable(),
@@ -277,6 +280,7 @@
 		f.tomb.Go(func() error { return f.upgradeEngines(ctx) })
 		f.tomb.Go(func() error { return every(ctx, engineFeedTick, f.followEngines(ctx)) })
 		f.tomb.Go(func() error { return every(ctx, housekeepingInterval, f.runHousekeeping) })
+		f.tomb.Go(func() error { return every(ctx, admission.Interval, f.controlAdmission) })
 		f.tomb.Go(func() error { return every(ctx, dropReportInterval, f.reportDrops()) })
 		return nil
 	})
--- a/app/front/outcome.go
+++ b/app/front/outcome.go
@@ -35,6 +35,9 @@
 		}
 	}
 	f.placer.EndAttempt(now, a.placement, healthy)
+	if a.firstByteAt != 0 && result.Verdict() != proto.NotRun {
+		a.request.firstByteAt = cmp.Or(a.request.firstByteAt, a.firstByteAt)
+	}
 	switch {
 	case a.connectionLost && result == relay.Broken:
 		a.recordLoss(now)
--- a/app/front/peers.go
+++ b/app/front/peers.go
@@ -194,6 +194,7 @@
 	complete := now < proto.Instant(f.fullUntil.Load())
 	full := complete || n%fullPeriod == 0
 	m := f.newMessage(now, full)
+	f.addOutcomes(now, n, &m)
 	m.Counts = f.quota.Counts(now, sent.near, full, complete)
 	m.Attempts = f.placer.TakeAttemptNotices()
 	m.Seen = f.placer.TakeSeen(now)
@@ -446,6 +447,7 @@
 	}
 	f.mergeEndpointStates(now, m.Notices())
 	f.handleIncidents(now, sentAt, id, m.Incidents)
+	f.admission.HandleReports(now, sentAt, id, m.Outcomes)
 	for _, l := range m.Loads {
 		f.placer.SetLoading(l.Endpoint, now.Add(time.Duration(l.RemainingMillis)*time.Millisecond))
 	}
--- a/app/front/returning.go
+++ b/app/front/returning.go
@@ -21,7 +21,8 @@
 	}
 	f, key := x.front, x.route.Name+"\x00"+string(x.account.ID)
 	longest, known := f.patience.Longest(x.arrived, key)
-	q.Returning = known && longest-x.info.Remaining >= minWaited
+	x.returning = known && longest-x.info.Remaining >= minWaited
+	q.Returning = x.returning
 	f.patience.Record(x.arrived, key, x.info.Remaining)
 	return q
 }
--- a/app/front/serve.go
+++ b/app/front/serve.go
@@ -67,6 +67,10 @@
 	triedAddrs []string
 	// chargedUnits is the amount charged to the account's limit.
 	chargedUnits int64
+	// firstByteAt is when the first response to an attempt began, or 0.
+	firstByteAt proto.Instant
+	// returning is set if the caller has less time left than others have at first.
+	returning bool
 	// obstacle holds log attributes that say why no endpoint could take the request last.
 	obstacle []any
 	// saved is a buffered response. That of a failed attempt is delivered if no
@@ -133,7 +137,7 @@
 		return false
 	}
 	x.traits = x.crashTraits()
-	if !x.chargeQuota() {
+	if !x.chargeQuota() || !x.admitRank() {
 		return false
 	}
 	retryBudget := f.retryBudget(x.service)
@@ -322,6 +326,7 @@
 	if x.relay.MayHaveRun() && decision.Action != relay.Drop {
 		x.front.durations.Record(now, x.route.Name, took)
 	}
+	x.recordAdmissionOutcome(now, decision)
 	x.front.metrics.finished(x.route, decision, took)
 	if decision.Action == relay.Abort || decision.Action == relay.Drop {
 		panic(http.ErrAbortHandler) // net/http closes the connection without completing the body
--- a/core/peer/pack_test.go
+++ b/core/peer/pack_test.go
@@ -5,6 +5,7 @@
 	"strings"
 	"testing"
 
+	"github.com/kumquatsill/kumquatsill/core/admission"
 	"github.com/kumquatsill/kumquatsill/core/place"
 	"github.com/kumquatsill/kumquatsill/core/proto"
 	"github.com/kumquatsill/kumquatsill/core/quota"
@@ -37,6 +38,7 @@
 	for i := range 1000 {
 		m.Attempts = append(m.Attempts, place.AttemptNotice{Endpoint: proto.EndpointID(fmt.Sprint("e", i)), PrefillTokens: 1000})
 		m.Silent = append(m.Silent, proto.EndpointID(fmt.Sprint("e", i)))
+		m.Outcomes = append(m.Outcomes, admission.Report{Service: "s", Rank: i})
 		m.Incidents = append(m.Incidents, place.IncidentNotice{Endpoint: proto.EndpointID(fmt.Sprint("e", i)), Kind: place.Full})
 	}
 	datagrams, err := Pack(m)
@@ -47,16 +49,16 @@
 	if first := messages[0]; first.Counts.Spent["a"] != 1 || !first.Counts.HasHeardMembers || first.Addr != m.Addr {
 		t.Errorf("the first message is %+v", first)
 	}
-	attempts, silent, incidents := 0, 0, 0
+	attempts, silent, incidents, outcomes := 0, 0, 0, 0
 	for _, part := range messages[1:] {
 		if part.Counts.Router != "r1" || part.Counts.Incarnation != 7 || part.SentAt != 5 || part.Counts.HasHeardMembers {
 			t.Errorf("the sender of a part is %+v", part.Counts)
 		}
 		attempts, silent = attempts+len(part.Attempts), silent+len(part.Silent)
-		incidents += len(part.Incidents)
+		incidents, outcomes = incidents+len(part.Incidents), outcomes+len(part.Outcomes)
 	}
-	if attempts != 1000 || silent != 1000 || incidents != 1000 {
-		t.Errorf("%d attempts, %d silent endpoints and %d incidents", attempts, silent, incidents)
+	if attempts != 1000 || silent != 1000 || incidents != 1000 || outcomes != 1000 {
+		t.Errorf("%d attempts, %d silent endpoints, %d incidents and %d outcomes", attempts, silent, incidents, outcomes)
 	}
 }
 
--- a/core/peer/peer.go
+++ b/core/peer/peer.go
@@ -6,6 +6,7 @@
 import (
 	"encoding/json"
 
+	"github.com/kumquatsill/kumquatsill/core/admission"
 	"github.com/kumquatsill/kumquatsill/core/crash"
 	"github.com/kumquatsill/kumquatsill/core/endpointstate"
 	"github.com/kumquatsill/kumquatsill/core/leader"
@@ -98,6 +99,8 @@
 	StorePage   *StorePage   `json:"store,omitempty"`
 	// Incidents lists endpoints that were replaced, unreachable or full at an attempt.
 	Incidents []place.IncidentNotice `json:"incidents,omitempty"`
+	// Outcomes lists the outcomes of the sender's requests by service and rank.
+	Outcomes []admission.Report `json:"outcomes,omitempty"`
 	// Silent lists endpoints that have stopped responding to the sender.
 	Silent []proto.EndpointID `json:"silent,omitempty"`
 }
--- a/core/place/attempt.go
+++ b/core/place/attempt.go
@@ -113,7 +113,7 @@
 		return
 	}
 	l.otherInFlight = max(0, r.Running+r.Waiting-l.inFlight)
-	l.reportedAt = now
+	l.reportedAt, l.waiting = now, r.Waiting
 	if r.Slots > 0 {
 		l.slots = r.Slots
 	}
--- a/core/place/load.go
+++ b/core/place/load.go
@@ -51,9 +51,11 @@
 	lagAt proto.Instant
 	// otherInFlight is the number of requests of other routers as of reportedAt.
 	otherInFlight int
-	slots         int
-	reportedAt    proto.Instant
-	failures      int
+	// waiting is the number of requests that waited for a slot as of reportedAt.
+	waiting    int
+	slots      int
+	reportedAt proto.Instant
+	failures   int
 	// backoffUntil is set after failures, pausedUntil after refused requests.
 	backoffUntil, pausedUntil proto.Instant
 	avoided                   avoidance
--- /dev/null
+++ b/core/place/service_load.go
@@ -0,0 +1,37 @@
+package place
+
+import "github.com/kumquatsill/kumquatsill/core/proto"
+
+// ServiceLoad is the load of the endpoints of one service that can take requests, as far as
+// this router knows it from their reports and its own attempts.
+type ServiceLoad struct {
+	// Slots is the number of requests that the endpoints can run at the same time, Running
+	// the number of those that they have, and Waiting the number that wait for a slot.
+	Slots, Running, Waiting int
+}
+
+// HasSpare reports whether less than half of the slots are taken and nothing waits. It is
+// true if the endpoints have no known slots.
+func (l ServiceLoad) HasSpare() bool { return l.Waiting == 0 && 2*l.Running < max(l.Slots, 1) }
+
+// ServiceLoad returns the load of a service.
+func (p *Placer) ServiceLoad(now proto.Instant, service string) ServiceLoad {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var sum ServiceLoad
+	for _, e := range p.list.ForService(service) {
+		l := p.loads[e.ID]
+		if l == nil || e.Leaving || l.slots <= 0 || now < l.backoffUntil || l.isLoading(now) {
+			continue
+		}
+		taken := l.inFlight + l.otherInFlightAt(now)
+		waiting := max(0, taken-l.slots)
+		if now.Sub(l.reportedAt) < maxReportAge {
+			waiting = max(waiting, l.waiting)
+		}
+		sum.Slots += l.slots
+		sum.Running += min(taken, l.slots)
+		sum.Waiting += waiting
+	}
+	return sum
+}
