quota: promises expire without further requests of their account

They expired only when the account sent another request. Until then it counted as beyond its limit, also in what the store and the peers are told. Levels that peers report are bounded by the burst before they are averaged.

--- a/core/quota/exceeded.go
+++ b/core/quota/exceeded.go
@@ -94,7 +94,8 @@
 			continue
 		}
 		if t.refill(b, now, share); b.exceeded {
-			b.level += (float64(level) - b.level) / float64(len(t.members)+1)
+			burst := float64(b.limit.Burst)
+			b.level += (min(max(float64(level), -burst), burst) - b.level) / float64(len(t.members)+1)
 		}
 	}
 }
--- a/core/quota/quota.go
+++ b/core/quota/quota.go
@@ -330,6 +330,9 @@
 	b.peers *= average
 	b.admitted *= average
 	b.refused *= average
+	if len(b.schedule.promises) > 0 {
+		b.schedule.expire(now, b.grace())
+	}
 	// What is promised is as good as spent: callers return for it.
 	surplus := b.level - t.unreported(b, now) - b.schedule.expectedUnits()*b.routers(len(t.members)+1)
 	b.exceeded = b.level+due < 0 || b.exceeded && surplus <= recoveredFraction*float64(b.limit.Burst)*share
--- a/core/quota/schedule.go
+++ b/core/quota/schedule.go
@@ -198,7 +198,6 @@
 		return Decision{OK: true, Share: share}
 	}
 	t.refill(b, now, share)
-	b.schedule.expire(now, b.grace())
 	d := Decision{Balance: int64(b.level), Share: share}
 	redeemed := b.schedule.find(now, r)
 	d.Returning = redeemed >= 0 || r.Returning
--- a/core/quota/schedule_test.go
+++ b/core/quota/schedule_test.go
@@ -129,6 +129,14 @@
 		t.Errorf("new request after the promise has expired: %+v", d)
 	}
 	f, tracker, _ = start()
+	for key := range uint64(3) {
+		tracker.Admit(f.now, account, fresh(key+2))
+	}
+	f.now = f.now.Add(time.Minute)
+	if levels := tracker.Exceeded(f.now); len(levels) > 0 {
+		t.Errorf("still beyond its limit without any request: %v", levels)
+	}
+	f, tracker, _ = start()
 	for key := uint64(2); ; key++ {
 		d := tracker.Admit(f.now, account, fresh(key))
 		if d.Promised && d.RetryAfter > remaining/3 || !d.Promised && d.RetryAfter <= remaining/3 {
