place: single endpoints that queue do not make a service count as full

One waiting request anywhere counted as a lack of capacity, although endpoints queue for a moment while others are idle. Up to 5% of the slots may now wait in a service that has spare capacity.

--- a/core/place/service_load.go
+++ b/core/place/service_load.go
@@ -10,9 +10,15 @@
 	Slots, Running, Waiting int
 }
 
-// HasSpare reports whether less than half of the slots are taken and nothing waits. It is
-// true if the endpoints have no known slots.
-func (l ServiceLoad) HasSpare() bool { return l.Waiting == 0 && 2*l.Running < max(l.Slots, 1) }
+// maxIdleWaiting is the number of waiting requests, as a part of the slots, that says nothing
+// about the capacity of a service: single endpoints queue for a moment while others are idle.
+const maxIdleWaiting = 0.05
+
+// HasSpare reports whether less than half of the slots are taken and hardly anything waits. It
+// is true if the endpoints have no known slots.
+func (l ServiceLoad) HasSpare() bool {
+	return float64(l.Waiting) <= maxIdleWaiting*float64(l.Slots) && 2*l.Running < max(l.Slots, 1)
+}
 
 // ServiceLoad returns the load of a service.
 func (p *Placer) ServiceLoad(now proto.Instant, service string) ServiceLoad {
