--- a/app/front/front.go
+++ b/app/front/front.go
@@ -17,6 +17,7 @@
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/kumquatsill/kumquatsill/app/driver"
 	"github.com/kumquatsill/kumquatsill/app/upstream"
+	"github.com/kumquatsill/kumquatsill/core/admission"
 	"github.com/kumquatsill/kumquatsill/core/canary"
 	"github.com/kumquatsill/kumquatsill/core/crash"
 	"github.com/kumquatsill/kumquatsill/core/discovery"
@@ -108,11 +109,14 @@
 	ownDelay pace.OwnDelay
 	// durations holds how long requests of each route take.
 	durations relay.Durations
+	// patience holds how long callers of each route and account wait at first.
+	patience relay.Durations
 
 	quota  *quota.Tracker
 	placer *place.Placer
 	// endpointStates keeps what endpoints say about themselves.
 	endpointStates *endpointstate.Tracker
+	admission      *admission.Controller
 	crashes        *crash.Register
 	// unsavedTraits holds the changes of blocked traits that wait to be written.
 	unsavedTraits chan crash.Change
@@ -184,6 +188,7 @@
 		quota:            quota.New(now, id, incarnation),
 		placer:           place.New(place.Config{Domain: cfg.Settings.Domain, Costs: place.DefaultCosts(), Seed: uint64(incarnation), States: states}),
 		endpointStates:   states,
+		admission:        admission.New(),
 		crashes:          crash.NewRegister(),
 		rollouts:         canary.NewTable(id, incarnation),
 		unsavedTraits:    make(chan crash.Change, maxUnsavedTraits),
@@ -301,6 +306,7 @@
 		f.tomb.Go(func() error { return every(ctx, delayTick, f.ownDelay.Tick) })
 		f.tomb.Go(func() error { return every(ctx, housekeepingInterval, f.runHousekeeping) })
 		f.tomb.Go(func() error { return every(ctx, refusalReportInterval, f.memory.reportRefusals) })
+		f.tomb.Go(func() error { return every(ctx, admission.Interval, f.controlAdmission) })
 		f.tomb.Go(func() error { return every(ctx, dropReportInterval, f.reportDrops()) })
 		return nil
 	})
--- a/app/front/peers.go
+++ b/app/front/peers.go
@@ -200,6 +200,7 @@
 	complete := now < proto.Instant(f.fullUntil.Load())
 	full := complete || n%fullPeriod == 0
 	m := f.newMessage(now, full)
+	f.addOutcomes(now, n, &m)
 	m.Counts = f.quota.Counts(now, sent.near, full, complete)
 	m.Attempts = f.placer.TakeAttemptNotices()
 	m.Seen = f.placer.TakeSeen(now)
@@ -232,12 +233,17 @@
 	if released {
 		m.Releases = f.rollouts.Reports(now)
 	}
-	if !released && !ordered && len(m.Attempts) == 0 && notices.IsEmpty() {
+	incidents, more := f.placer.TakeIncidents(now, f.receivers())
+	if m.Incidents = incidents; more {
+		f.requestEarlySend()
+	}
+	isForAll := released || ordered || !notices.IsEmpty() || len(incidents) > 0
+	if !isForAll && len(m.Attempts) == 0 {
 		return
 	}
 	f.send(m, f.peersAt(near))
 	m.Attempts = firstPrefills(m.Attempts)
-	if released || ordered || len(m.Attempts) > 0 || !notices.IsEmpty() {
+	if isForAll || len(m.Attempts) > 0 {
 		f.sendFar(now, m)
 	}
 }
@@ -454,6 +460,8 @@
 		f.reportCrashChanges()
 	}
 	f.mergeEndpointStates(now, m.Notices())
+	f.handleIncidents(now, sentAt, id, m.Incidents)
+	f.admission.HandleReports(now, sentAt, id, m.Outcomes)
 	for _, l := range m.Loads {
 		f.placer.SetLoading(l.Endpoint, now.Add(time.Duration(l.RemainingMillis)*time.Millisecond))
 	}
--- a/app/front/serve.go
+++ b/app/front/serve.go
@@ -66,6 +66,10 @@
 	triedAddrs []string
 	// chargedUnits is the amount charged to the account's limit.
 	chargedUnits int64
+	// firstByteAt is when the first response to an attempt began, or 0.
+	firstByteAt proto.Instant
+	// returning is set if the caller has less time left than others have at first.
+	returning bool
 	// obstacle holds log attributes that say why no endpoint could take the request last.
 	obstacle []any
 	// saved is a buffered response. That of a failed attempt is delivered if no
@@ -136,12 +140,13 @@
 		return false
 	}
 	x.traits = x.crashTraits()
-	if !x.chargeQuota() {
+	if !x.chargeQuota() || !x.admitRank() {
 		return false
 	}
 	retryBudget := f.retryBudget(x.service)
-	retryBudget.RecordRequest(x.arrived)
+	retryBudget.RecordRequest(x.arrived, x.priority())
 	x.relay = relay.New(x.route, retryBudget)
+	x.relay.SetRank(x.priority())
 	return true
 }
 
@@ -215,9 +220,11 @@
 		return true
 	}
 	units := x.account.Cost(x.info.Tokens(), x.info.HasTokens)
-	d := x.front.quota.Spend(x.arrived, x.account.ID, units)
+	d := x.front.quota.Admit(x.arrived, x.account.ID, x.quotaRequest(units))
+	x.front.metrics.noteQuota(d)
 	if !d.OK {
-		x.log = x.log.With("account", string(x.account.ID), "units", units, "balance", d.Balance, "share", d.Share)
+		x.log = x.log.With("account", string(x.account.ID), "units", units, "balance", d.Balance, "share", d.Share,
+			"promised", d.Promised, "promises", d.Promises, "returning", d.Returning)
 		return x.reject(http.StatusTooManyRequests, "over_limit", d.RetryAfter)
 	}
 	x.chargedUnits = units
@@ -285,6 +292,7 @@
 	if x.relay.MayHaveRun() && decision.Action != relay.Drop {
 		x.front.durations.Record(now, x.route.Name, took)
 	}
+	x.recordAdmissionOutcome(now, decision)
 	x.front.metrics.finished(x.route, decision, took)
 	if decision.Action == relay.Abort || decision.Action == relay.Drop {
 		panic(http.ErrAbortHandler) // net/http closes the connection without completing the body
--- a/core/place/attempt.go
+++ b/core/place/attempt.go
@@ -19,7 +19,8 @@
 	gotFirstByte  bool
 	// limitsGaps is set for streams whose route limits gaps.
 	limitsGaps bool
-	// measured is set once the first byte is to be measured, ownDelay is for how long the router did not run before the first byte.
+	// measured is set once the first byte is to be measured, ownDelay is for how long the
+	// router did not run before the first byte.
 	measured bool
 	ownDelay time.Duration
 	// size is that of the request, hold the memory that the attempt takes.
@@ -144,7 +145,7 @@
 func (l *load) observeLoad(now proto.Instant, r EndpointLoad) {
 	l.otherInFlight = max(0, r.Running+r.Waiting-l.inFlight)
 	l.pace.ObserveLoad(now, l.otherInFlight, r.Slowdown)
-	l.reportedAt = now
+	l.reportedAt, l.waiting = now, r.Waiting
 	l.publishRunning()
 	if r.Slots > 0 {
 		l.slots = r.Slots
@@ -175,13 +176,3 @@
 	}
 	l.recordFailure(now)
 }
-
-// Pause makes an endpoint less preferred for a time, for example after it
-// refused a request.
-func (p *Placer) Pause(now proto.Instant, id proto.EndpointID, d time.Duration) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	if l := p.loads[id]; l != nil {
-		l.pausedUntil = max(l.pausedUntil, now.Add(d))
-	}
-}
