--- a/core/canary/orders_test.go
+++ b/core/canary/orders_test.go
@@ -174,3 +174,20 @@
 		t.Error("the lease is not claimed with contact")
 	}
 }
+
+// Guards against requests to a release that was rolled back, after the established one is gone.
+func TestRolledBackReleaseIsNotEstablished(t *testing.T) {
+	s := newSingle("v1", "v2")
+	s.table.HandleStatus(s.now, simService, canary.Status{State: canary.RolledBack, To: "v2"})
+	s.order("v3", 2)
+	s.endpoints("v2")
+	s.run(12 * time.Second)
+	if s.allows("v2") {
+		t.Error("the release is used")
+	}
+	s.endpoints("v2", "v1")
+	s.run(11 * time.Second)
+	if s.allows("v2") || !s.allows("v1") {
+		t.Error("the endpoints of the old release are not used when they are back")
+	}
+}
--- a/core/canary/service.go
+++ b/core/canary/service.go
@@ -43,6 +43,9 @@
 	// blocked is a release that the last status or order names and that has not been
 	// completed. It cannot become established.
 	blocked string
+	// rejected holds the releases that were rolled back. They cannot become established
+	// without an order.
+	rejected map[string]bool
 	// stored is the status in the store.
 	stored  Status
 	rollout *rollout
@@ -68,7 +71,7 @@
 }
 
 func newService(name string) *service {
-	return &service{name: name, releases: map[string]*release{}, baselines: map[string]*baseline{}, handled: map[orderKey]bool{}}
+	return &service{name: name, releases: map[string]*release{}, baselines: map[string]*baseline{}, handled: map[orderKey]bool{}, rejected: map[string]bool{}}
 }
 
 // update applies the current endpoints of the service.
@@ -107,31 +110,29 @@
 		s.goneSince = now
 	}
 	running := s.rollout != nil && s.rollout.final == ""
-	if !running && (!s.seen || now.Sub(s.goneSince) >= goneTime) {
+	if s.established == "" || !running && (!s.seen || now.Sub(s.goneSince) >= goneTime) {
 		s.chooseEstablished(now)
 	}
 }
 
 // chooseEstablished takes the release of the oldest endpoint for the established one, unless
-// it is blocked and there is another one. Endpoints of a new release have just started.
+// it is blocked or was rolled back and there is, or was, another one. Endpoints of a new release have just started.
 func (s *service) chooseEstablished(now proto.Instant) {
 	var names []string
 	for name := range s.releases {
-		if name != s.blocked || s.blocked == "" {
+		if !s.rejected[name] && (name != s.blocked || s.blocked == "") {
 			names = append(names, name)
 		}
 	}
 	if len(names) == 0 {
-		if s.rollout != nil && s.rollout.sawOther {
+		if s.rejected[s.blocked] || s.releases[s.blocked] == nil || s.rollout != nil && s.rollout.sawOther {
+			s.established, s.known, s.goneSince, s.seen = "", true, 0, false // until another one is registered
 			return
 		}
-		names = []string{s.blocked} // no endpoint of another release exists
+		names = []string{s.blocked} // no other release is known
 	}
 	s.established = slices.MinFunc(names, func(a, b string) int {
 		x, y := s.releases[a], s.releases[b]
-		if x == nil || y == nil {
-			return cmp.Compare(a, b)
-		}
 		return cmp.Or(cmp.Compare(x.oldest, y.oldest), cmp.Compare(len(y.endpoints), len(x.endpoints)), cmp.Compare(a, b))
 	})
 	s.known, s.goneSince, s.seen = true, 0, s.releases[s.established] != nil
@@ -149,6 +150,7 @@
 // establish makes a release the established one.
 func (s *service) establish(to string) {
 	s.established, s.known, s.blocked = to, true, ""
+	delete(s.rejected, to)
 	s.goneSince, s.seen = 0, s.releases[to] != nil
 }
 
--- a/core/canary/table.go
+++ b/core/canary/table.go
@@ -184,6 +184,7 @@
 	case s.stored.State == Completed:
 		s.establish(to)
 	default:
+		s.rejected[to] = s.rejected[to] || s.stored.State == RolledBack
 		s.block(now, to)
 	}
 }
@@ -198,6 +199,7 @@
 	if state == Completed {
 		s.establish(r.order.To)
 	} else {
+		s.rejected[r.order.To] = true
 		s.block(now, r.order.To)
 	}
 	t.change(s, Change{Reason: reason, To: r.order.To})
