--- a/core/pace/estimator.go
+++ b/core/pace/estimator.go
@@ -48,7 +48,8 @@
 	to.interval, to.token, to.others = r.interval.fit(prior.interval), r.token.mean(prior.token), r.others.mean(prior.others)
 }
 
-// Service holds what is known of the endpoints of a service together. It is the
+// Service holds what is known of the endpoints of a service together, at the speed of an
+// endpoint whose usual slowdown is 100. It is the
 // prior of each of them, so that one that is not known yet is neither preferred
 // to nor avoided in favour of the others. Its delays are those of the median
 // endpoint: some bad ones must not make an unknown one look bad, as it would then
@@ -58,6 +59,8 @@
 	prior, current estimates
 	// reports is set once an endpoint has reported its slowdown.
 	reports bool
+	// usual is the average of the usual slowdowns of the endpoints.
+	usual average
 }
 
 // NewService returns the state of a service of which nothing was observed.
@@ -69,7 +72,8 @@
 	return s
 }
 
-// Estimator estimates the pace of one incarnation of an endpoint. It is not safe
+// Estimator estimates the pace of one incarnation of an endpoint. It keeps times as they would
+// be at a usual slowdown of 100, so that what endpoints of other speeds have shown counts for it. It is not safe
 // for concurrent use, nor are estimators of the same service.
 type Estimator struct {
 	rates
@@ -98,7 +102,11 @@
 		return
 	}
 	e.service.reports = true
+	if e.slowdown.reports == 0 {
+		e.slowdown.begin(slowdown, e.service.usual.mean(usualSlowdown))
+	}
 	e.slowdown.observe(now, slowdown)
+	e.service.usual.add(e.slowdown.usual)
 	e.others.add(float64(others))
 	e.service.others.add(float64(others))
 	e.observed(now)
@@ -107,10 +115,11 @@
 // ObserveFirst records the first event of a response that came later than expected
 // by late, where tokens were expected to be processed in tokenTime each.
 func (e *Estimator) ObserveFirst(now proto.Instant, late time.Duration, tokens int64, tokenTime time.Duration) {
-	e.firsts.add(late)
+	speed := e.slowdown.speed()
+	e.firsts.add(scale(late, 1/speed))
 	if tokens >= minPromptTokens {
 		prior := e.service.prior.token
-		took := clamp(float64(tokenTime)+float64(late)/float64(tokens), prior/maxTokenFactor, prior*maxTokenFactor)
+		took := clamp((float64(tokenTime)+float64(late)/float64(tokens))/speed, prior/maxTokenFactor, prior*maxTokenFactor)
 		e.token.add(took)
 		e.service.token.add(took)
 	}
@@ -122,14 +131,15 @@
 	if t.Events < 2 {
 		return
 	}
+	speed := e.slowdown.speed()
 	if t.Events > 2 {
 		// Without the longest gap, as that tells of interruptions.
-		interval := float64(t.Duration()-t.LongestGap) / float64(t.Events-2)
+		interval := float64(t.Duration()-t.LongestGap) / float64(t.Events-2) / speed
 		running := float64(t.runningSum) / float64(t.Events)
 		e.interval.add(running, interval)
 		e.service.interval.add(running, interval)
 	}
-	excess := t.LongestGap - t.GapOwnDelay - time.Duration(e.estimates().interval.at(float64(t.GapRunning)))
+	excess := scale(t.LongestGap-t.GapOwnDelay, 1/speed) - time.Duration(e.estimates().interval.at(float64(t.GapRunning)))
 	e.gaps.add(excess)
 	e.observed(now)
 }
@@ -155,21 +165,26 @@
 // Interval returns the time between two events of a stream at the usual speed, with
 // a number of running requests.
 func (e *Estimator) Interval(running int) time.Duration {
-	return time.Duration(e.estimates().interval.at(float64(running)))
+	return e.atSpeed(e.estimates().interval.at(float64(running)))
 }
 
 // Intervals returns Interval for a number of running requests, and for one more.
 func (e *Estimator) Intervals(running int) (now, next time.Duration) {
 	f := &e.estimates().interval
-	return time.Duration(f.at(float64(running))), time.Duration(f.at(float64(running + 1)))
+	return e.atSpeed(f.at(float64(running))), e.atSpeed(f.at(float64(running + 1)))
 }
 
+// atSpeed returns a time at the endpoint's usual speed.
+func (e *Estimator) atSpeed(t float64) time.Duration { return time.Duration(t * e.slowdown.speed()) }
+
+func scale(d time.Duration, factor float64) time.Duration { return time.Duration(float64(d) * factor) }
+
 // Growth returns by how much one more running request lengthens the time between two
 // events at the usual speed.
-func (e *Estimator) Growth() time.Duration { return time.Duration(e.estimates().interval.slope) }
+func (e *Estimator) Growth() time.Duration { return e.atSpeed(e.estimates().interval.slope) }
 
 // PromptToken returns the time to process one prompt token at the usual speed.
-func (e *Estimator) PromptToken() time.Duration { return time.Duration(e.estimates().token) }
+func (e *Estimator) PromptToken() time.Duration { return e.atSpeed(e.estimates().token) }
 
 // Others returns the usual number of requests of other routers.
 func (e *Estimator) Others() float64 { return e.estimates().others }
@@ -193,7 +208,7 @@
 	if slack <= 0 {
 		return 1
 	}
-	i, part := locate(slack)
+	i, part := locate(scale(slack, 1/e.slowdown.speed()))
 	all := service.chanceAt(i, part)
 	age := now.Sub(e.observedAt)
 	if e.observedAt == 0 || age >= delayMemory {
--- a/core/pace/slowdown.go
+++ b/core/pace/slowdown.go
@@ -9,8 +9,11 @@
 const (
 	// usualSlowdown is the figure of an endpoint that works at its usual speed.
 	usualSlowdown = 100
-	// usualStep is the relative step by which the usual figure follows the reports.
-	usualStep = 0.03
+	// usualStep is the relative step by which the usual figure follows the reports, and
+	// firstUsualStep, divided by the number of reports, that of the first ones.
+	usualStep, firstUsualStep = 0.03, 0.5
+	// minUsual and maxUsual bound the usual figure.
+	minUsual, maxUsual = 10, 1000
 	// slowedFrom is the ratio to an endpoint's usual figure from which it counts as
 	// slowed.
 	slowedFrom = 1.5
@@ -32,7 +35,9 @@
 type slowdown struct {
 	// usual follows the median of the reported figures, which short slowdowns do not
 	// move.
-	usual    float64
+	usual float64
+	// reports is the number of reports.
+	reports  int
 	ratio    float64
 	at       proto.Instant
 	validity time.Duration
@@ -42,14 +47,28 @@
 
 func newSlowdown() slowdown { return slowdown{usual: usualSlowdown, ratio: 1, validity: priorValidity} }
 
+// begin sets the usual figure from the first report, unless that is far above the one of the
+// other endpoints: then the endpoint is slowed at this moment.
+func (s *slowdown) begin(figure int, others float64) {
+	s.usual = others
+	if float64(figure) < slowedFrom*others {
+		s.usual = clamp(float64(figure), minUsual, maxUsual)
+	}
+}
+
+// speed returns by which factor the usual time of work is longer than at the figure 100.
+func (s *slowdown) speed() float64 { return s.usual / usualSlowdown }
+
 func (s *slowdown) observe(now proto.Instant, figure int) {
+	s.reports++
+	step := max(usualStep, firstUsualStep/float64(s.reports+1))
 	ratio := clamp(float64(figure)/s.usual, minRatio, maxRatio)
 	s.observeDuration(now, ratio >= slowedFrom)
 	switch {
 	case float64(figure) > s.usual:
-		s.usual *= 1 + usualStep
+		s.usual = min(s.usual*(1+step), max(s.usual, min(float64(figure), maxUsual)))
 	case float64(figure) < s.usual:
-		s.usual *= 1 - usualStep
+		s.usual = max(s.usual*(1-step), min(s.usual, max(float64(figure), minUsual)))
 	}
 	s.ratio, s.at = ratio, now
 }
