--- a/app/front/front.go
+++ b/app/front/front.go
@@ -303,7 +303,7 @@
 		f.tomb.Go(func() error { return f.sendPeerMessages(ctx) })
 		f.tomb.Go(func() error { return f.upgradeEngines(ctx) })
 		f.tomb.Go(func() error { return every(ctx, engineFeedTick, f.followEngines(ctx)) })
-		f.tomb.Go(func() error { return every(ctx, delayTick, f.ownDelay.Tick) })
+		f.tomb.Go(func() error { return f.measureOwnDelay(ctx) })
 		f.tomb.Go(func() error { return every(ctx, housekeepingInterval, f.runHousekeeping) })
 		f.tomb.Go(func() error { return every(ctx, refusalReportInterval, f.memory.reportRefusals) })
 		f.tomb.Go(func() error { return every(ctx, admission.Interval, f.controlAdmission) })
--- a/app/front/pacing.go
+++ b/app/front/pacing.go
@@ -1,6 +1,7 @@
 package front
 
 import (
+	"context"
 	"fmt"
 	"net/http"
 	"time"
@@ -13,6 +14,20 @@
 // It is short compared to the gaps that routes permit.
 const delayTick = 20 * time.Millisecond
 
+// pacingCheckInterval is the time between two checks whether endpoints report their slowdown.
+const pacingCheckInterval = time.Second
+
+// measureOwnDelay measures for how long this process does not run, once endpoints report their
+// slowdown: only the estimates of their pace use it.
+func (f *Front) measureOwnDelay(ctx context.Context) error {
+	for !f.placer.EstimatesPace() {
+		if sleep(ctx, pacingCheckInterval); ctx.Err() != nil {
+			return nil
+		}
+	}
+	return every(ctx, delayTick, f.ownDelay.Tick)
+}
+
 // latencyLeft returns the time until the request's first event is late, or 0 if it is
 // late already or its route has no target.
 func (x *request) latencyLeft(now proto.Instant) time.Duration {
--- a/core/pace/estimator.go
+++ b/core/pace/estimator.go
@@ -72,6 +72,9 @@
 	return s
 }
 
+// Reports reports whether endpoints of the service report their slowdown.
+func (s *Service) Reports() bool { return s.reports }
+
 // Estimator estimates the pace of one incarnation of an endpoint. It keeps times as they would
 // be at a usual slowdown of 100, so that what endpoints of other speeds have shown counts for it. It is not safe
 // for concurrent use, nor are estimators of the same service.
--- a/core/place/pacing.go
+++ b/core/place/pacing.go
@@ -68,6 +68,18 @@
 	return s
 }
 
+// EstimatesPace reports whether endpoints of any service report their slowdown.
+func (p *Placer) EstimatesPace() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, s := range p.paced {
+		if s.estimates.Reports() {
+			return true
+		}
+	}
+	return false
+}
+
 // configure takes over the bounds of the configuration in force; mu must be held.
 func (s *pacedService) configure(p *Placer, service string) {
 	if p.config == nil {
