--- a/app/cmd/kumquatsill/front.go
+++ b/app/cmd/kumquatsill/front.go
@@ -21,11 +21,14 @@
 	// of the grace period that logFlushShare divides it into.
 	logFlushTimeout = 300 * time.Millisecond
 	logFlushShare   = 16
+	// domainCostAdaptive is the value of --domain-cost that makes the cost follow the loads.
+	domainCostAdaptive = "adaptive"
 )
 
 type frontFlags struct {
 	Settings    string `long:"settings" env:"KUMQUATSILL_BOOT" description:"path of the platform's settings file"`
 	MetricsPort uint16 `long:"metrics-port" env:"KUMQUATSILL_METRICS_PORT" description:"port of this host at which metrics are served, beside the address for readiness checks"`
+	DomainCost  string `long:"domain-cost" env:"KUMQUATSILL_DOMAIN_COST" default:"adaptive" choice:"adaptive" choice:"constant" description:"cost of sending work to other failure domains: adaptive follows the loads that endpoints report, constant does not"`
 	LogLevel    string `long:"log-level" env:"KUMQUATSILL_LOG_LEVEL" default:"info" description:"least level of log lines: debug, info, warn or error"`
 }
 
@@ -71,7 +74,8 @@
 	}
 	p, err := front.New(front.Config{
 		Settings: s, MetricsPort: f.MetricsPort, SettingsPath: f.Settings, LogDropped: out.Dropped,
-		Log: slog.New(slog.NewJSONHandler(out, &slog.HandlerOptions{Level: level})),
+		AdaptDomainCost: f.DomainCost == domainCostAdaptive,
+		Log:             slog.New(slog.NewJSONHandler(out, &slog.HandlerOptions{Level: level})),
 	})
 	if err != nil {
 		return err
--- a/app/front/domain_bytes.go
+++ b/app/front/domain_bytes.go
@@ -54,17 +54,19 @@
 	return c
 }
 
-// setPeer records the failure domain of the router at an address.
-func (b *domainBytes) setPeer(addr netip.AddrPort, domain proto.Domain) {
-	if domain == b.own {
-		b.peers.Delete(addr)
-		return
+// setPeer records the address and the failure domain of a router. The argument old is what
+// was known of it before, or nil.
+func (b *domainBytes) setPeer(old *peerState, addr netip.AddrPort, domain proto.Domain) {
+	if old != nil {
+		b.removePeer(old)
+	}
+	if domain != b.own {
+		b.peers.Store(addr, domain)
 	}
-	b.peers.Store(addr, domain)
 }
 
-// removePeer forgets the router at an address.
-func (b *domainBytes) removePeer(addr netip.AddrPort) { b.peers.Delete(addr) }
+// removePeer forgets a router.
+func (b *domainBytes) removePeer(p *peerState) { b.peers.Delete(p.addr) }
 
 // sent counts a message to the router at an address.
 func (b *domainBytes) sent(addr netip.AddrPort, bytes int) {
--- a/app/front/front.go
+++ b/app/front/front.go
@@ -69,6 +69,9 @@
 	// MetricsPort is a further port of the readiness server, which also serves the
 	// metrics, or 0.
 	MetricsPort uint16
+	// AdaptDomainCost is set if the cost of sending work to other failure domains is to
+	// depend on the loads of these and of the own one.
+	AdaptDomainCost bool
 	// LogDropped returns the number of log lines dropped so far.
 	LogDropped func() int64
 }
@@ -164,7 +167,7 @@
 		store:            platform.NewLogStore(cfg.Settings.Store),
 		client:           upstream.New(),
 		quota:            quota.New(now, id, incarnation),
-		placer:           place.New(place.Config{Domain: cfg.Settings.Domain, Costs: place.DefaultCosts(), Seed: uint64(incarnation), States: states}),
+		placer:           place.New(place.Config{Domain: cfg.Settings.Domain, Costs: place.DefaultCosts(), Seed: uint64(incarnation), States: states, AdaptDomainCost: cfg.AdaptDomainCost}),
 		endpointStates:   states,
 		crashes:          crash.NewRegister(),
 		unsavedTraits:    make(chan crash.Change, maxUnsavedTraits),
@@ -356,6 +359,7 @@
 	known := f.knownAddrs()
 	f.mu.Unlock()
 	f.configureRetryBudgets(now)
+	f.updateDomains(now)
 	f.crashes.Expire(now)
 	f.reportCrashChanges()
 	f.client.CloseIdle(func(addr string) bool { return known[addr] })
--- a/app/front/peers.go
+++ b/app/front/peers.go
@@ -111,14 +111,11 @@
 		f.log.Warn("router registration ignored", "router", string(id), "addr", addr, "error", err.Error())
 		return
 	}
-	if old := f.peers[id]; old != nil {
-		if old.addr == ap {
-			return
-		}
-		f.metrics.domainBytes.removePeer(old.addr)
+	if old := f.peers[id]; old != nil && old.addr == ap {
+		return
 	}
+	f.metrics.domainBytes.setPeer(f.peers[id], ap, domain)
 	f.peers[id] = &peerState{addr: ap, domain: domain}
-	f.metrics.domainBytes.setPeer(ap, domain)
 	f.quota.AddMember(now, id)
 	f.facts.Add(id)
 	f.log.Info("router added", "router", string(id), "addr", addr)
@@ -127,7 +124,7 @@
 // removePeer removes a router; mu must be held.
 func (f *Front) removePeer(id proto.RouterID) {
 	if p := f.peers[id]; p != nil {
-		f.metrics.domainBytes.removePeer(p.addr)
+		f.metrics.domainBytes.removePeer(p)
 		delete(f.peers, id)
 		f.facts.Remove(id)
 		f.log.Info("router left", "router", string(id))
@@ -203,9 +200,11 @@
 	m.Attempts = f.placer.TakeAttemptNotices()
 	m.Seen = f.placer.TakeSeen(now)
 	m.Confirmed = f.takeConfirmations(near)
+	m.Domains = f.domainSummaries(now, n, near)
 	f.send(m, f.peersAt(near))
 	m.Seen = nil
 	if n%farPeriod == 0 || full {
+		m.Domains = f.domainSummaries(now, n, far)
 		m.Confirmed = f.takeConfirmations(far)
 		m.Counts = f.quota.Counts(now, sent.far, full, complete)
 		m.Attempts = firstPrefills(m.Attempts)
@@ -463,6 +462,7 @@
 	for _, s := range m.Seen {
 		f.placer.HandleSeen(now, s)
 	}
+	f.handleDomains(now, m)
 	if m.StorePage != nil {
 		f.handleStorePage(now, m.StorePage)
 	}
--- a/app/front/serve.go
+++ b/app/front/serve.go
@@ -341,7 +341,10 @@
 
 // query returns the input of the placement for the next attempt.
 func (x *request) query() *place.Query {
-	q := &place.Query{Service: x.service, Bytes: int64(len(x.body)) + defaultResponseBytes, Exclude: x.triedEndpoints}
+	q := &place.Query{
+		Service: x.service, Bytes: int64(len(x.body)) + defaultResponseBytes, Exclude: x.triedEndpoints,
+		Target: x.route.TargetLatency, Rank: x.priority(),
+	}
 	if q.Only = x.relay.ReturnTo(); q.Only != nil {
 		q.Exclude = nil
 	}
--- a/core/locality/decide.go
+++ b/core/locality/decide.go
@@ -36,7 +36,11 @@
 }
 
 // Cost returns the cost of sending the request to another domain, from its constant cost.
+// On a nil decision that is the constant cost.
 func (d *Decision) Cost(to proto.Domain, constant time.Duration) time.Duration {
+	if d == nil {
+		return constant
+	}
 	for i := range d.n {
 		if e := &d.entries[i]; e.domain == to {
 			return max(e.least, time.Duration(e.factor*float64(constant)))
@@ -45,14 +49,15 @@
 	return constant
 }
 
-// Decide returns the decision on a request. It changes nothing. The function draw returns a
-// random number from 0 to 1; it is called only if a share of the work leaves.
-func (c *Controller) Decide(now proto.Instant, r Request, draw func() float64) Decision {
+// Decide returns the decision on a request, nil if the constant cost applies. It changes
+// nothing. The function draw returns a random number from 0 to 1; it is called only if a
+// share of the work leaves.
+func (c *Controller) Decide(now proto.Instant, r Request, draw func() float64) *Decision {
 	s := c.services[r.Service]
 	if s == nil || s.mode == Constant || s.mode == Steady {
-		return Decision{}
+		return nil
 	}
-	decision := Decision{Mode: s.mode}
+	decision := &Decision{Mode: s.mode}
 	others := maxFactor
 	if s.mode == Calm {
 		others = 1 + (maxFactor-1)*(calmLoad-s.domains[c.own].load)/calmLoad
--- a/core/locality/locality_test.go
+++ b/core/locality/locality_test.go
@@ -42,9 +42,9 @@
 func (b *bed) shares(r locality.Request) (shares [domains]float64) {
 	const draws = 1000
 	for i := range draws {
-		to := b.Decide(b.now, r, func() float64 { return (float64(i) + 0.5) / draws }).To
+		decision := b.Decide(b.now, r, func() float64 { return (float64(i) + 0.5) / draws })
 		for d := range domains {
-			if to == domainName(d) {
+			if decision != nil && decision.To == domainName(d) {
 				shares[d] += 1.0 / draws
 			}
 		}
--- a/core/locality/simulation_test.go
+++ b/core/locality/simulation_test.go
@@ -157,7 +157,7 @@
 func byShares(s *simulation, r *simRouter, now proto.Instant, _ [domains]float64) int {
 	decision := r.controller.Decide(now, locality.Request{Service: "s", Bytes: 2000}, s.rng.Float64)
 	for d := range domains {
-		if domainName(d) == decision.To {
+		if decision != nil && domainName(d) == decision.To {
 			return d
 		}
 	}
--- a/core/peer/pack.go
+++ b/core/peer/pack.go
@@ -35,6 +35,7 @@
 	head, lists = m, m
 	head.Routers, head.Confirmed, head.Limits, head.LeavingEndpoints, head.Loads, head.VersionLoaded = nil, nil, nil, nil, nil, nil
 	head.Attempts, head.AnnouncedVersions, head.Seen, head.Silent = nil, nil, nil, nil
+	head.Domains = nil
 	lists.Counts = quota.Counts{Router: m.Counts.Router, Incarnation: m.Counts.Incarnation}
 	lists.Addr, lists.Domain, lists.LeaseDisclaimer = "", "", nil
 	return head, lists
@@ -95,13 +96,14 @@
 	first.AnnouncedVersions, second.AnnouncedVersions = halve(m.AnnouncedVersions)
 	first.Seen, second.Seen = halve(m.Seen)
 	first.Silent, second.Silent = halve(m.Silent)
+	first.Domains, second.Domains = halve(m.Domains)
 	return first, second
 }
 
 // listItems returns the number of items in all lists.
 func (m *Message) listItems() int {
 	return len(m.Routers) + len(m.Confirmed) + len(m.Limits) + len(m.LeavingEndpoints) + len(m.Loads) + len(m.VersionLoaded) +
-		len(m.Attempts) + len(m.AnnouncedVersions) + len(m.Seen) + len(m.Silent)
+		len(m.Attempts) + len(m.AnnouncedVersions) + len(m.Seen) + len(m.Silent) + len(m.Domains)
 }
 
 // halve returns the two halves of a list, the first one of which is not shorter.
--- a/core/peer/peer.go
+++ b/core/peer/peer.go
@@ -9,6 +9,7 @@
 	"github.com/kumquatsill/kumquatsill/core/crash"
 	"github.com/kumquatsill/kumquatsill/core/endpointstate"
 	"github.com/kumquatsill/kumquatsill/core/leader"
+	"github.com/kumquatsill/kumquatsill/core/locality"
 	"github.com/kumquatsill/kumquatsill/core/place"
 	"github.com/kumquatsill/kumquatsill/core/proto"
 	"github.com/kumquatsill/kumquatsill/core/quota"
@@ -87,6 +88,8 @@
 	VersionLoaded []VersionLoaded `json:"reached,omitempty"`
 	// Attempts lists the attempts that were started since the last message.
 	Attempts []place.AttemptNotice `json:"attempts,omitempty"`
+	// Domains lists the loads of the sender's failure domain by service.
+	Domains []locality.Summary `json:"domains,omitempty"`
 	// AnnouncedVersions lists the versions that the operator has announced.
 	AnnouncedVersions []proto.VersionAge `json:"named,omitempty"`
 	// LeaseDisclaimer is set while the sender disclaims its claims of the lease.
--- a/core/place/attempt.go
+++ b/core/place/attempt.go
@@ -48,7 +48,9 @@
 	defer p.mu.Unlock()
 	if l := a.load; l != nil {
 		l.response.record(now)
-		l.updateLag(now, now.Sub(a.sentAt)-(a.choice.ExpectedTTFB-a.choice.Lag))
+		later := now.Sub(a.sentAt) - (a.choice.ExpectedTTFB - a.choice.Lag)
+		l.updateLag(now, later)
+		p.observeDelay(now, a, later)
 		a.markFirstByte(l)
 	}
 }
@@ -119,6 +121,7 @@
 	if r.Slots > 0 {
 		l.slots = r.Slots
 	}
+	p.observeDomainLoad(now, a.choice.Endpoint, r)
 }
 
 // EndAttempt records the end of an attempt. The argument healthy is false for
--- a/core/place/choose.go
+++ b/core/place/choose.go
@@ -91,6 +91,7 @@
 	if best.offers == 0 {
 		best = lastResort
 	}
+	p.observeArrival(s)
 	choice := best.choice
 	choice.Candidates, choice.Excluded = best.offers, excluded
 	choice.StartWithin = p.startTimeLeft(now, q.Model, choice.Version)
--- a/core/place/place.go
+++ b/core/place/place.go
@@ -16,6 +16,7 @@
 	"github.com/cespare/xxhash/v2"
 	"github.com/kumquatsill/kumquatsill/core/discovery"
 	"github.com/kumquatsill/kumquatsill/core/endpointstate"
+	"github.com/kumquatsill/kumquatsill/core/locality"
 	"github.com/kumquatsill/kumquatsill/core/proto"
 	"github.com/kumquatsill/kumquatsill/core/serving"
 )
@@ -106,6 +107,10 @@
 	Bytes int64
 	// Exclude lists endpoints that were already tried.
 	Exclude []proto.EndpointID
+	// Target is the longest time to the first byte that is in time; 0 means that there is
+	// none. Rank is the urgency; 0 is the most urgent.
+	Target time.Duration
+	Rank   int
 	// Only restricts the choice to some endpoints, unless it is empty.
 	Only []proto.EndpointID
 }
@@ -124,7 +129,12 @@
 	// announced holds the announced versions of each model, the newest last.
 	announced map[string][]announcedVersion
 	attempts  uint64
-	rng       *rand.Rand
+	// rng draws from source, of which Explain uses a copy.
+	rng    *rand.Rand
+	source *rand.PCG
+	// domains decides how much work leaves the own failure domain; nil means that the cost
+	// of leaving is constant.
+	domains *locality.Controller
 	// notices collects the attempts to report to the peers.
 	notices []AttemptNotice
 }
@@ -136,6 +146,9 @@
 	Costs  Costs
 	// Seed seeds the jitter, so that it differs between routers.
 	Seed uint64
+	// AdaptDomainCost makes the cost of leaving the failure domain depend on its load and
+	// on those of the others, where endpoints report their loads.
+	AdaptDomainCost bool
 	// States keeps what endpoints say about themselves; nil means that they say nothing.
 	States *endpointstate.Tracker
 }
@@ -158,8 +171,9 @@
 
 // New returns a placer without endpoints.
 func New(cfg Config) *Placer {
+	source := rand.NewPCG(cfg.Seed, 1)
 	return &Placer{
-		cfg: cfg, rng: rand.New(rand.NewPCG(cfg.Seed, 1)),
+		cfg: cfg, rng: rand.New(source), source: source, domains: newDomains(cfg),
 		list:   discovery.NewTable().Snapshot(),
 		loads:  map[proto.EndpointID]*load{},
 		stores: map[string]*StoreIndex{},
--- a/core/place/score.go
+++ b/core/place/score.go
@@ -27,6 +27,7 @@
 	affinityHash uint64
 	// prompts holds the prompt for each version considered.
 	prompts map[int64]*versionedPrompt
+	domainCost
 }
 
 // versionedPrompt is the prompt as cached under one version of the model.
@@ -53,7 +54,7 @@
 }
 
 func newScorer(p *Placer, now proto.Instant, q *Query) *scorer {
-	s := &scorer{placer: p, now: now, q: q, prompts: map[int64]*versionedPrompt{}}
+	s := &scorer{placer: p, now: now, q: q, prompts: map[int64]*versionedPrompt{}, domainCost: p.domainCost(now, q)}
 	if p.config != nil && q.Model != "" {
 		s.links = p.linksFor(q.Service)
 	}
@@ -140,7 +141,6 @@
 // score returns the choice of an endpoint and its cost.
 func (s *scorer) score(e *discovery.Endpoint, l *load) (Choice, float64) {
 	c := Choice{Endpoint: e}
-	costs := s.placer.cfg.Costs
 	penalty := time.Duration(0)
 	c.Lag = l.currentLag(s.now)
 	c.ExpectedTTFB = s.wait(l) + c.Lag
@@ -150,10 +150,8 @@
 		c.ExpectedTTFB += took
 		penalty += promptPenalty + s.oldVersionPenalty(c.Version)
 	}
-	if e.Domain != s.placer.cfg.Domain {
-		penalty += time.Duration(float64(costs.CrossDomainKilobyte) * float64(s.q.Bytes) / 1024)
-	}
-	penalty += s.healthPenalty(l)
+	health := s.healthPenalty(l)
+	penalty += health + s.domainPenalty(e, c.ExpectedTTFB+health)
 	return c, float64(c.ExpectedTTFB+penalty) - s.affinity(l)
 }
 
