explain: tell where a request would go now, and why

Nobody could ask a running router why it prefers an endpoint; the log names the one chosen only. POST /explain on the listeners for readiness and metrics takes the description of a request and returns route, account and balance, the refusal and its retry time, and each endpoint with the components of its cost, the ages of the data and the reason if it is excluded.

--domain-cost is checked by the command, as repeated struct tags fail the linter.

--- a/app/cmd/kumquatsill/front.go
+++ b/app/cmd/kumquatsill/front.go
@@ -21,14 +21,15 @@
 	// of the grace period that logFlushShare divides it into.
 	logFlushTimeout = 300 * time.Millisecond
 	logFlushShare   = 16
-	// domainCostAdaptive is the value of --domain-cost that makes the cost follow the loads.
+	// domainCostAdaptive and domainCostConstant are the values of --domain-cost.
 	domainCostAdaptive = "adaptive"
+	domainCostConstant = "constant"
 )
 
 type frontFlags struct {
 	Settings    string `long:"settings" env:"KUMQUATSILL_BOOT" description:"path of the platform's settings file"`
 	MetricsPort uint16 `long:"metrics-port" env:"KUMQUATSILL_METRICS_PORT" description:"port of this host at which metrics are served, beside the address for readiness checks"`
-	DomainCost  string `long:"domain-cost" env:"KUMQUATSILL_DOMAIN_COST" default:"adaptive" choice:"adaptive" choice:"constant" description:"cost of sending work to other failure domains: adaptive follows the loads that endpoints report, constant does not"`
+	DomainCost  string `long:"domain-cost" env:"KUMQUATSILL_DOMAIN_COST" default:"adaptive" description:"cost of sending work to other failure domains: adaptive follows the loads that endpoints report, constant does not"`
 	LogLevel    string `long:"log-level" env:"KUMQUATSILL_LOG_LEVEL" default:"info" description:"least level of log lines: debug, info, warn or error"`
 }
 
@@ -53,6 +54,9 @@
 func (f *frontFlags) Execute(args []string) error {
 	var c settings.Checker
 	c.NoArgs(args)
+	if f.DomainCost != domainCostAdaptive && f.DomainCost != domainCostConstant {
+		c.Fail("domain-cost", "is %q, must be %s or %s", f.DomainCost, domainCostAdaptive, domainCostConstant)
+	}
 	if err := c.Err(); err != nil {
 		return err
 	}
--- a/app/cmd/kumquatsill/status.go
+++ b/app/cmd/kumquatsill/status.go
@@ -3,12 +3,9 @@
 import (
 	"fmt"
 	"io"
-	"os"
 	"strings"
-	"time"
 
 	"github.com/kumquatsill/kumquatsill/app/operator"
-	"github.com/kumquatsill/kumquatsill/app/requestlog"
 	"github.com/kumquatsill/kumquatsill/app/settings"
 	"github.com/kumquatsill/kumquatsill/core/proto"
 )
@@ -117,95 +114,6 @@
 	}))
 }
 
-func explainCommand(s streams) settings.Command {
-	return settings.Command{
-		Name: "explain", Short: "Tell what became of a request", Data: &explainFlags{printer: printer{streams: s}},
-		Long: `Tell where a request ran and why, under which revision, what was tried, and with which verdict it ended. Any router can explain any request whose audit record the log still retains; records reach the log within seconds. REQUEST-ID is the Kumquatsill-Request-Id of the answer, or the caller's X-Request-Id, which finds the latest request with it.
-
-With --log, no router is asked: the story is told from the logs of 'kumquatsill front', each line optionally behind a host name. Lines of the request are marked with *, changes of what its router believed are not.
-
-Examples:
-  kumquatsill explain 0197f0c2-5f0e-7c1a-9a51-1f6f0c7d2b11
-  kumquatsill explain refill-4711 --json
-  kumquatsill explain 9c41d07be2a35f68 --log routers.log
-  collect-logs | kumquatsill explain 9c41d07be2a35f68 --log -` + exitCodes,
-	}
-}
-
-type explainFlags struct {
-	printer
-	routerClientFlags
-	Log  string `long:"log" description:"file with the logs of 'kumquatsill front', or - for standard input"`
-	Args struct {
-		Request string `positional-arg-name:"REQUEST-ID" description:"id of the request"`
-	} `positional-args:"yes"`
-}
-
-// Execute implements flags.Commander.
-func (f *explainFlags) Execute(args []string) error {
-	if err := f.validate(args, argument{"REQUEST-ID", f.Args.Request}); err != nil {
-		return err
-	}
-	if f.Log != "" {
-		return f.explainFromLog()
-	}
-	reply, err := callRouter[proto.ExplainReply](&f.routerClientFlags, proto.ExplainQuery{ID: operator.NewID(), Request: proto.RequestID(f.Args.Request)})
-	switch {
-	case err != nil:
-		return err
-	case reply.Request == nil && reply.Incomplete:
-		return settings.ExitErrorf(settings.ExitUnreachable, "%s", escapeControl(reply.Detail))
-	case reply.Request == nil:
-		return settings.ExitErrorf(settings.ExitNotFound, "%s", escapeControl(reply.Detail))
-	}
-	return f.show(reply, func(w io.Writer) { showRequest(w, reply) })
-}
-
-// explainFromLog prints the timeline of a request, built from router logs.
-func (f *explainFlags) explainFromLog() error {
-	input := f.in
-	if f.Log != "-" {
-		file, err := os.Open(f.Log)
-		if err != nil {
-			return &settings.Error{Problems: []string{"--log: " + err.Error()}}
-		}
-		defer func() { _ = file.Close() }() // the file was only read
-		input = file
-	}
-	timeline, err := requestlog.Read(input, f.Args.Request)
-	if err != nil {
-		return settings.ExitErrorf(settings.ExitNotFound, "%s", err.Error())
-	}
-	return timeline.Write(f.out)
-}
-
-func showRequest(w io.Writer, reply proto.ExplainReply) {
-	r := reply.Request
-	source := "memory of the router"
-	if reply.Source == proto.ExplainedByAudit {
-		source = fmt.Sprintf("audit stream, offset %d, entry %d", reply.Offset, reply.Index)
-	}
-	writeTable(w,
-		[]string{"request", string(r.Request)},
-		[]string{"account", string(r.Account)},
-		[]string{"path", r.Path},
-		[]string{"model", strings.TrimSpace(r.Model + " " + r.Version)},
-		[]string{"router", string(reply.Router)},
-		[]string{"revision", formatInt(r.Revision)},
-		[]string{"arrived", r.Arrived.UTC().Format(time.RFC3339Nano)},
-		[]string{"rate", r.RateReason},
-		[]string{"verdict", r.Verdict.String()},
-		[]string{"cause", string(r.Cause)},
-		[]string{"tokens", fmt.Sprintf("%d prompt, %d cached, %d completion", r.Usage.PromptTokens, r.Usage.CachedTokens, r.Usage.CompletionTokens)},
-		[]string{"first token", r.FirstToken.String()},
-		[]string{"total", r.Total.String()},
-		[]string{"source", source},
-	)
-	writeSection(w, "attempts", []string{"ATTEMPT", "ENDPOINT", "WHY", "CAUSE", "VERDICT"}, rowsOf(r.Attempts, func(a proto.AttemptSummary) []string {
-		return []string{string(a.Attempt), string(a.Endpoint), a.Reason, string(a.Cause), a.Verdict.String()}
-	}))
-}
-
 func quarantineCommand(s streams) settings.Command {
 	p := printer{streams: s}
 	return settings.Command{
--- a/app/front/attempt.go
+++ b/app/front/attempt.go
@@ -74,7 +74,7 @@
 		return nil, x.noEndpoint(choice)
 	}
 	if !x.relay.IsCommitted() && x.isOverloaded(q, choice) {
-		return nil, x.relay.NoEndpoint("overload", min(choice.ExpectedTTFB-x.route.TargetLatency, maxOverloadRetryAfter))
+		return nil, x.overloaded(choice)
 	}
 	if x.relay.IsCommitted() && x.front.crashes.IsBlocked(now, x.traits) {
 		return nil, x.relay.NoEndpoint("crashes_endpoints", 0) // it is no trial, however long it waits
@@ -104,6 +104,11 @@
 	return q.Model != "" && limit > 0 && choice.ExpectedTTFB > limit
 }
 
+// overloaded returns what to do if isOverloaded holds.
+func (x *request) overloaded(choice place.Choice) relay.Decision {
+	return x.relay.NoEndpoint("overload", min(choice.ExpectedTTFB-x.route.TargetLatency, maxOverloadRetryAfter))
+}
+
 // noEndpoint returns what to do if the placement found no endpoint.
 func (x *request) noEndpoint(choice place.Choice) relay.Decision {
 	excluded := &choice.Excluded
--- a/app/front/front.go
+++ b/app/front/front.go
@@ -246,6 +246,7 @@
 	}
 	router := bunrouter.New()
 	router.GET("/metrics", f.handleMetrics)
+	router.POST(ExplainPath, newExplainer(f).handle)
 	router.GET("/*path", f.handleReadiness)
 	f.readinessServer = &http.Server{
 		Handler:           router,
--- a/app/front/serve.go
+++ b/app/front/serve.go
@@ -72,6 +72,8 @@
 	// saved is a buffered response. That of a failed attempt is delivered if no
 	// other attempt succeeds and nothing was sent to the caller meanwhile.
 	saved *savedResponse
+	// preview is set if the request is only explained.
+	preview *preview
 }
 
 // serve handles a request of a caller.
@@ -106,11 +108,10 @@
 
 var errDeadline = errors.New("the deadline has passed")
 
-// admit decides whether the request may be served; if not, it responds with an
-// error.
-func (x *request) admit() bool {
-	f := x.front
-	x.config = f.config.Load()
+// identify finds out the route and the account of the request; if it may not be served, it
+// responds with an error. It changes nothing else.
+func (x *request) identify() bool {
+	x.config = x.front.config.Load()
 	var err error
 	x.info, err = platform.DecodeRequest(x.r.Header)
 	if x.config == nil {
@@ -129,7 +130,14 @@
 	}
 	x.service = x.route.Target(xxhash.Sum64String(x.info.ID))
 	x.setDeadline()
-	if !x.readBody() {
+	return true
+}
+
+// admit decides whether the request may be served; if not, it responds with an
+// error.
+func (x *request) admit() bool {
+	f := x.front
+	if !x.identify() || !x.readBody() {
 		return false
 	}
 	x.traits = x.crashTraits()
@@ -268,6 +276,9 @@
 
 // reject refuses a request that was not sent to any endpoint. It returns false.
 func (x *request) reject(status int, reason string, retryAfter time.Duration) bool {
+	if x.preview != nil {
+		return x.preview.refuse(status, reason, retryAfter)
+	}
 	x.front.metrics.refused(reason)
 	x.respond(status, retryAfter)
 	revision := int64(0)
--- a/core/crash/register.go
+++ b/core/crash/register.go
@@ -122,20 +122,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.assignBlame(now)
-	a := Admission{Allowed: true}
-	var blocked []candidate
-	for _, t := range traits {
-		e := r.entries[t]
-		if e == nil || !e.blocked || now.Sub(e.lastAt()) >= retention {
-			continue
-		}
-		blocked = append(blocked, candidate{t, e})
-		wait := e.nextTrial().Sub(now)
-		if a.Trait == "" || wait > a.RetryAfter {
-			a = Admission{Allowed: wait <= 0, Trial: wait <= 0, Trait: t, Rounds: e.rounds(), RetryAfter: wait}
-		}
-	}
-	a.RetryAfter = min(max(a.RetryAfter, minRetryAfter), maxRetryAfter)
+	a, blocked := r.admission(now, traits)
 	if a.Allowed {
 		r.countSent(traits)
 	}
@@ -152,6 +139,34 @@
 	return a
 }
 
+// Preview returns what Admit would return for a request with these traits. It changes
+// nothing.
+func (r *Register) Preview(now proto.Instant, traits []Trait) Admission {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	a, _ := r.admission(now, traits)
+	return a
+}
+
+// admission decides on a request with these traits, and returns those of them that are
+// blocked; mu must be held.
+func (r *Register) admission(now proto.Instant, traits []Trait) (a Admission, blocked []candidate) {
+	a.Allowed = true
+	for _, t := range traits {
+		e := r.entries[t]
+		if e == nil || !e.blocked || now.Sub(e.lastAt()) >= retention {
+			continue
+		}
+		blocked = append(blocked, candidate{t, e})
+		wait := e.nextTrial().Sub(now)
+		if a.Trait == "" || wait > a.RetryAfter {
+			a = Admission{Allowed: wait <= 0, Trial: wait <= 0, Trait: t, Rounds: e.rounds(), RetryAfter: wait}
+		}
+	}
+	a.RetryAfter = min(max(a.RetryAfter, minRetryAfter), maxRetryAfter)
+	return a, blocked
+}
+
 // IsBlocked reports whether Admit would refuse a request with these traits, or admit it as a
 // trial only. It changes nothing.
 func (r *Register) IsBlocked(now proto.Instant, traits []Trait) bool {
--- a/core/place/choose.go
+++ b/core/place/choose.go
@@ -56,18 +56,27 @@
 func (p *Placer) Choose(now proto.Instant, q *Query) (Choice, bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	s := newScorer(p, now, q, p.rng)
+	choice, ok := p.choose(now, q, s)
+	p.observeArrival(s)
+	return choice, ok
+}
+
+// choose is Choose with a scorer. It changes nothing but the scorer; mu must be held.
+func (p *Placer) choose(now proto.Instant, q *Query, s *scorer) (Choice, bool) {
 	best, lastResort, excluded := newCheapest(), newCheapest(), Exclusions{}
-	s := newScorer(p, now, q)
 	oldestUsable := p.oldestUsable(now, q.Model)
 	for _, e := range p.list.ForService(q.Service) {
 		permission := p.permission(now, e)
 		if reason := exclusionOf(e, permission, q); reason != notExcluded {
 			excluded.add(reason, permission.Wait)
+			s.trace.excluded(e, reason, permission.Wait)
 			continue
 		}
 		l := p.loadFor(e)
 		if l.isLoading(now) || l.version[q.Model] < oldestUsable {
 			excluded.add(excludedVersion, 0)
+			s.trace.excluded(e, excludedVersion, 0)
 			continue
 		}
 		c, cost := s.score(e, l)
@@ -76,11 +85,13 @@
 		}
 		if s.retiresBeforeStart(c) {
 			excluded.add(excludedVersion, 0)
+			s.trace.excluded(e, excludedVersion, 0)
 			continue
 		}
 		// Without jitter, routers with the same knowledge would all choose the
 		// same engine at once.
-		cost += jitter * float64(c.ExpectedTTFB) * p.rng.Float64()
+		cost += jitter * float64(c.ExpectedTTFB) * s.rng.Float64()
+		s.trace.offered(c, l, cost, permission)
 		if permission.LastResort {
 			excluded.add(excludedLeaving, 0)
 			lastResort.offer(c, cost)
@@ -91,7 +102,6 @@
 	if best.offers == 0 {
 		best = lastResort
 	}
-	p.observeArrival(s)
 	choice := best.choice
 	choice.Candidates, choice.Excluded = best.offers, excluded
 	choice.StartWithin = p.startTimeLeft(now, q.Model, choice.Version)
--- a/core/place/domains.go
+++ b/core/place/domains.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"math/rand/v2"
 	"time"
 
 	"github.com/kumquatsill/kumquatsill/core/discovery"
@@ -29,13 +30,13 @@
 }
 
 // domainCost returns the cost of leaving the domain for a query; mu must be held.
-func (p *Placer) domainCost(now proto.Instant, q *Query) domainCost {
+func (p *Placer) domainCost(now proto.Instant, q *Query, rng *rand.Rand) domainCost {
 	d := domainCost{
 		constant:    time.Duration(float64(p.cfg.Costs.CrossDomainKilobyte) * float64(q.Bytes) / 1024),
 		ownExpected: math.MaxInt64,
 	}
 	if p.domains != nil {
-		d.decision = p.domains.Decide(now, locality.Request{Service: q.Service, Bytes: q.Bytes, Rank: q.Rank}, p.rng.Float64)
+		d.decision = p.domains.Decide(now, locality.Request{Service: q.Service, Bytes: q.Bytes, Rank: q.Rank}, rng.Float64)
 	}
 	return d
 }
--- a/core/place/score.go
+++ b/core/place/score.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"encoding/binary"
+	"math/rand/v2"
 	"slices"
 	"time"
 
@@ -28,6 +29,9 @@
 	// prompts holds the prompt for each version considered.
 	prompts map[int64]*versionedPrompt
 	domainCost
+	rng *rand.Rand
+	// trace records the assessments, or is nil.
+	trace *trace
 }
 
 // versionedPrompt is the prompt as cached under one version of the model.
@@ -53,8 +57,8 @@
 	tokenTime  time.Duration
 }
 
-func newScorer(p *Placer, now proto.Instant, q *Query) *scorer {
-	s := &scorer{placer: p, now: now, q: q, prompts: map[int64]*versionedPrompt{}, domainCost: p.domainCost(now, q)}
+func newScorer(p *Placer, now proto.Instant, q *Query, rng *rand.Rand) *scorer {
+	s := &scorer{placer: p, now: now, q: q, prompts: map[int64]*versionedPrompt{}, domainCost: p.domainCost(now, q, rng), rng: rng}
 	if p.config != nil && q.Model != "" {
 		s.links = p.linksFor(q.Service)
 	}
@@ -141,18 +145,19 @@
 // score returns the choice of an endpoint and its cost.
 func (s *scorer) score(e *discovery.Endpoint, l *load) (Choice, float64) {
 	c := Choice{Endpoint: e}
-	penalty := time.Duration(0)
 	c.Lag = l.currentLag(s.now)
 	c.ExpectedTTFB = s.wait(l) + c.Lag
+	var prompt, oldVersion time.Duration
 	if s.q.Model != "" {
 		c.Version = l.version[s.q.Model]
 		took, promptPenalty := s.promptCost(&c, l)
 		c.ExpectedTTFB += took
-		penalty += promptPenalty + s.oldVersionPenalty(c.Version)
+		prompt, oldVersion = promptPenalty, s.oldVersionPenalty(c.Version)
 	}
 	health := s.healthPenalty(l)
-	penalty += health + s.domainPenalty(e, c.ExpectedTTFB+health)
-	return c, float64(c.ExpectedTTFB+penalty) - s.affinity(l)
+	domain := s.domainPenalty(e, c.ExpectedTTFB+health)
+	s.trace.scored(&c, l, prompt, oldVersion, domain, health)
+	return c, float64(c.ExpectedTTFB+prompt+oldVersion+domain+health) - s.affinity(l)
 }
 
 // wait returns the time until an endpoint begins a new request.
--- a/core/quota/quota.go
+++ b/core/quota/quota.go
@@ -255,6 +255,11 @@
 func (t *Tracker) Spend(now proto.Instant, id proto.AccountID, units int64) Decision {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	return t.spend(now, id, units)
+}
+
+// spend is Spend; mu must be held.
+func (t *Tracker) spend(now proto.Instant, id proto.AccountID, units int64) Decision {
 	share := t.share(now)
 	b := t.buckets[id]
 	if b == nil || b.limit.Rate <= 0 {
