place: pass choices by pointer while endpoints are scored

The hook for explanations copied the choice of each candidate even when it was off. Its methods are inlined now, and choices are offered by pointer.

--- a/core/place/choose.go
+++ b/core/place/choose.go
@@ -83,7 +83,7 @@
 		if permission.CheckDue {
 			cost -= float64(limitCheckBonus)
 		}
-		if s.retiresBeforeStart(c) {
+		if s.retiresBeforeStart(&c) {
 			excluded.add(excludedVersion, 0)
 			s.trace.excluded(e, excludedVersion, 0)
 			continue
@@ -91,13 +91,13 @@
 		// Without jitter, routers with the same knowledge would all choose the
 		// same engine at once.
 		cost += jitter * float64(c.ExpectedTTFB) * s.rng.Float64()
-		s.trace.offered(c, l, cost, permission)
+		s.trace.offered(&c, l, cost, &permission)
 		if permission.LastResort {
 			excluded.add(excludedLeaving, 0)
-			lastResort.offer(c, cost)
+			lastResort.offer(&c, cost)
 			continue
 		}
-		best.offer(c, cost)
+		best.offer(&c, cost)
 	}
 	if best.offers == 0 {
 		best = lastResort
@@ -117,10 +117,10 @@
 
 func newCheapest() cheapest { return cheapest{cost: math.Inf(1)} }
 
-func (b *cheapest) offer(c Choice, cost float64) {
+func (b *cheapest) offer(c *Choice, cost float64) {
 	b.offers++
 	if cost < b.cost {
-		b.choice, b.cost = c, cost
+		b.choice, b.cost = *c, cost
 	}
 }
 
--- a/core/place/domains.go
+++ b/core/place/domains.go
@@ -48,6 +48,9 @@
 		s.ownExpected = min(s.ownExpected, expected)
 		return 0
 	}
+	if s.decision == nil {
+		return s.constant
+	}
 	return s.decision.Cost(e.Domain, s.constant)
 }
 
--- a/core/place/explain.go
+++ b/core/place/explain.go
@@ -88,8 +88,8 @@
 	return x
 }
 
-// trace records the assessments of a choice. On a nil trace, which is the usual case, its
-// methods do nothing.
+// trace records the assessments of a choice. On a nil trace, which is the usual case, the
+// methods that the choice calls do nothing; they are small enough to be inlined there.
 type trace struct {
 	scorer      *scorer
 	assessments []Assessment
@@ -99,9 +99,12 @@
 
 // scored records the components of the score of an endpoint.
 func (t *trace) scored(c *Choice, l *load, prompt, oldVersion, domain, health time.Duration) {
-	if t == nil {
-		return
+	if t != nil {
+		t.recordScore(c, l, prompt, oldVersion, domain, health)
 	}
+}
+
+func (t *trace) recordScore(c *Choice, l *load, prompt, oldVersion, domain, health time.Duration) {
 	s := t.scorer
 	t.parts = CostParts{
 		Wait: s.wait(l), Lag: c.Lag, Prompt: prompt, OldVersion: oldVersion, Domain: domain, Health: health,
@@ -111,11 +114,14 @@
 }
 
 // offered records an endpoint that can take the request, with its cost.
-func (t *trace) offered(c Choice, l *load, cost float64, p endpointstate.Permission) {
-	if t == nil {
-		return
+func (t *trace) offered(c *Choice, l *load, cost float64, p *endpointstate.Permission) {
+	if t != nil {
+		t.recordOffer(c, l, cost, p)
 	}
-	a := t.assess(c, l)
+}
+
+func (t *trace) recordOffer(c *Choice, l *load, cost float64, p *endpointstate.Permission) {
+	a := t.assess(*c, l)
 	a.Costs, a.LastResort = t.parts, p.LastResort
 	if p.CheckDue {
 		a.Costs.LimitCheck = -limitCheckBonus
--- a/core/place/versions.go
+++ b/core/place/versions.go
@@ -115,7 +115,7 @@
 
 // retiresBeforeStart reports whether the version of a choice would be too old by
 // the time that the request begins.
-func (s *scorer) retiresBeforeStart(c Choice) bool {
+func (s *scorer) retiresBeforeStart(c *Choice) bool {
 	if s.q.Model == "" {
 		return false
 	}
