core/locality: count the averaging of few reports as delay of the loop

In a large fleet a router gets the load of one engine in twenty between two updates, and its average lagged by several seconds of which the controller did not know: in the simulation with such reports the queues did not end before the next change of the load. Few reports now weigh more, by the square root of the slots that they cover, and the time constant of the average counts as delay.

--- a/core/locality/locality.go
+++ b/core/locality/locality.go
@@ -40,8 +40,8 @@
 	// not drive the shares far beyond what the overload needs.
 	maxError = 0.3
 	// loopGain is the gain of the controller over one delay of the loop. An integrator with
-	// a delay does not overshoot below 1/e. In the simulation, 0.4 takes up to twice as long
-	// to settle with 103 routers, and 0.3 an eighth longer everywhere.
+	// a delay does not overshoot below 1/e. In the simulation, 0.3 takes an eighth longer to
+	// settle, and 0.4 takes a fifth longer with 103 routers and a view of 2 s.
 	loopGain = 0.35
 	// responseTime is the delay of the loop in addition to the age of the view: running
 	// requests have to end before a changed share shows in the load.
@@ -62,6 +62,9 @@
 	trendSmoothing = 0.3
 	// averageWeight is the weight of one arrival in the averages of size and rank.
 	averageWeight = 0.02
+	// minWeight and minStep bound the estimate of how fast the average follows.
+	minWeight = 0.05
+	minStep   = 50 * time.Millisecond
 	// maxStep bounds the time that one update accounts for.
 	maxStep = time.Second
 )
@@ -116,6 +119,9 @@
 	observedAt proto.Instant
 	// trend is the average change of load per second.
 	trend float64
+	// averaging is the time constant with which load follows the reports: the fewer slots
+	// they cover, the longer.
+	averaging time.Duration
 	// occupied and seen sum the reports since the last update: requests and slots.
 	occupied, seen float64
 	// share is the part of the own arrivals that leaves for this domain.
@@ -275,23 +281,32 @@
 // average moves the load towards the reports since the last update, by the part of the
 // domain's slots that they cover.
 func (d *domain) average(step time.Duration) {
-	if d.seen == 0 {
+	weight := 0.0
+	if d.seen > 0 {
+		// The square root weighs the noise of few reports against the age of an average
+		// of many.
+		weight = smoothing * math.Sqrt(min(1, d.seen/float64(max(1, d.slots))))
+	}
+	rate := max(weight, minWeight) / max(step.Seconds(), minStep.Seconds())
+	if d.averaging == 0 {
+		d.averaging = time.Duration(float64(time.Second) / rate)
+	}
+	d.averaging += time.Duration(trendSmoothing * (float64(time.Second)/rate - float64(d.averaging)))
+	if weight == 0 {
 		return
 	}
-	before, weight := d.load, smoothing*min(1, d.seen/float64(max(1, d.slots)))
+	before := d.load
 	if d.load == 0 {
-		weight = 1
-	}
-	d.load += weight * (d.occupied/d.seen - d.load)
-	if step > 0 && weight < 1 {
-		d.trend += trendSmoothing * ((d.load-before)/step.Seconds() - d.trend)
+		d.load = d.occupied / d.seen
+	} else if d.load += weight * (d.occupied/d.seen - d.load); step > 0 {
+		d.trend += trendSmoothing * weight / smoothing * ((d.load-before)/step.Seconds() - d.trend)
 	}
 	d.occupied, d.seen = 0, 0
 }
 
 // delay returns how long it takes until a changed share shows in the load of a domain.
 func (d *domain) delay(now proto.Instant) time.Duration {
-	return responseTime + max(0, now.Sub(d.observedAt))
+	return max(responseTime, d.averaging) + max(0, now.Sub(d.observedAt))
 }
 
 // deviation returns by how much a domain is above the load at which work leaves, or below
--- a/core/locality/simulation_test.go
+++ b/core/locality/simulation_test.go
@@ -26,8 +26,11 @@
 
 // simulation moves requests through one queue for each domain.
 type simulation struct {
-	rng      *rand.Rand
-	age      time.Duration
+	rng *rand.Rand
+	age time.Duration
+	// engines is the number of engines of a domain of which one reports its load to a router
+	// between two updates; 1 if all do.
+	engines  int
 	capacity [domains]float64
 	held     [domains]float64
 	history  [][domains]float64
@@ -55,8 +58,8 @@
 
 // run simulates routers under a load: the demand by domain as a multiple of the capacity,
 // and the capacity, by time.
-func run(routers int, age time.Duration, choose policy, load func(at time.Duration) (demand, capacity [domains]float64)) figures {
-	s := &simulation{rng: rand.New(rand.NewPCG(1, uint64(routers))), age: age}
+func run(routers, engines int, age time.Duration, choose policy, load func(at time.Duration) (demand, capacity [domains]float64)) figures {
+	s := &simulation{rng: rand.New(rand.NewPCG(1, uint64(routers))), age: age, engines: engines}
 	fleet := make([]*simRouter, routers)
 	for i := range fleet {
 		fleet[i] = &simRouter{own: i % domains, controller: locality.New(domainName(i % domains))}
@@ -148,7 +151,11 @@
 	for d := range seen {
 		n := int(s.capacity[d])
 		capacities = append(capacities, locality.Capacity{Service: "s", Domain: domainName(d), Slots: n, Usable: n})
-		r.controller.ObserveLoad(now.Add(-s.age), locality.Load{Service: "s", Domain: domainName(d), Occupied: int(seen[d]), Slots: n})
+		load, part := seen[d]/float64(n), n/s.engines
+		if s.engines > 1 {
+			load = max(0, load+s.rng.NormFloat64()*math.Sqrt(load/float64(part)))
+		}
+		r.controller.ObserveLoad(now.Add(-s.age), locality.Load{Service: "s", Domain: domainName(d), Occupied: int(math.Round(load * float64(part))), Slots: part})
 	}
 	r.controller.Update(now, capacities)
 }
@@ -212,23 +219,28 @@
 		age     time.Duration
 		settled time.Duration
 		idle    float64
-		swings  int
+		engines int
 	}{
-		{"moving peak", movingPeak, 200 * time.Millisecond, 6 * time.Second, 0.03, 6},
-		{"moving peak", movingPeak, time.Second, 12 * time.Second, 0.08, 6},
-		{"moving peak", movingPeak, 2 * time.Second, 19 * time.Second, 0.13, 6},
-		{"half lost", halfLost, 200 * time.Millisecond, 5 * time.Second, 0.02, 6},
-		{"half lost", halfLost, time.Second, 9 * time.Second, 0.03, 6},
-		{"half lost", halfLost, 2 * time.Second, 14 * time.Second, 0.05, 6},
+		{"moving peak", movingPeak, 200 * time.Millisecond, 6 * time.Second, 0.03, 1},
+		{"moving peak", movingPeak, time.Second, 12 * time.Second, 0.08, 1},
+		{"moving peak", movingPeak, 2 * time.Second, 19 * time.Second, 0.13, 1},
+		{"half lost", halfLost, 200 * time.Millisecond, 5 * time.Second, 0.02, 1},
+		{"half lost", halfLost, time.Second, 9 * time.Second, 0.03, 1},
+		{"half lost", halfLost, 2 * time.Second, 14 * time.Second, 0.05, 1},
+		{"moving peak, few reports", movingPeak, 200 * time.Millisecond, 18 * time.Second, 0.1, 20},
+		{"half lost, few reports", halfLost, 200 * time.Millisecond, 18 * time.Second, 0.05, 20},
 	} {
 		for _, routers := range []int{3, 27, 103} {
-			shares := run(routers, c.age, byShares, c.load)
+			if c.engines > 1 && routers == 3 {
+				continue // a router with a third of all requests has reports of all engines
+			}
+			shares := run(routers, c.engines, c.age, byShares, c.load)
 			if testing.Verbose() {
-				cost := run(routers, c.age, byCost, c.load) // for docs/design/locality.md
+				cost := run(routers, c.engines, c.age, byCost, c.load) // for docs/design/locality.md
 				t.Logf("%s, %d routers, view %v: settled %.1fs (by cost %.1fs), %d oscillations (%d), idle %.3f (%.3f)", c.name, routers, c.age,
 					shares.settled.Seconds(), cost.settled.Seconds(), shares.oscillations, cost.oscillations, shares.idle, cost.idle)
 			}
-			if shares.settled > c.settled || shares.oscillations > c.swings || shares.idle > c.idle {
+			if shares.settled > c.settled || shares.oscillations > 6 || shares.idle > c.idle {
 				t.Errorf("%s, %d routers, view of %v: %+v", c.name, routers, c.age, shares)
 			}
 		}
