--- a/standin/hosting/engine.go
+++ b/standin/hosting/engine.go
@@ -48,6 +48,7 @@
 	failureForRun    func(run int) Failure
 	crashingPart     string
 	namedLimit       string
+	namedLoad        string
 	leaving          bool
 	// retryAfter returns the Retry-After time with which the engine refuses a request,
 	// or "" if it takes the request.
@@ -137,6 +138,14 @@
 
 const defaultCrashDowntime = 1500 * time.Millisecond
 
+// NameLoad makes the engine report its running and waiting requests and its slots in its
+// answers, separated by commas. An empty one is not reported.
+func (e *Engine) NameLoad(load string) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.namedLoad = load
+}
+
 // NameLimit makes the engine name a number of requests per second in its answers. An
 // empty string ends that.
 func (e *Engine) NameLimit(limit string) {
@@ -191,6 +200,9 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	h.Set("Kumquatsill-Response-Signature", SignatureOf(e.ID))
+	if e.namedLoad != "" {
+		h.Set("Kumquatsill-Server-Load", e.namedLoad)
+	}
 	if e.namedLimit != "" {
 		h.Set("Kumquatsill-Server-Limit", e.namedLimit)
 	}
