--- a/core/locality/decide.go
+++ b/core/locality/decide.go
@@ -114,16 +114,20 @@
 
 // View is what is known of a service in one failure domain.
 type View struct {
-	Domain        proto.Domain `json:"domain"`
-	Slots         int          `json:"slots"`
-	Usable        int          `json:"usable_slots"`
-	Load          float64      `json:"load"`
-	Known         bool         `json:"known"`
-	AgeMillis     int64        `json:"age_ms"`
-	Share         float64      `json:"share"`
-	LateShare     float64      `json:"late_share"`
-	IsOwn         bool         `json:"own"`
-	ObservedNever bool         `json:"never_observed"`
+	Domain proto.Domain `json:"domain"`
+	// Slots is the capacity of the listed endpoints, Usable that of those that respond.
+	Slots  int `json:"slots"`
+	Usable int `json:"usable_slots"`
+	// Load is valid if Known is set. AgeMillis is its age, -1 if it was never observed.
+	Load      float64 `json:"load"`
+	Known     bool    `json:"known"`
+	AgeMillis int64   `json:"age_ms"`
+	// Share is the share of the own arrivals that leaves for this domain.
+	Share float64 `json:"share"`
+	// LateShare is the share of the own arrivals that the own domain is not expected to
+	// serve in time; it is set for that domain.
+	LateShare float64 `json:"late_share"`
+	IsOwn     bool    `json:"own"`
 }
 
 // Views returns what is known of a service, by domain. It changes nothing.
@@ -134,7 +138,7 @@
 	}
 	var views []View
 	for id, d := range s.domains {
-		v := View{Domain: id, Slots: d.slots, Usable: d.usable, Load: d.load, Known: d.isKnown(now), Share: d.share, IsOwn: id == c.own, ObservedNever: d.observedAt == 0}
+		v := View{Domain: id, Slots: d.slots, Usable: d.usable, Load: d.load, Known: d.isKnown(now), Share: d.share, IsOwn: id == c.own, AgeMillis: -1}
 		if d.observedAt != 0 {
 			v.AgeMillis = now.Sub(d.observedAt).Milliseconds()
 		}
