core/locality: expected times alone do not make work leave

Expected times to the first byte may be wrong, for example where endpoints read prompts faster than assumed, and no domain may meet a target. Such arrivals counted as late and made work leave a domain with free slots. Further attempts are not counted: endpoints that were tried are missing from their choice.

--- a/app/cmd/kumquatsill/explain.go
+++ b/app/cmd/kumquatsill/explain.go
@@ -132,7 +132,7 @@
 
 // choiceFlags describe a request whose choice of an endpoint is to be explained.
 type choiceFlags struct {
-	Front   string   `long:"front" env:"KUMQUATSILL_FRONT" value-name:"IP:PORT" description:"readiness or metrics listener of a 'kumquatsill front' that tells where a request would go"`
+	Front   string   `long:"front" value-name:"IP:PORT" description:"readiness or metrics listener of a 'kumquatsill front' that tells where a request would go"`
 	Request string   `long:"request" value-name:"FILE" description:"file with the request as of HTTP/1.1, or - for standard input"`
 	Host    string   `long:"host" description:"host of the request"`
 	Method  string   `long:"method" description:"method of the request; POST unless --request gives one"`
--- a/core/locality/locality.go
+++ b/core/locality/locality.go
@@ -102,7 +102,7 @@
 	mode    Mode
 	domains map[proto.Domain]*domain
 	// arrivals and late count the own arrivals since the last update, and those of them
-	// that no endpoint of the own domain is expected to serve in time.
+	// that no endpoint of the own domain is expected to serve in time, but another one is.
 	arrivals, late float64
 	lateShare      float64
 	// bytes and rank are the averages of the own arrivals.
@@ -177,16 +177,16 @@
 	Service string
 	Bytes   int64
 	Rank    int
-	// Expected is the least expected time to first byte in the own domain, Target the
-	// longest that is in time; 0 means that there is no target.
-	Expected, Target time.Duration
+	// Expected is the least expected time to first byte in the own domain, Elsewhere that
+	// in others, Target the longest that is in time; 0 means that there is no target.
+	Expected, Elsewhere, Target time.Duration
 }
 
 // ObserveArrival records an arrival.
 func (c *Controller) ObserveArrival(a Arrival) {
 	s := c.service(a.Service)
 	s.arrivals++
-	if a.Target > 0 && a.Expected > a.Target {
+	if a.Target > 0 && a.Expected > a.Target && a.Elsewhere <= a.Target {
 		s.late++
 	}
 	if s.bytes == 0 {
@@ -314,7 +314,11 @@
 // share shows, as a queue that already gets shorter needs no larger share.
 func (s *service) deviation(now proto.Instant, own *domain) float64 {
 	load := max(0, own.load+own.trend*own.delay(now).Seconds())
-	if over := max(load-highLoad, s.lateShare-lateTolerance); over > 0 {
+	over := load - highLoad
+	if own.load >= calmLoad { // below, expected times may be wrong, but capacity is not short
+		over = max(over, s.lateShare-lateTolerance)
+	}
+	if over > 0 {
 		return min(over, maxError)
 	}
 	if load < lowLoad && own.load < highLoad {
--- a/core/place/domains.go
+++ b/core/place/domains.go
@@ -16,9 +16,9 @@
 	constant time.Duration
 	// decision is nil if the constant cost applies.
 	decision *locality.Decision
-	// ownExpected is the least expected time to first byte of the candidates in the own
-	// domain so far, including the cost of their failures.
-	ownExpected time.Duration
+	// ownExpected and otherExpected are the least expected times to first byte of the
+	// candidates so far in the own domain and in others, with the cost of their failures.
+	ownExpected, otherExpected time.Duration
 }
 
 // newDomains returns the controller of the cost of leaving the domain, or nil.
@@ -33,7 +33,7 @@
 func (p *Placer) domainCost(now proto.Instant, q *Query, rng *rand.Rand) domainCost {
 	d := domainCost{
 		constant:    time.Duration(float64(p.cfg.Costs.CrossDomainKilobyte) * float64(q.Bytes) / 1024),
-		ownExpected: math.MaxInt64,
+		ownExpected: math.MaxInt64, otherExpected: math.MaxInt64,
 	}
 	if p.domains != nil {
 		d.decision = p.domains.Decide(now, locality.Request{Service: q.Service, Bytes: q.Bytes, Rank: q.Rank}, rng.Float64)
@@ -48,20 +48,22 @@
 		s.ownExpected = min(s.ownExpected, expected)
 		return 0
 	}
+	s.otherExpected = min(s.otherExpected, expected)
 	if s.decision == nil {
 		return s.constant
 	}
 	return s.decision.Cost(e.Domain, s.constant)
 }
 
-// observeArrival tells the controller what the own domain can do for the query of a scorer;
-// mu must be held.
+// observeArrival tells the controller what the own domain can do for the query of a scorer,
+// unless that is for a further attempt; mu must be held.
 func (p *Placer) observeArrival(s *scorer) {
-	if p.domains != nil {
-		p.domains.ObserveArrival(locality.Arrival{
-			Service: s.q.Service, Bytes: s.q.Bytes, Rank: s.q.Rank, Expected: s.ownExpected, Target: s.q.Target,
-		})
+	if p.domains == nil || len(s.q.Exclude)+len(s.q.Only) > 0 {
+		return
 	}
+	p.domains.ObserveArrival(locality.Arrival{
+		Service: s.q.Service, Bytes: s.q.Bytes, Rank: s.q.Rank, Expected: s.ownExpected, Elsewhere: s.otherExpected, Target: s.q.Target,
+	})
 }
 
 // observeDelay records by how much later than expected a first byte has arrived; mu must be
