--- a/app/front/front.go
+++ b/app/front/front.go
@@ -75,6 +75,9 @@
 	// ProcessMemory is the memory limit that the process sees, or 0. It applies if the
 	// settings have none.
 	ProcessMemory int64
+	// AdaptDomainCost is set if the cost of sending work to other failure domains is to
+	// depend on the loads of these and of the own one.
+	AdaptDomainCost bool
 	// LogDropped returns the number of log lines dropped so far.
 	LogDropped func() int64
 }
@@ -186,7 +189,7 @@
 		ownDelay:         pace.OwnDelay{Interval: delayTick},
 		memory:           newCallerMemory(cfg.Log),
 		quota:            quota.New(now, id, incarnation),
-		placer:           place.New(place.Config{Domain: cfg.Settings.Domain, Costs: place.DefaultCosts(), Seed: uint64(incarnation), States: states}),
+		placer:           place.New(place.Config{Domain: cfg.Settings.Domain, Costs: place.DefaultCosts(), Seed: uint64(incarnation), States: states, AdaptDomainCost: cfg.AdaptDomainCost}),
 		endpointStates:   states,
 		admission:        admission.New(),
 		crashes:          crash.NewRegister(),
@@ -270,6 +273,7 @@
 	router := bunrouter.New()
 	router.GET("/metrics", f.handleMetrics)
 	router.GET("/rollouts", f.handleRollouts)
+	router.POST(ExplainPath, newExplainer(f).handle)
 	router.GET("/*path", f.handleReadiness)
 	f.readinessServer = &http.Server{
 		Handler:           router,
@@ -388,6 +392,7 @@
 	known := f.knownAddrs()
 	f.mu.Unlock()
 	f.configureRetryBudgets(now)
+	f.updateDomains(now)
 	f.crashes.Expire(now)
 	f.reportCrashChanges()
 	f.client.CloseIdle(func(addr string) bool { return known[addr] })
--- a/app/front/returning.go
+++ b/app/front/returning.go
@@ -23,7 +23,9 @@
 	longest, known := f.patience.Longest(x.arrived, key)
 	x.returning = known && longest-x.info.Remaining >= minWaited
 	q.Returning = x.returning
-	f.patience.Record(x.arrived, key, x.info.Remaining)
+	if x.preview == nil {
+		f.patience.Record(x.arrived, key, x.info.Remaining)
+	}
 	return q
 }
 
--- a/app/front/rollouts.go
+++ b/app/front/rollouts.go
@@ -199,20 +199,25 @@
 // chooseEndpoint chooses the endpoint of the next attempt among those of the releases that it
 // may be sent to. The permit is nil without rollouts.
 func (x *request) chooseEndpoint(now proto.Instant, q *place.Query) (*canary.Permit, place.Choice, bool) {
-	f := x.front
-	if !f.hasRollouts() {
-		choice, ok := f.placer.Choose(now, q)
+	return x.chooseWith(now, q, x.front.rollouts.Admit, x.front.placer.Choose)
+}
+
+// chooseWith is chooseEndpoint with the functions that give the permit and choose.
+func (x *request) chooseWith(now proto.Instant, q *place.Query, admit func(proto.Instant, canary.Query) *canary.Permit,
+	choose func(proto.Instant, *place.Query) (place.Choice, bool)) (*canary.Permit, place.Choice, bool) {
+	if !x.front.hasRollouts() {
+		choice, ok := choose(now, q)
 		return nil, choice, ok
 	}
-	permit := f.rollouts.Admit(now, canary.Query{
+	permit := admit(now, canary.Query{
 		Service: x.service, Route: x.route.Name, IsFirst: x.relay.Sends() == 0, IsPinned: len(q.Only) > 0,
 	})
 	if permit.IsRestricted() {
 		q.Allows = permit.Allows
 	}
-	choice, ok := f.placer.Choose(now, q)
+	choice, ok := choose(now, q)
 	if (!ok || x.isOverloaded(q, choice)) && permit.FallBack() {
-		choice, ok = f.placer.Choose(now, q)
+		choice, ok = choose(now, q)
 	}
 	return permit, choice, ok
 }
--- a/core/canary/admit.go
+++ b/core/canary/admit.go
@@ -1,6 +1,8 @@
 package canary
 
 import (
+	"math/rand/v2"
+
 	"github.com/kumquatsill/kumquatsill/core/discovery"
 	"github.com/kumquatsill/kumquatsill/core/proto"
 )
@@ -45,13 +47,34 @@
 func (t *Table) Admit(now proto.Instant, q Query) *Permit {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	p := &Permit{table: t, query: q}
 	if !t.bounds.Enabled() {
-		p.settled = true
-		return p
+		return &Permit{table: t, query: q, settled: true}
+	}
+	return t.admit(now, q, t.service(q.Service), t.rng)
+}
+
+// Preview returns the permit that Admit would return, but reserves nothing, and Start has no
+// effect on it. It changes nothing: the next Admit draws the same random numbers.
+func (t *Table) Preview(now proto.Instant, q Query) *Permit {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if !t.bounds.Enabled() {
+		return &Permit{table: t, query: q, settled: true}
 	}
-	s := t.service(q.Service)
-	p.service, p.rollout, p.established = s, s.rollout, s.established
+	s := t.services[q.Service]
+	if s == nil {
+		s = newService(q.Service)
+	}
+	source := *t.source
+	p := t.admit(now, q, s, rand.New(&source))
+	p.release()
+	p.settled = true
+	return p
+}
+
+// admit is Admit for a service; mu must be held.
+func (t *Table) admit(now proto.Instant, q Query, s *service, rng *rand.Rand) *Permit {
+	p := &Permit{table: t, query: q, service: s, rollout: s.rollout, established: s.established}
 	r := s.rollout
 	if r == nil || r.final != "" {
 		if s.known && !s.isSingle() {
@@ -65,13 +88,13 @@
 	}
 	p.to = r.order.To
 	if t.statusRead {
-		t.admitNew(now, p)
+		t.admitNew(now, p, rng)
 	}
 	return p
 }
 
 // admitNew lets an attempt go to the new release if the phase and the bound allow it.
-func (t *Table) admitNew(now proto.Instant, p *Permit) {
+func (t *Table) admitNew(now proto.Instant, p *Permit, rng *rand.Rand) {
 	r, q := p.rollout, p.query
 	switch phase := r.currentPhase(now); {
 	case phase == Stopped || !t.inContact:
@@ -82,10 +105,10 @@
 	case len(r.sampled) == 0 || !r.mayAdd(q.IsFirst):
 	case q.IsPinned:
 		p.reserve(both)
-	case !q.IsFirst || !r.wants(now, q.Route, t.rng.Float64()):
+	case !q.IsFirst || !r.wants(now, q.Route, rng.Float64()):
 	case phase == Sampling:
 		p.reserve(newOnly)
-		p.target = r.sampled[t.rng.IntN(len(r.sampled))]
+		p.target = r.sampled[rng.IntN(len(r.sampled))]
 	default:
 		p.reserve(newOnly)
 	}
@@ -97,6 +120,29 @@
 	p.rollout.ledger.sent++
 }
 
+// modeNames holds the names of the modes, for operators.
+var modeNames = [...]string{anyRelease: "any", oldOnly: "established", newOnly: "new", both: "both"}
+
+// PermitView is what a permit allows, for operators.
+type PermitView struct {
+	Established string `json:"established"`
+	// To is the release that a rollout moves to, or "".
+	To string `json:"to"`
+	// Allowed is "any", "established", "new" or "both". Sampled is the only endpoint of the
+	// new release that is allowed, or "".
+	Allowed string           `json:"allowed"`
+	Sampled proto.EndpointID `json:"sampled"`
+}
+
+// View returns what the permit allows.
+func (p *Permit) View() PermitView {
+	v := PermitView{Established: p.established, To: p.to, Allowed: modeNames[p.mode]}
+	if p.mode == newOnly {
+		v.Sampled = p.target
+	}
+	return v
+}
+
 // IsRestricted reports whether the permit excludes any endpoint.
 func (p *Permit) IsRestricted() bool { return p.mode != anyRelease }
 
--- a/core/place/choose.go
+++ b/core/place/choose.go
@@ -65,8 +65,15 @@
 func (p *Placer) Choose(now proto.Instant, q *Query) (Choice, bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	s := newScorer(p, now, q, p.rng)
+	choice, ok := p.choose(now, q, s)
+	p.observeArrival(s)
+	return choice, ok
+}
+
+// choose is Choose with a scorer. It changes nothing but the scorer; mu must be held.
+func (p *Placer) choose(now proto.Instant, q *Query, s *scorer) (Choice, bool) {
 	best, lastResort, excluded := newCheapest(), newCheapest(), Exclusions{}
-	s := newScorer(p, now, q)
 	oldestUsable := p.oldestUsable(now, q.Model)
 	var c Choice
 	for _, candidate := range p.candidates(q.Service) {
@@ -74,14 +81,17 @@
 		permission := p.permission(now, e)
 		if reason := exclusionOf(e, permission, q); reason != notExcluded {
 			excluded.add(reason, permission.Wait)
+			s.trace.excluded(e, reason, permission.Wait)
 			continue
 		}
 		if l.isLoading(now) || l.versionOf(q.Model) < oldestUsable {
 			excluded.add(excludedVersion, 0)
+			s.trace.excluded(e, excludedVersion, 0)
 			continue
 		}
 		if s.cannotFit(l) {
 			excluded.add(excludedMemory, 0)
+			s.trace.excluded(e, excludedMemory, 0)
 			continue
 		}
 		cost := s.score(&c, e, l)
@@ -90,11 +100,14 @@
 		}
 		if s.retiresBeforeStart(&c) {
 			excluded.add(excludedVersion, 0)
+			s.trace.excluded(e, excludedVersion, 0)
 			continue
 		}
 		// Without jitter, routers with the same knowledge would all choose the
 		// same engine at once.
-		cost += jitter * float64(c.ExpectedTTFB) * p.rng.Float64()
+		random := jitter * float64(c.ExpectedTTFB) * s.rng.Float64()
+		cost += random
+		s.trace.offered(&c, l, cost, random, &permission)
 		if permission.LastResort {
 			excluded.add(excludedLeaving, 0)
 			lastResort.offer(&c, cost)
