--- a/app/front/admission.go
+++ b/app/front/admission.go
@@ -26,10 +26,7 @@
 // urgent ones are not served in time.
 func (x *request) admitRank() bool {
 	f, now := x.front, driver.Now()
-	q := admission.Request{
-		Service: x.service, Rank: x.priority(), Account: x.accountID(), Route: x.route.Name, Tokens: x.info.Tokens(),
-		Remaining: x.deadline.Sub(now), Returning: x.returning,
-	}
+	q := x.rankRequest(now)
 	d := f.admission.Admit(now, q, func() place.ServiceLoad { return f.placer.ServiceLoad(now, x.service) })
 	if d.OK {
 		return true
@@ -41,6 +38,14 @@
 	return x.reject(http.StatusServiceUnavailable, "less_urgent", d.RetryAfter)
 }
 
+// rankRequest describes the request to the admission by rank.
+func (x *request) rankRequest(now proto.Instant) admission.Request {
+	return admission.Request{
+		Service: x.service, Rank: x.priority(), Account: x.accountID(), Route: x.route.Name, Tokens: x.info.Tokens(),
+		Remaining: x.deadline.Sub(now), Returning: x.returning,
+	}
+}
+
 // recordAdmissionOutcome records how an admitted request ended. What has nothing to do with
 // the load of the endpoints is left out.
 func (x *request) recordAdmissionOutcome(now proto.Instant, decision relay.Decision) {
--- a/app/front/body.go
+++ b/app/front/body.go
@@ -73,11 +73,16 @@
 	last [1]byte
 }
 
-func (x *request) readBody() bool {
-	limit := x.config.MaxBody
-	if limit <= 0 {
-		limit = defaultMaxBody
+// bodyLimit returns the limit of the size of a body.
+func (x *request) bodyLimit() int64 {
+	if x.config.MaxBody <= 0 {
+		return defaultMaxBody
 	}
+	return x.config.MaxBody
+}
+
+func (x *request) readBody() bool {
+	limit := x.bodyLimit()
 	if x.r.ContentLength > limit {
 		return x.refuseBody(http.StatusRequestEntityTooLarge, reasonTooLarge, 0)
 	}
--- a/app/front/peers.go
+++ b/app/front/peers.go
@@ -3,9 +3,7 @@
 import (
 	"context"
 	"encoding/json"
-	"errors"
 	"maps"
-	"net"
 	"net/netip"
 	"slices"
 	"time"
@@ -112,14 +110,11 @@
 		f.log.Warn("router registration ignored", "router", string(id), "addr", addr, "error", err.Error())
 		return
 	}
-	if old := f.peers[id]; old != nil {
-		if old.addr == ap {
-			return
-		}
-		f.metrics.domainBytes.removePeer(old.addr)
+	if old := f.peers[id]; old != nil && old.addr == ap {
+		return
 	}
+	f.metrics.domainBytes.setPeer(f.peers[id], ap, domain)
 	f.peers[id] = &peerState{addr: ap, domain: domain}
-	f.metrics.domainBytes.setPeer(ap, domain)
 	f.quota.AddMember(now, id)
 	f.facts.Add(id)
 	f.log.Info("router added", "router", string(id), "addr", addr)
@@ -128,7 +123,7 @@
 // removePeer removes a router; mu must be held.
 func (f *Front) removePeer(id proto.RouterID) {
 	if p := f.peers[id]; p != nil {
-		f.metrics.domainBytes.removePeer(p.addr)
+		f.metrics.domainBytes.removePeer(p)
 		delete(f.peers, id)
 		f.facts.Remove(id)
 		f.log.Info("router left", "router", string(id))
@@ -205,9 +200,11 @@
 	m.Attempts = f.placer.TakeAttemptNotices()
 	m.Seen = f.placer.TakeSeen(now)
 	m.Confirmed = f.takeConfirmations(near)
+	m.Domains = f.domainSummaries(now, n, near)
 	f.send(m, f.peersAt(near))
 	m.Seen = nil
 	if n%farPeriod == 0 || full {
+		m.Domains = f.domainSummaries(now, n, far)
 		m.Confirmed = f.takeConfirmations(far)
 		m.Counts = f.quota.Counts(now, sent.far, full, complete)
 		m.Attempts = firstPrefills(m.Attempts)
@@ -381,114 +378,6 @@
 	return reportedVersions
 }
 
-// receivePeerMessages receives and handles the messages of other routers.
-func (f *Front) receivePeerMessages(ctx context.Context) error {
-	buffer := make([]byte, peer.MaxBytes+1)
-	greeter := greeter{front: f, greetedAt: map[netip.AddrPort]proto.Instant{}}
-	for ctx.Err() == nil {
-		n, sender, err := f.peerConn.ReadFromUDPAddrPort(buffer)
-		if errors.Is(err, net.ErrClosed) {
-			return nil
-		}
-		if err != nil {
-			f.log.Warn("peer messages not received", "error", err.Error())
-			sleep(ctx, minBackoff)
-			continue
-		}
-		data, forward := peer.Unmark(buffer[:n])
-		m, err := peer.Decode(data)
-		if err != nil {
-			f.metrics.peerBadMessages.Inc()
-			continue
-		}
-		if forward {
-			f.sendDatagram(data, f.domainPeers())
-		}
-		now := driver.Now()
-		if known := f.handlePeerMessage(now, m); !known {
-			greeter.greet(now, sender)
-		}
-	}
-	return nil
-}
-
-// handlePeerMessage applies a message and reports whether its sender is known.
-func (f *Front) handlePeerMessage(now proto.Instant, m peer.Message) (known bool) {
-	id := m.Counts.Router
-	if id == proto.RouterID(f.cfg.Settings.Host) {
-		return true
-	}
-	f.mu.Lock()
-	if m.Leaving {
-		f.removePeer(id)
-		f.mu.Unlock()
-		return true
-	}
-	if m.Addr != "" {
-		f.addPeer(now, id, m.Addr, m.Domain)
-	}
-	f.addIntroduced(now, m.Routers)
-	sentAt := now
-	p := f.peers[id]
-	if p != nil {
-		if p.incarnation != m.Counts.Incarnation {
-			p.clock = peer.Clock{}
-			if f.isNear(p) {
-				defer f.introduce(p.addr)
-			}
-		}
-		sentAt = p.clock.Convert(now, m.SentAt)
-		if p.silent {
-			f.log.Info("router no longer silent", "router", string(id))
-		}
-		if p.lastHeardAt == 0 || p.silent || p.incarnation != m.Counts.Incarnation {
-			f.fullUntil.Store(int64(now.Add(fullMessageTime)))
-		}
-		p.lastHeardAt, p.silent, p.incarnation = now, false, m.Counts.Incarnation
-	}
-	f.readFacts(now, sentAt, m)
-	for _, r := range m.VersionLoaded {
-		f.planner.VersionLoaded(now, r.Endpoint, r.Model, r.Version)
-	}
-	if d := m.LeaseDisclaimer; d != nil && f.lease.HandleDisclaimer(now, string(id), *d) {
-		f.log.Info("lease disclaimed", "router", string(id), "nonce", d.Nonce, "acted", d.HasActed, "acted_ms_ago", d.SinceActedMillis)
-	}
-	f.mu.Unlock()
-	f.quota.Merge(now, m.Counts)
-	f.mergeRollouts(now, id, m.Counts.Incarnation, m.Releases)
-	if m.Facts != nil {
-		f.reportCrashChanges()
-	}
-	f.mergeEndpointStates(now, m.Notices())
-	f.handleIncidents(now, sentAt, id, m.Incidents)
-	f.admission.HandleReports(now, sentAt, id, m.Outcomes)
-	for _, l := range m.Loads {
-		f.placer.SetLoading(l.Endpoint, now.Add(time.Duration(l.RemainingMillis)*time.Millisecond))
-	}
-	for _, r := range m.VersionLoaded {
-		f.placer.ObserveVersion(r.Endpoint, r.Model, r.Version)
-	}
-	for _, id := range m.Silent {
-		f.placer.HandleSilent(now, id)
-	}
-	for _, t := range m.Attempts {
-		f.placer.HandleAttemptNotice(now, t)
-	}
-	for _, s := range m.Seen {
-		f.placer.HandleSeen(now, s)
-	}
-	if m.StorePage != nil {
-		f.handleStorePage(now, m.StorePage)
-	}
-	if c := m.CacheEvents; c != nil {
-		f.placer.Events(now, c.Endpoint, c.Started, c.Restarted, c.Events)
-	}
-	for _, v := range m.AnnouncedVersions {
-		f.placer.HandlePeerVersion(v.Model, v.Version, now.Add(-v.Age()))
-	}
-	return p != nil
-}
-
 // announceLeaving tells the peers that this router leaves.
 func (f *Front) announceLeaving() {
 	m := f.emptyMessage()
--- a/core/admission/admission.go
+++ b/core/admission/admission.go
@@ -10,6 +10,7 @@
 package admission
 
 import (
+	"maps"
 	"sync"
 	"time"
 
@@ -121,7 +122,23 @@
 func (c *Controller) Admit(now proto.Instant, q Request, load func() place.ServiceLoad) Decision {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	r := c.rank(now, q.Service, q.Rank)
+	return c.rank(now, q.Service, q.Rank).admit(now, q, load)
+}
+
+// Preview returns what Admit would return. It changes nothing.
+func (c *Controller) Preview(now proto.Instant, q Request, load func() place.ServiceLoad) Decision {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	s := c.services[q.Service]
+	if s == nil || s.ranks[q.Rank] == nil {
+		return Decision{OK: true, Fraction: 1}
+	}
+	r := *s.ranks[q.Rank]
+	r.credits = maps.Clone(r.credits)
+	return r.admit(now, q, load)
+}
+
+func (r *rank) admit(now proto.Instant, q Request, load func() place.ServiceLoad) Decision {
 	r.outcomes.advance(now)
 	r.outcomes.arrivals += 1 / averagingTime.Seconds()
 	r.lastSeenAt = now
--- a/core/canary/rollout.go
+++ b/core/canary/rollout.go
@@ -153,8 +153,11 @@
 	if isLoaded && random >= r.sampledShare {
 		return false
 	}
-	m := r.merged[route]
-	return m == nil || max(m.Sent, r.own.route(route).Sent) < routeTarget || random < r.share(now)
+	m, sent := r.merged[route], int64(0)
+	if own := r.own[route]; own != nil {
+		sent = own.Sent
+	}
+	return m == nil || max(m.Sent, sent) < routeTarget || random < r.share(now)
 }
 
 // refresh recomputes the merged evidence and its test if there are new counts.
--- a/core/canary/table.go
+++ b/core/canary/table.go
@@ -15,10 +15,12 @@
 // Table holds one router's view of the releases and rollouts of all services. It is safe for
 // concurrent use.
 type Table struct {
-	mu       sync.Mutex
-	self     proto.RouterID
-	life     int64
+	mu   sync.Mutex
+	self proto.RouterID
+	life int64
+	// rng draws from source, of which Preview uses a copy.
 	rng      *rand.Rand
+	source   *rand.PCG
 	bounds   Bounds
 	services map[string]*service
 	// statusRead is set once the stored statuses were listed.
@@ -31,7 +33,8 @@
 // NewTable returns the table of a router that knows nothing yet. Life distinguishes the
 // starts of the router.
 func NewTable(self proto.RouterID, life int64) *Table {
-	return &Table{self: self, life: life, rng: rand.New(rand.NewPCG(uint64(life), 2)), services: map[string]*service{}}
+	source := rand.NewPCG(uint64(life), 2)
+	return &Table{self: self, life: life, rng: rand.New(source), source: source, services: map[string]*service{}}
 }
 
 // SetBounds sets the bounds in force.
--- a/core/place/attempt.go
+++ b/core/place/attempt.go
@@ -63,6 +63,7 @@
 		late = p.observeTransferLag(now, &a.choice, late)
 		l.updateLag(now, late)
 		a.observeFirst(now, late)
+		p.observeDelay(now, a, late)
 		a.markFirstByte(l)
 	}
 }
@@ -139,6 +140,7 @@
 	defer p.mu.Unlock()
 	if a.load != nil {
 		a.load.observeLoad(now, r)
+		p.observeDomainLoad(now, a.choice.Endpoint, r)
 	}
 }
 
--- a/core/place/score.go
+++ b/core/place/score.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"encoding/binary"
+	"math/rand/v2"
 	"slices"
 	"time"
 
@@ -33,6 +34,10 @@
 	service     *pacedService
 	// output is the expected length of the output in tokens, 0 if unknown.
 	output int64
+	domainCost
+	rng *rand.Rand
+	// trace records the assessments, or is nil.
+	trace *trace
 }
 
 // versionedPrompt is the prompt as cached under one version of the model.
@@ -60,8 +65,11 @@
 	lag time.Duration
 }
 
-func newScorer(p *Placer, now proto.Instant, q *Query) *scorer {
-	s := &scorer{placer: p, now: now, q: q, prompts: map[int64]*versionedPrompt{}, service: p.pacedServiceOf(q.Service)}
+func newScorer(p *Placer, now proto.Instant, q *Query, rng *rand.Rand) *scorer {
+	s := &scorer{
+		placer: p, now: now, q: q, prompts: map[int64]*versionedPrompt{}, service: p.pacedServiceOf(q.Service),
+		domainCost: p.domainCost(now, q, rng), rng: rng,
+	}
 	if p.config != nil && q.Model != "" {
 		s.links = p.linksFor(now, q.Service)
 	}
@@ -155,22 +163,27 @@
 // score sets the choice of an endpoint and returns its cost.
 func (s *scorer) score(c *Choice, e *discovery.Endpoint, l *load) float64 {
 	*c = Choice{Endpoint: e}
-	costs := s.placer.cfg.Costs
-	penalty := time.Duration(0)
 	v := s.viewOf(l)
 	c.Lag, c.tokenTime, c.slowdown = l.currentLag(s.now), v.tokenTime, v.slowdown
 	c.ExpectedTTFB = s.wait(l, &v) + c.Lag
+	var p penalties
 	if s.q.Model != "" {
 		c.Version = l.versionOf(s.q.Model)
 		took, promptPenalty := s.promptCost(c, l, &v)
 		c.ExpectedTTFB += took
-		penalty += promptPenalty + s.oldVersionPenalty(c.Version)
-	}
-	if e.Domain != s.placer.cfg.Domain {
-		penalty += time.Duration(float64(costs.CrossDomainKilobyte) * float64(s.q.Bytes) / 1024)
+		p.prompt, p.oldVersion = promptPenalty, s.oldVersionPenalty(c.Version)
 	}
-	penalty += s.healthPenalty(l) + s.latenessCost(c, l, &v) + s.memoryCost(c, l)
-	return float64(c.ExpectedTTFB+penalty) - s.affinity(l)
+	p.health, p.lateness, p.memory = s.healthPenalty(l), s.latenessCost(c, l, &v), s.memoryCost(c, l)
+	p.domain = s.domainPenalty(e, c.ExpectedTTFB+p.health)
+	s.trace.scored(c, l, &v, &p)
+	return float64(c.ExpectedTTFB+p.total()) - s.affinity(l)
+}
+
+// penalties are the costs of an endpoint in addition to the expected time.
+type penalties struct{ prompt, oldVersion, domain, health, lateness, memory time.Duration }
+
+func (p *penalties) total() time.Duration {
+	return p.prompt + p.oldVersion + p.domain + p.health + p.lateness + p.memory
 }
 
 // wait returns the time until an endpoint begins a new request.
--- a/core/quota/schedule.go
+++ b/core/quota/schedule.go
@@ -191,6 +191,11 @@
 func (t *Tracker) Admit(now proto.Instant, id proto.AccountID, r Request) Decision {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	return t.admit(now, id, r)
+}
+
+// admit is Admit; the caller must hold mu.
+func (t *Tracker) admit(now proto.Instant, id proto.AccountID, r Request) Decision {
 	exchanging, all := t.exchanging(now)
 	share := float64(exchanging) / float64(all)
 	b := t.buckets[id]
