front: routes rank the requests of equal accounts where callers compete for capacity

With the contract `pressure` in the settings, the route's priority now orders requests within one account priority.

--- a/app/front/serve.go
+++ b/app/front/serve.go
@@ -356,12 +356,21 @@
 	return fmt.Sprintf("%s.%d.%s", x.info.Model, version, x.front.config.Load().CacheNamespace(x.account))
 }
 
-// priority returns the priority of the request; 0 is the highest.
+// routeRanks is the number of route priorities that are told apart within one account priority.
+// Endpoints know the priorities 0 to 9, so that three account priorities are told apart as well.
+const routeRanks = 3
+
+// priority returns the priority of the request; 0 is the highest. That of the account takes
+// precedence. Where the settings ask for it, routes rank the requests of equal accounts.
 func (x *request) priority() int {
+	p := x.route.Priority
 	if x.account != nil && x.account.HasPriority {
-		return x.account.Priority
+		p = x.account.Priority
+	}
+	if !x.front.settings.Load().RoutesRankAccounts {
+		return p
 	}
-	return x.route.Priority
+	return p*routeRanks + min(max(0, x.route.Priority), routeRanks-1)
 }
 
 // retryBudget returns the retry budget of a service, which it creates on first
