front: never read one engine's events twice at once

The timeout of a read was meant to end it before the next one is due, but a delayed process exceeds it, and two reads then raced on the position of the feed. An engine whose feed is being read is no longer due, and its feed is kept until the read ends.

--- a/app/front/feed.go
+++ b/app/front/feed.go
@@ -201,7 +201,10 @@
 	// known is set once a read has returned the epoch. It is also used while a read
 	// is under way.
 	known atomic.Bool
-	dueAt proto.Instant
+	// isBeingRead is set while a read is under way. The engine is not due meanwhile, as
+	// reads of one feed must not overlap.
+	isBeingRead atomic.Bool
+	dueAt       proto.Instant
 }
 
 // followEngines returns a function that reads the events of engines in turn, so
@@ -216,6 +219,7 @@
 			slots <- struct{}{}
 			f.tomb.Go(func() error {
 				defer func() { <-slots }()
+				defer feed.isBeingRead.Store(false)
 				f.readEngineFeed(ctx, e, feed)
 				return nil
 			})
@@ -223,8 +227,8 @@
 	}
 }
 
-// enginesDue returns up to n engines whose events are due to be read. It adds
-// and removes entries of feeds to match the list of engines.
+// enginesDue returns up to n engines whose events are due to be read, and marks their
+// feeds as being read. It adds and removes entries of feeds to match the list of engines.
 func (f *Front) enginesDue(now proto.Instant, feeds map[proto.EndpointID]*engineFeed, n int) []*discovery.Endpoint {
 	f.mu.Lock()
 	list, readers := f.table.Snapshot(), f.eventReaders(now)
@@ -243,13 +247,15 @@
 		if feed.known.Load() && len(readers) > 0 && peer.Reader(id, readers) != self {
 			continue
 		}
-		if now >= feed.dueAt && len(due) < n && !f.placer.IsSilent(now, id) {
+		if now >= feed.dueAt && len(due) < n && !feed.isBeingRead.Load() && !f.placer.IsSilent(now, id) {
+			feed.isBeingRead.Store(true)
 			feed.dueAt = now.Add(engineFeedInterval)
 			due = append(due, e)
 		}
 	}
-	for id := range feeds {
-		if list.ByID[id] == nil {
+	for id, feed := range feeds {
+		// An engine may be listed again before the read of its feed ends.
+		if list.ByID[id] == nil && !feed.isBeingRead.Load() {
 			delete(feeds, id)
 		}
 	}
@@ -287,8 +293,9 @@
 	}
 }
 
-// readEngineFeed reads an engine's events since the last read. Its timeout is
-// shorter than engineFeedInterval, so reads of one engine never overlap.
+// readEngineFeed reads an engine's events since the last read. Its timeout is shorter
+// than engineFeedInterval, but a delayed process may exceed it; feed.isBeingRead prevents
+// overlapping reads of one feed.
 func (f *Front) readEngineFeed(ctx context.Context, e *discovery.Endpoint, feed *engineFeed) {
 	ctx, cancel := context.WithTimeout(ctx, controlTimeout)
 	defer cancel()
