front: endpoints are told route priorities only under overload, without shared cache entries

Now the rank counts for admission and the retry budget, and endpoints are told of it while more urgent requests miss their targets, for requests that then share no cache entries.

--- a/app/front/admission.go
+++ b/app/front/admission.go
@@ -41,7 +41,7 @@
 // rankRequest describes the request to the admission by rank.
 func (x *request) rankRequest(now proto.Instant) admission.Request {
 	return admission.Request{
-		Service: x.service, Rank: x.priority(), Account: x.accountID(), Route: x.route.Name, Tokens: x.info.Tokens(),
+		Service: x.service, Rank: x.rank(), Account: x.accountID(), Route: x.route.Name, Tokens: x.info.Tokens(),
 		Remaining: x.deadline.Sub(now), Returning: x.returning,
 	}
 }
@@ -63,7 +63,7 @@
 	default:
 		outcome = admission.Late
 	}
-	x.front.admission.Record(now, x.service, x.priority(), outcome)
+	x.front.admission.Record(now, x.service, x.rank(), outcome)
 }
 
 // controlAdmission adapts what is admitted of each rank.
--- a/app/front/attempt.go
+++ b/app/front/attempt.go
@@ -240,7 +240,7 @@
 		Version: a.choice.Version, Salt: a.choice.Salt, Source: a.choice.Source, Destination: a.choice.Destination,
 	}
 	if x.route.PromptParts {
-		attrs.Priority, attrs.HasPriority = x.priority(), true
+		attrs.Priority, attrs.HasPriority = x.endpointPriority(), true
 	}
 	attrs.LastEvent, attrs.HasLastEvent = x.relay.Delivery().LastEvent()
 	req := &upstream.Request{
--- a/app/front/explain.go
+++ b/app/front/explain.go
@@ -225,7 +225,7 @@
 // explainAdmission explains the route, and what the request costs its account.
 func (x *request) explainAdmission(out *Explanation) {
 	out.Route = &ExplainedRoute{
-		Name: x.route.Name, Service: x.service, Rank: x.priority(), TargetMillis: x.route.TargetLatency.Milliseconds(),
+		Name: x.route.Name, Service: x.service, Rank: x.rank(), TargetMillis: x.route.TargetLatency.Milliseconds(),
 		LimitMillis: x.deadline.Sub(x.arrived).Milliseconds(),
 	}
 	switch {
--- a/app/front/rank_test.go
+++ b/app/front/rank_test.go
@@ -18,7 +18,7 @@
 		if hasAccount {
 			x.account = &serving.Account{Priority: account, HasPriority: true}
 		}
-		return x.priority()
+		return x.rank()
 	}
 	if a, b := rank(true, true, 1, 0), rank(true, true, 1, 2); a >= b {
 		t.Errorf("ranks %d and %d of routes of priority 0 and 2", a, b)
--- a/app/front/serve.go
+++ b/app/front/serve.go
@@ -75,6 +75,9 @@
 	// saved is a buffered response. That of a failed attempt is delivered if no
 	// other attempt succeeds and nothing was sent to the caller meanwhile.
 	saved *savedResponse
+	// isBehind is set if endpoints are told that the next attempt is less urgent than others of
+	// the same priority.
+	isBehind bool
 	// preview is set if the request is only explained.
 	preview *preview
 }
@@ -152,9 +155,9 @@
 		return false
 	}
 	retryBudget := f.retryBudget(x.service)
-	retryBudget.RecordRequest(x.arrived, x.priority())
+	retryBudget.RecordRequest(x.arrived, x.rank())
 	x.relay = relay.New(x.route, retryBudget)
-	x.relay.SetRank(x.priority())
+	x.relay.SetRank(x.rank())
 	return true
 }
 
@@ -328,7 +331,7 @@
 func (x *request) query() *place.Query {
 	q := &place.Query{
 		Service: x.service, Bytes: x.body.size + defaultResponseBytes, Exclude: x.triedEndpoints,
-		Target: x.route.TargetLatency, Rank: x.priority(),
+		Target: x.route.TargetLatency, Rank: x.rank(),
 	}
 	if q.Only = x.relay.ReturnTo(); q.Only != nil {
 		q.Exclude = nil
@@ -347,6 +350,9 @@
 	}
 	q.Bytes = x.body.size + bytesPerToken*x.info.OutputTokens
 	q.Salt = x.salt
+	if x.isBehind = x.mayWaitForUrgent(); x.isBehind {
+		q.Parts, q.Salt = []place.Part{x.wholePrompt()}, x.ownSalt
+	}
 	return q
 }
 
@@ -356,23 +362,6 @@
 	return fmt.Sprintf("%s.%d.%s", x.info.Model, version, x.front.config.Load().CacheNamespace(x.account))
 }
 
-// routeRanks is the number of route priorities that are told apart within one account priority.
-// Endpoints know the priorities 0 to 9, so that three account priorities are told apart as well.
-const routeRanks = 3
-
-// priority returns the priority of the request; 0 is the highest. That of the account takes
-// precedence. Where the settings ask for it, routes rank the requests of equal accounts.
-func (x *request) priority() int {
-	p := x.route.Priority
-	if x.account != nil && x.account.HasPriority {
-		p = x.account.Priority
-	}
-	if !x.front.settings.Load().RoutesRankAccounts {
-		return p
-	}
-	return p*routeRanks + min(max(0, x.route.Priority), routeRanks-1)
-}
-
 // retryBudget returns the retry budget of a service, which it creates on first
 // use.
 func (f *Front) retryBudget(service string) *relay.RetryBudget {
--- a/core/admission/admission.go
+++ b/core/admission/admission.go
@@ -162,6 +162,23 @@
 	}
 }
 
+// YieldsTo reports whether requests of a rank are behind more urgent ones of their service that
+// miss their targets: the rank is refused in part, or a more urgent one than it is.
+func (c *Controller) YieldsTo(service string, rank int) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	s := c.services[service]
+	if s == nil {
+		return false
+	}
+	for n, r := range s.ranks {
+		if n <= rank && r.fraction < 1 {
+			return true
+		}
+	}
+	return false
+}
+
 // Record records the outcome of a request that was admitted.
 func (c *Controller) Record(now proto.Instant, service string, rank int, o Outcome) {
 	c.mu.Lock()
