--- a/app/front/rollouts.go
+++ b/app/front/rollouts.go
@@ -65,7 +65,7 @@
 	}
 	w := &topicFollower{
 		front: f, topic: platform.TopicRouters,
-		wait:         f.operatorWait,
+		wait:         f.rolloutStatusWait,
 		apply:        forEach(f.applyRolloutStatus),
 		applyListing: f.applyRolloutStatuses,
 		done:         func(proto.Instant) {},
@@ -73,6 +73,19 @@
 	return w.run(ctx)
 }
 
+// idleStatusWait is how long a read of the statuses waits for a record while no rollout runs. Each
+// read is a call to the store: with the wait of the operator's records, 21 routers made 741 more
+// calls in half a minute.
+const idleStatusWait = 6 * time.Second
+
+// rolloutStatusWait returns how long a read of the statuses waits for a record.
+func (f *Front) rolloutStatusWait() time.Duration {
+	if f.rollouts.HasWork(driver.Now()) {
+		return f.operatorWait()
+	}
+	return idleStatusWait
+}
+
 func (f *Front) applyRolloutStatus(now proto.Instant, r platform.Record) {
 	service, ok := platform.RolloutService(r)
 	if !ok {
