--- a/core/place/linklag.go
+++ b/core/place/linklag.go
@@ -11,8 +11,9 @@
 	// linearly. A router sees about one transfer a second from each store.
 	maxLinkLagAge = 3 * time.Second
 	// minLinkLag is the lag of a first byte after a transfer from a store above which the
-	// store's link is taken to be the cause. Less is within the variation of an engine.
-	minLinkLag = 150 * time.Millisecond
+	// store's link is taken to be the cause: a full link holds transfers back for a second or
+	// two. Less also comes from the engine, and prompts would be computed again in vain.
+	minLinkLag = 500 * time.Millisecond
 	// maxIdleSourceLag is the lag of a store's link up to which an endpoint that is believed
 	// to hold all parts is given the store as the source of parts that it has evicted
 	// without the router's knowledge.
