front: what endpoints are told of a request's rank is decided once for an attempt

query() decided it, and the watch of a stalled attempt makes a query after the endpoint was chosen. It is now decided before the choice. TestLessUrgentRequestSharesNoCacheEntries failed on the code before.

--- a/app/front/attempt.go
+++ b/app/front/attempt.go
@@ -71,6 +71,7 @@
 	if decision, ok := x.relay.Resume(now); !ok {
 		return nil, decision
 	}
+	x.isBehind = x.mayWaitForUrgent()
 	q := x.query()
 	a := &attempt{request: x, sentAt: now, limit: noLimit}
 	choice := &a.choice
--- a/app/front/explain.go
+++ b/app/front/explain.go
@@ -267,6 +267,7 @@
 // explainChoice explains the choice of the endpoint.
 func (x *request) explainChoice(now proto.Instant, out *Explanation) {
 	x.relay = relay.New(x.route, nil) // the budget counts for further attempts only
+	x.isBehind = x.mayWaitForUrgent()
 	q, preview := x.query(), x.front.placer.Preview()
 	var p place.Explanation
 	permit, _ := x.chooseWith(now, q, &p.Choice, x.front.rollouts.Preview, func(now proto.Instant, q *place.Query, _ *place.Choice) bool {
--- a/app/front/rank.go
+++ b/app/front/rank.go
@@ -57,7 +57,7 @@
 			shared += p.Tokens
 		}
 	}
-	return shared <= maxUnsharedTokens && x.front.admission.YieldsTo(x.service, x.rank())
+	return len(x.info.Parts) > 0 && shared <= maxUnsharedTokens && x.front.admission.YieldsTo(x.service, x.rank())
 }
 
 // wholePrompt returns the prompt as one part that no other request shares.
--- a/app/front/serve.go
+++ b/app/front/serve.go
@@ -75,8 +75,9 @@
 	// saved is a buffered response. That of a failed attempt is delivered if no
 	// other attempt succeeds and nothing was sent to the caller meanwhile.
 	saved *savedResponse
-	// isBehind is set if endpoints are told that the next attempt is less urgent than others of
-	// the same priority.
+	// isBehind is set if endpoints are told that the present attempt is less urgent than others
+	// of the same priority. It is decided once for an attempt, before its endpoint is chosen: the
+	// salt of the choice depends on it.
 	isBehind bool
 	// preview is set if the request is only explained.
 	preview *preview
@@ -350,7 +351,7 @@
 	}
 	q.Bytes = x.body.size + bytesPerToken*x.info.OutputTokens
 	q.Salt = x.salt
-	if x.isBehind = x.mayWaitForUrgent(); x.isBehind {
+	if x.isBehind {
 		q.Parts, q.Salt = []place.Part{x.wholePrompt()}, x.ownSalt
 	}
 	return q
