--- a/review/rig2/main.go
+++ b/review/rig2/main.go
@@ -41,6 +41,9 @@
 
 var cases = map[string]func(f *fleet, trouble bool) bool{"early": runEarly, "heads": runHeads, "ids": runIDs, "crowd": runCrowd, "strangers": runStrangers}
 
+// minFiles is the number of open files that this program or a router may need in each case.
+var minFiles = map[string]uint64{"strangers": 2_500, "crowd": 2_500, "early": 2_500, "heads": 3_500, "ids": 9_000}
+
 // maxRun is the time after which a case is given up.
 const maxRun = 115 * time.Second
 
@@ -60,6 +63,11 @@
 		endAll()
 		os.Exit(2)
 	})
+	var files syscall.Rlimit
+	must(syscall.Getrlimit(syscall.RLIMIT_NOFILE, &files))
+	if files.Cur < minFiles[os.Args[1]] {
+		must(fmt.Errorf("%d files may be open, %d are needed", files.Cur, minFiles[os.Args[1]]))
+	}
 	f := newFleet(os.Args[2])
 	trouble := os.Getenv("TROUBLE") != "0"
 	f.record.line("case %s, with the disruption: %v", os.Args[1], trouble)
