--- a/review/rig2/crowd.go
+++ b/review/rig2/crowd.go
@@ -83,6 +83,7 @@
 	span, tried := longestRefusal(attempts, lastTaken)
 	f.record.line("longest time without a new connection that was taken: %.3f s, in which %d clients tried; the machine was ready all the time: %v",
 		span.Seconds(), tried, !unready.Load())
+	f.record.line("orders run, by engine: %s", f.runs)
 	return unready.Load() || span < contactTime || tried < triers
 }
 
