upstream, httpconn: an answer whose status HTTP does not define is no answer

What callers saw: an engine in trouble sends an answer with the status 000. Status 000 itself was skipped like a 1xx answer, and what followed it was taken for the answer: another answer behind its head, or within its body. Statuses of 600 and above reached callers as they were. An answer 101, which no client asked for, was skipped as well.

Cause: net/http's parser accepts any three digits, also with a sign, and app/upstream skipped everything below 200. Elsewhere: engines' reports and orders (600 counted as a refused order, 000 before an answer as answered), the load tool (000 and 600 counted as answered). The store, the form with agents and "explain" refused such statuses before, by chance, as they accept 200 alone; their tests are kept.

Change: app/httpconn checks the head of a response as its bytes arrive, below the parser, so that all that follows an invalid one is never read. app/upstream uses it for each head; httpconn.Transport uses it for the clients on net/http: the store (its transport is now handed to platform.NewLogStore, as platform only translates), the form with agents, the load tool and "explain". Statuses outside of 100 to 599 and 101 are invalid. Sound answers after 100 and 103 pass as before.

It does not count as a crash of the endpoint.

--- a/app/cmd/kumquatsill/explain.go
+++ b/app/cmd/kumquatsill/explain.go
@@ -18,6 +18,7 @@
 	"time"
 
 	"github.com/kumquatsill/kumquatsill/app/front"
+	"github.com/kumquatsill/kumquatsill/app/httpconn"
 	"github.com/kumquatsill/kumquatsill/app/operator"
 	"github.com/kumquatsill/kumquatsill/app/requestlog"
 	"github.com/kumquatsill/kumquatsill/app/settings"
@@ -241,7 +242,7 @@
 	}
 	// The description may hold a key: it goes to the router alone, not to a proxy or further.
 	client := &http.Client{
-		Transport:     &http.Transport{DisableKeepAlives: true},
+		Transport:     httpconn.NewTransport(&http.Transport{DisableKeepAlives: true}),
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 	}
 	resp, err := client.Do(req)
--- a/app/cmd/kumquatsill/explain_test.go
+++ b/app/cmd/kumquatsill/explain_test.go
@@ -10,6 +10,7 @@
 	"github.com/kumquatsill/kumquatsill/app/front"
 	"github.com/kumquatsill/kumquatsill/app/settings"
 	"github.com/kumquatsill/kumquatsill/core/canary"
+	"github.com/kumquatsill/kumquatsill/standin/rawanswer"
 )
 
 // Guards against a request that reaches the router otherwise than described, output that lacks
@@ -61,3 +62,19 @@
 	ask("", "--host", "h", "--path", "/p").want(t, settings.ExitRefused, "no readiness")
 	runCLI("", "explain", "--front", unreachableAddr, "--host", "h", "--path", "/p").want(t, settings.ExitUnreachable, unreachableAddr)
 }
+
+// Guards against an explanation that is shown though its answer is not valid.
+func TestExplainRefusesInvalidAnswers(t *testing.T) {
+	const body = `{"router":"r1","domain":"zone-a","endpoint":"i-1"}`
+	ask := func(text string) result {
+		server := httptest.NewServer(rawanswer.Text(text))
+		defer server.Close()
+		return runCLI("", "explain", "--front", strings.TrimPrefix(server.URL, "http://"), "--host", "h", "--path", "/p")
+	}
+	for _, text := range rawanswer.InvalidHeads("", body) {
+		ask(text).want(t, settings.ExitUnreachable, "invalid head")
+	}
+	for _, text := range rawanswer.Sound("", body) {
+		ask(text).want(t, settings.ExitOK, "sent to i-1")
+	}
+}
--- a/app/cmd/kumquatsill/load.go
+++ b/app/cmd/kumquatsill/load.go
@@ -4,7 +4,6 @@
 	"context"
 	"fmt"
 	"io"
-	"net/http"
 	"os"
 	"os/signal"
 	"path/filepath"
@@ -57,12 +56,14 @@
 	if err != nil {
 		return err
 	}
-	httpTransport, scheme, err := f.httpTransport()
-	if err != nil {
+	if cfg.TLS, err = transport.ClientTLS(f.TLS.Files()); err != nil {
 		return err
 	}
-	defer httpTransport.CloseIdleConnections()
-	cfg.Transport, cfg.Progress = httpTransport, f.err
+	scheme := "http"
+	if cfg.TLS != nil {
+		scheme = "https"
+	}
+	cfg.Progress = f.err
 	for _, addr := range f.Routers {
 		cfg.Routers = append(cfg.Routers, scheme+"://"+addr)
 	}
@@ -198,19 +199,6 @@
 	return keys
 }
 
-func (f *loadFlags) httpTransport() (*http.Transport, string, error) {
-	httpTransport := &http.Transport{MaxIdleConnsPerHost: http.DefaultMaxIdleConnsPerHost, DisableCompression: true}
-	if n, err := strconv.Atoi(f.Concurrency); err == nil {
-		httpTransport.MaxIdleConnsPerHost = n
-	}
-	client, err := transport.ClientTLS(f.TLS.Files())
-	if err != nil || client == nil {
-		return httpTransport, "http", err
-	}
-	httpTransport.TLSClientConfig = client
-	return httpTransport, "https", nil
-}
-
 func (f *loadFlags) writeHTML(rep load.Report) error {
 	if f.HTML == "" {
 		return nil
--- a/app/front/front.go
+++ b/app/front/front.go
@@ -184,7 +184,7 @@
 	states := endpointstate.New(endpointstate.Router{ID: id, Domain: cfg.Settings.Domain})
 	f := &Front{
 		cfg: cfg, log: cfg.Log, incarnation: incarnation,
-		store:            platform.NewLogStore(cfg.Settings.Store),
+		store:            platform.NewLogStore(cfg.Settings.Store, newStoreTransport()),
 		client:           upstream.New(),
 		ownDelay:         pace.OwnDelay{Interval: delayTick},
 		memory:           newCallerMemory(cfg.Log),
--- a/app/load/load.go
+++ b/app/load/load.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"errors"
 	"fmt"
 	"io"
@@ -14,6 +15,7 @@
 	"time"
 
 	"github.com/google/uuid"
+	"github.com/kumquatsill/kumquatsill/app/httpconn"
 	"github.com/kumquatsill/kumquatsill/core/proto"
 	"github.com/kumquatsill/kumquatsill/proof/workload"
 	"gopkg.in/tomb.v2"
@@ -51,7 +53,8 @@
 	// ExampleLimits states that the accounts have the rates and bursts of the
 	// example note, by which the report classifies refusals as wrongful.
 	ExampleLimits bool
-	Transport     http.RoundTripper
+	// TLS, if set, is used for connections to routers.
+	TLS *tls.Config
 	// Progress, if set, receives the progress line.
 	Progress io.Writer
 }
@@ -87,9 +90,10 @@
 	defer cancel()
 	r := &runner{
 		// The run id makes the idempotency keys of runs with the same seed differ.
-		cfg: cfg, id: uuid.NewString()[:8], client: &http.Client{Transport: cfg.Transport, CheckRedirect: doNotFollow},
+		cfg: cfg, id: uuid.NewString()[:8], client: &http.Client{Transport: newTransport(cfg), CheckRedirect: doNotFollow},
 		start: time.Now(), slots: make(chan struct{}, cfg.Concurrency),
 	}
+	defer r.client.CloseIdleConnections()
 	t, tombContext := tomb.WithContext(limited)
 	stop := StopCompleted
 	t.Go(func() error {
@@ -106,6 +110,12 @@
 	return r.report(stop, time.Since(r.start))
 }
 
+func newTransport(cfg Config) http.RoundTripper {
+	return httpconn.NewTransport(&http.Transport{
+		TLSClientConfig: cfg.TLS, MaxIdleConnsPerHost: cfg.Concurrency, DisableCompression: true,
+	})
+}
+
 // doNotFollow returns redirects as responses: routers send none, and the key
 // must not be sent to another server.
 func doNotFollow(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
--- a/app/load/request.go
+++ b/app/load/request.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"github.com/kumquatsill/kumquatsill/app/api"
+	"github.com/kumquatsill/kumquatsill/app/httpconn"
 	"github.com/kumquatsill/kumquatsill/core/proto"
 	"github.com/kumquatsill/kumquatsill/proof/workload"
 )
@@ -27,7 +28,7 @@
 
 // Causes that the load generator itself assigns, in addition to those of routers.
 const (
-	// CauseUnreachable means that no response arrived.
+	// CauseUnreachable means that no response arrived, or only a part of its head.
 	CauseUnreachable proto.Cause = "router-unreachable"
 	// CauseMalformedResponse means that a response does not have the documented form.
 	CauseMalformedResponse proto.Cause = "malformed-answer"
@@ -79,7 +80,7 @@
 	res.sent = time.Since(r.start)
 	response, err := r.client.Do(req.WithContext(limited))
 	if err != nil {
-		res.refuse(CauseUnreachable, errorVerdict(err))
+		res.refuse(errorCause(err), errorVerdict(err))
 	} else {
 		res.responded, res.status = true, response.StatusCode
 		r.readResponse(response, &res)
@@ -90,6 +91,15 @@
 	return res
 }
 
+// errorCause returns the cause of a request that has got no valid head of a response.
+func errorCause(err error) proto.Cause {
+	var headErr *httpconn.HeadError
+	if errors.As(err, &headErr) {
+		return CauseMalformedResponse
+	}
+	return CauseUnreachable
+}
+
 // errorVerdict returns not_run only if no connection was established.
 func errorVerdict(err error) proto.Verdict {
 	var op *net.OpError
--- a/app/transport/client.go
+++ b/app/transport/client.go
@@ -12,6 +12,7 @@
 	"sync"
 	"time"
 
+	"github.com/kumquatsill/kumquatsill/app/httpconn"
 	"github.com/kumquatsill/kumquatsill/core/proto"
 )
 
@@ -63,12 +64,12 @@
 	silence time.Duration
 	tls     *tls.Config
 	mu      sync.Mutex
-	pool    map[string]*http.Transport
+	pool    map[string]*httpconn.Transport
 }
 
 // NewClient returns a client. If tls is nil, it uses plain HTTP.
 func NewClient(tls *tls.Config) *Client {
-	return &Client{silence: SilenceTimeout, tls: tls, pool: map[string]*http.Transport{}}
+	return &Client{silence: SilenceTimeout, tls: tls, pool: map[string]*httpconn.Transport{}}
 }
 
 // Close closes all idle connections.
@@ -81,26 +82,26 @@
 }
 
 // transport returns the connection pool of an address.
-func (c *Client) transport(addr string) *http.Transport {
+func (c *Client) transport(addr string) *httpconn.Transport {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	t := c.pool[addr]
 	if t == nil {
-		t = &http.Transport{
+		t = httpconn.NewTransport(&http.Transport{
 			DialContext:         (&net.Dialer{Timeout: dialTimeout}).DialContext,
 			TLSClientConfig:     c.tls,
 			TLSHandshakeTimeout: dialTimeout,
 			MaxIdleConnsPerHost: 64,
 			IdleConnTimeout:     30 * time.Second,
 			DisableCompression:  true,
-		}
+		})
 		c.pool[addr] = t
 	}
 	return t
 }
 
 // retire removes a pool from use. Requests in flight on it continue.
-func (c *Client) retire(addr string, t *http.Transport) {
+func (c *Client) retire(addr string, t *httpconn.Transport) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.pool[addr] == t {
@@ -182,7 +183,7 @@
 
 // connError converts an error of a request: to a *ConnectionError, or to the
 // context's error if the caller ended the request.
-func (c *Client) connError(ctx context.Context, addr string, t *http.Transport, err error) error {
+func (c *Client) connError(ctx context.Context, addr string, t *httpconn.Transport, err error) error {
 	connError := &ConnectionError{Err: err}
 	cause := context.Cause(ctx)
 	if errors.Is(cause, errSilent) {
--- a/app/upstream/client.go
+++ b/app/upstream/client.go
@@ -16,6 +16,7 @@
 	"syscall"
 	"time"
 
+	"github.com/kumquatsill/kumquatsill/app/httpconn"
 	"github.com/kumquatsill/kumquatsill/core/proto"
 	"github.com/zeebo/errs"
 )
@@ -184,8 +185,12 @@
 
 // readOneHead reads the head of the next response, of at most maxHeadBytes.
 func (cn *conn) readOneHead(method string) (*http.Response, error) {
-	cn.headLeft, cn.inHead = maxHeadBytes, true
+	cn.head, cn.headLeft, cn.inHead = httpconn.Head{}, maxHeadBytes, true
 	defer func() { cn.inHead = false }()
+	received, _ := cn.reader.Peek(cn.reader.Buffered()) // cannot fail: all of it is buffered
+	if _, err := cn.checkHead(received); err != nil {
+		return nil, err
+	}
 	if _, err := cn.reader.Peek(1); err != nil {
 		return nil, err
 	}
--- a/app/upstream/pool.go
+++ b/app/upstream/pool.go
@@ -9,6 +9,7 @@
 	"syscall"
 	"time"
 
+	"github.com/kumquatsill/kumquatsill/app/httpconn"
 	"golang.org/x/sys/unix"
 )
 
@@ -33,7 +34,9 @@
 	reader *bufio.Reader
 	// hold is the memory of the response that is read, if any.
 	hold *hold
-	// headLeft is the number of bytes that may still be read while inHead is set.
+	// head checks the head that is read while inHead is set, headLeft is the number of bytes
+	// that may still be read of it.
+	head     httpconn.Head
 	headLeft int
 	inHead   bool
 	// reused is set if another request was sent before, strayed once a response was
@@ -51,7 +54,7 @@
 	headLineBytes = 64
 )
 
-// Read implements io.Reader. It limits and counts what is read of a head.
+// Read implements io.Reader. It limits, checks and counts what is read of a head.
 func (cn *conn) Read(p []byte) (int, error) {
 	if cn.inHead && cn.headLeft <= 0 {
 		return 0, &invalidResponseError{"the head of the answer is too long"}
@@ -63,8 +66,11 @@
 	held := 0
 	if cn.inHead {
 		cn.headLeft -= n
-		head, _, _ := bytes.Cut(p[:n], []byte("\r\n\r\n"))
-		held = headCopies*len(head) + headLineBytes*bytes.Count(head, []byte("\n"))
+		headBytes, headErr := cn.checkHead(p[:n])
+		if headErr != nil {
+			return 0, headErr
+		}
+		held = headCopies*headBytes + headLineBytes*bytes.Count(p[:headBytes], []byte("\n"))
 	}
 	if full := cn.hold.add(held); full != nil {
 		return 0, full
@@ -72,6 +78,15 @@
 	return n, err
 }
 
+// checkHead checks further bytes of a head and returns how many of them belong to it.
+func (cn *conn) checkHead(p []byte) (headBytes int, err error) {
+	headBytes, err = cn.head.Check(p)
+	if err != nil {
+		return 0, &invalidResponseError{err.Error()}
+	}
+	return headBytes, nil
+}
+
 // connect returns a pooled connection that still appears usable, or dials a new
 // one, as it always does for an exclusive request.
 func (c *Client) connect(ctx context.Context, req *Request) (*conn, error) {
--- /dev/null
+++ b/standin/rawanswer/rawanswer.go
@@ -0,0 +1,31 @@
+// Package rawanswer is a stand-in for faulty HTTP servers. It answers requests with any bytes,
+// and ends its connections in any way.
+package rawanswer
+
+import (
+	"io"
+	"net"
+	"net/http"
+)
+
+// Answer sends the answer to a request on its connection, which is closed afterwards. The body
+// of the request may not have been read.
+type Answer func(c net.Conn, r *http.Request)
+
+// ServeHTTP implements http.Handler.
+func (a Answer) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	c, _, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		panic(http.ErrAbortHandler) // the client is gone
+	}
+	defer func() { _ = c.Close() }()
+	a(c, r)
+}
+
+// Text answers with a text.
+func Text(text string) Answer {
+	return func(c net.Conn, _ *http.Request) { Send(c, text) }
+}
+
+// Send sends a text. A client that closes the connection before has read what it needs.
+func Send(c net.Conn, text string) { _, _ = io.WriteString(c, text) }
