httpconn: an answer whose field names hold a blank or a control byte is no answer

What callers saw: the answer, with the invalid line passed on, or with another body: where "Content-Length " is no length, the end of the connection ends the body; where a name begins with a line feed, the rest of the head is taken for the body; where it begins with a blank or a tab, the line becomes a part of the value before it.

Cause: net/http's parser accepts names with blanks, takes a line feed alone for the end of a line, and continues a value on a line that begins with a blank. The same held for the reports, orders and events of engines, the store, the form with agents (with TLS as well), the load tool and "explain".

Change: httpconn.Head allows only the bytes that RFC 9110 allows in a name, and a line feed alone ends a line only if it ended the status line, too: answers with line feeds throughout pass as before. Folded lines are refused, as RFC 9112 (5.2) asks of gateways that do not replace them: one cannot be told from a name that begins with a blank.

--- a/app/httpconn/head.go
+++ b/app/httpconn/head.go
@@ -25,9 +25,12 @@
 // Head checks the head of one response as it arrives, in parts of any size. The zero value
 // expects its first byte.
 type Head struct {
-	part headPart
+	part     headPart
+	previous byte
 	// status is the number that the first digits bytes of the status code form.
 	status, digits int
+	// crlf is set if the status line ends with CR and LF, not with LF alone.
+	crlf bool
 }
 
 // headPart is a part of a head, which the next byte belongs to.
@@ -38,7 +41,8 @@
 	inStatus
 	inReason
 	atLineStart
-	inField
+	inName
+	inValue
 	ended
 )
 
@@ -62,8 +66,10 @@
 func (h *Head) IsInformational() bool { return h.status < minFinalStatus }
 
 func (h *Head) next(b byte) error {
+	previous := h.previous
+	h.previous = b
 	if b == '\n' {
-		return h.endLine()
+		return h.endLine(previous == '\r')
 	}
 	switch h.part {
 	case inVersion:
@@ -72,10 +78,8 @@
 		}
 	case inStatus:
 		return h.nextOfStatus(b)
-	case atLineStart:
-		if b != '\r' {
-			h.part = inField
-		}
+	case atLineStart, inName:
+		return h.nextOfName(previous, b)
 	}
 	return nil
 }
@@ -94,13 +98,36 @@
 	return nil
 }
 
-func (h *Head) endLine() error {
+// nextOfName checks a byte of the name of a field, or the CR of the empty line that ends the head.
+// A line that begins with a blank would continue the value before it, which senders must not
+// use and recipients may reject (RFC 9112, section 5.2).
+func (h *Head) nextOfName(previous, b byte) error {
 	switch {
-	case h.part <= inReason:
-		h.part = atLineStart
+	case h.part == inName && b == ':':
+		h.part = inValue
+	case h.part == atLineStart && h.crlf && previous == '\n' && b == '\r':
+	case previous != '\r' && isNameByte(b):
+		h.part = inName
+	default:
+		return &HeadError{fmt.Sprintf("byte %q in the name of a field", b)}
+	}
+	return nil
+}
+
+// endLine checks the end of a line. If the status line ends with CR and LF, an LF alone ends no
+// line: a recipient that takes it for one may end the head there.
+func (h *Head) endLine(crlf bool) error {
+	if h.part <= inReason {
+		h.part, h.crlf = atLineStart, crlf
 		return h.checkStatus()
+	}
+	switch {
+	case crlf != h.crlf:
+		return &HeadError{"lines with different ends"}
 	case h.part == atLineStart:
 		h.part = ended
+	case h.part == inName:
+		return &HeadError{"a line without a colon"}
 	default:
 		h.part = atLineStart
 	}
@@ -116,3 +143,16 @@
 	}
 	return nil
 }
+
+// isNameByte reports whether a byte may be in the name of a field (RFC 9110, section 5.6.2).
+func isNameByte(b byte) bool {
+	switch {
+	case 'a' <= b && b <= 'z', 'A' <= b && b <= 'Z', '0' <= b && b <= '9':
+		return true
+	}
+	switch b {
+	case '!', '#', '$', '%', '&', '\'', '*', '+', '-', '.', '^', '_', '`', '|', '~':
+		return true
+	}
+	return false
+}
--- a/app/httpconn/head_test.go
+++ b/app/httpconn/head_test.go
@@ -65,6 +65,19 @@
 		"status with a sign":    "HTTP/1.1 +20 OK\r\n\r\n",
 		"no status":             "HTTP/1.1\r\n\r\n",
 		"status 101":            "HTTP/1.1 101 Switching Protocols\r\n\r\n",
+		"no colon":              "HTTP/1.1 200 OK\r\nLength\r\n\r\n",
+		"empty name":            "HTTP/1.1 200 OK\r\n: a\r\n\r\n",
+		"CR before a name":      "HTTP/1.1 200 OK\r\n\rLength: 1\r\n\r\n",
+		"two CRs before the LF": "HTTP/1.1 200 OK\r\n\r\r\n\r\n",
+		"CR LF after LF alone":  "HTTP/1.1 200 OK\nLength: 1\r\n\n",
+		"LF alone after CR LF":  "HTTP/1.1 200 OK\r\nLength: 1\n\r\n",
+	}
+	for b := range 256 {
+		if !strings.ContainsRune("!#$%&'*+-.^_`|~0123456789abcdefghijklmnopqrstuvwxyzABCDEFGHIJKLMNOPQRSTUVWXYZ:", rune(b)) {
+			for _, name := range []string{string([]byte{byte(b)}), "a" + string([]byte{byte(b)}), string([]byte{byte(b)}) + "a"} {
+				texts["name "+name] = "HTTP/1.1 200 OK\r\nFirst: 1\r\n" + name + ": 1\r\n\r\n"
+			}
+		}
 	}
 	for name, text := range texts {
 		for size := 1; size <= len(text); size++ {
@@ -77,3 +90,34 @@
 		}
 	}
 }
+
+// Guards against heads that are accepted and that net/http ends elsewhere, or of which it
+// accepts a name that is not valid.
+func FuzzHead(f *testing.F) {
+	for _, text := range rawanswer.Sound("", "body") {
+		f.Add([]byte(text))
+	}
+	for _, text := range rawanswer.InvalidHeads("", "body") {
+		f.Add([]byte(text))
+	}
+	f.Fuzz(func(t *testing.T, text []byte) {
+		var head httpconn.Head
+		n, err := head.Check(text)
+		if err != nil || !head.Ended() {
+			return
+		}
+		rest := bufio.NewReaderSize(strings.NewReader(string(text)), 16)
+		resp, err := http.ReadResponse(rest, &http.Request{Method: http.MethodHead}) // which has no body
+		if err != nil {
+			return
+		}
+		if behind, err := io.ReadAll(rest); err != nil || len(text)-len(behind) != n {
+			t.Errorf("the head of %q has %d bytes, by net/http %d, %v", text, n, len(text)-len(behind), err)
+		}
+		for name := range resp.Header {
+			if strings.ContainsAny(name, " \t\r\n") {
+				t.Errorf("%q has the field %q", text, name)
+			}
+		}
+	})
+}
--- a/standin/rawanswer/heads.go
+++ b/standin/rawanswer/heads.go
@@ -6,14 +6,29 @@
 // body, whose heads are not valid.
 func InvalidHeads(fields, body string) map[string]string {
 	sound := Sound(fields, body)["length"]
-	framed := func(statusLine string) string {
-		return fmt.Sprintf("%s\r\n%sContent-Length: %d\r\n\r\n%s", statusLine, fields, len(body), body)
+	framed := func(statusLine, invalid string) string {
+		return fmt.Sprintf("%s\r\n%sX-First: a\r\n%s\r\nContent-Length: %d\r\n\r\n%s", statusLine, fields, invalid, len(body), body)
 	}
+	unframed := func(invalid string) string {
+		return fmt.Sprintf("HTTP/1.1 200 OK\r\n%sX-First: a\r\n%s: %d\r\n\r\n%s", fields, invalid, len(body), body)
+	}
+	const ok = "HTTP/1.1 200 OK"
 	return map[string]string{
-		"status 000":                  framed("HTTP/1.1 000 None"),
-		"status 000 before an answer": "HTTP/1.1 000 None\r\n\r\n" + sound,
-		"status 099 before an answer": "HTTP/1.1 099 None\r\n\r\n" + sound,
-		"status 600":                  framed("HTTP/1.1 600 None"),
+		"status 000":                    framed("HTTP/1.1 000 None", "X-Second: b"),
+		"status 000 before an answer":   "HTTP/1.1 000 None\r\n\r\n" + sound,
+		"status 099 before an answer":   "HTTP/1.1 099 None\r\n\r\n" + sound,
+		"status 600":                    framed("HTTP/1.1 600 None", "X-Second: b"),
+		"blank before a name":           framed(ok, " X-Second: b"),
+		"blank in a name":               framed(ok, "X Second: b"),
+		"blank after a name":            framed(ok, "X-Second : b"),
+		"tab before a name":             framed(ok, "\tX-Second: b"),
+		"tab after a name":              framed(ok, "X-Second\t: b"),
+		"line feed before a name":       framed(ok, "\nX-Second: b"),
+		"escape in a name":              framed(ok, "X\x1bSecond: b"),
+		"blank after the length's name": unframed("Content-Length "),
+		"tab before the length's name":  unframed("\tContent-Length"),
+		"line feed before the length's": unframed("\nContent-Length"),
+		"blank in a name of a 1xx":      "HTTP/1.1 103 Early Hints\r\nX Second: b\r\n\r\n" + sound,
 	}
 }
 
