httpconn, upstream: a connection reset during an upload is no end of an answer

What callers saw: an endpoint answers a long upload at once with a 200 that has no length, sends a part of the body and resets the connection while the upload is being written. Callers got the part as a complete answer, on each kind of route: buffered, forwarded, and as a stream that had ended.

Cause: the kernel reports a reset to one system call alone. If the write of the upload is that call, its ECONNRESET is only seen by the goroutine that writes, and the read returns 0, which Go reports as io.EOF, like the end of the connection that ends such a body.

Change: httpconn.Conn remembers the error of a write, and its Read reports it in place of io.EOF. If a write is still waiting at the end of the connection, it is ended by its deadline, so that the read does not wait for an upload and cannot miss its error. EPIPE alone shows that the server had ended its side before the reset, as the kernel says then. No time limit decides, and other losses that a write receives, such as ETIMEDOUT, are covered. app/upstream and httpconn.Transport read and write through it, below TLS.

A reset before an answer was handled and is: 502, or another attempt. TestBrokenAnswerIsRepeatedWhereAllowed shows for the three kinds of broken answers that idempotent calls and resumable streams get the whole answer of another endpoint, and that others are sent once.

--- a/app/front/broken_answer_test.go
+++ b/app/front/broken_answer_test.go
@@ -36,8 +36,12 @@
 // calls that are not, and streams that may be resumed and that may not.
 var routes = []string{"/look/", "/open/", "/order/", "/sheet/", "/chat/"}
 
-// twoEvents is the body of an answer that is valid on every route.
-const twoEvents = "id: 1\ndata: a\n\nid: 2\ndata: b\n\n"
+const (
+	firstEvent  = "id: 1\ndata: a\n\n"
+	secondEvent = "id: 2\ndata: b\n\n"
+	// twoEvents is the body of an answer that is valid on every route.
+	twoEvents = firstEvent + secondEvent
+)
 
 // ownFields returns the fields that an endpoint's answer to a request has.
 func ownFields(r *http.Request) string {
@@ -123,3 +127,47 @@
 	}
 	return s.String()
 }
+
+// Guards against a broken answer after which a request that may be repeated fails, a stream does
+// not go on behind the events that its caller has, or a request that may run once runs twice.
+func TestBrokenAnswerIsRepeatedWhereAllowed(t *testing.T) {
+	broken := map[string]rawanswer.Answer{
+		"status": func(c net.Conn, r *http.Request) {
+			rawanswer.Send(c, answerOf(r, "HTTP/1.1 000 None", "Content-Length: 0\r\n", ""))
+		},
+		"name": func(c net.Conn, r *http.Request) {
+			rawanswer.Send(c, answerOf(r, "HTTP/1.1 200 OK", "Content-Length : 30\r\n", twoEvents))
+		},
+		"reset": func(c net.Conn, r *http.Request) { rawanswer.SendAndReset(c, unframed(r, firstEvent)) },
+	}
+	answers := map[string]rawanswer.Answer{}
+	var asked atomic.Int64 // endpoints asked for the present request
+	for name, answer := range broken {
+		answers[name] = func(c net.Conn, r *http.Request) {
+			switch {
+			case asked.Add(1) == 1:
+				answer(c, r)
+			case r.Header.Get("Last-Event-Id") == "1":
+				rawanswer.Send(c, soundAnswer(r, secondEvent))
+			default:
+				rawanswer.Send(c, soundAnswer(r, twoEvents))
+			}
+		}
+	}
+	b, _ := answerTestbed(t, answers)
+	b.configure(uploadConfig)
+	r := b.awaitEndpoints(b.start("r1"))
+	for _, route := range routes {
+		mayRepeat := route != "/order/" && route != "/chat/"
+		for name := range broken {
+			asked.Store(0)
+			status, body := r.upload(route + name)
+			if mayRepeat && (status != http.StatusOK || body != twoEvents || asked.Load() != 2) {
+				t.Errorf("%s%s: status %d, body %q, %d endpoints; want the whole answer of the second", route, name, status, body, asked.Load())
+			}
+			if !mayRepeat && (status == http.StatusOK || asked.Load() != 1) {
+				t.Errorf("%s%s: status %d, body %q, %d endpoints; want no answer of one", route, name, status, body, asked.Load())
+			}
+		}
+	}
+}
--- a/app/front/broken_control_test.go
+++ b/app/front/broken_control_test.go
@@ -2,6 +2,9 @@
 
 import (
 	"context"
+	"fmt"
+	"net"
+	"net/http"
 	"net/http/httptest"
 	"strings"
 	"testing"
@@ -75,3 +78,28 @@
 		}
 	}
 }
+
+// Guards against an append that counts as made though the store has reset the connection while
+// the record was being written; and against one that fails though its answer is whole.
+func TestAnswerOfStoreResetDuringWriteIsAnError(t *testing.T) {
+	const repetitions = 8 // it is left to chance whether the read or the write receives the reset
+	const recordBytes = 8 << 20
+	body := storeCalls["append"].body
+	put := func(answer rawanswer.Answer) error {
+		_, err := newTestStore(t, answer).Put(t.Context(), platform.TopicCrashes, "k", make([]byte, recordBytes))
+		return err
+	}
+	unframed := "HTTP/1.1 200 OK\r\n\r\n" + body
+	for range repetitions {
+		if err := put(func(c net.Conn, _ *http.Request) { rawanswer.SendAndReset(c, unframed) }); err == nil {
+			t.Error("no error")
+		}
+	}
+	framed := fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(body), body)
+	if err := put(func(c net.Conn, _ *http.Request) { rawanswer.SendAndReset(c, framed) }); err != nil {
+		t.Errorf("whole answer: %v", err)
+	}
+	if err := put(func(c net.Conn, _ *http.Request) { rawanswer.SendAndEnd(c, unframed) }); err != nil {
+		t.Errorf("whole answer without a length: %v", err)
+	}
+}
--- a/app/httpconn/transport.go
+++ b/app/httpconn/transport.go
@@ -9,7 +9,8 @@
 	"sync"
 )
 
-// Transport is an http.RoundTripper of which requests fail if the response is not valid.
+// Transport is an http.RoundTripper of which requests and reads of bodies fail if the response
+// is not valid or its connection is lost.
 type Transport struct{ base *http.Transport }
 
 // NewTransport returns a Transport with the settings of base, which it changes and which must
@@ -51,10 +52,11 @@
 	if err != nil {
 		return nil, err
 	}
-	return &responseConn{Conn: c}, nil
+	return &responseConn{Conn: &Conn{Conn: c}}, nil
 }
 
-// dialTLS opens a connection with TLS, above which responses are checked.
+// dialTLS opens a connection with TLS, below which the loss of the connection is detected, and
+// above which responses are checked.
 func (d *dialer) dialTLS(ctx context.Context, network, addr string) (net.Conn, error) {
 	c, err := d.dial(ctx, network, addr)
 	if err != nil {
@@ -69,7 +71,7 @@
 		ctx, cancel = context.WithTimeout(ctx, timeout)
 		defer cancel()
 	}
-	secure := tls.Client(c, config)
+	secure := tls.Client(&Conn{Conn: c}, config)
 	if err := secure.HandshakeContext(ctx); err != nil {
 		_ = c.Close()
 		return nil, err
--- a/app/httpconn/transport_test.go
+++ b/app/httpconn/transport_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"crypto/tls"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -77,6 +78,31 @@
 	}
 }
 
+// Guards against a part of a response that a client gets as a whole one, since the connection
+// was reset while a long request was being written.
+func TestTransportReportsReset(t *testing.T) {
+	const repetitions = 10 // it is left to chance whether the read or the write receives the reset
+	const unframed = "HTTP/1.1 200 OK\r\n\r\npart"
+	for name, start := range servers {
+		t.Run(name, func(t *testing.T) {
+			server, config := start(rawanswer.Answer(func(c net.Conn, _ *http.Request) {
+				rawanswer.Send(c, unframed)
+				if secure, ok := c.(*tls.Conn); ok {
+					c = secure.NetConn() // the end of TLS is not sent, as by a process that crashes
+				}
+				rawanswer.SendAndReset(c, "")
+			}))
+			defer server.Close()
+			client := &http.Client{Transport: httpconn.NewTransport(&http.Transport{TLSClientConfig: config, DisableKeepAlives: true})}
+			for range repetitions {
+				if got, err := post(client, server.URL, longRequest); err == nil {
+					t.Errorf("body %q without an error", got)
+				}
+			}
+		})
+	}
+}
+
 // Guards against a connection that is not kept after a valid response, or that is opened with
 // TLS but without the check of the server's name.
 func TestTransportKeepsConnections(t *testing.T) {
--- a/app/transport/broken_answer_test.go
+++ b/app/transport/broken_answer_test.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"crypto/tls"
+	"errors"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"testing"
@@ -60,25 +62,56 @@
 	}
 }
 
-// engineCall returns a call to an engine.
-func engineCall() proto.Envelope {
-	return proto.Envelope{From: proto.AgentAddr("e1"), To: proto.EngineAddr("e1"), Msg: proto.EngineCall{Attempt: "q#1"}}
+// longBody is more than the socket buffers of a connection hold.
+const longBody = 6 << 20
+
+// engineCall returns a call to an engine with a body.
+func engineCall(bodyBytes int) proto.Envelope {
+	return proto.Envelope{From: proto.AgentAddr("e1"), To: proto.EngineAddr("e1"), Msg: proto.EngineCall{Attempt: "q#1", Body: make([]byte, bodyBytes)}}
+}
+
+// Guards against a message that counts as received, or an append as made, though the process
+// has reset the connection while it was being written.
+func TestAnswerResetDuringWriteIsLost(t *testing.T) {
+	const repetitions = 8 // it is left to chance whether the read or the write receives the reset
+	const head = "HTTP/1.1 200 OK\r\n\r\n"
+	for _, secure := range []bool{false, true} {
+		addr, config := answerServer(t, secure, func(c net.Conn, _ *http.Request) {
+			rawanswer.Send(c, head)
+			if above, ok := c.(*tls.Conn); ok {
+				c = above.NetConn() // the end of TLS is not sent, as by a process that crashes
+			}
+			rawanswer.SendAndReset(c, "")
+		})
+		for range repetitions {
+			err := NewClient(config).PostEnvelope(context.Background(), addr, engineCall(longBody), func(proto.Envelope) {})
+			var lost *ConnectionError
+			if !errors.As(err, &lost) || lost.Unsent {
+				t.Errorf("TLS %t: %v", secure, err)
+			}
+		}
+	}
 }
 
 // Guards against a caller of the form with agents who waits for an engine that has not taken
 // the call: the agent's machine is told that the call may have run.
 func TestEngineCallWithBrokenAnswerIsReported(t *testing.T) {
+	const repetitions = 8 // it is left to chance whether the read or the write receives the reset
 	expect := func(name string, answer rawanswer.Answer, call proto.Envelope, want string) {
 		addr, _ := answerServer(t, false, answer)
 		if got := callEngine(addr, call); got != want {
 			t.Errorf("%s: the machine was told %s, want %s", name, got, want)
 		}
 	}
+	for range repetitions {
+		reset := func(c net.Conn, _ *http.Request) { rawanswer.SendAndReset(c, "HTTP/1.1 200 OK\r\n\r\n") }
+		expect("reset", reset, engineCall(longBody), proto.MayHaveRun.String())
+	}
 	for name, text := range rawanswer.InvalidHeads("", "") {
-		expect(name, rawanswer.Text(text), engineCall(), proto.MayHaveRun.String())
+		expect(name, rawanswer.Text(text), engineCall(0), proto.MayHaveRun.String())
 	}
 	for name, text := range rawanswer.Sound("", "") {
-		expect(name, rawanswer.Text(text), engineCall(), "nothing")
+		expect(name, rawanswer.Text(text), engineCall(0), "nothing")
 	}
 }
 
--- a/app/upstream/client.go
+++ b/app/upstream/client.go
@@ -121,8 +121,7 @@
 		written <- err
 	} else {
 		go func() {
-			_, err := data.WriteTo(cn.Conn)
-			written <- err
+			written <- cn.WriteBuffers(data)
 		}()
 	}
 	resp, err := c.readHead(cn, req)
--- a/app/upstream/pool.go
+++ b/app/upstream/pool.go
@@ -29,7 +29,7 @@
 
 // conn is one connection to a server, which carries one request at a time.
 type conn struct {
-	net.Conn
+	*httpconn.Conn
 	addr   string
 	reader *bufio.Reader
 	// hold is the memory of the response that is read, if any.
@@ -145,7 +145,7 @@
 	if err != nil {
 		return nil, Error.Wrap(err)
 	}
-	cn := &conn{Conn: nc, addr: addr, keepAliveTimeout: defaultKeepAlive}
+	cn := &conn{Conn: &httpconn.Conn{Conn: nc}, addr: addr, keepAliveTimeout: defaultKeepAlive}
 	cn.reader = bufio.NewReaderSize(cn, readBufferBytes)
 	return cn, nil
 }
@@ -164,7 +164,7 @@
 	if cn.reader.Buffered() > 0 {
 		return false
 	}
-	sc, ok := cn.Conn.(syscall.Conn)
+	sc, ok := cn.Conn.Conn.(syscall.Conn)
 	if !ok {
 		return false
 	}
--- a/standin/rawanswer/rawanswer.go
+++ b/standin/rawanswer/rawanswer.go
@@ -6,8 +6,12 @@
 	"io"
 	"net"
 	"net/http"
+	"time"
 )
 
+// settleTime is enough for a client on the same machine to read what was sent.
+const settleTime = 50 * time.Millisecond
+
 // Answer sends the answer to a request on its connection, which is closed afterwards. The body
 // of the request may not have been read.
 type Answer func(c net.Conn, r *http.Request)
@@ -29,3 +33,24 @@
 
 // Send sends a text. A client that closes the connection before has read what it needs.
 func Send(c net.Conn, text string) { _, _ = io.WriteString(c, text) }
+
+// SendAndReset sends a text, leaves the client the time to read it and resets the connection.
+func SendAndReset(c net.Conn, text string) {
+	Send(c, text)
+	time.Sleep(settleTime)
+	Reset(c)
+}
+
+// Reset resets the connection.
+func Reset(c net.Conn) {
+	_ = c.(*net.TCPConn).SetLinger(0) // fails only if the client has closed the connection
+	_ = c.Close()
+}
+
+// SendAndEnd sends a text and ends the server's side of the connection, and leaves the client
+// the time to read that.
+func SendAndEnd(c net.Conn, text string) {
+	Send(c, text)
+	_ = c.(*net.TCPConn).CloseWrite() // fails only if the client has closed the connection
+	time.Sleep(settleTime)
+}
