front: an answer that is cut off is no whole one for a caller with HTTP/1.0

What callers saw: a caller with HTTP/1.0 got the part of a forwarded answer, or of a stream, that an endpoint had sent before it broke off, and the end of its connection, which completes an answer without a length there.

Found while the third kind of broken answer was tested at what callers receive: with HTTP/1.1 the cut shows in the chunks or the length, with HTTP/1.0 only a length shows it.

Cause: net/http ends the connection of an aborted response as it ends any other.

Change: the router resets the connection of a caller with HTTP/1.0 whose answer it cuts off. Callers with HTTP/1.1 see what they saw before.

--- a/app/front/callers.go
+++ b/app/front/callers.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"context"
 	"errors"
 	"fmt"
 	"log/slog"
@@ -169,6 +170,14 @@
 	cut      atomic.Bool
 }
 
+// callerConnKey is the key of a request's *callerConn in its context.
+type callerConnKey struct{}
+
+// withCallerConn returns the context of the requests of a connection.
+func withCallerConn(ctx context.Context, c net.Conn) context.Context {
+	return context.WithValue(ctx, callerConnKey{}, c)
+}
+
 // connStateChanged records a new state of a caller's connection.
 func (f *Front) connStateChanged(c net.Conn, state http.ConnState) {
 	f.callerConns.Add(connChange[state])
--- a/app/front/front.go
+++ b/app/front/front.go
@@ -266,6 +266,7 @@
 	f.callerServer = &http.Server{
 		Handler:           http.HandlerFunc(f.serve),
 		BaseContext:       func(net.Listener) context.Context { return requests },
+		ConnContext:       withCallerConn,
 		ConnState:         f.connStateChanged,
 		ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
 		ErrorLog: slog.NewLogLogger(f.log.Handler(), slog.LevelWarn),
--- a/app/front/response.go
+++ b/app/front/response.go
@@ -119,6 +119,16 @@
 	}
 }
 
+// cutOff ends the caller's connection without completing the response; it does not return. The
+// end of the connection completes a response to HTTP/1.0, which has no chunks, so that only a
+// reset shows that it was cut off.
+func (x *request) cutOff() {
+	if c, ok := x.r.Context().Value(callerConnKey{}).(*callerConn); ok && !x.r.ProtoAtLeast(1, 1) {
+		_ = c.SetLinger(0) // fails only if the connection has ended already
+	}
+	panic(http.ErrAbortHandler)
+}
+
 // forwardStream forwards complete events as they arrive.
 func (a *attempt) forwardStream(ctx context.Context, resp *upstream.Response, stall *stallWatch) relay.Result {
 	x := a.request
--- a/app/front/serve.go
+++ b/app/front/serve.go
@@ -310,7 +310,7 @@
 	x.recordAdmissionOutcome(now, decision)
 	x.front.metrics.finished(x.route, decision, took)
 	if decision.Action == relay.Abort || decision.Action == relay.Drop {
-		panic(http.ErrAbortHandler) // net/http closes the connection without completing the body
+		x.cutOff()
 	}
 }
 
