--- a/app/front/broken_answer_test.go
+++ b/app/front/broken_answer_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"net"
 	"net/http"
 	"path"
@@ -49,6 +50,9 @@
 		"Kumquatsill-Attempt-Id: " + r.Header.Get("Kumquatsill-Attempt-Id") + "\r\n"
 }
 
+// answerTexts holds functions that return the text of the answer to a request, by names.
+type answerTexts map[string]func(r *http.Request) string
+
 // answerOf returns the text of an answer with a status line, further fields and a body.
 func answerOf(r *http.Request, statusLine, fields, body string) string {
 	return statusLine + "\r\n" + ownFields(r) + fields + "\r\n" + body
@@ -71,9 +75,11 @@
 
 // expectAnswers expects that callers on each route get a bad gateway for each broken answer, on
 // all endpoints, and the body for each sound one.
-func expectAnswers(t *testing.T, broken, sound map[string]func(r *http.Request) string, body string) {
+func expectAnswers(t *testing.T, broken, sound answerTexts, body string) {
+	texts := maps.Clone(broken)
+	maps.Copy(texts, sound)
 	answers := map[string]rawanswer.Answer{}
-	for name, text := range join(broken, sound) {
+	for name, text := range texts {
 		answers[name] = func(c net.Conn, r *http.Request) { rawanswer.SendAndReadOn(c, text(r)) }
 	}
 	for _, route := range routes {
@@ -99,16 +105,6 @@
 	}
 }
 
-func join(maps ...map[string]func(r *http.Request) string) map[string]func(r *http.Request) string {
-	all := map[string]func(r *http.Request) string{}
-	for _, m := range maps {
-		for name, text := range m {
-			all[name] = text
-		}
-	}
-	return all
-}
-
 // shorten returns the beginning of a long text.
 func shorten(text string) string {
 	const most = 200
--- a/app/front/field_names_test.go
+++ b/app/front/field_names_test.go
@@ -8,8 +8,8 @@
 
 // invalidNames returns answers in whose heads the name of a field holds a blank or a control
 // byte: of one that frames the body, of another, or of one in a 1xx answer before.
-func invalidNames(body string) map[string]func(r *http.Request) string {
-	answers := map[string]func(r *http.Request) string{}
+func invalidNames(body string) answerTexts {
+	answers := answerTexts{}
 	for hex, b := range map[string]string{"20": " ", "09": "\t", "0a": "\n", "0d": "\r", "00": "\x00", "0b": "\v", "1f": "\x1f", "7f": "\x7f"} {
 		for place, name := range map[string]string{
 			"length-before": b + "Content-Length", "length-within": "Content" + b + "Length", "length-after": "Content-Length" + b,
@@ -40,7 +40,7 @@
 func TestInvalidFieldNameIsNoAnswer(t *testing.T) {
 	for name, body := range map[string]string{"buffered": twoEvents, "forwarded": longEvents()} {
 		t.Run(name, func(t *testing.T) {
-			expectAnswers(t, invalidNames(body), map[string]func(r *http.Request) string{
+			expectAnswers(t, invalidNames(body), answerTexts{
 				"length": func(r *http.Request) string { return soundAnswer(r, body) },
 				"no-length": func(r *http.Request) string {
 					return answerOf(r, "HTTP/1.1 200 OK", "!#$%&'*+-.^_`|~09AZaz: \t a\tb: c \t\r\nX-Empty:\r\nX-None: \r\n", body)
--- a/app/front/invalid_status_test.go
+++ b/app/front/invalid_status_test.go
@@ -9,8 +9,8 @@
 // invalidStatuses returns answers whose status is no status of HTTP, by a name, with all that
 // may follow a status that a reader skips: nothing, a body, an answer within the body or
 // behind it, and a body without an end.
-func invalidStatuses(body string) map[string]func(r *http.Request) string {
-	return map[string]func(r *http.Request) string{
+func invalidStatuses(body string) answerTexts {
+	return answerTexts{
 		"000-empty":     func(r *http.Request) string { return answerOf(r, "HTTP/1.1 000 None", "Content-Length: 0\r\n", "") },
 		"000-no-head":   func(*http.Request) string { return "HTTP/1.1 000 None\r\n\r\n" },
 		"000-no-reason": func(r *http.Request) string { return answerOf(r, "HTTP/1.1 000", "Content-Length: 0\r\n", "") },
@@ -42,7 +42,7 @@
 func TestInvalidStatusIsNoAnswer(t *testing.T) {
 	for name, body := range map[string]string{"buffered": twoEvents, "forwarded": longEvents()} {
 		t.Run(name, func(t *testing.T) {
-			expectAnswers(t, invalidStatuses(body), map[string]func(r *http.Request) string{
+			expectAnswers(t, invalidStatuses(body), answerTexts{
 				"200":           func(r *http.Request) string { return soundAnswer(r, body) },
 				"200-unframed":  func(r *http.Request) string { return answerOf(r, "HTTP/1.1 200 OK", "", body) },
 				"200-no-reason": func(r *http.Request) string { return strings.Replace(soundAnswer(r, body), " OK", "", 1) },
