--- a/app/httpconn/conn_test.go
+++ b/app/httpconn/conn_test.go
@@ -81,8 +81,8 @@
 	}
 }
 
-// Guards against the end of a connection that counts as that of the response after a request
-// was written without an error, and against one that does not.
+// Guards against a whole response that reads as one that was lost, though the request was
+// written without an error and the server has ended the connection.
 func TestEndAfterWholeRequest(t *testing.T) {
 	c := connect(t, func(c net.Conn) {
 		_, _ = io.ReadFull(c, make([]byte, len("request"))) // without it the test fails
