--- a/app/front/call_cut_test.go
+++ b/app/front/call_cut_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -13,6 +14,7 @@
 	"github.com/kumquatsill/kumquatsill/core/discovery"
 	"github.com/kumquatsill/kumquatsill/core/upgrade"
 	"github.com/kumquatsill/kumquatsill/platform"
+	"github.com/kumquatsill/kumquatsill/standin/rawanswer"
 )
 
 // cutEngine sends the bytes that it is given and closes the connection.
@@ -25,13 +27,8 @@
 
 func newCutEngine(t *testing.T) *cutEngine {
 	e := &cutEngine{}
-	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
-		conn, _, err := http.NewResponseController(w).Hijack()
-		if err != nil {
-			panic(http.ErrAbortHandler)
-		}
-		_, _ = conn.Write([]byte(e.answer.Load().(string))) // the connection ends in any case
-		_ = conn.Close()
+	s := httptest.NewServer(rawanswer.Answer(func(conn net.Conn, _ *http.Request) {
+		rawanswer.Send(conn, e.answer.Load().(string))
 	}))
 	t.Cleanup(s.Close)
 	e.endpoint = &discovery.Endpoint{ID: "e1", Addr: strings.TrimPrefix(s.URL, "http://")}
--- a/app/front/cut_test.go
+++ b/app/front/cut_test.go
@@ -2,11 +2,14 @@
 
 import (
 	"fmt"
+	"net"
 	"net/http"
 	"path"
 	"strconv"
 	"sync/atomic"
 	"testing"
+
+	"github.com/kumquatsill/kumquatsill/standin/rawanswer"
 )
 
 // cutAnswer is an answer of an engine without its ID.
@@ -29,13 +32,8 @@
 				e.ServeHTTP(w, r)
 				return
 			}
-			conn, _, err := http.NewResponseController(w).Hijack()
-			if err != nil {
-				panic(http.ErrAbortHandler)
-			}
-			_, _ = conn.Write([]byte(answer.to(r)[:n])) // the connection ends in any case
-			_ = conn.Close()
 			cuts.Add(1)
+			rawanswer.Answer(func(conn net.Conn, r *http.Request) { rawanswer.Send(conn, answer.to(r)[:n]) }).ServeHTTP(w, r)
 		}))
 		b.register(i, "ready")
 	}
