--- a/review/rig3/main.go
+++ b/review/rig3/main.go
@@ -20,6 +20,7 @@
 // without the disruption. A function returns whether the rule was broken.
 var cases = map[string]func(f *fleet, trouble bool) (bool, error){
 	"silent-connections": silentConnections,
+	"crowd":              crowd,
 }
 
 func main() { os.Exit(run()) }
