--- a/review/rig3/silent.go
+++ b/review/rig3/silent.go
@@ -13,7 +13,7 @@
 // contactMs and half a second in its favour. A version binds configBound after its confirmation.
 const (
 	settleTime    = 10 * time.Second
-	roundTime     = 13 * time.Second
+	roundTime     = 11500 * time.Millisecond
 	silenceToKey  = 500 * time.Millisecond
 	inTouchAfter  = 3500 * time.Millisecond
 	configBound   = 2 * time.Second
@@ -27,7 +27,7 @@
 // The phase of the long polls at that moment differs from round to round.
 var silentAfter = []time.Duration{
 	4900 * time.Millisecond, 5200 * time.Millisecond, 4700 * time.Millisecond, 5400 * time.Millisecond, 5000 * time.Millisecond,
-	4500 * time.Millisecond, 5100 * time.Millisecond,
+	4500 * time.Millisecond, 5100 * time.Millisecond, 4900 * time.Millisecond,
 }
 
 // silentConnections makes the open connections to the store silent again and again, takes a key away half
@@ -81,10 +81,11 @@
 		wait.Add(1)
 		go func() {
 			defer wait.Done()
-			c, runs := newClient(), 0
+			c, runs, last := newClient(), 0, time.Duration(0)
 			for time.Now().Before(until) {
 				a := c.call(r.callerAddr, "GET", "/look/1", key, 1500*time.Millisecond, "")
 				if a.sent.Sub(confirmed) > configBound && hasRun(plain, a.id) {
+					last = a.sent.Sub(confirmed)
 					if runs++; runs > recordedRuns {
 						time.Sleep(probeInterval)
 						continue
@@ -96,6 +97,9 @@
 				}
 				time.Sleep(probeInterval)
 			}
+			if runs > 0 {
+				f.record.line("%s ran %d requests that came too late, the last one %.3f s after the key was taken away", r.name, runs, last.Seconds())
+			}
 		}()
 	}
 	wait.Wait()
