--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -3,4 +3,4 @@
 # stand-ins of the store and the engines, the clients and the proxies. It needs no network.
 set -euo pipefail
 cd "$(dirname "$0")/rig3"
-GOWORK=off GOFLAGS=-mod=mod GOPROXY=off go build -o ../../target/rig3 .
+GOWORK=off GOFLAGS= GOPROXY=off GOTOOLCHAIN=local go build -o ../../target/rig3 .
