--- a/review/rig3/crowd.go
+++ b/review/rig3/crowd.go
@@ -12,6 +12,7 @@
 	"strings"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/kumquatsill/kumquatsill/standin/hosting"
@@ -26,6 +27,8 @@
 	maxPause     = time.Second
 	orderLimit   = 1500 * time.Millisecond
 	headLines    = 200
+	// neededFiles is how many files the callers and the router may have to open, each in its process.
+	neededFiles = 4500
 	// allowedLost is how many requests of kept connections may be lost.
 	allowedLost = 3
 )
@@ -48,6 +51,10 @@
 // crowd lets callers that keep their connections send orders, and reports whether sound engines have run more
 // than allowedLost orders of connections that were kept and then closed without an answer.
 func crowd(f *fleet, trouble bool) (bool, error) {
+	var files syscall.Rlimit
+	if err := syscall.Getrlimit(syscall.RLIMIT_NOFILE, &files); err != nil || files.Max < neededFiles {
+		return false, fmt.Errorf("%d open files are allowed, %d are needed (%v)", files.Max, neededFiles, err)
+	}
 	var engines []*hosting.Engine
 	for i := range 3 {
 		e, err := f.addEngine(fmt.Sprintf("i-plain%d", i+1), "plain", "")
